--- /dev/null
+++ b/crates/geraniummux-core/src/config.rs
@@ -0,0 +1,461 @@
+//! The two tables that operators edit, their validation as a whole, and adoption.
+//!
+//! Both tables live in one [`Config`] with a generation, so that one conditional update decides
+//! between concurrent edits and every accepted state is valid as a whole.
+
+use crate::errors::{Error, Result, invalid};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Longest allowed name of a route, pool, target, tenant or class, in bytes.
+pub const MAX_NAME_LEN: usize = 64;
+/// Largest accepted encoded configuration, in bytes. The platform holds values up to 1 MiB.
+pub const MAX_CONFIG_LEN: usize = 1 << 20;
+/// Longest allowed request timeout, in milliseconds.
+pub const MAX_TIMEOUT_MS: u64 = 600_000;
+
+/// Which of the two tables an edit replaces.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TableKind {
+    /// Which requests go to which pool.
+    Routes,
+    /// Which targets serve a pool.
+    Pools,
+}
+
+impl TableKind {
+    /// Returns the table's name.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            TableKind::Routes => "routes",
+            TableKind::Pools => "pools",
+        }
+    }
+
+    /// Returns the table with this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "routes" => Some(TableKind::Routes),
+            "pools" => Some(TableKind::Pools),
+            _ => None,
+        }
+    }
+}
+
+/// One row of the routes table: which requests go to which pool, and under which limits.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Requests are matched by this `Host` (without port); any host if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<Arc<str>>,
+    /// Requests are matched by this path prefix, which starts with `/`; the longest prefix wins.
+    pub path: Arc<str>,
+    /// Matched methods in upper case; all methods if empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub methods: Vec<Arc<str>>,
+    /// The tenant that the requests are counted for.
+    pub tenant: Arc<str>,
+    /// The class of request within the tenant.
+    pub class: Arc<str>,
+    /// The pool that serves the requests.
+    pub pool: Arc<str>,
+    /// Longest time from request to answer, in milliseconds.
+    pub timeout_ms: u64,
+    /// Whether requests may run more than once. By default decided by the method (RFC 9110).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub idempotent: Option<bool>,
+    /// Retries allowed for each first attempt, 0 to 1.
+    #[serde(default = "default_retry_budget")]
+    pub retry_budget: f64,
+    /// Hedged attempts allowed for each first attempt, 0 to 1; 0 turns hedging off.
+    #[serde(default = "default_hedge_budget")]
+    pub hedge_budget: f64,
+    /// Largest request body, in bytes.
+    #[serde(default = "default_max_body")]
+    pub max_body_bytes: u64,
+}
+
+fn default_retry_budget() -> f64 {
+    0.1
+}
+
+fn default_hedge_budget() -> f64 {
+    0.05
+}
+
+fn default_max_body() -> u64 {
+    1 << 20
+}
+
+impl Route {
+    /// Returns whether a request with this method may run more than once.
+    pub fn is_idempotent(&self, method: &str) -> bool {
+        self.idempotent
+            .unwrap_or(matches!(method, "GET" | "HEAD" | "OPTIONS" | "TRACE" | "PUT" | "DELETE"))
+    }
+}
+
+/// One row of the pools table: the targets that serve it, and how they are measured.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Requests that a target runs at once.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Probes a second that one target may receive from all entry hosts together.
+    #[serde(default = "default_probe_budget")]
+    pub probe_budget_per_s: f64,
+    /// The part of the probe budget to spend, 0 to 1.
+    #[serde(default = "default_probe_share")]
+    pub probe_share: f64,
+    /// Path of the health endpoint.
+    #[serde(default = "default_health_path")]
+    pub health_path: Arc<str>,
+    /// The targets.
+    pub targets: Vec<Target>,
+}
+
+fn default_slots() -> u32 {
+    6
+}
+
+fn default_probe_budget() -> f64 {
+    1.0
+}
+
+fn default_probe_share() -> f64 {
+    1.0
+}
+
+fn default_health_path() -> Arc<str> {
+    Arc::from("/health")
+}
+
+/// One target of a pool.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Name, unique within the pool.
+    pub name: Arc<str>,
+    /// Where it accepts HTTP/1.1.
+    pub addr: SocketAddr,
+    /// Failure domain that it runs in.
+    pub failure_domain: Arc<str>,
+    /// Relative capacity, above 0 and at most 100.
+    #[serde(default = "default_weight")]
+    pub weight: f64,
+    /// Whether the target is being removed and receives no new requests.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+}
+
+fn default_weight() -> f64 {
+    1.0
+}
+
+/// Both tables.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tables {
+    /// Rows of the routes table.
+    pub routes: Vec<Route>,
+    /// Rows of the pools table.
+    pub pools: Vec<Pool>,
+}
+
+impl Tables {
+    /// Returns the pool with this name.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.pools.iter().find(|p| &*p.name == name)
+    }
+
+    /// Checks both tables as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first invalid row with its field and the cause.
+    pub fn validate(&self) -> Result<()> {
+        check_unique("pools", self.pools.iter().map(|p| &*p.name))?;
+        check_unique("routes", self.routes.iter().map(|r| &*r.name))?;
+        for pool in &self.pools {
+            validate_pool(pool)?;
+        }
+        for route in &self.routes {
+            validate_route(route)?;
+            if self.pool(&route.pool).is_none() {
+                let cause = format!("pool {:?} does not exist in the pools table", &*route.pool);
+                return Err(invalid("routes", &route.name, "pool", cause));
+            }
+        }
+        check_unique_matches(&self.routes)
+    }
+}
+
+fn check_name(table: &'static str, row: &str, field: &'static str, name: &str) -> Result<()> {
+    let valid = !name.is_empty()
+        && name.len() <= MAX_NAME_LEN
+        && name.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'));
+    if valid {
+        return Ok(());
+    }
+    let cause =
+        format!("{name:?} is not a name: use 1 to {MAX_NAME_LEN} letters, digits, '-', '_' or '.'");
+    Err(invalid(table, row, field, cause))
+}
+
+fn check_unique<'a, I>(table: &'static str, names: I) -> Result<()>
+where
+    I: Iterator<Item = &'a str>,
+{
+    let mut seen: Vec<&str> = names.collect();
+    seen.sort_unstable();
+    match seen.windows(2).find(|w| w[0] == w[1]) {
+        Some(w) => Err(invalid(table, w[0], "name", "another row has the same name")),
+        None => Ok(()),
+    }
+}
+
+fn check_range(
+    table: &'static str,
+    row: &str,
+    field: &'static str,
+    value: f64,
+    range: std::ops::RangeInclusive<f64>,
+) -> Result<()> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    let cause = format!("{value} is out of range: {} to {}", range.start(), range.end());
+    Err(invalid(table, row, field, cause))
+}
+
+fn validate_pool(pool: &Pool) -> Result<()> {
+    let row = &*pool.name;
+    check_name("pools", row, "name", row)?;
+    check_range("pools", row, "slots", f64::from(pool.slots), 1.0..=10_000.0)?;
+    check_range("pools", row, "probe_budget_per_s", pool.probe_budget_per_s, 0.0..=100.0)?;
+    check_range("pools", row, "probe_share", pool.probe_share, 0.0..=1.0)?;
+    if !pool.health_path.starts_with('/') {
+        return Err(invalid("pools", row, "health_path", "the path must start with '/'"));
+    }
+    if pool.targets.is_empty() {
+        return Err(invalid("pools", row, "targets", "a pool needs at least one target"));
+    }
+    check_unique("pools", pool.targets.iter().map(|t| &*t.name))?;
+    for target in &pool.targets {
+        check_name("pools", row, "targets.name", &target.name)?;
+        check_name("pools", row, "targets.failure_domain", &target.failure_domain)?;
+        if !(target.weight > 0.0 && target.weight <= 100.0) {
+            let cause = format!("{} is out of range: above 0, at most 100", target.weight);
+            return Err(invalid("pools", row, "targets.weight", cause));
+        }
+    }
+    Ok(())
+}
+
+fn validate_route(route: &Route) -> Result<()> {
+    let row = &*route.name;
+    check_name("routes", row, "name", row)?;
+    check_name("routes", row, "tenant", &route.tenant)?;
+    check_name("routes", row, "class", &route.class)?;
+    if !route.path.starts_with('/') {
+        return Err(invalid("routes", row, "path", "the path must start with '/'"));
+    }
+    if let Some(method) = route
+        .methods
+        .iter()
+        .find(|m| m.is_empty() || !m.bytes().all(|b| b.is_ascii_uppercase() || b == b'-'))
+    {
+        let cause = format!("{method:?} is not a method in upper case");
+        return Err(invalid("routes", row, "methods", cause));
+    }
+    check_range("routes", row, "timeout_ms", route.timeout_ms as f64, 1.0..=MAX_TIMEOUT_MS as f64)?;
+    check_range("routes", row, "retry_budget", route.retry_budget, 0.0..=1.0)?;
+    check_range("routes", row, "hedge_budget", route.hedge_budget, 0.0..=1.0)?;
+    check_range("routes", row, "max_body_bytes", route.max_body_bytes as f64, 0.0..=67_108_864.0)
+}
+
+/// Rejects two routes that match exactly the same requests, since neither could win.
+fn check_unique_matches(routes: &[Route]) -> Result<()> {
+    for (i, a) in routes.iter().enumerate() {
+        let twin = routes[..i].iter().find(|b| {
+            let methods_overlap = a.methods.is_empty() && b.methods.is_empty()
+                || a.methods.iter().any(|m| b.methods.contains(m));
+            a.host == b.host && a.path == b.path && methods_overlap
+        });
+        if let Some(b) = twin {
+            let cause = format!("matches the same requests as route {:?}", &*b.name);
+            return Err(invalid("routes", &a.name, "path", cause));
+        }
+    }
+    Ok(())
+}
+
+/// New content for one of the two tables.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TableEdit {
+    /// Replaces the routes table.
+    Routes(Vec<Route>),
+    /// Replaces the pools table.
+    Pools(Vec<Pool>),
+}
+
+/// A file with one table, as operators write it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TableFile<T> {
+    #[serde(alias = "routes", alias = "pools")]
+    rows: Vec<T>,
+}
+
+impl TableEdit {
+    /// Parses the JSON text of one table: `{"routes": [...]}` or `{"pools": [...]}`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Parse`] with line and column if the text is not such a table.
+    pub fn parse(kind: TableKind, text: &str) -> Result<Self> {
+        let parse_error =
+            |e: serde_json::Error| Error::Parse { table: kind.as_str(), cause: e.to_string() };
+        match kind {
+            TableKind::Routes => serde_json::from_str::<TableFile<Route>>(text)
+                .map(|f| TableEdit::Routes(f.rows))
+                .map_err(parse_error),
+            TableKind::Pools => serde_json::from_str::<TableFile<Pool>>(text)
+                .map(|f| TableEdit::Pools(f.rows))
+                .map_err(parse_error),
+        }
+    }
+
+    /// Returns which table is edited.
+    pub const fn kind(&self) -> TableKind {
+        match self {
+            TableEdit::Routes(_) => TableKind::Routes,
+            TableEdit::Pools(_) => TableKind::Pools,
+        }
+    }
+}
+
+/// Revision of one table and who wrote it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Revision {
+    /// Rises by one with every accepted edit of the table.
+    pub number: u64,
+    /// The operator's name, as given with the edit.
+    pub writer: Arc<str>,
+}
+
+/// Both tables with the generation that orders all accepted states.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Rises by one with every accepted edit of either table; 0 means none was accepted yet.
+    pub generation: u64,
+    /// Identity of the write that produced this generation. It tells whether a write whose answer
+    /// was lost took effect.
+    pub write_id: Arc<str>,
+    /// Revision of the routes table.
+    pub routes_revision: Revision,
+    /// Revision of the pools table.
+    pub pools_revision: Revision,
+    /// The tables.
+    pub tables: Tables,
+}
+
+impl Config {
+    /// Returns the revision of a table.
+    pub fn revision(&self, kind: TableKind) -> &Revision {
+        match kind {
+            TableKind::Routes => &self.routes_revision,
+            TableKind::Pools => &self.pools_revision,
+        }
+    }
+
+    /// Returns the successor of this configuration with one table replaced.
+    ///
+    /// `base` is the revision of the table that the edit was made from.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] if the table has changed since `base`; [`Error::Invalid`] if the result
+    /// is not valid as a whole.
+    pub fn with_edit(
+        &self,
+        edit: TableEdit,
+        base: u64,
+        writer: &str,
+        write_id: &str,
+    ) -> Result<Config> {
+        let kind = edit.kind();
+        let current = self.revision(kind);
+        if current.number != base {
+            return Err(Error::Conflict {
+                table: kind.as_str(),
+                base,
+                current: current.number,
+                writer: current.writer.to_string(),
+            });
+        }
+        let mut next = self.clone();
+        next.generation += 1;
+        next.write_id = Arc::from(write_id);
+        let revision = Revision { number: base + 1, writer: Arc::from(writer) };
+        match edit {
+            TableEdit::Routes(rows) => {
+                next.tables.routes = rows;
+                next.routes_revision = revision;
+            }
+            TableEdit::Pools(rows) => {
+                next.tables.pools = rows;
+                next.pools_revision = revision;
+            }
+        }
+        next.tables.validate()?;
+        Ok(next)
+    }
+}
+
+/// What became of a configuration that was offered to a host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Offer {
+    /// It is newer and now in force.
+    Adopted,
+    /// It is the one in force.
+    Same,
+    /// It is older than the one in force and was refused.
+    Stale,
+}
+
+/// The configuration in force on one host.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigState {
+    current: Arc<Config>,
+}
+
+impl ConfigState {
+    /// Returns the configuration in force; generation 0 means none.
+    pub fn current(&self) -> &Arc<Config> {
+        &self.current
+    }
+
+    /// Puts `config` in force if it is newer than the present one.
+    pub fn offer(&mut self, config: Arc<Config>) -> Offer {
+        match config.generation.cmp(&self.current.generation) {
+            std::cmp::Ordering::Greater => {
+                self.current = config;
+                Offer::Adopted
+            }
+            std::cmp::Ordering::Equal => Offer::Same,
+            std::cmp::Ordering::Less => Offer::Stale,
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-core/src/outcome.rs
@@ -0,0 +1,119 @@
+//! What a caller is told about its request.
+
+use std::fmt;
+
+/// Whether a request ran.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Outcome {
+    /// A target's handler answered and the answer is relayed whole.
+    Served,
+    /// No target's handler saw any attempt of the request.
+    NotRun,
+    /// A target's handler may have seen the request.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the value of the `geraniummux-outcome` response header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Served => "served",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Why a request was not served.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Reason {
+    /// No route matches the request.
+    NoRoute,
+    /// The route's pool has no target that may receive requests.
+    NoTarget,
+    /// The queue of the tenant and class is full, or the deadline would pass while waiting.
+    Overloaded,
+    /// The deadline passed.
+    Deadline,
+    /// Every attempt ended without an answer.
+    TargetFailed,
+    /// The request body exceeds the route's limit.
+    BodyTooLarge,
+    /// The request is malformed.
+    BadRequest,
+    /// The `x-tenant` header doesn't match the route's tenant.
+    WrongTenant,
+    /// The state of the idempotency key could not be established.
+    ClaimUnavailable,
+    /// Another request with the same idempotency key is running, or its outcome is unknown.
+    ClaimPending,
+    /// The key's request was served, but its answer was too large to be kept.
+    AnswerNotKept,
+    /// The idempotency key was used for a different request.
+    KeyReused,
+    /// The request is blocked because it broke several targets.
+    Quarantined,
+    /// This host has no configuration yet, or may hold an outdated one.
+    NotReady,
+    /// This host is shutting down.
+    ShuttingDown,
+    /// The caller left before the answer was complete.
+    CallerGone,
+}
+
+impl Reason {
+    /// Returns the value of the `geraniummux-reason` response header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Reason::NoRoute => "no-route",
+            Reason::NoTarget => "no-target",
+            Reason::Overloaded => "overloaded",
+            Reason::Deadline => "deadline",
+            Reason::TargetFailed => "target-failed",
+            Reason::BodyTooLarge => "body-too-large",
+            Reason::BadRequest => "bad-request",
+            Reason::WrongTenant => "wrong-tenant",
+            Reason::ClaimUnavailable => "claim-unavailable",
+            Reason::ClaimPending => "claim-pending",
+            Reason::AnswerNotKept => "answer-not-kept",
+            Reason::KeyReused => "key-reused",
+            Reason::Quarantined => "quarantined",
+            Reason::NotReady => "not-ready",
+            Reason::ShuttingDown => "shutting-down",
+            Reason::CallerGone => "caller-gone",
+        }
+    }
+
+    /// Returns the HTTP status that goes with the reason.
+    pub const fn status(self) -> u16 {
+        match self {
+            Reason::NoRoute => 404,
+            Reason::WrongTenant => 403,
+            Reason::BadRequest => 400,
+            Reason::BodyTooLarge => 413,
+            Reason::KeyReused => 422,
+            Reason::ClaimPending | Reason::AnswerNotKept => 409,
+            Reason::Deadline => 504,
+            Reason::TargetFailed => 502,
+            Reason::CallerGone => 499,
+            Reason::NoTarget
+            | Reason::Overloaded
+            | Reason::ClaimUnavailable
+            | Reason::Quarantined
+            | Reason::NotReady
+            | Reason::ShuttingDown => 503,
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-core/src/routing.rs
@@ -0,0 +1,61 @@
+//! Matches requests to routes.
+
+use crate::config::{Route, Tables};
+use std::sync::Arc;
+
+/// Routes ordered so that the first match is the most specific one.
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    /// Sorted by path in descending order, so that a longer prefix precedes a shorter one.
+    routes: Vec<Arc<Route>>,
+}
+
+impl Router {
+    /// Builds a router from the routes table.
+    pub fn new(tables: &Tables) -> Self {
+        let mut routes: Vec<Arc<Route>> = tables.routes.iter().cloned().map(Arc::new).collect();
+        // Longer paths precede shorter ones; among equal paths a route that names a host or a
+        // method precedes one that matches any.
+        routes.sort_by(|a, b| {
+            b.path
+                .len()
+                .cmp(&a.path.len())
+                .then(b.host.is_some().cmp(&a.host.is_some()))
+                .then(a.methods.is_empty().cmp(&b.methods.is_empty()))
+                .then(a.name.cmp(&b.name))
+        });
+        Router { routes }
+    }
+
+    /// Returns the route of a request, or `None` if no route matches.
+    ///
+    /// `host` is the request's host with or without port, `path` its path without query.
+    pub fn find(&self, host: &str, method: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = strip_port(host);
+        self.routes.iter().find(|r| {
+            matches_path(&r.path, path)
+                && r.host.as_deref().is_none_or(|h| h.eq_ignore_ascii_case(host))
+                && (r.methods.is_empty() || r.methods.iter().any(|m| &**m == method))
+        })
+    }
+
+    /// Returns all routes, most specific first.
+    pub fn routes(&self) -> &[Arc<Route>] {
+        &self.routes
+    }
+}
+
+/// Returns whether `path` lies below `prefix`, where a prefix ends at a segment boundary.
+fn matches_path(prefix: &str, path: &str) -> bool {
+    match path.strip_prefix(prefix) {
+        Some(rest) => rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/'),
+        None => false,
+    }
+}
+
+fn strip_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-core/src/time.rs
@@ -0,0 +1,72 @@
+//! Time as a value: a monotonic instant and a wall-clock instant, both passed in by the caller.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// A monotonic instant in microseconds since an arbitrary origin of the process.
+///
+/// Values of different processes can't be compared.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Time(u64);
+
+impl Time {
+    /// The origin.
+    pub const ZERO: Time = Time(0);
+
+    /// Returns the instant `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Time(micros)
+    }
+
+    /// Returns the instant `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Time(millis * 1_000)
+    }
+
+    /// Returns the microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time elapsed since `earlier`, or zero if `earlier` is later than `self`.
+    pub const fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+
+    fn add(self, rhs: Duration) -> Time {
+        Time(self.0.saturating_add(rhs.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Time;
+
+    fn sub(self, rhs: Duration) -> Time {
+        Time(self.0.saturating_sub(rhs.as_micros() as u64))
+    }
+}
+
+/// A wall-clock instant in milliseconds since the Unix epoch.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct UnixMs(pub u64);
+
+impl Add<Duration> for UnixMs {
+    type Output = UnixMs;
+
+    fn add(self, rhs: Duration) -> UnixMs {
+        UnixMs(self.0.saturating_add(rhs.as_millis() as u64))
+    }
+}
+
+impl fmt::Display for UnixMs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Not implemented yet.
+fn main() {}
--- /dev/null
+++ b/crates/geraniummux-wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages between entry hosts.
+//!
+//! A frame is a fixed header (magic, version), a postcard-encoded [`Envelope`] and a truncated
+//! HMAC-SHA256 tag. Frames with an unknown version, a wrong tag or a length above the limit are
+//! refused before their content is decoded.
+
+#![forbid(unsafe_code)]
+
+pub mod codec;
+pub mod errors;
+pub mod message;
+
+pub use codec::{Codec, MAX_DATAGRAM_LEN, MAX_STREAM_FRAME_LEN};
+pub use errors::{Error, Result};
+pub use message::{Envelope, Message};
