--- /dev/null
+++ b/crates/geraniummux-core/src/attempt.rs
@@ -0,0 +1,964 @@
+//! One request as a state machine: attempts, retries, hedges, deadlines and cancellation.
+//!
+//! The daemon feeds [`Event`]s to a [`RequestState`] and performs the returned [`Action`]s in
+//! order. Exactly one of `Respond`, `Relay`, `Replay` and `Abandon` is returned per request.
+//!
+//! ```
+//! use geraniummux_core::attempt::{Action, Connection, Event, RequestOptions, RequestState};
+//! use geraniummux_core::budget::RouteBudgets;
+//! use geraniummux_core::{Outcome, Time};
+//! use std::time::Duration;
+//!
+//! let now = Time::from_millis(5);
+//! let mut budgets = RouteBudgets::new(0.1, 0.05, now);
+//! let mut request = RequestState::new(RequestOptions {
+//!     idempotent: true,
+//!     deadline: now + Duration::from_secs(1),
+//!     ..RequestOptions::default()
+//! });
+//!
+//! // The deadline timer starts and the request asks for a slot.
+//! let actions = request.start(now);
+//! assert_eq!(actions.last(), Some(&Action::Admit));
+//! let actions = request.on(now, Event::Admitted { quarantined: false }, &mut budgets);
+//! assert_eq!(actions, [Action::Pick { attempt: 0, avoid: vec![] }]);
+//!
+//! // The balancer picked a target that has a connection idle for 3 ms.
+//! let idle = Some(Duration::from_millis(3));
+//! let actions = request.on(now, Event::Picked { attempt: 0, target: "t1".into(), idle }, &mut budgets);
+//! assert!(matches!(&actions[0], Action::Open { connection: Connection::Reuse, .. }));
+//! let connected = Event::Connected { attempt: 0, reused: true, quarantined: false };
+//! let actions = request.on(now, connected, &mut budgets);
+//! assert!(matches!(actions[0], Action::Send { attempt: 0, depth: 1, .. }));
+//!
+//! // The whole answer arrived: the slot is free and the answer goes to the caller.
+//! let answered = Event::Answered { attempt: 0, status: 200, whole: true };
+//! let actions = request.on(now, answered, &mut budgets);
+//! assert_eq!(actions, [Action::ReleaseSlot, Action::Relay { attempt: 0, outcome: Outcome::Served }]);
+//! assert!(request.on(now, Event::Delivered, &mut budgets).is_empty());
+//! assert!(request.is_done());
+//! ```
+
+use crate::budget::RouteBudgets;
+use crate::outcome::{Outcome, Reason};
+use crate::time::Time;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Number of an attempt within its request, counted from 0.
+pub type AttemptNo = u8;
+
+/// A non-idempotent request reuses only connections that answered within this time. A connection
+/// can go silent at any moment, and such a request can't be moved to another one.
+pub const FRESH_CONNECTION: Duration = Duration::from_millis(50);
+/// Silence bound of an old connection before the route's p95 is known (fewer than 20 answers).
+pub const DEFAULT_SILENCE: Duration = Duration::from_millis(100);
+
+/// Inputs of a request.
+#[derive(Clone, Debug)]
+pub struct RequestOptions {
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Whether the caller gave an idempotency key. Ignored for idempotent requests.
+    pub keyed: bool,
+    /// The smaller of the caller's and the route's deadline.
+    pub deadline: Time,
+    /// Depth of the caller's request, 0 if it has none.
+    pub depth: u32,
+    /// The route's observed p95; `None` before 20 answers were observed.
+    pub p95: Option<Duration>,
+    /// Largest number of attempts, hedges and moves included.
+    pub max_attempts: u8,
+    /// Longest time to open a connection. An attempt without a connection is safe to repeat.
+    pub connect_timeout: Duration,
+}
+
+impl Default for RequestOptions {
+    fn default() -> Self {
+        RequestOptions {
+            idempotent: false,
+            keyed: false,
+            deadline: Time::ZERO,
+            depth: 0,
+            p95: None,
+            max_attempts: 4,
+            connect_timeout: Duration::from_millis(250),
+        }
+    }
+}
+
+/// Why a target refused a request without running it (`x-request-refused`).
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Refusal {
+    /// The target is overloaded.
+    Shed,
+    /// The target is leaving.
+    Draining,
+    /// The target is not ready yet.
+    Starting,
+    /// The deadline had passed at the target.
+    Deadline,
+}
+
+impl Refusal {
+    /// Parses the value of the `x-request-refused` header. An unknown value proves nothing.
+    pub fn parse(value: &str) -> Option<Self> {
+        match value {
+            "shed" => Some(Refusal::Shed),
+            "draining" => Some(Refusal::Draining),
+            "starting" => Some(Refusal::Starting),
+            "deadline" => Some(Refusal::Deadline),
+            _ => None,
+        }
+    }
+
+    const fn reason(self) -> Reason {
+        match self {
+            Refusal::Shed => Reason::Overloaded,
+            Refusal::Draining | Refusal::Starting => Reason::NoTarget,
+            Refusal::Deadline => Reason::Deadline,
+        }
+    }
+}
+
+/// A timer that the daemon runs for the request.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Timer {
+    /// The request's deadline.
+    Deadline,
+    /// The attempt took too long to connect.
+    Connect(AttemptNo),
+    /// The attempt is slow enough for a hedge.
+    Hedge(AttemptNo),
+    /// The attempt's old connection has been silent for too long.
+    Silence(AttemptNo),
+}
+
+/// Which connection an attempt uses.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Connection {
+    /// The idle connection that was reported with the pick; a new one if it has gone meanwhile.
+    Reuse,
+    /// A new connection.
+    New,
+}
+
+/// What happened to a request.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Event {
+    /// The request has a slot. `quarantined` tells whether its fingerprint is blocked.
+    Admitted {
+        /// Whether the fingerprint is blocked.
+        quarantined: bool,
+    },
+    /// The request was shed.
+    AdmissionRefused {
+        /// Why.
+        reason: Reason,
+    },
+    /// The claim is held: the request may run.
+    ClaimGranted,
+    /// Another request with the same key is running and is being waited for.
+    ClaimWaiting,
+    /// The key's request was answered before and its answer is stored.
+    ClaimReplay,
+    /// The request may not run, or the claim's state could not be established.
+    ClaimRefused {
+        /// The outcome that the claim gives.
+        outcome: Outcome,
+        /// Why.
+        reason: Reason,
+    },
+    /// The settling of the claim ended, or took too long and goes on in the background.
+    ClaimSettled,
+    /// A target was picked.
+    Picked {
+        /// The attempt that asked.
+        attempt: AttemptNo,
+        /// The target's name.
+        target: Arc<str>,
+        /// Time since the last answer on the most recently used idle connection to the target.
+        idle: Option<Duration>,
+    },
+    /// No target may receive the request.
+    NoTarget {
+        /// The attempt that asked.
+        attempt: AttemptNo,
+    },
+    /// The attempt has its connection. The daemon checks the quarantine directly before this.
+    Connected {
+        /// The attempt.
+        attempt: AttemptNo,
+        /// Whether the connection carried a request before.
+        reused: bool,
+        /// Whether the fingerprint is blocked.
+        quarantined: bool,
+    },
+    /// No connection could be opened.
+    ConnectFailed {
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// The send failed, and no byte of the request was handed to the connection.
+    NotSent {
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// The answer's head arrived.
+    AnswerHead {
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// The whole answer is buffered, or it is longer than the buffer and starts to stream.
+    Answered {
+        /// The attempt.
+        attempt: AttemptNo,
+        /// The answer's status.
+        status: u16,
+        /// Whether the whole answer is buffered.
+        whole: bool,
+    },
+    /// The target declared that its handler was not invoked. On a reused connection this is
+    /// reported only if the answer echoes the attempt's id.
+    Refused {
+        /// The attempt.
+        attempt: AttemptNo,
+        /// The declared cause.
+        refusal: Refusal,
+    },
+    /// The connection was reset or closed before an answer's head.
+    Broken {
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// The answer is truncated, malformed or belongs to another request.
+    BadAnswer {
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// The peers acknowledged the strike, or the time for it is over.
+    StrikeSpread {
+        /// Whether the fingerprint is blocked now.
+        quarantined: bool,
+    },
+    /// The caller acknowledged the last byte of the relayed or replayed answer.
+    Delivered,
+    /// The transfer of the answer to the caller broke at either end.
+    DeliveryFailed,
+    /// A timer fired. A timer that no longer matters is ignored.
+    Timer(Timer),
+    /// The caller left.
+    CallerGone,
+}
+
+/// What the daemon does for a request.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Action {
+    /// Asks the admission for a slot; answered by `Admitted` or `AdmissionRefused`.
+    Admit,
+    /// Gives the slot back, or leaves the queue.
+    ReleaseSlot,
+    /// Starts to acquire the key's claim.
+    AcquireClaim,
+    /// Picks a target; answered by `Picked` or `NoTarget`.
+    Pick {
+        /// The new attempt.
+        attempt: AttemptNo,
+        /// Targets to pick only if there is no other.
+        avoid: Vec<Arc<str>>,
+    },
+    /// Gets a connection; answered by `Connected` or `ConnectFailed`.
+    Open {
+        /// The attempt.
+        attempt: AttemptNo,
+        /// The picked target.
+        target: Arc<str>,
+        /// Which connection.
+        connection: Connection,
+    },
+    /// Sends the request. From here on a target's handler may have seen it, unless `NotSent` or
+    /// `Refused` arrives for the attempt.
+    Send {
+        /// The attempt.
+        attempt: AttemptNo,
+        /// The daemon checks the clock directly before the first byte and reports `NotSent` after
+        /// this time.
+        not_after: Time,
+        /// Value of `x-request-depth`.
+        depth: u32,
+    },
+    /// Ends the attempt by closing its connection, and drops its buffered answer.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// Records a strike of the target and sends it to the peers; answered by `StrikeSpread`.
+    RecordStrike {
+        /// The attempt that broke.
+        attempt: AttemptNo,
+        /// The target that broke.
+        target: Arc<str>,
+    },
+    /// Starts a timer.
+    StartTimer {
+        /// Which timer.
+        timer: Timer,
+        /// When it fires.
+        at: Time,
+    },
+    /// Passes the outcome to the claim; answered by `ClaimSettled`.
+    SettleClaim {
+        /// Whether the request ran.
+        outcome: Outcome,
+        /// The attempt whose whole answer is stored with the claim.
+        answer: Option<AttemptNo>,
+    },
+    /// Marks the claim's stored answer undelivered.
+    MarkUndelivered,
+    /// Answers with an error made here.
+    Respond {
+        /// The outcome.
+        outcome: Outcome,
+        /// Why.
+        reason: Reason,
+    },
+    /// Sends the answer of the attempt to the caller; answered by `Delivered` or `DeliveryFailed`.
+    Relay {
+        /// The attempt.
+        attempt: AttemptNo,
+        /// The outcome.
+        outcome: Outcome,
+    },
+    /// Sends the stored answer to the caller; answered by `Delivered` or `DeliveryFailed`.
+    Replay,
+    /// Ends the request without a response, since its caller left.
+    Abandon {
+        /// What became of the request.
+        outcome: Outcome,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Stage {
+    Picking,
+    Opening,
+    Sent,
+    /// The head arrived.
+    Answering,
+    /// The whole answer is buffered but not chosen yet.
+    Held,
+    Ended,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Attempt {
+    target: Option<Arc<str>>,
+    stage: Stage,
+    /// Whether a target's handler may have seen this attempt.
+    may_have_run: bool,
+    /// Whether the attempt needs a new connection.
+    needs_new: bool,
+}
+
+impl Attempt {
+    fn is_live(&self) -> bool {
+        matches!(self.stage, Stage::Picking | Stage::Opening | Stage::Sent | Stage::Answering)
+    }
+}
+
+/// How the request ends.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Conclusion {
+    Relay { attempt: AttemptNo, whole: bool },
+    Respond(Reason),
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Phase {
+    New,
+    Queued,
+    Claiming,
+    Running,
+    /// Strikes are being spread before the request concludes.
+    Spreading(Conclusion),
+    /// The claim is being settled before the request concludes with this outcome.
+    Settling(Conclusion, Outcome),
+    Relaying {
+        attempt: AttemptNo,
+        whole: bool,
+    },
+    Replaying,
+    Done,
+}
+
+/// The state of one request.
+#[derive(Clone, Debug)]
+pub struct RequestState {
+    options: RequestOptions,
+    phase: Phase,
+    attempts: Vec<Attempt>,
+    has_slot: bool,
+    holds_claim: bool,
+    hedged: bool,
+    caller_gone: bool,
+    quarantined: bool,
+    strikes_pending: u8,
+    /// Why the last attempt failed.
+    failure: Reason,
+    outcome: Option<Outcome>,
+}
+
+impl RequestState {
+    /// Returns a request that has not started.
+    pub fn new(options: RequestOptions) -> Self {
+        RequestState {
+            options,
+            phase: Phase::New,
+            attempts: Vec::new(),
+            has_slot: false,
+            holds_claim: false,
+            hedged: false,
+            caller_gone: false,
+            quarantined: false,
+            strikes_pending: 0,
+            failure: Reason::TargetFailed,
+            outcome: None,
+        }
+    }
+
+    /// Starts the request.
+    pub fn start(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.phase != Phase::New {
+            return actions;
+        }
+        if now >= self.options.deadline {
+            self.conclude(Conclusion::Respond(Reason::Deadline), &mut actions);
+            return actions;
+        }
+        actions.push(Action::StartTimer { timer: Timer::Deadline, at: self.options.deadline });
+        self.admit(&mut actions);
+        actions
+    }
+
+    /// Returns whether nothing is left to do for the request.
+    pub fn is_done(&self) -> bool {
+        self.phase == Phase::Done
+    }
+
+    /// Returns the outcome once it is decided.
+    pub fn outcome(&self) -> Option<Outcome> {
+        self.outcome
+    }
+
+    /// Returns the target of an attempt once it is picked.
+    pub fn target(&self, attempt: AttemptNo) -> Option<&Arc<str>> {
+        self.attempts.get(usize::from(attempt)).and_then(|a| a.target.as_ref())
+    }
+
+    /// Takes an event and returns the actions that follow from it, to be performed in order.
+    ///
+    /// An event that doesn't fit the state, such as one of a cancelled attempt, is ignored.
+    pub fn on(&mut self, now: Time, event: Event, budgets: &mut RouteBudgets) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let out = &mut actions;
+        match (self.phase, event) {
+            (Phase::New | Phase::Done, _) => {}
+            (Phase::Queued, event) => self.on_queued(now, event, budgets, out),
+            (Phase::Claiming, event) => self.on_claiming(now, event, budgets, out),
+            (Phase::Running, event) => self.on_running(now, event, budgets, out),
+            (Phase::Spreading(conclusion), Event::StrikeSpread { .. }) => {
+                self.strikes_pending -= 1;
+                self.conclude(conclusion, out);
+            }
+            (Phase::Settling(conclusion, outcome), Event::ClaimSettled) => {
+                self.finish(conclusion, outcome, out);
+            }
+            (Phase::Spreading(_) | Phase::Settling(..), Event::CallerGone) => {
+                self.caller_gone = true;
+            }
+            (Phase::Relaying { attempt, whole }, event) => {
+                self.on_relaying(attempt, whole, event, out);
+            }
+            (Phase::Replaying, Event::Delivered | Event::DeliveryFailed | Event::CallerGone) => {
+                self.phase = Phase::Done
+            }
+            (Phase::Spreading(_) | Phase::Settling(..) | Phase::Replaying, _) => {}
+        }
+        actions
+    }
+
+    fn admit(&mut self, out: &mut Vec<Action>) {
+        self.phase = Phase::Queued;
+        self.has_slot = true;
+        out.push(Action::Admit);
+    }
+
+    fn on_queued(
+        &mut self,
+        now: Time,
+        event: Event,
+        budgets: &mut RouteBudgets,
+        out: &mut Vec<Action>,
+    ) {
+        match event {
+            Event::Admitted { quarantined: true } => {
+                self.quarantined = true;
+                self.conclude(Conclusion::Respond(Reason::Quarantined), out);
+            }
+            Event::Admitted { .. } if self.uses_claim() && !self.holds_claim => {
+                self.phase = Phase::Claiming;
+                out.push(Action::AcquireClaim);
+            }
+            Event::Admitted { .. } => self.run(now, budgets, out),
+            Event::AdmissionRefused { reason } => {
+                self.has_slot = false;
+                self.conclude(Conclusion::Respond(reason), out);
+            }
+            Event::Timer(Timer::Deadline) => {
+                self.conclude(Conclusion::Respond(Reason::Deadline), out);
+            }
+            Event::CallerGone => {
+                self.caller_gone = true;
+                self.conclude(Conclusion::Respond(Reason::CallerGone), out);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_claiming(
+        &mut self,
+        now: Time,
+        event: Event,
+        budgets: &mut RouteBudgets,
+        out: &mut Vec<Action>,
+    ) {
+        match event {
+            Event::ClaimGranted => {
+                self.holds_claim = true;
+                if self.has_slot {
+                    self.run(now, budgets, out);
+                } else {
+                    self.admit(out);
+                }
+            }
+            // A request that waits for another one runs nothing and must not occupy a slot.
+            Event::ClaimWaiting => self.release_slot(out),
+            Event::ClaimReplay => {
+                self.release_slot(out);
+                self.outcome = Some(Outcome::Served);
+                self.phase = Phase::Replaying;
+                out.push(Action::Replay);
+            }
+            Event::ClaimRefused { outcome, reason } => {
+                self.release_slot(out);
+                self.respond(outcome, reason, out);
+            }
+            // The claim may be in the making. It is released, but what the key's other requests
+            // did stays open.
+            Event::Timer(Timer::Deadline) => {
+                self.settle(Conclusion::Respond(Reason::ClaimPending), Outcome::Unknown, out);
+            }
+            Event::CallerGone => {
+                self.caller_gone = true;
+                self.settle(Conclusion::Respond(Reason::CallerGone), Outcome::NotRun, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn run(&mut self, now: Time, budgets: &mut RouteBudgets, out: &mut Vec<Action>) {
+        self.phase = Phase::Running;
+        budgets.deposit(now, self.options.depth);
+        self.pick(false, out);
+    }
+
+    fn on_running(
+        &mut self,
+        now: Time,
+        event: Event,
+        budgets: &mut RouteBudgets,
+        out: &mut Vec<Action>,
+    ) {
+        match event {
+            Event::Picked { attempt, target, idle } => {
+                self.on_picked(now, attempt, target, idle, out)
+            }
+            Event::NoTarget { attempt } if self.stage(attempt) == Some(Stage::Picking) => {
+                self.fail(now, attempt, Reason::NoTarget, budgets, out);
+            }
+            Event::Connected { attempt, reused, quarantined }
+                if self.stage(attempt) == Some(Stage::Opening) =>
+            {
+                self.on_connected(now, attempt, reused, quarantined, budgets, out);
+            }
+            Event::ConnectFailed { attempt } if self.stage(attempt) == Some(Stage::Opening) => {
+                self.fail(now, attempt, Reason::TargetFailed, budgets, out);
+            }
+            Event::NotSent { attempt } if self.stage(attempt) == Some(Stage::Sent) => {
+                self.attempts[usize::from(attempt)].may_have_run = false;
+                self.fail(now, attempt, Reason::TargetFailed, budgets, out);
+            }
+            Event::AnswerHead { attempt } if self.stage(attempt) == Some(Stage::Sent) => {
+                self.attempts[usize::from(attempt)].stage = Stage::Answering;
+            }
+            Event::Answered { attempt, status, whole } if self.is_sent(attempt) => {
+                self.on_answered(now, attempt, status, whole, budgets, out);
+            }
+            Event::Refused { attempt, refusal } if self.is_sent(attempt) => {
+                self.attempts[usize::from(attempt)].may_have_run = false;
+                self.fail(now, attempt, refusal.reason(), budgets, out);
+            }
+            Event::Broken { attempt } if self.stage(attempt) == Some(Stage::Sent) => {
+                self.strikes_pending += 1;
+                let target = self.target(attempt).cloned().unwrap_or_else(|| Arc::from(""));
+                out.push(Action::RecordStrike { attempt, target });
+                self.fail(now, attempt, Reason::TargetFailed, budgets, out);
+            }
+            Event::Broken { attempt } | Event::BadAnswer { attempt } if self.is_sent(attempt) => {
+                self.fail(now, attempt, Reason::TargetFailed, budgets, out);
+            }
+            Event::StrikeSpread { quarantined } if self.strikes_pending > 0 => {
+                self.strikes_pending -= 1;
+                self.quarantined |= quarantined;
+                self.proceed(now, budgets, out);
+            }
+            Event::Timer(timer) => self.on_timer(now, timer, budgets, out),
+            Event::CallerGone => self.on_caller_gone(out),
+            _ => {}
+        }
+    }
+
+    fn on_picked(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        target: Arc<str>,
+        idle: Option<Duration>,
+        out: &mut Vec<Action>,
+    ) {
+        if self.stage(attempt) != Some(Stage::Picking) {
+            return;
+        }
+        let idempotent = self.options.idempotent;
+        let connect_timeout = self.options.connect_timeout;
+        let a = &mut self.attempts[usize::from(attempt)];
+        a.stage = Stage::Opening;
+        a.target = Some(target.clone());
+        let reusable = idle.is_some_and(|idle| idempotent || idle <= FRESH_CONNECTION);
+        let connection = if reusable && !a.needs_new { Connection::Reuse } else { Connection::New };
+        out.push(Action::Open { attempt, target, connection });
+        out.push(Action::StartTimer { timer: Timer::Connect(attempt), at: now + connect_timeout });
+    }
+
+    fn on_connected(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        reused: bool,
+        quarantined: bool,
+        budgets: &mut RouteBudgets,
+        out: &mut Vec<Action>,
+    ) {
+        self.quarantined |= quarantined;
+        // The process may have been paused since the last check, and a strike may have arrived.
+        if self.quarantined || self.strikes_pending > 0 || now >= self.options.deadline {
+            out.push(Action::Cancel { attempt });
+            let late = now >= self.options.deadline;
+            let reason = if late { Reason::Deadline } else { Reason::TargetFailed };
+            self.fail(now, attempt, reason, budgets, out);
+            return;
+        }
+        let a = &mut self.attempts[usize::from(attempt)];
+        a.stage = Stage::Sent;
+        a.may_have_run = true;
+        out.push(Action::Send {
+            attempt,
+            not_after: self.options.deadline,
+            depth: self.options.depth.saturating_add(1),
+        });
+        if !self.options.idempotent {
+            return;
+        }
+        if let Some(p95) = self.options.p95.filter(|_| !self.hedged) {
+            out.push(Action::StartTimer { timer: Timer::Hedge(attempt), at: now + p95 });
+        }
+        if reused {
+            self.start_silence(now, attempt, out);
+        }
+    }
+
+    fn start_silence(&self, now: Time, attempt: AttemptNo, out: &mut Vec<Action>) {
+        let silence = self.options.p95.map_or(DEFAULT_SILENCE, |p95| p95 * 2);
+        if now + silence < self.options.deadline {
+            out.push(Action::StartTimer { timer: Timer::Silence(attempt), at: now + silence });
+        }
+    }
+
+    fn on_answered(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        status: u16,
+        whole: bool,
+        budgets: &mut RouteBudgets,
+        out: &mut Vec<Action>,
+    ) {
+        let failed = answer_outcome(status) != Outcome::Served;
+        // A failure answer is kept while another attempt may still do better.
+        if failed && whole && self.options.idempotent {
+            self.attempts[usize::from(attempt)].stage = Stage::Held;
+            self.proceed(now, budgets, out);
+            return;
+        }
+        self.outcome = Some(answer_outcome(status));
+        self.conclude(Conclusion::Relay { attempt, whole }, out);
+    }
+
+    fn on_timer(
+        &mut self,
+        now: Time,
+        timer: Timer,
+        budgets: &mut RouteBudgets,
+        out: &mut Vec<Action>,
+    ) {
+        match timer {
+            Timer::Deadline => {
+                let conclusion = self.failure_conclusion(Reason::Deadline);
+                self.conclude(conclusion, out);
+            }
+            Timer::Connect(n) if self.stage(n) == Some(Stage::Opening) => {
+                out.push(Action::Cancel { attempt: n });
+                self.fail(now, n, Reason::TargetFailed, budgets, out);
+            }
+            Timer::Hedge(n)
+                if self.stage(n) == Some(Stage::Sent)
+                    && !self.hedged
+                    && self.live() == 1
+                    && self.may_add(now) =>
+            {
+                self.hedged = budgets.hedge.try_spend(now, self.options.depth);
+                if self.hedged {
+                    self.pick(true, out);
+                }
+            }
+            Timer::Silence(n) if self.stage(n) == Some(Stage::Sent) => {
+                let moves = self.live() == 1
+                    && self.may_add(now)
+                    && budgets.hedge.try_spend(now, self.options.depth);
+                if moves {
+                    self.attempts[usize::from(n)].stage = Stage::Ended;
+                    out.push(Action::Cancel { attempt: n });
+                    self.pick(true, out);
+                } else {
+                    self.start_silence(now, n, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn on_caller_gone(&mut self, out: &mut Vec<Action>) {
+        if self.caller_gone {
+            return;
+        }
+        self.caller_gone = true;
+        // The answer of a keyed request that is under way is stored for the caller's repeat.
+        let sent = self.attempts.iter().any(|a| matches!(a.stage, Stage::Sent | Stage::Answering));
+        if !(self.holds_claim && sent) {
+            self.conclude(Conclusion::Respond(Reason::CallerGone), out);
+        }
+    }
+
+    fn on_relaying(
+        &mut self,
+        attempt: AttemptNo,
+        whole: bool,
+        event: Event,
+        out: &mut Vec<Action>,
+    ) {
+        match event {
+            Event::Delivered => {}
+            Event::DeliveryFailed | Event::CallerGone => {
+                if !whole {
+                    out.push(Action::Cancel { attempt });
+                } else if self.holds_claim && self.outcome == Some(Outcome::Served) {
+                    out.push(Action::MarkUndelivered);
+                }
+            }
+            _ => return,
+        }
+        self.release_slot(out);
+        self.phase = Phase::Done;
+    }
+
+    fn stage(&self, attempt: AttemptNo) -> Option<Stage> {
+        self.attempts.get(usize::from(attempt)).map(|a| a.stage)
+    }
+
+    fn is_sent(&self, attempt: AttemptNo) -> bool {
+        matches!(self.stage(attempt), Some(Stage::Sent | Stage::Answering))
+    }
+
+    fn live(&self) -> usize {
+        self.attempts.iter().filter(|a| a.is_live()).count()
+    }
+
+    fn uses_claim(&self) -> bool {
+        self.options.keyed && !self.options.idempotent
+    }
+
+    /// Returns whether another attempt is possible at all, apart from the budgets.
+    fn may_add(&self, now: Time) -> bool {
+        self.attempts.len() < usize::from(self.options.max_attempts)
+            && now < self.options.deadline
+            && !self.caller_gone
+            && !self.quarantined
+            && self.strikes_pending == 0
+            && (self.options.idempotent || !self.may_have_run())
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(|a| a.may_have_run)
+    }
+
+    fn pick(&mut self, needs_new: bool, out: &mut Vec<Action>) {
+        let avoid = self.attempts.iter().filter_map(|a| a.target.clone()).collect();
+        let attempt = self.attempts.len() as AttemptNo;
+        self.attempts.push(Attempt {
+            target: None,
+            stage: Stage::Picking,
+            may_have_run: false,
+            needs_new,
+        });
+        out.push(Action::Pick { attempt, avoid });
+    }
+
+    fn fail(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        reason: Reason,
+        budgets: &mut RouteBudgets,
+        out: &mut Vec<Action>,
+    ) {
+        self.attempts[usize::from(attempt)].stage = Stage::Ended;
+        self.failure = reason;
+        self.proceed(now, budgets, out);
+    }
+
+    /// Decides what follows when an attempt ended without a usable answer.
+    fn proceed(&mut self, now: Time, budgets: &mut RouteBudgets, out: &mut Vec<Action>) {
+        if self.live() > 0 || self.strikes_pending > 0 {
+            return;
+        }
+        // Another pick can't find what the last one missed.
+        let retry = self.failure != Reason::NoTarget || self.may_have_run();
+        if retry && self.may_add(now) && budgets.retry.try_spend(now, self.options.depth) {
+            self.pick(false, out);
+            return;
+        }
+        let reason = if self.quarantined { Reason::Quarantined } else { self.failure };
+        let conclusion = self.failure_conclusion(reason);
+        self.conclude(conclusion, out);
+    }
+
+    /// Returns the conclusion of a request without a good answer: a kept failure answer of a
+    /// target if there is one, else an error.
+    fn failure_conclusion(&mut self, reason: Reason) -> Conclusion {
+        match self.attempts.iter().position(|a| a.stage == Stage::Held) {
+            Some(n) if reason != Reason::Quarantined => {
+                self.outcome = Some(Outcome::Unknown);
+                Conclusion::Relay { attempt: n as AttemptNo, whole: true }
+            }
+            _ => Conclusion::Respond(reason),
+        }
+    }
+
+    /// Ends all attempts but the relayed one, then spreads strikes, settles the claim and finishes.
+    fn conclude(&mut self, conclusion: Conclusion, out: &mut Vec<Action>) {
+        let kept = match conclusion {
+            Conclusion::Relay { attempt, .. } => Some(usize::from(attempt)),
+            Conclusion::Respond(_) => None,
+        };
+        for (n, a) in self.attempts.iter_mut().enumerate() {
+            if Some(n) != kept && a.stage != Stage::Ended {
+                a.stage = Stage::Ended;
+                out.push(Action::Cancel { attempt: n as AttemptNo });
+            }
+        }
+        if self.strikes_pending > 0 {
+            self.phase = Phase::Spreading(conclusion);
+            return;
+        }
+        let outcome = match conclusion {
+            Conclusion::Relay { .. } => self.outcome.unwrap_or(Outcome::Unknown),
+            Conclusion::Respond(_) if self.may_have_run() => Outcome::Unknown,
+            Conclusion::Respond(_) => Outcome::NotRun,
+        };
+        if self.holds_claim {
+            self.settle(conclusion, outcome, out);
+        } else {
+            self.finish(conclusion, outcome, out);
+        }
+    }
+
+    fn settle(&mut self, conclusion: Conclusion, outcome: Outcome, out: &mut Vec<Action>) {
+        let answer = match conclusion {
+            Conclusion::Relay { attempt, whole: true } => Some(attempt),
+            _ => None,
+        };
+        // A request that holds no claim yet has sent nothing.
+        let claim_outcome = if self.holds_claim { outcome } else { Outcome::NotRun };
+        self.phase = Phase::Settling(conclusion, outcome);
+        out.push(Action::SettleClaim { outcome: claim_outcome, answer });
+    }
+
+    fn finish(&mut self, conclusion: Conclusion, outcome: Outcome, out: &mut Vec<Action>) {
+        self.outcome = Some(outcome);
+        match conclusion {
+            Conclusion::Relay { attempt, whole } if self.caller_gone => {
+                if !whole {
+                    out.push(Action::Cancel { attempt });
+                } else if self.holds_claim && outcome == Outcome::Served {
+                    out.push(Action::MarkUndelivered);
+                }
+                self.respond(outcome, Reason::CallerGone, out);
+            }
+            Conclusion::Relay { attempt, whole } => {
+                // The target is done with a buffered answer; a long one keeps it busy.
+                if whole {
+                    self.release_slot(out);
+                }
+                self.phase = Phase::Relaying { attempt, whole };
+                out.push(Action::Relay { attempt, outcome });
+            }
+            Conclusion::Respond(reason) => self.respond(outcome, reason, out),
+        }
+    }
+
+    fn respond(&mut self, outcome: Outcome, reason: Reason, out: &mut Vec<Action>) {
+        self.release_slot(out);
+        self.outcome = Some(outcome);
+        self.phase = Phase::Done;
+        out.push(if self.caller_gone {
+            Action::Abandon { outcome }
+        } else {
+            Action::Respond { outcome, reason }
+        });
+    }
+
+    fn release_slot(&mut self, out: &mut Vec<Action>) {
+        if std::mem::take(&mut self.has_slot) {
+            out.push(Action::ReleaseSlot);
+        }
+    }
+}
+
+/// Returns the outcome of an answer of a target's handler.
+pub const fn answer_outcome(status: u16) -> Outcome {
+    match status {
+        502..=504 => Outcome::Unknown,
+        _ => Outcome::Served,
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-core/src/claim.rs
@@ -0,0 +1,737 @@
+//! At-most-once execution of requests with an idempotency key.
+//!
+//! A [`ClaimState`] creates the key's claim in the platform before the request runs and settles it
+//! afterwards. It has at most one platform call outstanding. The daemon performs each returned
+//! [`ClaimAction`] and passes the result of a call to [`ClaimState::on_result`].
+//!
+//! No claim is ever taken over: only the request that created it can change or release it, so a
+//! host that resumes after any pause can't cause a second run.
+
+use crate::outcome::{Outcome, Reason};
+use crate::quarantine::Fingerprint;
+use crate::time::{Time, UnixMs};
+use base64::engine::general_purpose::STANDARD as BASE64;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The kind of claim objects in the platform.
+pub const CLAIM_KIND: &str = "claim";
+/// Largest body of a stored answer, in bytes.
+pub const MAX_ANSWER_BODY: usize = 64 << 10;
+/// Largest total size of the stored headers, in bytes.
+pub const MAX_ANSWER_HEADERS: usize = 8 << 10;
+/// Largest accepted encoded claim, in bytes: a body in base64, escaped headers and the other fields.
+pub const MAX_CLAIM_LEN: usize = 160 << 10;
+/// Added to the route's timeout to get a claim's term; covers skew between the hosts' clocks.
+pub const TERM_MARGIN: Duration = Duration::from_secs(30);
+/// How long a claim is kept after its term.
+pub const RETENTION: Duration = Duration::from_secs(24 * 3_600);
+
+/// Returns the name of the claim object of a key: the SHA-256 of tenant, route and key in hex.
+pub fn claim_name(tenant: &str, route: &str, key: &str) -> String {
+    let mut hash = Sha256::new();
+    // Lengths keep the parts apart.
+    for part in [tenant, route, key] {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
+    }
+    hash.finalize().iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// A whole answer as kept with a claim.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoredAnswer {
+    /// The status.
+    pub status: u16,
+    /// The headers to be replayed, as selected by the daemon.
+    pub headers: Vec<(String, String)>,
+    /// The body, encoded as base64.
+    #[serde(with = "base64_body")]
+    pub body: Vec<u8>,
+}
+
+impl StoredAnswer {
+    /// Returns whether the answer is small enough to be kept.
+    pub fn fits(&self) -> bool {
+        let headers: usize = self.headers.iter().map(|(n, v)| n.len() + v.len()).sum();
+        self.body.len() <= MAX_ANSWER_BODY && headers <= MAX_ANSWER_HEADERS
+    }
+}
+
+mod base64_body {
+    use super::BASE64;
+    use base64::Engine as _;
+    use serde::{Deserialize as _, Deserializer, Serializer, de::Error as _};
+
+    pub fn serialize<S>(body: &[u8], serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.serialize_str(&BASE64.encode(body))
+    }
+
+    pub fn deserialize<'de, D>(deserializer: D) -> Result<Vec<u8>, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let text = std::borrow::Cow::<str>::deserialize(deserializer)?;
+        BASE64.decode(text.as_bytes()).map_err(D::Error::custom)
+    }
+}
+
+/// Whether the stored answer reached a caller.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Delivery {
+    /// The host that ran the request delivers the answer and counts it.
+    Runner,
+    /// That host could not deliver it; the first delivered replay counts.
+    Undelivered,
+    /// A replay was delivered and counted.
+    Replayed,
+}
+
+/// How far the claimed request is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
+pub enum Progress {
+    /// The request may be running.
+    Running,
+    /// A target's handler may have run the request, and its answer is not known.
+    Unknown,
+    /// The request was served.
+    Done {
+        /// The answer, unless it was too large to be kept.
+        answer: Option<StoredAnswer>,
+        /// Who counts the answer.
+        delivery: Delivery,
+    },
+}
+
+/// The value of a claim object.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Claim {
+    /// Identity of the request that created the claim, unique over all hosts and restarts.
+    pub holder: Arc<str>,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// End of the term. A running claim past its term has lost its holder.
+    pub term_end: UnixMs,
+    /// Identity of the write that produced this value. It tells whether a write whose answer was
+    /// lost took effect.
+    pub write_id: Arc<str>,
+    /// How far the request is.
+    pub progress: Progress,
+}
+
+impl Claim {
+    /// Encodes the claim as JSON.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a claim has no map keys and no failing serializers")
+    }
+
+    /// Decodes a claim; `None` if the value is too long or not a claim.
+    pub fn decode(value: &[u8]) -> Option<Claim> {
+        if value.len() > MAX_CLAIM_LEN {
+            return None;
+        }
+        serde_json::from_slice(value).ok()
+    }
+
+    /// Returns whether the holder of the lease `lease/claims` deletes the claim.
+    pub fn is_expired(&self, wall: UnixMs) -> bool {
+        wall > self.term_end + RETENTION
+    }
+}
+
+/// Inputs of a claim.
+#[derive(Clone, Debug)]
+pub struct ClaimOptions {
+    /// Name of the claim object, from [`claim_name`].
+    pub name: String,
+    /// Identity of this request, unique over all hosts and restarts.
+    pub identity: Arc<str>,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// The request's deadline.
+    pub deadline: Time,
+    /// The route's timeout.
+    pub route_timeout: Duration,
+    /// How long an unreachable platform is waited for before the request is answered.
+    pub patience: Duration,
+    /// First pause before a read or write is repeated; doubles up to `max_backoff`.
+    pub backoff: Duration,
+    /// Longest pause while a running claim is waited for.
+    pub max_poll: Duration,
+    /// Longest pause between repeated writes in the background.
+    pub max_backoff: Duration,
+}
+
+impl Default for ClaimOptions {
+    fn default() -> Self {
+        ClaimOptions {
+            name: String::new(),
+            identity: Arc::from(""),
+            fingerprint: Fingerprint::default(),
+            deadline: Time::ZERO,
+            route_timeout: Duration::ZERO,
+            patience: Duration::from_millis(500),
+            backoff: Duration::from_millis(20),
+            max_poll: Duration::from_secs(1),
+            max_backoff: Duration::from_secs(10),
+        }
+    }
+}
+
+/// What the daemon does for a claim.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimAction {
+    /// Creates the claim object, on condition that it doesn't exist.
+    Create {
+        /// The encoded claim.
+        value: Vec<u8>,
+    },
+    /// Reads the claim object.
+    Read,
+    /// Replaces the claim object, on condition that it has this version.
+    Update {
+        /// The encoded claim.
+        value: Vec<u8>,
+        /// The required version.
+        version: u64,
+    },
+    /// Deletes the claim object, on condition that it has this version.
+    Delete {
+        /// The required version.
+        version: u64,
+    },
+    /// Calls [`ClaimState::on_timer`] at this time. A later `Sleep` replaces an earlier one.
+    Sleep {
+        /// When.
+        until: Time,
+    },
+    /// The claim is held; the request may run.
+    Granted,
+    /// Another request with the key is running; the state keeps asking until the deadline.
+    Waiting,
+    /// The request was answered before.
+    Replay {
+        /// The stored answer.
+        answer: StoredAnswer,
+    },
+    /// The request doesn't run.
+    Refused {
+        /// The outcome to tell.
+        outcome: Outcome,
+        /// Why.
+        reason: Reason,
+    },
+    /// The response may go out. Writes that are still due go on in the background.
+    Settled {
+        /// Whether the outcome is stored.
+        stored: bool,
+    },
+    /// A delivered replay is decided: it counts as served, or it doesn't.
+    Counted {
+        /// Whether the replay counts.
+        counts: bool,
+    },
+    /// Nothing is left to do; the state can be dropped.
+    Done,
+}
+
+/// The result of a platform call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallResult {
+    /// A read found the object.
+    Found {
+        /// Its version.
+        version: u64,
+        /// Its value.
+        value: Vec<u8>,
+    },
+    /// A read found no object.
+    Absent,
+    /// A write took effect. `version` is the new one, and is ignored for a delete.
+    Written {
+        /// The object's new version.
+        version: u64,
+    },
+    /// The condition of a write does not hold; nothing was written.
+    Conflict,
+    /// The platform is unavailable; nothing was written.
+    Unavailable,
+    /// The answer was lost; a write may or may not have taken effect.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Call {
+    Create,
+    Read,
+    Update,
+    Delete,
+}
+
+/// What the state works towards.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Goal {
+    /// Creating the claim, or finding out who holds it.
+    Acquire,
+    /// The request runs; nothing to write.
+    Hold,
+    /// Writing this progress.
+    Store(Progress),
+    /// Deleting the claim, or making sure that it was never created.
+    Release,
+    /// An answer was found; nothing to write.
+    Replay,
+    /// Taking the right to count a delivered replay.
+    Count,
+    /// Finished.
+    End,
+}
+
+/// The state of one request's claim.
+#[derive(Clone, Debug)]
+pub struct ClaimState {
+    options: ClaimOptions,
+    goal: Goal,
+    outstanding: Option<Call>,
+    /// The last known version and value of the object.
+    known: Option<(u64, Claim)>,
+    /// Whether a create without a known result may still take effect.
+    maybe_created: bool,
+    waiting: bool,
+    /// Whether the request was told the result of the present goal.
+    told: bool,
+    /// Until when the request waits for the platform.
+    patient_until: Time,
+    /// When the state stops writing in the background.
+    give_up: UnixMs,
+    pause: Duration,
+    term_end: UnixMs,
+    writes: u32,
+}
+
+impl ClaimState {
+    /// Returns a state that has not started.
+    pub fn new(options: ClaimOptions) -> Self {
+        let pause = options.backoff;
+        ClaimState {
+            options,
+            goal: Goal::Acquire,
+            outstanding: None,
+            known: None,
+            maybe_created: false,
+            waiting: false,
+            told: false,
+            patient_until: Time::ZERO,
+            give_up: UnixMs::default(),
+            pause,
+            term_end: UnixMs::default(),
+            writes: 0,
+        }
+    }
+
+    /// Returns the name of the claim object.
+    pub fn name(&self) -> &str {
+        &self.options.name
+    }
+
+    /// Returns whether nothing is left to do.
+    pub fn is_done(&self) -> bool {
+        self.goal == Goal::End && self.outstanding.is_none()
+    }
+
+    /// Starts to acquire the claim.
+    pub fn start(&mut self, now: Time, wall: UnixMs) -> Vec<ClaimAction> {
+        self.term_end = wall + self.options.route_timeout + TERM_MARGIN;
+        self.give_up = self.term_end + RETENTION;
+        self.patient_until = (now + self.options.patience).min(self.options.deadline);
+        let mut out = Vec::new();
+        self.step(&mut out);
+        out
+    }
+
+    /// Takes the result of the outstanding platform call.
+    pub fn on_result(&mut self, now: Time, wall: UnixMs, result: CallResult) -> Vec<ClaimAction> {
+        let mut out = Vec::new();
+        let Some(call) = self.outstanding.take() else {
+            return out;
+        };
+        match (call, result) {
+            (Call::Create, CallResult::Written { version }) => {
+                let claim = self.record(Progress::Running);
+                self.known = Some((version, claim));
+                self.maybe_created = false;
+                self.on_known(now, wall, &mut out);
+            }
+            (Call::Update, CallResult::Written { version }) => {
+                if let Some(progress) = self.intended() {
+                    let claim = self.updated(progress);
+                    self.known = Some((version, claim));
+                }
+                self.on_known(now, wall, &mut out);
+            }
+            (Call::Delete, CallResult::Written { .. }) => self.end(true, &mut out),
+            (Call::Read, CallResult::Found { version, value }) => match Claim::decode(&value) {
+                Some(claim) => {
+                    self.known = Some((version, claim));
+                    self.on_known(now, wall, &mut out);
+                }
+                None => self.on_unreadable(&mut out),
+            },
+            (Call::Read, CallResult::Absent) => self.on_absent(now, wall, &mut out),
+            // A lost answer of a write is settled by reading the object back.
+            (Call::Create | Call::Update | Call::Delete, CallResult::Lost) => {
+                self.maybe_created |= call == Call::Create;
+                self.known = None;
+                self.retry(now, wall, &mut out);
+            }
+            (Call::Create | Call::Update | Call::Delete, CallResult::Conflict) => {
+                self.known = None;
+                self.call(Call::Read, &mut out);
+            }
+            // A platform that is down or answers nonsense is asked again later.
+            _ => self.retry(now, wall, &mut out),
+        }
+        out
+    }
+
+    /// Continues after a `Sleep`.
+    pub fn on_timer(&mut self, now: Time, wall: UnixMs) -> Vec<ClaimAction> {
+        let mut out = Vec::new();
+        if self.outstanding.is_some() {
+            return out;
+        }
+        if self.goal == Goal::Acquire && self.waiting && now >= self.options.deadline {
+            self.refuse(Outcome::Unknown, Reason::ClaimPending, &mut out);
+        } else if wall > self.give_up {
+            self.end(false, &mut out);
+        } else {
+            self.step(&mut out);
+        }
+        out
+    }
+
+    /// Takes the outcome of the request, which decides what becomes of the claim.
+    ///
+    /// Answered by `Settled`. `NotRun` releases the claim and is valid in any state before it: a
+    /// request that stops waiting for its claim uses it as well.
+    pub fn finish(
+        &mut self,
+        now: Time,
+        outcome: Outcome,
+        answer: Option<StoredAnswer>,
+    ) -> Vec<ClaimAction> {
+        let mut out = Vec::new();
+        match self.goal {
+            Goal::Acquire | Goal::Hold => {}
+            _ => {
+                out.push(ClaimAction::Settled { stored: false });
+                return out;
+            }
+        }
+        let acquired = self.goal == Goal::Hold;
+        self.told = false;
+        self.pause = self.options.backoff;
+        self.patient_until = now + self.options.patience;
+        self.goal = match outcome {
+            Outcome::NotRun => Goal::Release,
+            Outcome::Unknown => Goal::Store(Progress::Unknown),
+            Outcome::Served => Goal::Store(Progress::Done {
+                answer: answer.filter(StoredAnswer::fits),
+                delivery: Delivery::Runner,
+            }),
+        };
+        if !acquired {
+            // Nothing ran, and the caller need not wait for the clearing up.
+            self.told = true;
+            out.push(ClaimAction::Settled { stored: false });
+            if self.waiting || (self.outstanding.is_none() && !self.maybe_created) {
+                self.end(false, &mut out);
+                return out;
+            }
+        }
+        if self.outstanding.is_none() {
+            self.step(&mut out);
+        }
+        out
+    }
+
+    /// Marks the stored answer undelivered: the host that ran the request did not deliver it.
+    pub fn undelivered(&mut self, now: Time) -> Vec<ClaimAction> {
+        let mut out = Vec::new();
+        let stored = match (&self.goal, &self.known) {
+            (Goal::Store(progress), _) => Some(progress.clone()),
+            (Goal::End, Some((_, claim))) if self.is_mine(claim) => Some(claim.progress.clone()),
+            _ => None,
+        };
+        if let Some(Progress::Done { answer: answer @ Some(_), delivery: Delivery::Runner }) =
+            stored
+        {
+            let delivery = Delivery::Undelivered;
+            self.goal = Goal::Store(Progress::Done { answer, delivery });
+            self.told = true;
+            self.pause = self.options.backoff;
+            self.patient_until = now;
+            if self.outstanding.is_none() {
+                self.step(&mut out);
+            }
+        }
+        out
+    }
+
+    /// Takes the delivery of a replayed answer. Answered by `Counted`.
+    pub fn replay_delivered(&mut self, now: Time) -> Vec<ClaimAction> {
+        let mut out = Vec::new();
+        if self.goal != Goal::Replay {
+            return out;
+        }
+        self.goal = Goal::Count;
+        self.told = false;
+        self.pause = self.options.backoff;
+        self.patient_until = now;
+        self.step(&mut out);
+        out
+    }
+
+    fn is_mine(&self, claim: &Claim) -> bool {
+        claim.holder == self.options.identity
+    }
+
+    /// Returns a new claim of this request.
+    fn record(&self, progress: Progress) -> Claim {
+        Claim {
+            holder: self.options.identity.clone(),
+            fingerprint: self.options.fingerprint,
+            term_end: self.term_end,
+            write_id: self.write_id(),
+            progress,
+        }
+    }
+
+    /// Returns the known claim with other progress, or a claim of this request.
+    fn updated(&self, progress: Progress) -> Claim {
+        match &self.known {
+            Some((_, claim)) => Claim { write_id: self.write_id(), progress, ..claim.clone() },
+            None => self.record(progress),
+        }
+    }
+
+    fn write_id(&self) -> Arc<str> {
+        format!("{}/{}", self.options.identity, self.writes).into()
+    }
+
+    /// Returns the progress that the present goal writes.
+    fn intended(&self) -> Option<Progress> {
+        match (&self.goal, &self.known) {
+            (Goal::Store(progress), _) => Some(progress.clone()),
+            (Goal::Count, Some((_, Claim { progress: Progress::Done { answer, .. }, .. }))) => {
+                Some(Progress::Done { answer: answer.clone(), delivery: Delivery::Replayed })
+            }
+            _ => None,
+        }
+    }
+
+    fn call(&mut self, call: Call, out: &mut Vec<ClaimAction>) {
+        let version = self.known.as_ref().map(|(version, _)| *version);
+        let action = match (call, version, self.intended()) {
+            (Call::Create, ..) => {
+                ClaimAction::Create { value: self.record(Progress::Running).encode() }
+            }
+            (Call::Update, Some(version), Some(progress)) => {
+                self.writes += 1;
+                ClaimAction::Update { value: self.updated(progress).encode(), version }
+            }
+            (Call::Delete, Some(version), _) => ClaimAction::Delete { version },
+            _ => ClaimAction::Read,
+        };
+        self.outstanding = Some(match action {
+            ClaimAction::Read => Call::Read,
+            _ => call,
+        });
+        out.push(action);
+    }
+
+    /// Makes the next call towards the goal.
+    fn step(&mut self, out: &mut Vec<ClaimAction>) {
+        match self.goal {
+            Goal::Acquire if self.maybe_created || self.waiting => self.call(Call::Read, out),
+            Goal::Acquire => self.call(Call::Create, out),
+            Goal::Store(_) | Goal::Count => self.call(Call::Update, out),
+            Goal::Release => self.call(Call::Delete, out),
+            Goal::Hold | Goal::Replay | Goal::End => {}
+        }
+    }
+
+    /// Repeats the call after a pause, and stops the request's waiting if the platform has been
+    /// unreachable for too long.
+    fn retry(&mut self, now: Time, wall: UnixMs, out: &mut Vec<ClaimAction>) {
+        if now >= self.patient_until && !self.told {
+            match self.goal {
+                Goal::Acquire => {
+                    let give_up = Reason::ClaimUnavailable;
+                    self.refuse(Outcome::Unknown, give_up, out);
+                    return;
+                }
+                Goal::Store(_) | Goal::Release => {
+                    self.told = true;
+                    out.push(ClaimAction::Settled { stored: false });
+                }
+                _ => {}
+            }
+        }
+        if wall > self.give_up {
+            self.end(false, out);
+            return;
+        }
+        let limit = if self.told { self.options.max_backoff } else { self.options.max_poll };
+        self.sleep(now, limit, out);
+    }
+
+    fn sleep(&mut self, now: Time, limit: Duration, out: &mut Vec<ClaimAction>) {
+        let mut until = now + self.pause;
+        if self.goal == Goal::Acquire {
+            until = until.min(self.options.deadline.max(now));
+        }
+        self.pause = (self.pause * 2).min(limit);
+        out.push(ClaimAction::Sleep { until });
+    }
+
+    /// Handles a claim that was read, created or updated.
+    fn on_known(&mut self, now: Time, wall: UnixMs, out: &mut Vec<ClaimAction>) {
+        let Some((_, claim)) = self.known.clone() else {
+            return;
+        };
+        let mine = self.is_mine(&claim);
+        match &self.goal {
+            Goal::Acquire if mine => {
+                self.maybe_created = false;
+                self.on_acquired(now, out);
+            }
+            Goal::Acquire => self.on_other(now, wall, &claim, out),
+            Goal::Store(progress) if mine && claim.progress == *progress => self.end(true, out),
+            Goal::Release if mine => self.call(Call::Delete, out),
+            Goal::Store(_) if mine => self.call(Call::Update, out),
+            // The claim is gone and its key belongs to another request.
+            Goal::Store(_) | Goal::Release => self.end(false, out),
+            Goal::Count => self.on_counting(&claim, out),
+            Goal::Hold | Goal::Replay | Goal::End => {}
+        }
+    }
+
+    fn on_acquired(&mut self, now: Time, out: &mut Vec<ClaimAction>) {
+        if now < self.options.deadline {
+            self.goal = Goal::Hold;
+            out.push(ClaimAction::Granted);
+            return;
+        }
+        self.goal = Goal::Release;
+        self.told = true;
+        out.push(ClaimAction::Refused { outcome: Outcome::NotRun, reason: Reason::Deadline });
+        self.call(Call::Delete, out);
+    }
+
+    /// Handles a claim of another request with the same key.
+    fn on_other(&mut self, now: Time, wall: UnixMs, claim: &Claim, out: &mut Vec<ClaimAction>) {
+        if claim.fingerprint != self.options.fingerprint {
+            self.refuse(Outcome::NotRun, Reason::KeyReused, out);
+            return;
+        }
+        match &claim.progress {
+            Progress::Running if wall <= claim.term_end && now < self.options.deadline => {
+                if !self.waiting {
+                    self.waiting = true;
+                    self.pause = self.options.backoff;
+                    out.push(ClaimAction::Waiting);
+                }
+                self.patient_until = (now + self.options.patience).min(self.options.deadline);
+                self.sleep(now, self.options.max_poll, out);
+            }
+            Progress::Running | Progress::Unknown => {
+                self.refuse(Outcome::Unknown, Reason::ClaimPending, out);
+            }
+            Progress::Done { answer: None, .. } => {
+                self.refuse(Outcome::Unknown, Reason::AnswerNotKept, out);
+            }
+            Progress::Done { answer: Some(answer), .. } => {
+                self.goal = Goal::Replay;
+                out.push(ClaimAction::Replay { answer: answer.clone() });
+            }
+        }
+    }
+
+    fn on_counting(&mut self, claim: &Claim, out: &mut Vec<ClaimAction>) {
+        let counts = match claim.progress {
+            Progress::Done { delivery: Delivery::Undelivered, .. } => {
+                self.call(Call::Update, out);
+                return;
+            }
+            Progress::Done { delivery: Delivery::Replayed, .. } => {
+                // Any of this request's writes may be the one that took effect.
+                claim.write_id.rsplit_once('/').is_some_and(|(id, _)| *id == *self.options.identity)
+            }
+            _ => false,
+        };
+        out.push(ClaimAction::Counted { counts });
+        self.end(counts, out);
+    }
+
+    fn on_absent(&mut self, now: Time, wall: UnixMs, out: &mut Vec<ClaimAction>) {
+        self.known = None;
+        match self.goal {
+            // The claim was released, or the lost create has not taken effect. A late create of
+            // this request is recognized by its holder.
+            Goal::Acquire => {
+                self.waiting = false;
+                self.call(Call::Create, out);
+            }
+            Goal::Release if self.maybe_created => self.retry(now, wall, out),
+            Goal::Release => self.end(true, out),
+            Goal::Count => {
+                out.push(ClaimAction::Counted { counts: false });
+                self.end(false, out);
+            }
+            _ => self.end(false, out),
+        }
+    }
+
+    /// Handles a value that is not a claim, which this version can't judge.
+    fn on_unreadable(&mut self, out: &mut Vec<ClaimAction>) {
+        match self.goal {
+            Goal::Acquire => self.refuse(Outcome::Unknown, Reason::ClaimUnavailable, out),
+            Goal::Count => {
+                out.push(ClaimAction::Counted { counts: false });
+                self.end(false, out);
+            }
+            _ => self.end(false, out),
+        }
+    }
+
+    /// Refuses the request for good; a claim that may have been created is released.
+    fn refuse(&mut self, outcome: Outcome, reason: Reason, out: &mut Vec<ClaimAction>) {
+        out.push(ClaimAction::Refused { outcome, reason });
+        self.told = true;
+        if self.maybe_created && !self.waiting {
+            self.goal = Goal::Release;
+            self.call(Call::Read, out);
+        } else {
+            self.end(false, out);
+        }
+    }
+
+    fn end(&mut self, stored: bool, out: &mut Vec<ClaimAction>) {
+        if matches!(self.goal, Goal::Store(_) | Goal::Release) && !self.told {
+            self.told = true;
+            out.push(ClaimAction::Settled { stored });
+        }
+        self.goal = Goal::End;
+        out.push(ClaimAction::Done);
+    }
+}
--- a/crates/geraniummux-core/src/lib.rs
+++ b/crates/geraniummux-core/src/lib.rs
@@ -7,14 +7,24 @@
 
 #![forbid(unsafe_code)]
 
+pub mod admission;
+pub mod attempt;
+pub mod budget;
+pub mod claim;
 pub mod config;
 pub mod errors;
 pub mod outcome;
+pub mod quarantine;
 pub mod routing;
 pub mod time;
 
+pub use admission::Admission;
+pub use attempt::RequestState;
+pub use budget::TokenBudget;
+pub use claim::ClaimState;
 pub use config::{Config, Pool, Route, TableEdit, TableKind, Tables, Target};
 pub use errors::{Error, Result};
 pub use outcome::{Outcome, Reason};
+pub use quarantine::{Fingerprint, Quarantine};
 pub use routing::Router;
 pub use time::{Time, UnixMs};
