--- a/crates/geraniummux-core/src/attempt.rs
+++ b/crates/geraniummux-core/src/attempt.rs
@@ -55,7 +55,7 @@
 pub const DEFAULT_SILENCE: Duration = Duration::from_millis(100);
 
 /// Inputs of a request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct RequestOptions {
     /// Whether the request may run more than once.
     pub idempotent: bool,
@@ -392,7 +392,7 @@
 }
 
 /// The state of one request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct RequestState {
     options: RequestOptions,
     phase: Phase,
@@ -403,6 +403,8 @@
     caller_gone: bool,
     quarantined: bool,
     strikes_pending: u8,
+    /// Whether a pick found no target; another pick would not find one either.
+    exhausted: bool,
     /// Why the last attempt failed.
     failure: Reason,
     outcome: Option<Outcome>,
@@ -421,6 +423,7 @@
             caller_gone: false,
             quarantined: false,
             strikes_pending: 0,
+            exhausted: false,
             failure: Reason::TargetFailed,
             outcome: None,
         }
@@ -585,6 +588,7 @@
                 self.on_picked(now, attempt, target, idle, out)
             }
             Event::NoTarget { attempt } if self.stage(attempt) == Some(Stage::Picking) => {
+                self.exhausted = true;
                 self.fail(now, attempt, Reason::NoTarget, budgets, out);
             }
             Event::Connected { attempt, reused, quarantined }
@@ -815,6 +819,7 @@
             && !self.caller_gone
             && !self.quarantined
             && self.strikes_pending == 0
+            && !self.exhausted
             && (self.options.idempotent || !self.may_have_run())
     }
 
@@ -852,9 +857,7 @@
         if self.live() > 0 || self.strikes_pending > 0 {
             return;
         }
-        // Another pick can't find what the last one missed.
-        let retry = self.failure != Reason::NoTarget || self.may_have_run();
-        if retry && self.may_add(now) && budgets.retry.try_spend(now, self.options.depth) {
+        if self.may_add(now) && budgets.retry.try_spend(now, self.options.depth) {
             self.pick(false, out);
             return;
         }
@@ -887,6 +890,10 @@
                 out.push(Action::Cancel { attempt: n as AttemptNo });
             }
         }
+        // The targets are done with the request, unless a long answer is still being transferred.
+        if !matches!(conclusion, Conclusion::Relay { whole: false, .. }) {
+            self.release_slot(out);
+        }
         if self.strikes_pending > 0 {
             self.phase = Phase::Spreading(conclusion);
             return;
@@ -926,10 +933,6 @@
                 self.respond(outcome, Reason::CallerGone, out);
             }
             Conclusion::Relay { attempt, whole } => {
-                // The target is done with a buffered answer; a long one keeps it busy.
-                if whole {
-                    self.release_slot(out);
-                }
                 self.phase = Phase::Relaying { attempt, whole };
                 out.push(Action::Relay { attempt, outcome });
             }
