--- a/crates/geraniummux-core/src/claim.rs
+++ b/crates/geraniummux-core/src/claim.rs
@@ -15,6 +15,7 @@
 use sha2::{Digest, Sha256};
 use std::sync::Arc;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The kind of claim objects in the platform.
 pub const CLAIM_KIND: &str = "claim";
@@ -88,6 +89,9 @@
 pub enum Delivery {
     /// The host that ran the request delivers the answer and counts it.
     Runner,
+    /// As `Runner`, but a replay was delivered meanwhile. If the host that ran the request fails
+    /// to deliver the answer, it counts that replay.
+    Shown,
     /// That host could not deliver it; the first delivered replay counts.
     Undelivered,
     /// A replay was delivered and counted.
@@ -235,12 +239,14 @@
         /// Whether the outcome is stored.
         stored: bool,
     },
-    /// A delivered replay is decided: it counts as served, or it doesn't.
+    /// A delivered replay is decided: it counts as served, or it doesn't. The host that ran the
+    /// request may get this as well, after it failed to deliver the answer itself.
     Counted {
         /// Whether the replay counts.
         counts: bool,
     },
-    /// Nothing is left to do; the state can be dropped.
+    /// Nothing is left to do. The state can be dropped once the delivery of a stored answer is
+    /// known.
     Done,
 }
 
@@ -304,8 +310,10 @@
     outstanding: Option<Call>,
     /// The last known version and value of the object.
     known: Option<(u64, Claim)>,
-    /// Whether a create without a known result may still take effect.
+    /// Whether the answer of a create was lost, so that it may take effect at any later time.
     maybe_created: bool,
+    /// Whether the object was looked for after the end of the term.
+    last_look: bool,
     waiting: bool,
     /// Whether the request was told the result of the present goal.
     told: bool,
@@ -316,6 +324,7 @@
     pause: Duration,
     term_end: UnixMs,
     writes: u32,
+    sleeps: u32,
 }
 
 impl ClaimState {
@@ -328,6 +337,7 @@
             outstanding: None,
             known: None,
             maybe_created: false,
+            last_look: false,
             waiting: false,
             told: false,
             patient_until: Time::ZERO,
@@ -335,6 +345,7 @@
             pause,
             term_end: UnixMs::default(),
             writes: 0,
+            sleeps: 0,
         }
     }
 
@@ -368,7 +379,6 @@
             (Call::Create, CallResult::Written { version }) => {
                 let claim = self.record(Progress::Running);
                 self.known = Some((version, claim));
-                self.maybe_created = false;
                 self.on_known(now, wall, &mut out);
             }
             (Call::Update, CallResult::Written { version }) => {
@@ -378,7 +388,7 @@
                 }
                 self.on_known(now, wall, &mut out);
             }
-            (Call::Delete, CallResult::Written { .. }) => self.end(true, &mut out),
+            (Call::Delete, CallResult::Written { .. }) => self.on_released(now, wall, &mut out),
             (Call::Read, CallResult::Found { version, value }) => match Claim::decode(&value) {
                 Some(claim) => {
                     self.known = Some((version, claim));
@@ -387,6 +397,11 @@
                 None => self.on_unreadable(&mut out),
             },
             (Call::Read, CallResult::Absent) => self.on_absent(now, wall, &mut out),
+            (Call::Create, CallResult::Unavailable)
+                if self.goal == Goal::Release && !self.maybe_created =>
+            {
+                self.end(true, &mut out);
+            }
             // A lost answer of a write is settled by reading the object back.
             (Call::Create | Call::Update | Call::Delete, CallResult::Lost) => {
                 self.maybe_created |= call == Call::Create;
@@ -409,8 +424,10 @@
         if self.outstanding.is_some() {
             return out;
         }
-        if self.goal == Goal::Acquire && self.waiting && now >= self.options.deadline {
-            self.refuse(Outcome::Unknown, Reason::ClaimPending, &mut out);
+        if self.goal == Goal::Acquire && now >= self.options.deadline {
+            let pending = Reason::ClaimPending;
+            let reason = if self.waiting { pending } else { Reason::ClaimUnavailable };
+            self.refuse(Outcome::Unknown, reason, &mut out);
         } else if wall > self.give_up {
             self.end(false, &mut out);
         } else {
@@ -453,7 +470,8 @@
             // Nothing ran, and the caller need not wait for the clearing up.
             self.told = true;
             out.push(ClaimAction::Settled { stored: false });
-            if self.waiting || (self.outstanding.is_none() && !self.maybe_created) {
+            let idle = self.waiting || self.outstanding.is_none();
+            if idle && !self.maybe_created {
                 self.end(false, &mut out);
                 return out;
             }
@@ -472,16 +490,19 @@
             (Goal::End, Some((_, claim))) if self.is_mine(claim) => Some(claim.progress.clone()),
             _ => None,
         };
-        if let Some(Progress::Done { answer: answer @ Some(_), delivery: Delivery::Runner }) =
-            stored
+        let open = |d| matches!(d, Delivery::Runner | Delivery::Shown);
+        if let Some(Progress::Done { answer: answer @ Some(_), delivery }) = stored
+            && open(delivery)
         {
             let delivery = Delivery::Undelivered;
             self.goal = Goal::Store(Progress::Done { answer, delivery });
             self.told = true;
             self.pause = self.options.backoff;
             self.patient_until = now;
-            if self.outstanding.is_none() {
-                self.step(&mut out);
+            match (self.outstanding, &self.known) {
+                (Some(_), _) => {}
+                (None, Some(_)) => self.on_known(now, self.term_end, &mut out),
+                (None, None) => self.step(&mut out),
             }
         }
         out
@@ -497,7 +518,10 @@
         self.told = false;
         self.pause = self.options.backoff;
         self.patient_until = now;
-        self.step(&mut out);
+        match self.known.clone() {
+            Some((_, claim)) => self.on_counting(&claim, &mut out),
+            None => self.step(&mut out),
+        }
         out
     }
 
@@ -532,15 +556,24 @@
     fn intended(&self) -> Option<Progress> {
         match (&self.goal, &self.known) {
             (Goal::Store(progress), _) => Some(progress.clone()),
-            (Goal::Count, Some((_, Claim { progress: Progress::Done { answer, .. }, .. }))) => {
-                Some(Progress::Done { answer: answer.clone(), delivery: Delivery::Replayed })
+            (
+                Goal::Count,
+                Some((_, Claim { progress: Progress::Done { answer, delivery }, .. })),
+            ) => {
+                let delivery = match delivery {
+                    Delivery::Runner | Delivery::Shown => Delivery::Shown,
+                    Delivery::Undelivered | Delivery::Replayed => Delivery::Replayed,
+                };
+                Some(Progress::Done { answer: answer.clone(), delivery })
             }
             _ => None,
         }
     }
 
     fn call(&mut self, call: Call, out: &mut Vec<ClaimAction>) {
-        let version = self.known.as_ref().map(|(version, _)| *version);
+        // Only its holder changes or deletes a claim, except for the counting of a replay.
+        let writable = |claim: &Claim| self.goal == Goal::Count || self.is_mine(claim);
+        let version = self.known.as_ref().filter(|(_, c)| writable(c)).map(|(version, _)| *version);
         let action = match (call, version, self.intended()) {
             (Call::Create, ..) => {
                 ClaimAction::Create { value: self.record(Progress::Running).encode() }
@@ -596,7 +629,11 @@
     }
 
     fn sleep(&mut self, now: Time, limit: Duration, out: &mut Vec<ClaimAction>) {
-        let mut until = now + self.pause;
+        // Jitter keeps hosts apart that met the same outage.
+        self.sleeps += 1;
+        let hash = xxh3_64_with_seed(self.options.identity.as_bytes(), u64::from(self.sleeps));
+        let jitter = (hash >> 11) as f64 / (1u64 << 53) as f64;
+        let mut until = now + self.pause.mul_f64(0.5 + 0.5 * jitter);
         if self.goal == Goal::Acquire {
             until = until.min(self.options.deadline.max(now));
         }
@@ -611,16 +648,25 @@
         };
         let mine = self.is_mine(&claim);
         match &self.goal {
-            Goal::Acquire if mine => {
-                self.maybe_created = false;
-                self.on_acquired(now, out);
-            }
+            Goal::Acquire if mine => self.on_acquired(now, out),
             Goal::Acquire => self.on_other(now, wall, &claim, out),
-            Goal::Store(progress) if mine && claim.progress == *progress => self.end(true, out),
             Goal::Release if mine => self.call(Call::Delete, out),
-            Goal::Store(_) if mine => self.call(Call::Update, out),
+            Goal::Store(progress) if mine => match stored(progress, &claim.progress) {
+                Stored::No => self.call(Call::Update, out),
+                Stored::Yes => self.end(true, out),
+                Stored::CountsReplay => {
+                    if let Some((_, Claim { progress: Progress::Done { delivery, .. }, .. })) =
+                        &mut self.known
+                    {
+                        *delivery = Delivery::Replayed;
+                    }
+                    out.push(ClaimAction::Counted { counts: true });
+                    self.end(true, out);
+                }
+            },
             // The claim is gone and its key belongs to another request.
-            Goal::Store(_) | Goal::Release => self.end(false, out),
+            Goal::Store(_) => self.end(false, out),
+            Goal::Release => self.on_released(now, wall, out),
             Goal::Count => self.on_counting(&claim, out),
             Goal::Hold | Goal::Replay | Goal::End => {}
         }
@@ -669,7 +715,7 @@
 
     fn on_counting(&mut self, claim: &Claim, out: &mut Vec<ClaimAction>) {
         let counts = match claim.progress {
-            Progress::Done { delivery: Delivery::Undelivered, .. } => {
+            Progress::Done { delivery: Delivery::Undelivered | Delivery::Runner, .. } => {
                 self.call(Call::Update, out);
                 return;
             }
@@ -686,14 +732,17 @@
     fn on_absent(&mut self, now: Time, wall: UnixMs, out: &mut Vec<ClaimAction>) {
         self.known = None;
         match self.goal {
+            // A claim made now could not be used.
+            Goal::Acquire if now >= self.options.deadline => {
+                self.refuse(Outcome::NotRun, Reason::Deadline, out);
+            }
             // The claim was released, or the lost create has not taken effect. A late create of
             // this request is recognized by its holder.
             Goal::Acquire => {
                 self.waiting = false;
                 self.call(Call::Create, out);
             }
-            Goal::Release if self.maybe_created => self.retry(now, wall, out),
-            Goal::Release => self.end(true, out),
+            Goal::Release => self.on_released(now, wall, out),
             Goal::Count => {
                 out.push(ClaimAction::Counted { counts: false });
                 self.end(false, out);
@@ -702,6 +751,27 @@
         }
     }
 
+    /// Handles a claim that is gone. A create whose answer was lost may still take effect, which
+    /// would leave the key claimed; it is looked for until the end of the term.
+    fn on_released(&mut self, now: Time, wall: UnixMs, out: &mut Vec<ClaimAction>) {
+        self.known = None;
+        if !self.maybe_created || self.last_look {
+            self.end(true, out);
+            return;
+        }
+        if !self.told {
+            self.told = true;
+            out.push(ClaimAction::Settled { stored: true });
+        }
+        // The result may have been waiting in a paused process, so one more look is needed.
+        self.last_look = wall > self.term_end;
+        if self.last_look {
+            self.call(Call::Read, out);
+        } else {
+            self.sleep(now, self.options.max_backoff, out);
+        }
+    }
+
     /// Handles a value that is not a claim, which this version can't judge.
     fn on_unreadable(&mut self, out: &mut Vec<ClaimAction>) {
         match self.goal {
@@ -718,7 +788,7 @@
     fn refuse(&mut self, outcome: Outcome, reason: Reason, out: &mut Vec<ClaimAction>) {
         out.push(ClaimAction::Refused { outcome, reason });
         self.told = true;
-        if self.maybe_created && !self.waiting {
+        if self.maybe_created {
             self.goal = Goal::Release;
             self.call(Call::Read, out);
         } else {
@@ -735,3 +805,25 @@
         out.push(ClaimAction::Done);
     }
 }
+
+/// What a claim that was read back means for the progress that its holder is storing.
+enum Stored {
+    No,
+    Yes,
+    /// The answer is undelivered, but a replay that nobody counted was delivered.
+    CountsReplay,
+}
+
+fn stored(intended: &Progress, found: &Progress) -> Stored {
+    let Progress::Done { delivery: found, .. } = found else {
+        return if intended == found { Stored::Yes } else { Stored::No };
+    };
+    // A replay may have changed the delivery meanwhile, which must not be undone.
+    match (intended, found) {
+        (Progress::Done { delivery: Delivery::Undelivered, .. }, Delivery::Runner) => Stored::No,
+        (Progress::Done { delivery: Delivery::Undelivered, .. }, Delivery::Shown) => {
+            Stored::CountsReplay
+        }
+        _ => Stored::Yes,
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-core/tests/claim.rs
@@ -0,0 +1,725 @@
+//! Runs claims in virtual time with several hosts, pauses, kills, lost answers and outages, and
+//! counts the runs at a fake target.
+
+use geraniummux_core::claim::{
+    CallResult, Claim, ClaimAction, ClaimOptions, ClaimState, Delivery, MAX_ANSWER_BODY,
+    MAX_CLAIM_LEN, Progress, StoredAnswer, claim_name,
+};
+use geraniummux_core::{Fingerprint, Outcome, Reason, Time, UnixMs};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+const HOSTS: usize = 4;
+const KEYS: usize = 6;
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How requests with a key are kept from running twice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mode {
+    Claims,
+    /// Each host remembers the keys that it has seen.
+    HostCache,
+    /// A running claim past its term is taken over.
+    Takeover,
+}
+
+/// Probabilities and lengths of faults.
+#[derive(Clone, Copy, Debug)]
+struct Faults {
+    lost: f64,
+    late_write: f64,
+    outages: bool,
+    pauses: u32,
+    kills: u32,
+    undelivered: f64,
+    target: bool,
+}
+
+const ALL_FAULTS: Faults = Faults {
+    lost: 0.08,
+    late_write: 0.03,
+    outages: true,
+    pauses: 6,
+    kills: 3,
+    undelivered: 0.3,
+    target: true,
+};
+
+const NO_FAULTS: Faults = Faults {
+    lost: 0.0,
+    late_write: 0.0,
+    outages: false,
+    pauses: 0,
+    kills: 0,
+    undelivered: 0.3,
+    target: false,
+};
+
+#[derive(Debug)]
+enum Ev {
+    Start {
+        key: usize,
+        host: usize,
+    },
+    /// A platform call takes effect; its result is reported after the delay, or as lost.
+    Effect {
+        req: usize,
+        action: ClaimAction,
+        reply_after: u64,
+        lost: bool,
+    },
+    Result {
+        req: usize,
+        result: CallResult,
+    },
+    Timer {
+        req: usize,
+        token: u32,
+    },
+    Send {
+        req: usize,
+    },
+    TargetRuns {
+        req: usize,
+        deadline: u64,
+    },
+    TargetAnswer {
+        req: usize,
+        outcome: Outcome,
+        run: Option<usize>,
+    },
+    Delivery {
+        req: usize,
+        delivered: bool,
+        replay: bool,
+    },
+    Pause {
+        host: usize,
+        for_ms: u64,
+    },
+    Kill {
+        host: usize,
+    },
+}
+
+struct Host {
+    incarnation: u32,
+    paused_until: u64,
+    skew_ms: u64,
+    cache: HashMap<usize, Option<usize>>,
+}
+
+struct Req {
+    host: usize,
+    incarnation: u32,
+    key: usize,
+    claim: ClaimState,
+    deadline: u64,
+    token: u32,
+    reply: Option<Reply>,
+    run: Option<usize>,
+    fingerprint: Fingerprint,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Reply {
+    Served { run: usize },
+    Error { outcome: Outcome, reason: Reason },
+}
+
+#[derive(Default)]
+struct KeyLog {
+    /// The requests whose send the target ran.
+    runs: Vec<usize>,
+    counted: u32,
+    delivered: u32,
+}
+
+struct Sim {
+    rng: StdRng,
+    mode: Mode,
+    faults: Faults,
+    /// Microseconds.
+    now: u64,
+    seq: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: Vec<Option<Ev>>,
+    objects: BTreeMap<String, (u64, Vec<u8>)>,
+    version: u64,
+    outage: (u64, u64),
+    hosts: Vec<Host>,
+    reqs: Vec<Req>,
+    keys: Vec<KeyLog>,
+    writes: u32,
+    late_grants: u32,
+}
+
+const MS: u64 = 1_000;
+const SECOND: u64 = 1_000_000;
+
+impl Sim {
+    fn new(seed: u64, mode: Mode, faults: Faults) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let hosts = (0..HOSTS)
+            .map(|_| Host {
+                incarnation: 0,
+                paused_until: 0,
+                skew_ms: rng.random_range(0..2_000),
+                cache: HashMap::new(),
+            })
+            .collect();
+        let outage = match faults.outages && rng.random_bool(0.5) {
+            true => {
+                let from = rng.random_range(0..60 * SECOND);
+                (from, from + rng.random_range(SECOND..60 * SECOND))
+            }
+            false => (0, 0),
+        };
+        let mut sim = Sim {
+            rng,
+            mode,
+            faults,
+            now: 0,
+            seq: 0,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            objects: BTreeMap::new(),
+            version: 0,
+            outage,
+            hosts,
+            reqs: Vec::new(),
+            keys: (0..KEYS).map(|_| KeyLog::default()).collect(),
+            writes: 0,
+            late_grants: 0,
+        };
+        sim.plan();
+        sim
+    }
+
+    fn plan(&mut self) {
+        let mut starts = Vec::new();
+        for key in 0..KEYS {
+            let first = self.rng.random_range(0..60 * SECOND);
+            let mut times = vec![first, 200 * SECOND, 201 * SECOND];
+            for _ in 0..self.rng.random_range(0..5) {
+                // Some repeats overlap with the first, others come after the term.
+                let span = if self.rng.random_bool(0.5) { 2 * SECOND } else { 90 * SECOND };
+                times.push(first + self.rng.random_range(0..span));
+            }
+            for time in times {
+                let host = self.rng.random_range(0..HOSTS);
+                self.at(time, Ev::Start { key, host });
+                starts.push((time, host));
+            }
+        }
+        // Pauses and kills hit hosts that are running a request.
+        for n in 0..self.faults.pauses + self.faults.kills {
+            let (time, host) = starts[self.rng.random_range(0..starts.len())];
+            let at = time + self.rng.random_range(0..60 * MS);
+            let for_ms = self.rng.random_range(100..60_000);
+            let kill = n < self.faults.kills;
+            self.at(at, if kill { Ev::Kill { host } } else { Ev::Pause { host, for_ms } });
+        }
+    }
+
+    fn at(&mut self, time: u64, event: Ev) {
+        self.seq += 1;
+        self.events.push(Some(event));
+        self.queue.push(Reverse((time.max(self.now), self.seq, self.events.len() - 1)));
+    }
+
+    fn time(&self) -> Time {
+        Time::from_micros(self.now)
+    }
+
+    fn wall(&self, host: usize) -> UnixMs {
+        UnixMs(1_000_000 + self.now / MS + self.hosts[host].skew_ms)
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((time, _, slot))) = self.queue.pop() {
+            self.now = time;
+            if time > 400 * SECOND {
+                return;
+            }
+            let event = self.events[slot].take().expect("each event happens once");
+            let Some(req) = req_of(&event) else {
+                self.happen(event);
+                continue;
+            };
+            let (host, incarnation) = (self.reqs[req].host, self.reqs[req].incarnation);
+            if self.hosts[host].incarnation != incarnation {
+                continue;
+            }
+            match self.hosts[host].paused_until {
+                until if until > time => self.at(until, event),
+                _ => self.happen(event),
+            }
+        }
+    }
+
+    fn happen(&mut self, event: Ev) {
+        match event {
+            Ev::Start { key, host } => self.start(key, host),
+            Ev::Effect { req, action, reply_after, lost } => {
+                let result = self.effect(req, &action);
+                if !lost {
+                    self.at(self.now + reply_after, Ev::Result { req, result });
+                }
+            }
+            Ev::Result { req, result } => {
+                let (now, wall) = (self.time(), self.wall(self.reqs[req].host));
+                let actions = self.reqs[req].claim.on_result(now, wall, result);
+                self.perform(req, actions);
+            }
+            Ev::Timer { req, token } => {
+                if self.reqs[req].token == token {
+                    let (now, wall) = (self.time(), self.wall(self.reqs[req].host));
+                    let actions = self.reqs[req].claim.on_timer(now, wall);
+                    self.perform(req, actions);
+                }
+            }
+            Ev::Send { req } => self.send(req),
+            Ev::TargetRuns { req, deadline } => self.target(req, deadline),
+            Ev::TargetAnswer { req, outcome, run } => self.answered(req, outcome, run),
+            Ev::Delivery { req, delivered, replay } => self.delivery(req, delivered, replay),
+            Ev::Pause { host, for_ms } => {
+                let until = self.now + for_ms * MS;
+                self.hosts[host].paused_until = self.hosts[host].paused_until.max(until);
+            }
+            Ev::Kill { host } => {
+                self.hosts[host].incarnation += 1;
+                self.hosts[host].paused_until = self.now;
+                self.hosts[host].cache.clear();
+            }
+        }
+    }
+
+    fn start(&mut self, key: usize, host: usize) {
+        let incarnation = self.hosts[host].incarnation;
+        let other = self.rng.random_bool(0.05);
+        let body = if other { "other" } else { "body" };
+        let fingerprint = Fingerprint::new("tenant", "POST", "/deposit", body.as_bytes());
+        let deadline = self.now + SECOND;
+        let req = self.reqs.len();
+        let claim = ClaimState::new(ClaimOptions {
+            name: claim_name("tenant", "route", &key.to_string()),
+            identity: format!("host{host}/{incarnation}/{req}").into(),
+            fingerprint,
+            deadline: Time::from_micros(deadline),
+            route_timeout: ROUTE_TIMEOUT,
+            ..ClaimOptions::default()
+        });
+        let (reply, run) = (None, None);
+        self.reqs.push(Req {
+            host,
+            incarnation,
+            key,
+            claim,
+            deadline,
+            token: 0,
+            reply,
+            run,
+            fingerprint,
+        });
+        if self.mode == Mode::HostCache {
+            match self.hosts[host].cache.get(&key) {
+                Some(Some(run)) => self.reply(req, Reply::Served { run: *run }, true),
+                Some(None) => {}
+                None => {
+                    self.hosts[host].cache.insert(key, None);
+                    self.at(self.now, Ev::Send { req });
+                }
+            }
+            return;
+        }
+        let (now, wall) = (self.time(), self.wall(host));
+        let actions = self.reqs[req].claim.start(now, wall);
+        self.perform(req, actions);
+    }
+
+    fn perform(&mut self, req: usize, actions: Vec<ClaimAction>) {
+        for action in actions {
+            match action {
+                ClaimAction::Sleep { until } => {
+                    self.reqs[req].token += 1;
+                    let token = self.reqs[req].token;
+                    self.at(until.as_micros(), Ev::Timer { req, token });
+                }
+                ClaimAction::Granted => {
+                    self.late_grants += u32::from(self.now >= self.reqs[req].deadline);
+                    let delay = self.rng.random_range(0..2 * MS);
+                    self.at(self.now + delay, Ev::Send { req });
+                }
+                ClaimAction::Replay { answer } => {
+                    let run = String::from_utf8(answer.body).unwrap().parse().unwrap();
+                    self.reply(req, Reply::Served { run }, true);
+                }
+                ClaimAction::Refused { outcome, reason } => {
+                    self.reply(req, Reply::Error { outcome, reason }, false);
+                }
+                ClaimAction::Settled { .. } => {
+                    let reply = match self.reqs[req].run {
+                        Some(run) => Reply::Served { run },
+                        None => self.reqs[req].reply.take().expect("an outcome to be told"),
+                    };
+                    self.reply(req, reply, false);
+                }
+                ClaimAction::Counted { counts } => {
+                    self.keys[self.reqs[req].key].counted += u32::from(counts);
+                }
+                ClaimAction::Waiting | ClaimAction::Done => {}
+                call => self.call(req, call),
+            }
+        }
+    }
+
+    /// Sends a platform call.
+    fn call(&mut self, req: usize, action: ClaimAction) {
+        assert!(encoded_len(&action) <= MAX_CLAIM_LEN);
+        let there = self.rng.random_range(MS..3 * MS);
+        let back = self.rng.random_range(MS..3 * MS);
+        let down = self.now >= self.outage.0 && self.now < self.outage.1;
+        if down && self.rng.random_bool(0.7) {
+            let result = CallResult::Unavailable;
+            self.at(self.now + back, Ev::Result { req, result });
+            return;
+        }
+        let write = !matches!(action, ClaimAction::Read);
+        let late = write && self.rng.random_bool(self.faults.late_write);
+        let lost = late || down || self.rng.random_bool(self.faults.lost);
+        if lost {
+            // A write whose answer is lost takes effect at once, later, or not at all.
+            let timeout = self.now + 300 * MS;
+            self.at(timeout, Ev::Result { req, result: CallResult::Lost });
+            if !late && self.rng.random_bool(0.5) {
+                return;
+            }
+        }
+        let delay = if late { self.rng.random_range(0..20 * SECOND) } else { there };
+        self.at(self.now + delay, Ev::Effect { req, action, reply_after: back, lost });
+    }
+
+    /// Lets a platform call take effect.
+    fn effect(&mut self, req: usize, action: &ClaimAction) -> CallResult {
+        let name = self.reqs[req].claim.name().to_owned();
+        let wall = UnixMs(1_000_000 + self.now / MS);
+        let found = self.objects.get(&name).map(|(version, _)| *version);
+        self.version += 1;
+        match (action, found) {
+            (ClaimAction::Read, None) => CallResult::Absent,
+            (ClaimAction::Read, Some(version)) => {
+                let value = self.objects[&name].1.clone();
+                let claim = Claim::decode(&value).unwrap();
+                let running = claim.progress == Progress::Running;
+                if self.mode == Mode::Takeover && running && wall > claim.term_end {
+                    self.objects.remove(&name);
+                    return CallResult::Absent;
+                }
+                CallResult::Found { version, value }
+            }
+            (ClaimAction::Create { value }, None) => self.write(name, value),
+            (ClaimAction::Update { value, version }, Some(present)) if *version == present => {
+                self.write(name, value)
+            }
+            (ClaimAction::Delete { version }, Some(present)) if *version == present => {
+                self.objects.remove(&name);
+                self.writes += 1;
+                CallResult::Written { version: 0 }
+            }
+            // Deleting a missing object succeeds.
+            (ClaimAction::Delete { .. }, None) => CallResult::Written { version: 0 },
+            _ => CallResult::Conflict,
+        }
+    }
+
+    fn write(&mut self, name: String, value: &[u8]) -> CallResult {
+        self.writes += 1;
+        self.objects.insert(name, (self.version, value.to_vec()));
+        CallResult::Written { version: self.version }
+    }
+
+    fn send(&mut self, req: usize) {
+        // The deadline is checked directly before the send; a pause may still follow.
+        if self.now >= self.reqs[req].deadline {
+            self.answered(req, Outcome::NotRun, None);
+            return;
+        }
+        let delay = self.rng.random_range(200..MS);
+        let deadline = self.reqs[req].deadline;
+        self.at(self.now + delay, Ev::TargetRuns { req, deadline });
+    }
+
+    fn target(&mut self, req: usize, deadline: u64) {
+        let service = self.now + self.rng.random_range(5 * MS..50 * MS);
+        let dice = if self.faults.target { self.rng.random_range(0..100) } else { 50 };
+        if self.now >= deadline || dice < 10 {
+            self.at(self.now, Ev::TargetAnswer { req, outcome: Outcome::NotRun, run: None });
+            return;
+        }
+        let unknown = Ev::TargetAnswer { req, outcome: Outcome::Unknown, run: None };
+        if dice < 15 {
+            self.at(service, unknown);
+            return;
+        }
+        let key = self.reqs[req].key;
+        self.keys[key].runs.push(req);
+        let event = match dice {
+            // The target runs the request, but its answer breaks or comes too late.
+            15..25 => unknown,
+            _ => Ev::TargetAnswer { req, outcome: Outcome::Served, run: Some(req) },
+        };
+        self.at(service, event);
+    }
+
+    fn answered(&mut self, req: usize, outcome: Outcome, run: Option<usize>) {
+        self.reqs[req].run = run;
+        if self.mode == Mode::HostCache {
+            let (host, key) = (self.reqs[req].host, self.reqs[req].key);
+            self.hosts[host].cache.insert(key, run);
+            if let Some(run) = run {
+                self.reply(req, Reply::Served { run }, false);
+            }
+            return;
+        }
+        self.reqs[req].reply = Some(Reply::Error { outcome, reason: Reason::TargetFailed });
+        let answer = run.map(|run| StoredAnswer {
+            status: 200,
+            headers: vec![("content-type".into(), "text/plain".into())],
+            body: run.to_string().into_bytes(),
+        });
+        let now = self.time();
+        let actions = self.reqs[req].claim.finish(now, outcome, answer);
+        self.perform(req, actions);
+    }
+
+    fn reply(&mut self, req: usize, reply: Reply, replay: bool) {
+        let served = matches!(reply, Reply::Served { .. });
+        self.reqs[req].reply = Some(reply);
+        let delivered = !self.rng.random_bool(self.faults.undelivered);
+        if served {
+            // A host may learn late that a caller left.
+            let after = if delivered { 2 * MS } else { self.rng.random_range(MS..30 * SECOND) };
+            self.at(self.now + after, Ev::Delivery { req, delivered, replay });
+        }
+    }
+
+    fn delivery(&mut self, req: usize, delivered: bool, replay: bool) {
+        let now = self.time();
+        let key = self.reqs[req].key;
+        self.keys[key].delivered += u32::from(delivered);
+        let actions = match (replay, delivered) {
+            (false, true) => {
+                self.keys[key].counted += 1;
+                return;
+            }
+            (false, false) => {
+                let actions = self.reqs[req].claim.undelivered(now);
+                self.perform(req, actions);
+                // Both ends of the transfer may report the failure.
+                self.reqs[req].claim.undelivered(now)
+            }
+            (true, true) => self.reqs[req].claim.replay_delivered(now),
+            (true, false) => return,
+        };
+        self.perform(req, actions);
+    }
+
+    /// Returns what went wrong.
+    fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for (key, log) in self.keys.iter().enumerate() {
+            if log.runs.len() > 1 {
+                faults.push(format!("key {key} ran {} times", log.runs.len()));
+            }
+            if log.counted > 1 || log.counted > log.delivered {
+                faults.push(format!("key {key} counted {} times", log.counted));
+            }
+        }
+        if self.late_grants > 0 {
+            faults.push(format!("{} requests granted after the deadline", self.late_grants));
+        }
+        for (_, value) in self.objects.values() {
+            let claim = Claim::decode(value).unwrap();
+            let n: usize = claim.holder.rsplit('/').next().unwrap().parse().unwrap();
+            let alive = self.hosts[self.reqs[n].host].incarnation == self.reqs[n].incarnation;
+            if claim.progress == Progress::Running && alive {
+                faults.push(format!("claim of {} never released", claim.holder));
+            }
+        }
+        for (n, req) in self.reqs.iter().enumerate() {
+            let runs = &self.keys[req.key].runs;
+            let agrees = match &req.reply {
+                Some(Reply::Served { run }) => {
+                    runs.contains(run) && self.reqs[*run].fingerprint == req.fingerprint
+                }
+                Some(Reply::Error { outcome: Outcome::NotRun, .. }) => !runs.contains(&n),
+                _ => true,
+            };
+            if !agrees {
+                faults.push(format!("request {n} was told {:?}, runs {runs:?}", req.reply));
+            }
+        }
+        faults
+    }
+}
+
+fn req_of(event: &Ev) -> Option<usize> {
+    match event {
+        Ev::Result { req, .. }
+        | Ev::Timer { req, .. }
+        | Ev::Send { req }
+        | Ev::TargetAnswer { req, .. }
+        | Ev::Delivery { req, .. } => Some(*req),
+        // Calls under way and the target are outside of the host.
+        _ => None,
+    }
+}
+
+fn encoded_len(action: &ClaimAction) -> usize {
+    match action {
+        ClaimAction::Create { value } | ClaimAction::Update { value, .. } => value.len(),
+        _ => 0,
+    }
+}
+
+/// Runs the seeds and returns those with faults, with the first fault.
+fn faulty_seeds(mode: Mode, seeds: u64) -> Vec<(u64, String)> {
+    let mut faulty = Vec::new();
+    let (mut runs, mut replies, mut counted) = (0, [0; 3], 0);
+    for seed in 0..seeds {
+        let mut sim = Sim::new(seed, mode, ALL_FAULTS);
+        sim.run();
+        runs += sim.keys.iter().map(|k| k.runs.len()).sum::<usize>();
+        counted += sim.keys.iter().map(|k| k.counted).sum::<u32>();
+        for req in &sim.reqs {
+            match req.reply {
+                Some(Reply::Served { .. }) => replies[0] += 1,
+                Some(Reply::Error { outcome: Outcome::NotRun, .. }) => replies[1] += 1,
+                Some(Reply::Error { .. }) => replies[2] += 1,
+                None => {}
+            }
+        }
+        if let Some(fault) = sim.faults().into_iter().next() {
+            faulty.push((seed, fault));
+        }
+    }
+    println!(
+        "{mode:?}: {runs} runs, replies served/not-run/unknown {replies:?}, counted {counted}, \
+         {} of {seeds} seeds with faults, first {:?}",
+        faulty.len(),
+        faulty.first()
+    );
+    faulty
+}
+
+/// Guards against a second run, a reply that doesn't agree with what happened, and a second count.
+#[test]
+fn claim_faults_over_seeds() {
+    let faulty = faulty_seeds(Mode::Claims, 3_000);
+    assert!(faulty.is_empty(), "{faulty:?}");
+}
+
+/// Shows that the simulation finds the faults of the naive ways.
+#[test]
+fn claim_naive_ways_are_red() {
+    assert!(!faulty_seeds(Mode::HostCache, 300).is_empty());
+    assert!(!faulty_seeds(Mode::Takeover, 300).is_empty());
+}
+
+/// Guards against claims that are safe because they refuse everything.
+#[test]
+fn claim_quiet_all_served() {
+    for seed in 0..300 {
+        let mut sim = Sim::new(seed, Mode::Claims, NO_FAULTS);
+        sim.run();
+        assert_eq!(sim.faults(), Vec::<String>::new(), "seed {seed}");
+        for (key, log) in sim.keys.iter().enumerate() {
+            assert_eq!(log.runs.len(), 1, "seed {seed}, key {key}");
+            assert_eq!(log.counted, log.delivered.min(1), "seed {seed}, key {key}");
+            let first = sim.reqs[log.runs[0]].fingerprint;
+            for req in sim.reqs.iter().filter(|r| r.key == key) {
+                let served = matches!(req.reply, Some(Reply::Served { .. }));
+                let reused =
+                    Some(Reply::Error { outcome: Outcome::NotRun, reason: Reason::KeyReused });
+                assert!(if req.fingerprint == first { served } else { req.reply == reused });
+            }
+        }
+        // Two writes for each key, one more for an undelivered mark, one for a counted replay.
+        assert!(sim.writes <= 4 * KEYS as u32, "seed {seed}: {} writes", sim.writes);
+    }
+}
+
+fn record(progress: Progress) -> Claim {
+    Claim {
+        holder: Arc::from("h/1/1"),
+        fingerprint: Fingerprint::new("t", "POST", "/", b""),
+        term_end: UnixMs(1_000),
+        write_id: Arc::from("h/1/1/0"),
+        progress,
+    }
+}
+
+#[test]
+fn encode_largest_answer_fits() {
+    // Control characters take six bytes in JSON.
+    let headers = vec![("x".repeat(8), "\u{1}".repeat((8 << 10) - 8))];
+    let answer = StoredAnswer { status: 200, headers, body: vec![0xff; MAX_ANSWER_BODY] };
+    assert!(answer.fits());
+    let claim = record(Progress::Done { answer: Some(answer), delivery: Delivery::Runner });
+    let value = claim.encode();
+    assert!(value.len() <= MAX_CLAIM_LEN, "{}", value.len());
+    assert_eq!(Claim::decode(&value), Some(claim));
+    let mut padded = value;
+    padded.resize(MAX_CLAIM_LEN + 1, b' ');
+    assert_eq!(Claim::decode(&padded), None);
+}
+
+/// Guards against answers that exceed the limits of the platform.
+#[test]
+fn finish_long_answer_not_stored() {
+    let options = ClaimOptions { deadline: Time::from_millis(1_000), ..ClaimOptions::default() };
+    let mut state = ClaimState::new(options);
+    let (now, wall) = (Time::ZERO, UnixMs(0));
+    state.start(now, wall);
+    let actions = state.on_result(now, wall, CallResult::Written { version: 1 });
+    assert_eq!(actions, [ClaimAction::Granted]);
+    let long = StoredAnswer { status: 200, headers: vec![], body: vec![0; MAX_ANSWER_BODY + 1] };
+    let actions = state.finish(now, Outcome::Served, Some(long));
+    let [ClaimAction::Update { value, version: 1 }] = &actions[..] else {
+        panic!("expected an update, got {actions:?}");
+    };
+    let progress = Claim::decode(value).unwrap().progress;
+    assert_eq!(progress, Progress::Done { answer: None, delivery: Delivery::Runner });
+}
+
+#[test]
+fn is_expired_after_retention() {
+    let claim = record(Progress::Unknown);
+    assert!(!claim.is_expired(UnixMs(1_000 + 24 * 3_600_000)));
+    assert!(claim.is_expired(UnixMs(1_001 + 24 * 3_600_000)));
+}
+
+/// Guards against a claim left behind by a create that took effect while the host was paused: the
+/// result of the delete was handled only after the term.
+#[test]
+fn release_looks_again_after_pause() {
+    let options = ClaimOptions { deadline: Time::from_millis(1_000), ..ClaimOptions::default() };
+    let mut state = ClaimState::new(options);
+    let (now, wall) = (Time::ZERO, UnixMs(0));
+    state.start(now, wall);
+    state.on_result(now, wall, CallResult::Lost);
+    state.on_timer(now, wall);
+    state.on_result(now, wall, CallResult::Absent);
+    state.on_result(now, wall, CallResult::Written { version: 1 });
+    assert_eq!(state.finish(now, Outcome::NotRun, None), [ClaimAction::Delete { version: 1 }]);
+    let (later, late) = (Time::from_millis(60_000), UnixMs(60_000));
+    let actions = state.on_result(later, late, CallResult::Written { version: 0 });
+    assert_eq!(actions, [ClaimAction::Settled { stored: true }, ClaimAction::Read]);
+    let actions = state.on_result(later, late, CallResult::Absent);
+    assert_eq!(actions, [ClaimAction::Done]);
+}
