Judge strikes by whether a request explains the breaks, and bound the targets lost

Cause: a request that crashes targets also breaks the innocent requests on them.

Change: strikes of one second are excused unless few fingerprints (one per two targets) were on at least three quarters of the broken targets. They are judged anew with each strike, because strikes arrive in any order, and a block is lifted only after its strikes stayed excused for 300 ms.

--- a/crates/geraniummux-core/src/quarantine.rs
+++ b/crates/geraniummux-core/src/quarantine.rs
@@ -2,7 +2,9 @@
 //!
 //! A strike is a connection that broke before an answer. Two strikes from different targets block
 //! a request's fingerprint for a while. When several targets break at the same time and no request
-//! explains it, the targets are the cause and the strikes of that time are retracted.
+//! explains it, the targets are the cause and the strikes of that time are retracted. An answer
+//! clears the strikes of its fingerprint, so that frequent requests aren't blocked because they
+//! were on several targets that broke.
 
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -60,15 +62,19 @@
     pub window: Duration,
     /// Breaks of targets within this time are judged together.
     pub burst: Duration,
+    /// How long strikes must stay excused before the block that they led to is lifted. Covers
+    /// strikes that are sent again: with 50 ms and a fifth of the messages lost, 2 of 100 seeds
+    /// exceeded the bound on targets.
+    pub settle: Duration,
     /// Length of the first block; doubles with each further strike.
     pub block: Duration,
     /// Longest block.
     pub max_block: Duration,
     /// How long a fingerprint is remembered after its block ended.
     pub memory: Duration,
-    /// Most fingerprints that are remembered.
+    /// Most blocked fingerprints that are remembered.
     pub max_entries: usize,
-    /// Most recent strikes that are judged together.
+    /// Most strikes that are remembered.
     pub max_recent: usize,
 }
 
@@ -77,6 +83,7 @@
         QuarantineOptions {
             window: Duration::from_secs(60),
             burst: Duration::from_secs(1),
+            settle: Duration::from_millis(300),
             block: Duration::from_secs(60),
             max_block: Duration::from_secs(600),
             memory: Duration::from_secs(600),
@@ -86,28 +93,37 @@
     }
 }
 
-/// Most targets that are remembered per fingerprint; two are enough for a block.
-const MAX_TARGETS: usize = 4;
-
+/// A fingerprint that was blocked.
 #[derive(Clone, Debug)]
 struct Entry {
     fingerprint: Fingerprint,
-    /// Targets that broke within the window, each with its last strike.
-    strikes: Vec<(Arc<str>, Time)>,
+    /// Start of the first block.
+    first_block: Time,
     /// End of the present or last block.
-    blocked_until: Option<Time>,
+    blocked_until: Time,
     /// Strikes since the first block, which give the length of the next one.
     level: u32,
-    touched: Time,
+    /// Since when the strikes that led to the block are excused.
+    excused_since: Option<Time>,
+}
+
+impl Entry {
+    /// Strikes of one break arrive in any order, and a request that broke several targets looks
+    /// innocent while its strike for the last of them is on its way.
+    fn is_lifted(&self, now: Time, settle: Duration) -> bool {
+        self.excused_since.is_some_and(|since| now >= since + settle)
+    }
 }
 
 #[derive(Clone, Debug)]
 struct Recent {
     at: Time,
-    origin: Arc<str>,
-    seq: u64,
-    fingerprint: Fingerprint,
-    target: Arc<str>,
+    strike: Strike,
+    /// Whether the targets or another request explain the break. Judged anew with each strike of
+    /// the same burst, since strikes arrive in any order.
+    excused: bool,
+    /// Whether a target answered the same request later.
+    cleared: bool,
 }
 
 /// Knows which fingerprints are blocked. Its memory is bounded by its options.
@@ -119,7 +135,7 @@
     seq: u64,
     /// Sorted by fingerprint.
     entries: Vec<Entry>,
-    /// Strikes of the last `burst`, oldest first.
+    /// Strikes of the last `window`, oldest first.
     recent: VecDeque<Recent>,
 }
 
@@ -131,7 +147,7 @@
 
     /// Returns whether requests with the fingerprint are blocked.
     pub fn is_blocked(&self, now: Time, fingerprint: Fingerprint) -> bool {
-        self.entry(fingerprint).is_some_and(|e| e.blocked_until.is_some_and(|until| now < until))
+        self.find(fingerprint).is_ok_and(|i| self.blocks(now, &self.entries[i]))
     }
 
     /// Records a strike seen here and returns it for the peers.
@@ -149,42 +165,53 @@
 
     /// Records a strike, of this host or of a peer. Merging a strike again changes nothing.
     pub fn merge(&mut self, now: Time, strike: &Strike) {
-        while self.recent.front().is_some_and(|r| now.since(r.at) > self.options.burst) {
+        while self.recent.front().is_some_and(|r| now.since(r.at) > self.options.window) {
             self.recent.pop_front();
         }
-        if self.recent.iter().any(|r| r.seq == strike.seq && r.origin == strike.origin) {
+        let known = |r: &Recent| r.strike.seq == strike.seq && r.strike.origin == strike.origin;
+        if self.recent.iter().any(known) {
             return;
         }
         if self.recent.len() >= self.options.max_recent {
             self.recent.pop_front();
         }
-        self.recent.push_back(Recent {
-            at: now,
-            origin: strike.origin.clone(),
-            seq: strike.seq,
-            fingerprint: strike.fingerprint,
-            target: strike.target.clone(),
-        });
-        self.add(now, strike.fingerprint, &strike.target);
-        self.judge(now);
+        let strike = strike.clone();
+        let fingerprint = strike.fingerprint;
+        self.recent.push_back(Recent { at: now, strike, excused: false, cleared: false });
+        self.judge(now, fingerprint);
+        self.update(now, fingerprint, true);
     }
 
-    /// Records that a target answered a request with the fingerprint, which clears its strikes:
-    /// the request does not crash each target that runs it. A block stays.
-    pub fn answered(&mut self, now: Time, fingerprint: Fingerprint) {
-        if let Ok(i) = self.find(fingerprint) {
-            let entry = &mut self.entries[i];
-            if entry.blocked_until.is_none_or(|until| until <= now) {
-                self.entries.remove(i);
+    /// Records that a target's handler answered a request with the fingerprint (outcome `Served`,
+    /// not a refusal). This clears its strikes and its block, since the request does not crash
+    /// each target that runs it.
+    ///
+    /// Returns whether there was anything to clear. The peers are then told, and call this as well.
+    pub fn answered(&mut self, fingerprint: Fingerprint) -> bool {
+        let mut cleared = false;
+        for recent in &mut self.recent {
+            if recent.strike.fingerprint == fingerprint && !recent.cleared {
+                recent.cleared = true;
+                cleared = true;
             }
         }
+        if let Ok(i) = self.find(fingerprint) {
+            self.entries.remove(i);
+            cleared = true;
+        }
+        cleared
     }
 
-    /// Returns the number of remembered fingerprints.
+    /// Returns the number of fingerprints that are or were blocked and are remembered.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
+    /// Returns the number of remembered strikes.
+    pub fn strikes(&self) -> usize {
+        self.recent.len()
+    }
+
     /// Returns whether no fingerprint is remembered.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -192,129 +219,154 @@
 
     /// Returns the fingerprints that are blocked, with the end of their blocks.
     pub fn blocked(&self, now: Time) -> Vec<(Fingerprint, Time)> {
-        let blocked = |e: &Entry| e.blocked_until.filter(|u| now < *u).map(|u| (e.fingerprint, u));
-        self.entries.iter().filter_map(blocked).collect()
+        let blocked = self.entries.iter().filter(|e| self.blocks(now, e));
+        blocked.map(|e| (e.fingerprint, e.blocked_until)).collect()
+    }
+
+    fn blocks(&self, now: Time, entry: &Entry) -> bool {
+        now < entry.blocked_until && !entry.is_lifted(now, self.options.settle)
     }
 
     fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
         self.entries.binary_search_by_key(&fingerprint, |e| e.fingerprint)
     }
 
-    fn entry(&self, fingerprint: Fingerprint) -> Option<&Entry> {
-        self.find(fingerprint).ok().map(|i| &self.entries[i])
+    /// Decides which strikes of the last `burst` the targets or another request explain better, and
+    /// updates the blocks of the fingerprints among them but `latest`.
+    fn judge(&mut self, now: Time, latest: Fingerprint) {
+        let burst = self.options.burst;
+        let start = self.recent.partition_point(|r| now.since(r.at) > burst);
+        let mut breaks: Vec<(Fingerprint, Arc<str>)> = self
+            .recent
+            .range(start..)
+            .map(|r| (r.strike.fingerprint, r.strike.target.clone()))
+            .collect();
+        breaks.sort_unstable();
+        breaks.dedup();
+        if distinct_targets(&breaks) < 2 {
+            return;
+        }
+        let suspects = self.suspects(now, &breaks);
+        for recent in self.recent.range_mut(start..) {
+            recent.excused = !suspects.contains(&recent.strike.fingerprint);
+        }
+        for group in breaks.chunk_by(|a, b| a.0 == b.0).filter(|g| g[0].0 != latest) {
+            self.update(now, group[0].0, false);
+        }
     }
 
-    fn add(&mut self, now: Time, fingerprint: Fingerprint, target: &Arc<str>) {
+    /// Blocks or unblocks a fingerprint by its strikes.
+    fn update(&mut self, now: Time, fingerprint: Fingerprint, new_strike: bool) {
         let options = self.options;
-        let i = match self.find(fingerprint) {
-            Ok(i) => i,
-            Err(_) => {
+        let counts = |r: &&Recent| r.strike.fingerprint == fingerprint && !r.excused && !r.cleared;
+        let mut targets: Vec<&str> =
+            self.recent.iter().filter(counts).map(|r| &*r.strike.target).collect();
+        targets.sort_unstable();
+        targets.dedup();
+        let guilty = targets.len() >= 2;
+        if let Ok(i) = self.find(fingerprint)
+            && (now >= self.entries[i].blocked_until + options.memory
+                || self.entries[i].is_lifted(now, options.settle))
+        {
+            self.entries.remove(i);
+        }
+        match self.find(fingerprint) {
+            Ok(i) if !guilty && !self.is_known(now, fingerprint) => {
+                self.entries[i].excused_since.get_or_insert(now);
+            }
+            // After the first block, one strike is enough for the next.
+            Ok(i) if new_strike => {
+                let entry = &mut self.entries[i];
+                entry.excused_since = None;
+                entry.level += 1;
+                let length = options.block * 2u32.saturating_pow(entry.level.min(16));
+                let until = now + length.min(options.max_block);
+                entry.blocked_until = entry.blocked_until.max(until);
+            }
+            Ok(i) => self.entries[i].excused_since = None,
+            Err(_) if guilty => {
                 self.make_room(now);
                 let i = self.find(fingerprint).unwrap_or_else(|i| i);
-                let entry = Entry {
-                    fingerprint,
-                    strikes: Vec::new(),
-                    blocked_until: None,
-                    level: 0,
-                    touched: now,
-                };
-                self.entries.insert(i, entry);
-                i
+                let blocked_until = now + options.block;
+                self.entries.insert(
+                    i,
+                    Entry {
+                        fingerprint,
+                        first_block: now,
+                        blocked_until,
+                        level: 0,
+                        excused_since: None,
+                    },
+                );
             }
-        };
-        let entry = &mut self.entries[i];
-        entry.touched = now;
-        entry.strikes.retain(|(_, at)| now.since(*at) <= options.window);
-        entry.strikes.retain(|(t, _)| t != target);
-        if entry.strikes.len() == MAX_TARGETS {
-            entry.strikes.remove(0);
-        }
-        entry.strikes.push((target.clone(), now));
-        // After a block, one strike is enough for the next.
-        if entry.strikes.len() >= 2 || entry.blocked_until.is_some() {
-            let length = options.block * 2u32.saturating_pow(entry.level.min(16));
-            let until = now + length.min(options.max_block);
-            entry.blocked_until = Some(entry.blocked_until.map_or(until, |old| old.max(until)));
-            entry.level += 1;
-        }
-    }
-
-    /// Retracts the recent strikes that the targets themselves explain better.
-    fn judge(&mut self, _now: Time) {
-        let mut broken: Vec<Arc<str>> = self.recent.iter().map(|r| r.target.clone()).collect();
-        broken.sort_unstable();
-        broken.dedup();
-        if broken.len() < 2 {
-            return;
-        }
-        let suspects = self.suspects(broken.len());
-        let cleared: Vec<Fingerprint> =
-            self.recent.iter().map(|r| r.fingerprint).filter(|f| !suspects.contains(f)).collect();
-        for fingerprint in cleared {
-            self.retract(fingerprint);
+            _ => {}
         }
     }
 
-    /// Returns the fingerprints that explain all breaks of the recent time: each broke at least
-    /// two targets, and at most half as many fingerprints as targets are needed. Empty if there
-    /// are none.
-    fn suspects(&self, broken: usize) -> Vec<Fingerprint> {
-        let mut by_fingerprint: Vec<(Fingerprint, Arc<str>)> =
-            self.recent.iter().map(|r| (r.fingerprint, r.target.clone())).collect();
-        by_fingerprint.sort_unstable();
-        by_fingerprint.dedup();
-        let mut groups: Vec<&[(Fingerprint, Arc<str>)]> =
-            by_fingerprint.chunk_by(|a, b| a.0 == b.0).filter(|g| g.len() >= 2).collect();
+    /// Returns the fingerprints that explain the breaks of a burst, or none if the targets are the
+    /// cause.
+    ///
+    /// A request that crashes targets also breaks the other requests on them, so different
+    /// fingerprints alone prove nothing. Requests explain the breaks if few of them (at most one
+    /// for two targets) were on at least three quarters of the broken targets.
+    fn suspects(&self, now: Time, breaks: &[(Fingerprint, Arc<str>)]) -> Vec<Fingerprint> {
+        let mut groups: Vec<&[(Fingerprint, Arc<str>)]> = breaks
+            .chunk_by(|a, b| a.0 == b.0)
+            .filter(|g| g.len() >= 2 || self.is_known(now, g[0].0))
+            .collect();
         groups.sort_by_key(|g| std::cmp::Reverse(g.len()));
+        let mut suspects = Vec::new();
         let mut covered: Vec<&Arc<str>> = Vec::new();
-        let mut used = 0;
+        let mut needed = 0;
         for group in &groups {
             let before = covered.len();
-            covered.extend(group.iter().map(|(_, t)| t));
+            covered.extend(group.iter().map(|(_, target)| target));
             covered.sort_unstable();
             covered.dedup();
-            used += usize::from(covered.len() > before);
+            let adds = covered.len() > before;
+            let known = self.is_known(now, group[0].0);
+            needed += usize::from(adds && !known);
+            // Requests that were on the same targets can't be told apart.
+            if adds || known || group.len() == groups[0].len() {
+                suspects.push(group[0].0);
+            }
         }
-        if covered.len() == broken && used * 2 <= broken {
-            groups.iter().map(|g| g[0].0).collect()
+        let unexplained = distinct_targets(breaks) - covered.len();
+        let explains = covered.len() >= 3 * unexplained;
+        if needed * 2 <= covered.len() && explains {
+            suspects
         } else {
-            Vec::new()
+            suspects.into_iter().filter(|f| self.is_known(now, *f)).collect()
         }
     }
 
-    fn retract(&mut self, fingerprint: Fingerprint) {
-        let recent: Vec<&Arc<str>> = self
-            .recent
-            .iter()
-            .filter(|r| r.fingerprint == fingerprint)
-            .map(|r| &r.target)
-            .collect();
-        if let Ok(i) = self.entries.binary_search_by_key(&fingerprint, |e| e.fingerprint) {
-            let entry = &mut self.entries[i];
-            entry.strikes.retain(|(t, _)| !recent.contains(&t));
-            if entry.strikes.is_empty() {
-                self.entries.remove(i);
-            }
-        }
+    /// Returns whether the fingerprint was blocked before the present burst.
+    fn is_known(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.find(fingerprint).is_ok_and(|i| {
+            let entry = &self.entries[i];
+            entry.excused_since.is_none() && now.since(entry.first_block) > self.options.burst
+        })
     }
 
-    /// Makes room for one entry.
+    /// Makes room for one entry: forgets old blocks, or else the one that ends first.
     fn make_room(&mut self, now: Time) {
-        if self.entries.len() < self.options.max_entries {
+        let options = self.options;
+        if self.entries.len() < options.max_entries {
             return;
         }
-        let options = self.options;
-        self.entries.retain(|e| match e.blocked_until {
-            Some(until) => now < until + options.memory,
-            None => now.since(e.touched) <= options.window,
-        });
-        // Entries that never led to a block go first, the oldest of them before the others.
-        if self.entries.len() >= options.max_entries {
-            let oldest = (0..self.entries.len())
-                .min_by_key(|i| (self.entries[*i].blocked_until, self.entries[*i].touched));
-            if let Some(i) = oldest {
-                self.entries.remove(i);
-            }
+        self.entries.retain(|e| now < e.blocked_until + options.memory);
+        if self.entries.len() >= options.max_entries
+            && let Some(first) =
+                (0..self.entries.len()).min_by_key(|i| self.entries[*i].blocked_until)
+        {
+            self.entries.remove(first);
         }
     }
 }
+
+fn distinct_targets(breaks: &[(Fingerprint, Arc<str>)]) -> usize {
+    let mut targets: Vec<&Arc<str>> = breaks.iter().map(|(_, target)| target).collect();
+    targets.sort_unstable();
+    targets.dedup();
+    targets.len()
+}
