Add the thin whole path as separate processes

Cause: decisions built in the core need a frame that carries a request from caller to target before they can be driven and measured.

Ruled out: letting geraniummuxctl write to the platform itself. Edits go through an entry host, which validates the whole, settles lost answers and can pass an accepted configuration on while the platform is down.

Change: daemon with caller and admin listeners, configuration followed by a watch, random choice of target; command-line tool with get, diff, check, apply, status and usage; stand-ins for platform, target and caller; sample tables and scripts/quickstart.

Conclusion: the frame is in place; balancing, retries, claims and membership are not yet in it.

--- a/crates/geraniummux-core/src/config.rs
+++ b/crates/geraniummux-core/src/config.rs
@@ -308,29 +308,38 @@
     Pools(Vec<Pool>),
 }
 
-/// A file with one table, as operators write it.
+/// A file with one table, as operators write it. A file that was read from a host names the
+/// revision that it holds, so that an edit of it can't overwrite a later one.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct TableFile<T> {
     #[serde(alias = "routes", alias = "pools")]
     rows: Vec<T>,
+    #[serde(default)]
+    revision: Option<u64>,
+    #[serde(default, rename = "generation")]
+    _generation: Option<u64>,
+    #[serde(default, rename = "writer")]
+    _writer: Option<String>,
 }
 
 impl TableEdit {
     /// Parses the JSON text of one table: `{"routes": [...]}` or `{"pools": [...]}`.
     ///
+    /// Returns the table and the revision that the text names, if it names one.
+    ///
     /// # Errors
     ///
     /// Returns [`Error::Parse`] with line and column if the text is not such a table.
-    pub fn parse(kind: TableKind, text: &str) -> Result<Self> {
+    pub fn parse(kind: TableKind, text: &str) -> Result<(Self, Option<u64>)> {
         let parse_error =
             |e: serde_json::Error| Error::Parse { table: kind.as_str(), cause: e.to_string() };
         match kind {
             TableKind::Routes => serde_json::from_str::<TableFile<Route>>(text)
-                .map(|f| TableEdit::Routes(f.rows))
+                .map(|f| (TableEdit::Routes(f.rows), f.revision))
                 .map_err(parse_error),
             TableKind::Pools => serde_json::from_str::<TableFile<Pool>>(text)
-                .map(|f| TableEdit::Pools(f.rows))
+                .map(|f| (TableEdit::Pools(f.rows), f.revision))
                 .map_err(parse_error),
         }
     }
--- a/crates/geraniummux-core/tests/config.rs
+++ b/crates/geraniummux-core/tests/config.rs
@@ -11,7 +11,7 @@
     "timeout_ms":100}]}"#;
 
 fn edit(kind: TableKind, text: &str) -> TableEdit {
-    TableEdit::parse(kind, text).unwrap()
+    TableEdit::parse(kind, text).unwrap().0
 }
 
 fn sample() -> Config {
@@ -23,7 +23,7 @@
 
 fn routes_error(text: &str) -> String {
     match TableEdit::parse(TableKind::Routes, text) {
-        Ok(e) => sample().with_edit(e, 1, "op", "w").unwrap_err().to_string(),
+        Ok((e, _)) => sample().with_edit(e, 1, "op", "w").unwrap_err().to_string(),
         Err(e) => e.to_string(),
     }
 }
--- /dev/null
+++ b/crates/geraniummux-standin/src/platform.rs
@@ -0,0 +1,254 @@
+//! A stand-in for the platform's object API, with call counting and faults on demand.
+//!
+//! `POST /faults` replaces the [`Faults`], `GET /stats` returns the calls by method and kind, and
+//! `PUT /hosts` replaces the host list.
+
+use crate::server::{Reply, read_body, serve};
+use bytes::Bytes;
+use geraniummux_platform::http::{ListEntry, parse_etag};
+use geraniummux_platform::{Condition, Error, HostEntry, Key, MemoryStore, Object, Version};
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Faults of the object API. All are off by default.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every connection is closed without an answer and nothing is written.
+    pub down: bool,
+    /// Calls never get an answer and nothing is written.
+    pub hang: bool,
+    /// Calls are refused with status 429.
+    pub refuse: bool,
+    /// Delay before each call is carried out, in milliseconds.
+    pub slow_ms: u64,
+    /// The next writes take effect but their answers are lost.
+    pub lose_write_answers: u32,
+    /// Watches never answer.
+    pub silent_watch: bool,
+    /// Reads return the object as it was before its last write.
+    pub stale_reads: bool,
+}
+
+#[derive(Default)]
+struct State {
+    store: MemoryStore,
+    previous: BTreeMap<Key, Object>,
+    hosts: Vec<HostEntry>,
+    faults: Faults,
+    calls: BTreeMap<String, u64>,
+}
+
+/// The stand-in's state, shared by its connections.
+pub struct PlatformStandin {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for PlatformStandin {
+    fn default() -> Self {
+        PlatformStandin { state: Mutex::default(), changed: watch::channel(0).0 }
+    }
+}
+
+/// Serves the object API on `listener` until the task is dropped.
+pub async fn run(listener: TcpListener) {
+    let standin = Arc::new(PlatformStandin::default());
+    serve(listener, move |req| {
+        let standin = standin.clone();
+        async move { standin.handle(req).await }
+    })
+    .await;
+}
+
+fn query<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    req.uri().query()?.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    })
+}
+
+fn object_reply(status: StatusCode, version: Version, value: Bytes) -> Reply {
+    let mut rsp = Response::new(Full::new(value));
+    *rsp.status_mut() = status;
+    if let Ok(etag) = format!("\"{}\"", version.0).parse() {
+        rsp.headers_mut().insert(header::ETAG, etag);
+    }
+    Reply::Send(rsp)
+}
+
+fn object_or_missing(object: Option<Object>) -> Reply {
+    match object {
+        Some(o) => object_reply(StatusCode::OK, o.version, o.value),
+        None => Reply::text(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+impl PlatformStandin {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        let path = req.uri().path().to_owned();
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        match (req.method(), segments.as_slice()) {
+            (&Method::POST, ["faults"]) => return self.set_faults(req).await,
+            (&Method::GET, ["stats"]) => return Reply::json(&self.lock().calls),
+            (&Method::PUT, ["hosts"]) => return self.set_hosts(req).await,
+            _ => {}
+        }
+        if let Some(reply) = self.fault(&req, &segments).await {
+            return reply;
+        }
+        match (req.method().clone(), segments.as_slice()) {
+            (Method::GET, ["v1", "hosts"]) => Reply::json(&self.lock().hosts),
+            (Method::GET, ["v1", "objects", kind]) => self.list(&req, kind),
+            (Method::GET, ["v1", "objects", kind, name]) => self.read(&Key::new(*kind, *name)),
+            (Method::GET, ["v1", "watch", kind, name]) => {
+                self.watch(&req, &Key::new(*kind, *name)).await
+            }
+            (Method::PUT, ["v1", "objects", kind, name]) => {
+                self.write(req, &Key::new(*kind, *name)).await
+            }
+            (Method::DELETE, ["v1", "objects", kind, name]) => {
+                self.delete(&req, &Key::new(*kind, *name))
+            }
+            _ => Reply::text(StatusCode::NOT_FOUND, "unknown path"),
+        }
+    }
+
+    async fn set_faults(&self, req: Request<Incoming>) -> Reply {
+        match serde_json::from_slice(&read_body(req.into_body()).await) {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                Reply::text(StatusCode::NO_CONTENT, "")
+            }
+            Err(e) => Reply::text(StatusCode::BAD_REQUEST, e.to_string()),
+        }
+    }
+
+    async fn set_hosts(&self, req: Request<Incoming>) -> Reply {
+        match serde_json::from_slice(&read_body(req.into_body()).await) {
+            Ok(hosts) => {
+                self.lock().hosts = hosts;
+                Reply::text(StatusCode::NO_CONTENT, "")
+            }
+            Err(e) => Reply::text(StatusCode::BAD_REQUEST, e.to_string()),
+        }
+    }
+
+    /// Counts the call and applies the faults that keep it from being carried out.
+    async fn fault(&self, req: &Request<Incoming>, segments: &[&str]) -> Option<Reply> {
+        let faults = {
+            let mut state = self.lock();
+            let api = segments.get(1).copied().unwrap_or("");
+            let kind = segments.get(2).copied().unwrap_or("");
+            *state.calls.entry(format!("{} {api}/{kind}", req.method())).or_default() += 1;
+            state.faults.clone()
+        };
+        if faults.slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+        }
+        if faults.down {
+            return Some(Reply::Close);
+        }
+        if faults.hang {
+            return Some(Reply::Hang);
+        }
+        faults.refuse.then(|| Reply::text(StatusCode::TOO_MANY_REQUESTS, "refused"))
+    }
+
+    fn list(&self, req: &Request<Incoming>, kind: &str) -> Reply {
+        let prefix = query(req, "prefix").unwrap_or("");
+        let objects = self.lock().store.list(kind, prefix);
+        let entries: Vec<ListEntry> = objects
+            .into_iter()
+            .map(|(key, object)| ListEntry {
+                name: key.name,
+                version: object.version,
+                value: String::from_utf8_lossy(&object.value).into_owned(),
+            })
+            .collect();
+        Reply::json(&entries)
+    }
+
+    fn read(&self, key: &Key) -> Reply {
+        let state = self.lock();
+        let previous = state.faults.stale_reads.then(|| state.previous.get(key).cloned());
+        object_or_missing(previous.flatten().or_else(|| state.store.get(key)))
+    }
+
+    async fn watch(&self, req: &Request<Incoming>, key: &Key) -> Reply {
+        let after = query(req, "after").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let wait = query(req, "wait_ms").and_then(|v| v.parse().ok()).unwrap_or(1_000);
+        if self.lock().faults.silent_watch {
+            return Reply::Hang;
+        }
+        let mut changed = self.changed.subscribe();
+        let newer = async {
+            loop {
+                let object = self.lock().store.get(key).filter(|o| o.version > Version(after));
+                match object {
+                    Some(o) => return object_reply(StatusCode::OK, o.version, o.value),
+                    // The sender lives as long as the stand-in, so this can't fail.
+                    None => drop(changed.changed().await),
+                }
+            }
+        };
+        tokio::time::timeout(Duration::from_millis(wait), newer)
+            .await
+            .unwrap_or_else(|_| Reply::text(StatusCode::NO_CONTENT, ""))
+    }
+
+    async fn write(&self, req: Request<Incoming>, key: &Key) -> Reply {
+        let if_match = req.headers().get(header::IF_MATCH).and_then(|v| v.to_str().ok());
+        let condition = match if_match.map(parse_etag) {
+            Some(Some(version)) => Condition::Version(version),
+            Some(None) => return Reply::text(StatusCode::BAD_REQUEST, "invalid If-Match"),
+            None => Condition::Absent,
+        };
+        let value = read_body(req.into_body()).await;
+        let reply = {
+            let mut state = self.lock();
+            let previous = state.store.get(key);
+            match state.store.put(key, value, condition) {
+                Ok(version) => {
+                    if let Some(object) = previous {
+                        state.previous.insert(key.clone(), object);
+                    }
+                    if state.faults.lose_write_answers > 0 {
+                        state.faults.lose_write_answers -= 1;
+                        Reply::Close
+                    } else {
+                        let created = condition == Condition::Absent;
+                        let status = if created { StatusCode::CREATED } else { StatusCode::OK };
+                        object_reply(status, version, Bytes::new())
+                    }
+                }
+                Err(Error::TooLarge) => Reply::text(StatusCode::PAYLOAD_TOO_LARGE, ""),
+                Err(_) => Reply::text(StatusCode::PRECONDITION_FAILED, ""),
+            }
+        };
+        self.changed.send_modify(|n| *n += 1);
+        reply
+    }
+
+    fn delete(&self, req: &Request<Incoming>, key: &Key) -> Reply {
+        let if_match = req.headers().get(header::IF_MATCH).and_then(|v| v.to_str().ok());
+        let Some(version) = if_match.and_then(parse_etag) else {
+            return Reply::text(StatusCode::BAD_REQUEST, "invalid If-Match");
+        };
+        match self.lock().store.delete(key, version) {
+            Ok(()) => Reply::text(StatusCode::NO_CONTENT, ""),
+            Err(_) => Reply::text(StatusCode::PRECONDITION_FAILED, ""),
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniummuxctl/src/args.rs
@@ -0,0 +1,110 @@
+//! Command-line arguments.
+
+use argh::FromArgs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Read and edit the tables of geraniummux and show the state of its hosts.
+///
+/// Exit codes: 0 done, 1 the tables differ (diff only), 2 unusable arguments or file, 3 invalid
+/// table, 4 the table was changed by somebody else, 5 no host or platform reachable, 6 undecided
+/// whether the edit took effect.
+#[derive(FromArgs)]
+pub struct Args {
+    /// admin address of an entry host; repeat to name hosts to fall back to
+    #[argh(option)]
+    pub admin: Vec<SocketAddr>,
+    /// print JSON instead of a table
+    #[argh(switch)]
+    pub json: bool,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Prints a table.
+    Get(Get),
+    /// Compares a file with the table in force.
+    Diff(Diff),
+    /// Checks files without changing anything.
+    Check(Check),
+    /// Replaces a table.
+    Apply(Apply),
+    /// Prints the state of each host.
+    Status(Status),
+    /// Prints the monthly totals.
+    Usage(Usage),
+}
+
+/// Print a table in force; with --json in the form that apply takes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "get")]
+pub struct Get {
+    /// routes or pools
+    #[argh(positional)]
+    pub table: String,
+}
+
+/// Compare a file with the table in force, row by row. Exit code 1 if they differ.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct Diff {
+    /// routes or pools
+    #[argh(positional)]
+    pub table: String,
+    /// file with the table (JSON)
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Check table files; a table that is not given is taken from the configuration in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// file with the routes table (JSON)
+    #[argh(option)]
+    pub routes: Option<PathBuf>,
+    /// file with the pools table (JSON)
+    #[argh(option)]
+    pub pools: Option<PathBuf>,
+}
+
+/// Replace a table with the content of a file.
+///
+/// The edit takes effect only if the table is still at the revision that the file names (or
+/// --base); otherwise the winning revision and the differences are printed and the file stays as
+/// it is.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct Apply {
+    /// routes or pools
+    #[argh(positional)]
+    pub table: String,
+    /// file with the table (JSON)
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// revision that the file is based on (default: the file's "revision", else 0)
+    #[argh(option)]
+    pub base: Option<u64>,
+    /// name recorded with the edit (default: $USER)
+    #[argh(option)]
+    pub writer: Option<String>,
+}
+
+/// Print the state of each host named by --admin.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Status {}
+
+/// Print the monthly totals of each tenant and class.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "usage")]
+pub struct Usage {
+    /// month as YYYY-MM (default: the present month)
+    #[argh(option)]
+    pub month: Option<String>,
+}
--- /dev/null
+++ b/crates/geraniummuxd/src/admin.rs
@@ -0,0 +1,162 @@
+//! The admin listener: tables, status and usage as JSON, and a status page.
+
+use crate::config_sync::{self, EditError, EditRequest};
+use crate::reply::{self, Body};
+use crate::shared::Shared;
+use geraniummux_core::{Error as CoreError, TableEdit, TableKind};
+use geraniummux_platform::Error as PlatformError;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use serde_json::json;
+use std::convert::Infallible;
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Largest accepted table, in bytes: the platform's limit for a value.
+const MAX_TABLE_LEN: usize = 1 << 20;
+
+/// Accepts admin connections until the task is dropped.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let shared = shared.clone();
+        let service = tower::service_fn(move |req| {
+            let shared = shared.clone();
+            async move { Ok::<_, Infallible>(handle(&shared, req).await) }
+        });
+        tokio::spawn(async move {
+            // A connection error concerns that client only.
+            let _ = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service))
+                .await;
+        });
+    }
+}
+
+async fn handle(shared: &Shared, req: Request<Incoming>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    match (req.method().clone(), segments.as_slice()) {
+        (Method::GET, ["v1", "tables", name]) => get_table(shared, name),
+        (Method::POST, ["v1", "tables", name]) => edit_table(shared, name, req).await,
+        (Method::GET, ["v1", "status"]) => reply::json(StatusCode::OK, &status(shared)),
+        (Method::GET, ["status"]) => Response::new(reply::full(status_page(shared))),
+        _ => error(StatusCode::NOT_FOUND, "not-found", "unknown path"),
+    }
+}
+
+fn error(status: StatusCode, kind: &str, message: &str) -> Response<Body> {
+    reply::json(status, &json!({ "error": kind, "message": message }))
+}
+
+fn unknown_table(name: &str) -> Response<Body> {
+    let message = format!("there is no table {name:?}; the tables are routes and pools");
+    error(StatusCode::NOT_FOUND, "not-found", &message)
+}
+
+fn get_table(shared: &Shared, name: &str) -> Response<Body> {
+    let Some(kind) = TableKind::from_name(name) else {
+        return unknown_table(name);
+    };
+    let in_force = shared.in_force();
+    let config = &in_force.config;
+    let revision = config.revision(kind);
+    let rows = match kind {
+        TableKind::Routes => json!(config.tables.routes),
+        TableKind::Pools => json!(config.tables.pools),
+    };
+    let mut answer = json!({
+        "generation": config.generation,
+        "revision": revision.number,
+        "writer": revision.writer,
+    });
+    answer[kind.as_str()] = rows;
+    reply::json(StatusCode::OK, &answer)
+}
+
+fn query<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    req.uri().query()?.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    })
+}
+
+async fn edit_table(shared: &Shared, name: &str, req: Request<Incoming>) -> Response<Body> {
+    let Some(kind) = TableKind::from_name(name) else {
+        return unknown_table(name);
+    };
+    let base = query(&req, "base").and_then(|v| v.parse::<u64>().ok());
+    let write_id = query(&req, "write_id").map(str::to_owned);
+    let writer = query(&req, "writer").unwrap_or("unknown").to_owned();
+    let (Some(base), Some(write_id)) = (base, write_id) else {
+        return error(StatusCode::BAD_REQUEST, "bad-request", "base and write_id are required");
+    };
+    let Ok(body) = Limited::new(req.into_body(), MAX_TABLE_LEN).collect().await else {
+        let message = format!("the table exceeds {MAX_TABLE_LEN} bytes or was cut off");
+        return error(StatusCode::PAYLOAD_TOO_LARGE, "too-large", &message);
+    };
+    let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    let edit = match TableEdit::parse(kind, &text) {
+        Ok((edit, _)) => edit,
+        Err(e) => return error(StatusCode::UNPROCESSABLE_ENTITY, "invalid", &e.to_string()),
+    };
+    match config_sync::apply(shared, EditRequest { edit, base, writer, write_id }).await {
+        Ok(config) => reply::json(
+            StatusCode::OK,
+            &json!({
+                "generation": config.generation,
+                "revision": config.revision(kind).number,
+            }),
+        ),
+        Err(e) => edit_error(&e),
+    }
+}
+
+fn edit_error(e: &EditError) -> Response<Body> {
+    let (status, kind) = match e {
+        EditError::Rejected(CoreError::Conflict { .. }) => (StatusCode::CONFLICT, "conflict"),
+        EditError::Rejected(_) => (StatusCode::UNPROCESSABLE_ENTITY, "invalid"),
+        EditError::Platform(PlatformError::TooLarge) => {
+            (StatusCode::PAYLOAD_TOO_LARGE, "too-large")
+        }
+        EditError::Platform(e) if e.may_have_written() => {
+            (StatusCode::SERVICE_UNAVAILABLE, "undecided")
+        }
+        EditError::Platform(_) => (StatusCode::SERVICE_UNAVAILABLE, "unavailable"),
+    };
+    error(status, kind, &e.to_string())
+}
+
+fn status(shared: &Shared) -> serde_json::Value {
+    let in_force = shared.in_force();
+    let config = &in_force.config;
+    json!({
+        "host": shared.settings.host,
+        "failure_domain": shared.settings.failure_domain,
+        "region": shared.settings.region,
+        "generation": config.generation,
+        "routes_revision": config.routes_revision.number,
+        "pools_revision": config.pools_revision.number,
+        "classes": shared.telemetry.report(),
+    })
+}
+
+fn status_page(shared: &Shared) -> String {
+    let mut page = String::new();
+    if let serde_json::Value::Object(fields) = status(shared) {
+        for (name, value) in fields {
+            // Writing to a String can't fail.
+            let _ = writeln!(page, "{name}: {value}");
+        }
+    }
+    page
+}
--- /dev/null
+++ b/crates/geraniummuxd/src/shared.rs
@@ -0,0 +1,73 @@
+//! State shared by the tasks of the daemon.
+
+use crate::clock::Clock;
+use crate::settings::Settings;
+use crate::telemetry::Telemetry;
+use arc_swap::ArcSwap;
+use geraniummux_core::config::{Config, ConfigState, Offer};
+use geraniummux_core::routing::Router;
+use geraniummux_platform::HttpPlatform;
+use slog::{Logger, info};
+use std::sync::{Arc, Mutex};
+
+/// The configuration in force with what is derived from it.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// The configuration; generation 0 means that none is in force yet.
+    pub config: Arc<Config>,
+    /// Its routes.
+    pub router: Router,
+}
+
+/// State shared by the tasks of the daemon.
+pub struct Shared {
+    /// Settings of this host.
+    pub settings: Settings,
+    /// The clocks.
+    pub clock: Clock,
+    /// The root logger.
+    pub log: Logger,
+    /// Metrics and histograms.
+    pub telemetry: Telemetry,
+    /// Client of the platform.
+    pub platform: HttpPlatform,
+    config: Mutex<ConfigState>,
+    in_force: ArcSwap<InForce>,
+}
+
+impl Shared {
+    /// Returns the state of a host that has no configuration yet.
+    pub fn new(settings: Settings, log: Logger, telemetry: Telemetry) -> Self {
+        let platform = HttpPlatform::new(settings.platform);
+        Shared {
+            settings,
+            clock: Clock::start(),
+            log,
+            telemetry,
+            platform,
+            config: Mutex::default(),
+            in_force: ArcSwap::default(),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn in_force(&self) -> Arc<InForce> {
+        self.in_force.load_full()
+    }
+
+    /// Puts a configuration in force if it is newer than the present one.
+    pub fn offer(&self, config: Arc<Config>) -> Offer {
+        // The lock is held over the swap, so that two offers can't be swapped in the wrong order.
+        let mut state = self.config.lock().unwrap_or_else(|e| e.into_inner());
+        let offer = state.offer(config);
+        if offer == Offer::Adopted {
+            let config = state.current().clone();
+            info!(self.log, "config_adopted"; "generation" => config.generation,
+                "routes_revision" => config.routes_revision.number,
+                "pools_revision" => config.pools_revision.number);
+            let router = Router::new(&config.tables);
+            self.in_force.store(Arc::new(InForce { config, router }));
+        }
+        offer
+    }
+}
