--- a/crates/geraniummux-core/src/config.rs
+++ b/crates/geraniummux-core/src/config.rs
@@ -12,6 +12,9 @@
 pub const MAX_NAME_LEN: usize = 64;
 /// Largest accepted encoded configuration, in bytes. The platform holds values up to 1 MiB.
 pub const MAX_CONFIG_LEN: usize = 1 << 20;
+/// Number of earlier writes whose identities a configuration keeps. An edit is settled within
+/// seconds, in which the design load of 450 edits a day makes far fewer.
+pub const MAX_RECENT_WRITES: usize = 32;
 /// Longest allowed request timeout, in milliseconds.
 pub const MAX_TIMEOUT_MS: u64 = 600_000;
 
@@ -363,6 +366,10 @@
     /// Identity of the write that produced this generation. It tells whether a write whose answer
     /// was lost took effect.
     pub write_id: Arc<str>,
+    /// Identities of the writes before it, latest first, at most [`MAX_RECENT_WRITES`]. They tell
+    /// whether a write took effect although others followed it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub recent_writes: Vec<Arc<str>>,
     /// Revision of the routes table.
     pub routes_revision: Revision,
     /// Revision of the pools table.
@@ -380,6 +387,12 @@
         }
     }
 
+    /// Returns whether the write with this identity took effect in this configuration or in one of
+    /// its [`MAX_RECENT_WRITES`] predecessors.
+    pub fn includes_write(&self, write_id: &str) -> bool {
+        *self.write_id == *write_id || self.recent_writes.iter().any(|w| **w == *write_id)
+    }
+
     /// Returns the successor of this configuration with one table replaced.
     ///
     /// `base` is the revision of the table that the edit was made from.
@@ -407,6 +420,10 @@
         }
         let mut next = self.clone();
         next.generation += 1;
+        if self.generation > 0 {
+            next.recent_writes.insert(0, self.write_id.clone());
+            next.recent_writes.truncate(MAX_RECENT_WRITES);
+        }
         next.write_id = Arc::from(write_id);
         let revision = Revision { number: base + 1, writer: Arc::from(writer) };
         match edit {
--- /dev/null
+++ b/crates/geraniummux-core/src/drain.rs
@@ -0,0 +1,406 @@
+//! Leaving targets, and the shutdown of an entry host.
+
+use crate::entry::ENTRY_TTL_MS;
+use crate::membership::{MemberState, Membership};
+use crate::pause::PauseGate;
+use crate::time::Time;
+use rand::Rng;
+use rand::seq::SliceRandom;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A target counts as leaving for this long after the last report.
+pub const LEAVING_TTL: Duration = Duration::from_secs(60);
+/// Reports of a target that is known to leave are passed on only at this interval.
+pub const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// First pause before a notice is sent again to a peer that has not acknowledged it; doubles up to
+/// 2 s.
+pub const NOTICE_RETRY: Duration = Duration::from_millis(200);
+/// Peers that a host passes a notice on to when it first hears of it, in case that the first
+/// reporter dies before it has told everyone.
+pub const RELAY_FANOUT: usize = 6;
+/// Most leaving targets that a host keeps. It bounds memory.
+pub const MAX_LEAVING: usize = 4_096;
+
+/// Tells peers that a target is leaving.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingNotice {
+    /// Address of the target.
+    pub target: SocketAddr,
+    /// How long ago the target was last reported to be leaving, in milliseconds. Ages instead of
+    /// instants need no synchronised clocks, and a notice that is passed on does not live longer.
+    pub age_ms: u32,
+}
+
+/// Acknowledges a [`LeavingNotice`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingAck {
+    /// Address of the target.
+    pub target: SocketAddr,
+    /// The age from the notice.
+    pub age_ms: u32,
+}
+
+/// What the daemon has to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DrainAction {
+    /// Send a notice to a peer.
+    Notify {
+        /// The peer.
+        to: SocketAddr,
+        /// The notice.
+        notice: LeavingNotice,
+    },
+    /// Acknowledge a notice.
+    Acknowledge {
+        /// The peer that sent it.
+        to: SocketAddr,
+        /// The acknowledgement.
+        ack: LeavingAck,
+    },
+    /// A target began to leave: the balancer stops choosing it.
+    Leaving(SocketAddr),
+    /// No report came for [`LEAVING_TTL`]: the target may be chosen again.
+    Expired(SocketAddr),
+    /// This host was paused. Ask these peers for their notices at once (see
+    /// [`TargetDrain::notices`]) and pass the answers to [`TargetDrain::refreshed`].
+    Refresh {
+        /// The peers; one answer is enough.
+        peers: Vec<SocketAddr>,
+    },
+}
+
+/// Whether a request may be sent to a target now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TargetPermit {
+    /// It may.
+    Send,
+    /// The target is leaving.
+    Leaving,
+    /// The host was paused and may not know about leaving targets: ask again.
+    Hold,
+}
+
+#[derive(Clone, Debug)]
+struct Notice {
+    to: Arc<str>,
+    next: Time,
+    pause: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    target: SocketAddr,
+    /// When the target was last reported, on this host's clock.
+    reported: Time,
+    /// The report that was last passed on.
+    passed_on: Time,
+    /// Peers that have not acknowledged it.
+    open: Vec<Notice>,
+}
+
+/// The leaving targets as one host knows them.
+#[derive(Clone, Debug)]
+pub struct TargetDrain {
+    /// Sorted by address.
+    entries: Vec<Entry>,
+    gate: PauseGate,
+}
+
+impl TargetDrain {
+    /// Returns the state of a starting host.
+    pub fn new(now: Time) -> Self {
+        TargetDrain { entries: Vec::new(), gate: PauseGate::new(now) }
+    }
+
+    /// Decides whether a request may be sent to a target now.
+    pub fn permit(&self, now: Time, target: SocketAddr) -> TargetPermit {
+        if self.is_leaving(now, target) {
+            TargetPermit::Leaving
+        } else if self.gate.holds(now) {
+            TargetPermit::Hold
+        } else {
+            TargetPermit::Send
+        }
+    }
+
+    /// Returns whether a target is known to be leaving.
+    pub fn is_leaving(&self, now: Time, target: SocketAddr) -> bool {
+        self.find(target).is_ok_and(|i| now.since(self.entries[i].reported) < LEAVING_TTL)
+    }
+
+    /// Returns all known notices, for a peer that starts or resumes.
+    pub fn notices(&self, now: Time) -> Vec<LeavingNotice> {
+        self.entries.iter().map(|e| notice(now, e)).collect()
+    }
+
+    /// Handles a sign that a target is leaving: a response header, a refusal, a probe, the host
+    /// list or a table. May be called for every such sign.
+    pub fn report<R>(
+        &mut self,
+        now: Time,
+        target: SocketAddr,
+        members: &Membership,
+        rng: &mut R,
+    ) -> Vec<DrainAction>
+    where
+        R: Rng + ?Sized,
+    {
+        let mut out = Vec::new();
+        let Some((i, new)) = self.record(now, target, now, &mut out) else { return out };
+        if new || now.since(self.entries[i].passed_on) >= REFRESH_INTERVAL {
+            self.pass_on(now, i, usize::MAX, members, rng, &mut out);
+        }
+        out
+    }
+
+    /// Handles a notice from a peer.
+    pub fn receive<R>(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        notice: LeavingNotice,
+        members: &Membership,
+        rng: &mut R,
+    ) -> Vec<DrainAction>
+    where
+        R: Rng + ?Sized,
+    {
+        let ack = LeavingAck { target: notice.target, age_ms: notice.age_ms };
+        let mut out = vec![DrainAction::Acknowledge { to: from, ack }];
+        if let Some(reported) = reported_at(now, &notice)
+            && let Some((i, true)) = self.record(now, notice.target, reported, &mut out)
+        {
+            self.pass_on(now, i, RELAY_FANOUT, members, rng, &mut out);
+        }
+        out
+    }
+
+    /// Handles an acknowledgement from the peer `name`.
+    pub fn acknowledged(&mut self, name: &str, ack: &LeavingAck) {
+        if let Ok(i) = self.find(ack.target) {
+            self.entries[i].open.retain(|n| *n.to != *name);
+        }
+    }
+
+    /// Handles a peer's notices, asked for at `asked`, after a start or a pause.
+    pub fn refreshed(
+        &mut self,
+        now: Time,
+        asked: Time,
+        notices: Vec<LeavingNotice>,
+    ) -> Vec<DrainAction> {
+        let mut out = Vec::new();
+        for n in notices {
+            if let Some(reported) = reported_at(now, &n) {
+                self.record(now, n.target, reported, &mut out);
+            }
+        }
+        self.gate.refreshed(asked);
+        out
+    }
+
+    /// Advances the timers. To be called at least every 100 ms.
+    pub fn tick<R>(&mut self, now: Time, members: &Membership, rng: &mut R) -> Vec<DrainAction>
+    where
+        R: Rng + ?Sized,
+    {
+        let mut out = Vec::new();
+        if self.gate.beat(now).is_some() {
+            let mut peers: Vec<SocketAddr> = members.live_peers().map(|m| m.addr).collect();
+            peers.shuffle(rng);
+            peers.truncate(3);
+            out.push(DrainAction::Refresh { peers });
+        }
+        self.entries.retain(|e| {
+            let keep = now.since(e.reported) < LEAVING_TTL;
+            if !keep {
+                out.push(DrainAction::Expired(e.target));
+            }
+            keep
+        });
+        for e in &mut self.entries {
+            retry(now, e, members, &mut out);
+        }
+        out
+    }
+
+    fn find(&self, target: SocketAddr) -> Result<usize, usize> {
+        self.entries.binary_search_by(|e| e.target.cmp(&target))
+    }
+
+    /// Records a report; returns the entry's index and whether it is new.
+    fn record(
+        &mut self,
+        now: Time,
+        target: SocketAddr,
+        reported: Time,
+        out: &mut Vec<DrainAction>,
+    ) -> Option<(usize, bool)> {
+        match self.find(target) {
+            Ok(i) => {
+                let e = &mut self.entries[i];
+                // An entry that expired since the last tick is new again.
+                let expired = now.since(e.reported) >= LEAVING_TTL;
+                e.reported = e.reported.max(reported);
+                Some((i, expired))
+            }
+            Err(_) if self.entries.len() >= MAX_LEAVING => None,
+            Err(i) => {
+                let e = Entry { target, reported, passed_on: Time::ZERO, open: Vec::new() };
+                self.entries.insert(i, e);
+                out.push(DrainAction::Leaving(target));
+                Some((i, true))
+            }
+        }
+    }
+
+    fn pass_on<R>(
+        &mut self,
+        now: Time,
+        i: usize,
+        limit: usize,
+        members: &Membership,
+        rng: &mut R,
+        out: &mut Vec<DrainAction>,
+    ) where
+        R: Rng + ?Sized,
+    {
+        let e = &mut self.entries[i];
+        e.passed_on = now;
+        // Suspect peers may only be paused, and then need the notice when they resume.
+        let mut to: Vec<Arc<str>> = members.live_peers().map(|m| m.name.clone()).collect();
+        to.shuffle(rng);
+        to.truncate(limit);
+        e.open = to.into_iter().map(|to| Notice { to, next: now, pause: NOTICE_RETRY }).collect();
+        retry(now, e, members, out);
+    }
+}
+
+/// Sends the notices of an entry that are due. Peers that died are dropped.
+fn retry(now: Time, e: &mut Entry, members: &Membership, out: &mut Vec<DrainAction>) {
+    let message = notice(now, e);
+    e.open.retain_mut(|n| {
+        let Some(m) = members.peer(&n.to).filter(|m| m.state != MemberState::Dead) else {
+            return false;
+        };
+        if now >= n.next {
+            out.push(DrainAction::Notify { to: m.addr, notice: message.clone() });
+            n.next = now + n.pause;
+            n.pause = (n.pause * 2).min(Duration::from_secs(2));
+        }
+        true
+    });
+}
+
+fn notice(now: Time, e: &Entry) -> LeavingNotice {
+    let age_ms = u32::try_from(now.since(e.reported).as_millis()).unwrap_or(u32::MAX);
+    LeavingNotice { target: e.target, age_ms }
+}
+
+/// Returns when a notice's report was made, or `None` if it has expired.
+fn reported_at(now: Time, notice: &LeavingNotice) -> Option<Time> {
+    let age = Duration::from_millis(u64::from(notice.age_ms));
+    (age < LEAVING_TTL).then(|| now - age)
+}
+
+/// Time after the announcement for which a leaving host still accepts requests: the ttl of answers
+/// that name it, and 2 s for the announcement to reach all peers.
+pub const SHUTDOWN_NOTICE: Duration = Duration::from_millis(ENTRY_TTL_MS + 2_000);
+/// Longest time for writing the usage at the end.
+pub const USAGE_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What the daemon has to do during a shutdown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ShutdownAction {
+    /// Announce that this host is leaving ([`Membership::leave`] and [`Membership::announce`]).
+    Announce,
+    /// Accept no more connections and requests; finish those in flight.
+    StopAccepting,
+    /// The longest route timeout has passed: abort the requests that are left.
+    AbortRequests,
+    /// Write the usage, then call [`ShutdownState::usage_written`].
+    WriteUsage,
+    /// Log and exit with status 0.
+    Exit,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Serving,
+    Announced { until: Time },
+    Draining { until: Time },
+    WritingUsage { until: Time },
+    Done,
+}
+
+/// The shutdown of an entry host.
+#[derive(Clone, Debug)]
+pub struct ShutdownState {
+    phase: Phase,
+}
+
+impl Default for ShutdownState {
+    fn default() -> Self {
+        ShutdownState { phase: Phase::Serving }
+    }
+}
+
+impl ShutdownState {
+    /// Begins the shutdown; a second call changes nothing.
+    pub fn begin(&mut self, now: Time) -> Option<ShutdownAction> {
+        if self.phase != Phase::Serving {
+            return None;
+        }
+        self.phase = Phase::Announced { until: now + SHUTDOWN_NOTICE };
+        Some(ShutdownAction::Announce)
+    }
+
+    /// Returns whether new requests are accepted.
+    pub fn accepts(&self) -> bool {
+        matches!(self.phase, Phase::Serving | Phase::Announced { .. })
+    }
+
+    /// Returns whether the shutdown has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.phase != Phase::Serving
+    }
+
+    /// Advances the shutdown. `in_flight` is the number of requests being served and
+    /// `longest_timeout` the longest timeout of all routes.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        in_flight: usize,
+        longest_timeout: Duration,
+    ) -> Option<ShutdownAction> {
+        match self.phase {
+            Phase::Announced { until } if now >= until => {
+                self.phase = Phase::Draining { until: now + longest_timeout };
+                Some(ShutdownAction::StopAccepting)
+            }
+            Phase::Draining { .. } if in_flight == 0 => {
+                self.phase = Phase::WritingUsage { until: now + USAGE_WRITE_TIMEOUT };
+                Some(ShutdownAction::WriteUsage)
+            }
+            Phase::Draining { until } if now >= until => {
+                // The requests left end as soon as they are aborted, so this does not repeat.
+                self.phase = Phase::Draining { until: now + longest_timeout };
+                Some(ShutdownAction::AbortRequests)
+            }
+            Phase::WritingUsage { until } if now >= until => self.usage_written(),
+            _ => None,
+        }
+    }
+
+    /// Ends the shutdown after the usage was written.
+    pub fn usage_written(&mut self) -> Option<ShutdownAction> {
+        if !matches!(self.phase, Phase::WritingUsage { .. }) {
+            return None;
+        }
+        self.phase = Phase::Done;
+        Some(ShutdownAction::Exit)
+    }
+}
--- a/crates/geraniummux-core/src/lib.rs
+++ b/crates/geraniummux-core/src/lib.rs
@@ -8,13 +8,27 @@
 #![forbid(unsafe_code)]
 
 pub mod config;
+pub mod config_edit;
+pub mod config_sync;
+pub mod drain;
+pub mod entry;
 pub mod errors;
+pub mod membership;
 pub mod outcome;
+pub mod pause;
 pub mod routing;
 pub mod time;
+pub mod usage;
 
 pub use config::{Config, Pool, Route, TableEdit, TableKind, Tables, Target};
+pub use config_edit::ConfigEdit;
+pub use config_sync::ConfigSync;
+pub use drain::{ShutdownState, TargetDrain};
+pub use entry::EntryAnswer;
 pub use errors::{Error, Result};
+pub use membership::{Member, MemberState, Membership};
 pub use outcome::{Outcome, Reason};
+pub use pause::PauseGate;
 pub use routing::Router;
 pub use time::{Time, UnixMs};
+pub use usage::{UsageCounters, UsageMerge};
--- /dev/null
+++ b/crates/geraniummux-core/src/usage.rs
@@ -0,0 +1,695 @@
+//! Counting of served requests.
+//!
+//! Counters are cumulative for each process, month, tenant and class, and are merged by maximum.
+//! Reports and platform writes may therefore be repeated, reordered or lost without a request being
+//! counted twice.
+
+use crate::membership::{MAX_HOST_NAME_LEN, Member, MemberState, Membership};
+use crate::time::{Time, UnixMs};
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Largest encoded usage object. The platform holds values up to 1 MiB; the rest is room for one
+/// merge.
+pub const MAX_USAGE_LEN: usize = 900 << 10;
+/// A process that has not been heard of for this long is folded into the settled totals, after
+/// which its late reports change nothing. Longer than any expected separation of regions, because
+/// folding a process that still counts would lose what it counts later.
+pub const FOLD_AFTER: Duration = Duration::from_secs(7 * 24 * 3_600);
+/// If the object would grow above [`MAX_USAGE_LEN`], processes are folded from this age on.
+pub const FOLD_EARLIEST: Duration = Duration::from_secs(3_600);
+/// Interval of the reports to peers; bounds what a kill can lose.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of the merges into the platform object.
+pub const MERGE_INTERVAL: Duration = Duration::from_secs(10);
+/// Peers that each host reports to every second.
+pub const REPORT_PEERS: usize = 3;
+/// Most bytes of rows in one report, so that it fits into a datagram.
+pub const MAX_REPORT_LEN: usize = 900;
+/// Most processes of other hosts that a host holds unwritten counters of.
+pub const MAX_PROCESSES: usize = 4_096;
+/// Most rows held for one process; bounds memory.
+pub const MAX_ROWS: usize = 4_096;
+
+/// A calendar month in UTC, as `year * 100 + month`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Month(pub u32);
+
+impl Month {
+    /// Returns the month of an instant.
+    pub const fn of(now: UnixMs) -> Self {
+        // Days to civil date in the proleptic Gregorian calendar, with years that begin in March.
+        let days = now.0 / 86_400_000 + 719_468;
+        let era = days / 146_097;
+        let day = days % 146_097;
+        let year = (day - day / 1_460 + day / 36_524 - day / 146_096) / 365;
+        let day_of_year = day - (365 * year + year / 4 - year / 100);
+        let shifted = (5 * day_of_year + 2) / 153;
+        let month = if shifted < 10 { shifted + 3 } else { shifted - 9 };
+        let year = era * 400 + year + if month <= 2 { 1 } else { 0 };
+        Month((year * 100 + month) as u32)
+    }
+}
+
+/// The name of the month's platform object, for example `2026-12`.
+impl fmt::Display for Month {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:04}-{:02}", self.0 / 100, self.0 % 100)
+    }
+}
+
+/// Identifies one process of an entry host. It stays the same while the process runs, unlike the
+/// incarnation of the membership, which rises whenever a suspicion is refuted.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ProcessId {
+    /// The host's name.
+    pub host: Arc<str>,
+    /// Distinguishes the processes of a host.
+    pub run: u64,
+}
+
+impl ProcessId {
+    /// Returns the identity of a process that starts at `started`.
+    pub fn new<R>(host: Arc<str>, started: UnixMs, rng: &mut R) -> Self
+    where
+        R: Rng + ?Sized,
+    {
+        // The random part separates processes of the same name that start in the same millisecond.
+        // Together they stay below 2^53, which JSON readers keep exactly.
+        ProcessId { host, run: (started.0 << 10 | rng.random_range(0..1 << 10)) & ((1 << 53) - 1) }
+    }
+}
+
+/// What a count is for.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct UsageKey {
+    /// The month in which the requests were served.
+    pub month: Month,
+    /// The tenant.
+    pub tenant: Arc<str>,
+    /// The class of request.
+    pub class: Arc<str>,
+}
+
+/// A cumulative count of served requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageRow {
+    /// What is counted.
+    pub key: UsageKey,
+    /// Requests served since the start of the process.
+    pub served: u64,
+}
+
+/// Counts of one process, sent to a peer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageReport {
+    /// Identifies the report among those of its sender; 0 if no confirmation is wanted.
+    pub seq: u64,
+    /// The process that counted.
+    pub process: ProcessId,
+    /// Some or all of its counts.
+    pub rows: Vec<UsageRow>,
+}
+
+/// The counters of this process.
+#[derive(Clone, Debug)]
+pub struct UsageCounters {
+    process: ProcessId,
+    /// Sorted by key.
+    rows: Vec<UsageRow>,
+}
+
+impl UsageCounters {
+    /// Returns counters at zero.
+    pub fn new(process: ProcessId) -> Self {
+        UsageCounters { process, rows: Vec::new() }
+    }
+
+    /// Counts one request whose response was acknowledged by the caller's TCP at `now`.
+    pub fn count(&mut self, now: UnixMs, tenant: &Arc<str>, class: &Arc<str>) {
+        let month = Month::of(now);
+        let wanted = (month, &**tenant, &**class);
+        let found = self
+            .rows
+            .binary_search_by(|r| (r.key.month, &*r.key.tenant, &*r.key.class).cmp(&wanted));
+        match found {
+            Ok(i) => self.rows[i].served += 1,
+            Err(i) => {
+                let key = UsageKey { month, tenant: tenant.clone(), class: class.clone() };
+                self.rows.insert(i, UsageRow { key, served: 1 });
+            }
+        }
+    }
+
+    /// Returns the process that counts.
+    pub fn process(&self) -> &ProcessId {
+        &self.process
+    }
+
+    /// Returns the counts, sorted by key.
+    pub fn rows(&self) -> &[UsageRow] {
+        &self.rows
+    }
+}
+
+/// What the daemon has to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum UsageAction {
+    /// Send counts to a peer.
+    Report {
+        /// The peer.
+        to: SocketAddr,
+        /// The counts.
+        report: UsageReport,
+    },
+    /// As the writer, ask a peer for all counts that are not confirmed.
+    Collect {
+        /// The peer.
+        to: SocketAddr,
+    },
+    /// As the writer, confirm that reports of a peer are in the platform object.
+    Confirm {
+        /// The peer.
+        to: SocketAddr,
+        /// The numbers of the reports.
+        seqs: Vec<u64>,
+    },
+    /// Read the object `usage/<month>`, pass it to [`UsageMerge::encode`], write the result
+    /// conditionally, and call [`UsageMerge::written`]. After a conflict or a lost response, start
+    /// again with the read; repeating changes nothing.
+    Write {
+        /// The month.
+        month: Month,
+    },
+}
+
+/// A row with the count that is known to be in the platform object.
+#[derive(Clone, Debug)]
+struct Tracked {
+    row: UsageRow,
+    written: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Process {
+    id: ProcessId,
+    /// Sorted by key.
+    rows: Vec<Tracked>,
+    /// When the process itself last reported.
+    heard: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Outstanding {
+    seq: u64,
+    process: ProcessId,
+    rows: Vec<UsageRow>,
+}
+
+/// A peer's report that waits for being written.
+#[derive(Clone, Debug)]
+struct Pending {
+    from: SocketAddr,
+    seq: u64,
+    months: Vec<Month>,
+}
+
+/// An encoded object together with what it contains, for [`UsageMerge::written`].
+#[derive(Clone, Debug)]
+pub struct UsageWrite {
+    /// The month.
+    pub month: Month,
+    /// The new value; `None` if the object already contains everything.
+    pub value: Option<Vec<u8>>,
+    rows: Vec<(ProcessId, UsageRow)>,
+    reports: Vec<(SocketAddr, u64)>,
+}
+
+/// Counts of all processes as one host knows them, and their way into the platform objects.
+#[derive(Clone, Debug)]
+pub struct UsageMerge {
+    me: ProcessId,
+    /// Sorted by identity; contains the own process.
+    processes: Vec<Process>,
+    outstanding: Vec<Outstanding>,
+    pending: Vec<Pending>,
+    next_seq: u64,
+    next_report: Time,
+    next_collect: Time,
+    write_at: Option<Time>,
+    holder: bool,
+}
+
+impl UsageMerge {
+    /// Returns the state of a starting host.
+    pub fn new(now: Time, me: ProcessId) -> Self {
+        UsageMerge {
+            processes: vec![Process { id: me.clone(), rows: Vec::new(), heard: now }],
+            me,
+            outstanding: Vec::new(),
+            pending: Vec::new(),
+            next_seq: 0,
+            next_report: now + REPORT_INTERVAL,
+            next_collect: now,
+            write_at: None,
+            holder: false,
+        }
+    }
+
+    /// Sets whether this host holds the lease of the usage writer.
+    pub fn set_holder(&mut self, now: Time, holder: bool) {
+        if holder && !self.holder {
+            self.next_collect = now;
+        }
+        self.holder = holder;
+    }
+
+    /// Returns the months with counts that are not known to be in their platform object. A host
+    /// that shuts down writes these itself.
+    pub fn unwritten_months(&self) -> Vec<Month> {
+        let mut months: Vec<Month> = self
+            .processes
+            .iter()
+            .flat_map(|p| p.rows.iter().filter(|t| t.row.served > t.written))
+            .map(|t| t.row.key.month)
+            .collect();
+        months.sort_unstable();
+        months.dedup();
+        months
+    }
+
+    /// Advances the timers. To be called at least every 100 ms with the process's own counters.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        own: &UsageCounters,
+        members: &Membership,
+    ) -> Vec<UsageAction> {
+        let mut out = Vec::new();
+        if now >= self.next_report {
+            self.next_report = now + REPORT_INTERVAL;
+            self.take_own(now, own);
+            self.report_own(members, &mut out);
+            self.forget(now);
+        }
+        if self.holder && now >= self.next_collect {
+            self.next_collect = now + MERGE_INTERVAL;
+            // The answers take a round trip between regions; what comes later goes into the next
+            // merge.
+            self.write_at = Some(now + Duration::from_secs(1));
+            let to = members.live_peers().map(|m| m.addr);
+            out.extend(to.map(|to| UsageAction::Collect { to }));
+        }
+        if self.write_at.is_some_and(|t| now >= t) {
+            self.write_at = None;
+            self.take_own(now, own);
+            out.extend(
+                self.unwritten_months().into_iter().map(|month| UsageAction::Write { month }),
+            );
+        }
+        out
+    }
+
+    /// Takes over the present own counts. [`tick`](UsageMerge::tick) does this every second; a host
+    /// that shuts down calls it before its last writes.
+    pub fn take_own(&mut self, now: Time, own: &UsageCounters) {
+        self.merge(now, own.process(), own.rows());
+    }
+
+    /// Handles a report of a peer.
+    pub fn receive(&mut self, now: Time, from: SocketAddr, report: UsageReport) {
+        let fits = |s: &str| s.len() <= MAX_HOST_NAME_LEN;
+        let valid = fits(&report.process.host)
+            && report.rows.iter().all(|r| fits(&r.key.tenant) && fits(&r.key.class));
+        // Nobody else knows this process's counts better.
+        if !valid || report.process == self.me {
+            return;
+        }
+        if !self.merge(now, &report.process, &report.rows) {
+            return;
+        }
+        if report.seq > 0 && self.holder {
+            let mut months: Vec<Month> = report.rows.iter().map(|r| r.key.month).collect();
+            months.sort_unstable();
+            months.dedup();
+            self.pending.push(Pending { from, seq: report.seq, months });
+        }
+    }
+
+    /// Handles the writer's request for counts. The answer is reported to `to`.
+    pub fn collect(
+        &mut self,
+        now: Time,
+        to: SocketAddr,
+        own: &UsageCounters,
+        members: &Membership,
+    ) -> Vec<UsageAction> {
+        self.take_own(now, own);
+        // Reports that were never confirmed are replaced by the new ones.
+        self.outstanding.clear();
+        let mut out = Vec::new();
+        for i in 0..self.processes.len() {
+            let p = &self.processes[i];
+            let own = p.id == self.me;
+            let reports_itself = !own
+                && now.since(p.heard) < Duration::from_secs(5)
+                && members.peer(&p.id.host).is_some_and(|m| m.state == MemberState::Alive);
+            if reports_itself {
+                continue;
+            }
+            let id = p.id.clone();
+            let rows = unwritten(p);
+            // An empty report tells the writer that the process is alive.
+            for rows in split(rows, own) {
+                self.next_seq += 1;
+                let seq = self.next_seq;
+                let report = UsageReport { seq, process: id.clone(), rows: rows.clone() };
+                self.outstanding.push(Outstanding { seq, process: id.clone(), rows });
+                out.push(UsageAction::Report { to, report });
+            }
+        }
+        out
+    }
+
+    /// Handles the writer's confirmation.
+    pub fn confirmed(&mut self, seqs: &[u64]) {
+        let (done, open) =
+            std::mem::take(&mut self.outstanding).into_iter().partition(|o| seqs.contains(&o.seq));
+        self.outstanding = open;
+        let done: Vec<Outstanding> = done;
+        for o in done {
+            self.mark_written(&o.process, &o.rows);
+        }
+    }
+
+    /// Merges all known counts of a month into the month's object and returns its new value.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the present value can't be parsed, or if the result would exceed
+    /// [`MAX_USAGE_LEN`].
+    pub fn encode(
+        &self,
+        month: Month,
+        present: Option<&[u8]>,
+        wall: UnixMs,
+    ) -> Result<UsageWrite, UsageError> {
+        let mut object = match present {
+            Some(bytes) => UsageObject::decode(bytes)?,
+            None => UsageObject::default(),
+        };
+        let mut rows = Vec::new();
+        let mut changed = false;
+        for p in &self.processes {
+            let of_month: Vec<&UsageRow> =
+                p.rows.iter().map(|t| &t.row).filter(|r| r.key.month == month).collect();
+            if !of_month.is_empty() {
+                changed |= object.merge(&p.id, &of_month, wall);
+                rows.extend(of_month.into_iter().map(|r| (p.id.clone(), r.clone())));
+            }
+        }
+        let reports = self
+            .pending
+            .iter()
+            .filter(|p| p.months.contains(&month))
+            .map(|p| (p.from, p.seq))
+            .collect();
+        let value = if changed { Some(object.encode(wall)?) } else { None };
+        Ok(UsageWrite { month, value, rows, reports })
+    }
+
+    /// Records that a value of [`encode`](UsageMerge::encode) is in the platform object.
+    pub fn written(&mut self, write: &UsageWrite) -> Vec<UsageAction> {
+        for (id, row) in &write.rows {
+            self.mark_written(id, std::slice::from_ref(row));
+        }
+        // A report is confirmed when the objects of all its months are written.
+        let mut confirm: Vec<(SocketAddr, Vec<u64>)> = Vec::new();
+        self.pending.retain_mut(|p| {
+            if write.reports.contains(&(p.from, p.seq)) {
+                p.months.retain(|m| *m != write.month);
+            }
+            if p.months.is_empty() {
+                match confirm.iter_mut().find(|(to, _)| *to == p.from) {
+                    Some((_, seqs)) => seqs.push(p.seq),
+                    None => confirm.push((p.from, vec![p.seq])),
+                }
+            }
+            !p.months.is_empty()
+        });
+        confirm.into_iter().map(|(to, seqs)| UsageAction::Confirm { to, seqs }).collect()
+    }
+
+    /// Merges counts by maximum; returns whether they are kept.
+    fn merge(&mut self, now: Time, id: &ProcessId, rows: &[UsageRow]) -> bool {
+        let i = match self.processes.binary_search_by(|p| p.id.cmp(id)) {
+            Ok(i) => i,
+            Err(_) if self.processes.len() >= MAX_PROCESSES => return false,
+            Err(i) => {
+                self.processes.insert(i, Process { id: id.clone(), rows: Vec::new(), heard: now });
+                i
+            }
+        };
+        let p = &mut self.processes[i];
+        p.heard = now;
+        for r in rows {
+            match p.rows.binary_search_by(|t| t.row.key.cmp(&r.key)) {
+                Ok(k) => p.rows[k].row.served = p.rows[k].row.served.max(r.served),
+                Err(_) if p.rows.len() >= MAX_ROWS => return false,
+                Err(k) => p.rows.insert(k, Tracked { row: r.clone(), written: 0 }),
+            }
+        }
+        true
+    }
+
+    fn mark_written(&mut self, id: &ProcessId, rows: &[UsageRow]) {
+        let Ok(i) = self.processes.binary_search_by(|p| p.id.cmp(id)) else { return };
+        let p = &mut self.processes[i];
+        for r in rows {
+            if let Ok(k) = p.rows.binary_search_by(|t| t.row.key.cmp(&r.key)) {
+                p.rows[k].written = p.rows[k].written.max(r.served);
+            }
+        }
+    }
+
+    fn report_own(&mut self, members: &Membership, out: &mut Vec<UsageAction>) {
+        let Ok(i) = self.processes.binary_search_by(|p| p.id.cmp(&self.me)) else { return };
+        let rows = unwritten(&self.processes[i]);
+        for to in report_peers(members) {
+            for rows in split(rows.clone(), false) {
+                let report = UsageReport { seq: 0, process: self.me.clone(), rows };
+                out.push(UsageAction::Report { to, report });
+            }
+        }
+    }
+
+    /// Drops processes of others whose counts are all written and that are silent.
+    fn forget(&mut self, now: Time) {
+        let me = &self.me;
+        self.processes.retain(|p| {
+            p.id == *me
+                || now.since(p.heard) < Duration::from_secs(60)
+                || p.rows.iter().any(|t| t.row.served > t.written)
+        });
+    }
+}
+
+fn unwritten(p: &Process) -> Vec<UsageRow> {
+    p.rows.iter().filter(|t| t.row.served > t.written).map(|t| t.row.clone()).collect()
+}
+
+/// Splits rows into reports that fit into a datagram; `empty` asks for one report if there are no
+/// rows.
+fn split(rows: Vec<UsageRow>, empty: bool) -> Vec<Vec<UsageRow>> {
+    let mut out: Vec<Vec<UsageRow>> = Vec::new();
+    let mut len = MAX_REPORT_LEN;
+    for r in rows {
+        // Month, two lengths and the count are variable-length numbers.
+        let row_len = 17 + r.key.tenant.len() + r.key.class.len();
+        if len + row_len > MAX_REPORT_LEN {
+            out.push(Vec::new());
+            len = 0;
+        }
+        len += row_len;
+        if let Some(last) = out.last_mut() {
+            last.push(r);
+        }
+    }
+    if out.is_empty() && empty {
+        out.push(Vec::new());
+    }
+    out
+}
+
+/// Returns the peers that hold this host's counts: in an order that differs from host to host, and
+/// in different failure domains if possible, so that no domain takes all copies with it.
+fn report_peers(members: &Membership) -> Vec<SocketAddr> {
+    let me = &members.me().name;
+    let mut peers: Vec<(u64, &Member)> = members
+        .peers()
+        .filter(|m| m.state == MemberState::Alive)
+        .map(|m| (xxhash_rust::xxh3::xxh3_64(format!("{me}/{}", m.name).as_bytes()), m))
+        .collect();
+    peers.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.name.cmp(&b.1.name)));
+    let mut chosen: Vec<&Member> = Vec::new();
+    for distinct in [true, false] {
+        for (_, m) in &peers {
+            let domain_taken = chosen.iter().any(|c| c.failure_domain == m.failure_domain);
+            let taken = chosen.iter().any(|c| c.name == m.name);
+            if chosen.len() < REPORT_PEERS && !taken && !(distinct && domain_taken) {
+                chosen.push(m);
+            }
+        }
+    }
+    chosen.into_iter().map(|m| m.addr).collect()
+}
+
+/// Why a usage object could not be merged.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum UsageError {
+    /// The present value is not a usage object.
+    #[error("the usage object can't be parsed: {0}")]
+    Parse(String),
+    /// The result is too large for the platform.
+    #[error("the usage object would have {0} bytes, the limit is {MAX_USAGE_LEN}")]
+    TooLarge(usize),
+}
+
+/// The platform object of one month.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct UsageObject {
+    /// Tenant and class of each count, referred to by position.
+    keys: Vec<(Arc<str>, Arc<str>)>,
+    /// Settled total for each key.
+    settled: Vec<u64>,
+    /// Processes whose counts may still rise.
+    processes: Vec<StoredProcess>,
+    /// Processes that are part of the settled totals, by host.
+    folded: Vec<(Arc<str>, Vec<u64>)>,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+struct StoredProcess {
+    host: Arc<str>,
+    run: u64,
+    /// When it was last merged with a change.
+    seen: UnixMs,
+    /// Position of the key, and count.
+    counts: Vec<(u32, u64)>,
+}
+
+impl UsageObject {
+    /// Parses an object.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value is not a usage object.
+    pub fn decode(bytes: &[u8]) -> Result<Self, UsageError> {
+        let object: UsageObject =
+            serde_json::from_slice(bytes).map_err(|e| UsageError::Parse(e.to_string()))?;
+        let keys = object.keys.len();
+        let known = object.processes.iter().all(|p| p.counts.iter().all(|c| (c.0 as usize) < keys));
+        if object.settled.len() != keys || !known {
+            return Err(UsageError::Parse(String::from("a count refers to a missing key")));
+        }
+        Ok(object)
+    }
+
+    /// Returns the month's total for each tenant and class.
+    pub fn totals(&self) -> Vec<(Arc<str>, Arc<str>, u64)> {
+        let mut totals = self.settled.clone();
+        for (key, n) in self.processes.iter().flat_map(|p| &p.counts) {
+            totals[*key as usize] += n;
+        }
+        self.keys.iter().zip(totals).map(|((t, c), n)| (t.clone(), c.clone(), n)).collect()
+    }
+
+    fn is_folded(&self, id: &ProcessId) -> bool {
+        self.folded.iter().any(|(host, runs)| *host == id.host && runs.contains(&id.run))
+    }
+
+    /// Merges counts of a process by maximum; returns whether anything changed.
+    fn merge(&mut self, id: &ProcessId, rows: &[&UsageRow], wall: UnixMs) -> bool {
+        if self.is_folded(id) {
+            return false;
+        }
+        let found = self.processes.iter().position(|p| p.host == id.host && p.run == id.run);
+        let i = found.unwrap_or_else(|| {
+            self.processes.push(StoredProcess {
+                host: id.host.clone(),
+                run: id.run,
+                seen: wall,
+                counts: Vec::new(),
+            });
+            self.processes.len() - 1
+        });
+        let mut changed = found.is_none();
+        for r in rows {
+            let key = self.key(&r.key);
+            let counts = &mut self.processes[i].counts;
+            match counts.binary_search_by_key(&key, |c| c.0) {
+                Ok(k) => {
+                    changed |= counts[k].1 < r.served;
+                    counts[k].1 = counts[k].1.max(r.served);
+                }
+                Err(k) => {
+                    changed = true;
+                    counts.insert(k, (key, r.served));
+                }
+            }
+        }
+        if changed {
+            self.processes[i].seen = wall;
+        }
+        changed
+    }
+
+    fn key(&mut self, key: &UsageKey) -> u32 {
+        let found = self.keys.iter().position(|(t, c)| *t == key.tenant && *c == key.class);
+        let i = found.unwrap_or_else(|| {
+            self.keys.push((key.tenant.clone(), key.class.clone()));
+            self.settled.push(0);
+            self.keys.len() - 1
+        });
+        i as u32
+    }
+
+    /// Folds processes that were not seen for `age`.
+    fn fold(&mut self, wall: UnixMs, age: Duration) {
+        let (keep, old): (Vec<_>, Vec<_>) = std::mem::take(&mut self.processes)
+            .into_iter()
+            .partition(|p| wall.0.saturating_sub(p.seen.0) < age.as_millis() as u64);
+        self.processes = keep;
+        for p in old {
+            for (key, n) in p.counts {
+                self.settled[key as usize] += n;
+            }
+            match self.folded.iter_mut().find(|(host, _)| *host == p.host) {
+                Some((_, runs)) => runs.push(p.run),
+                None => self.folded.push((p.host, vec![p.run])),
+            }
+        }
+    }
+
+    fn encode(&mut self, wall: UnixMs) -> Result<Vec<u8>, UsageError> {
+        let mut age = FOLD_AFTER;
+        loop {
+            self.fold(wall, age);
+            let bytes = serde_json::to_vec(self).map_err(|e| UsageError::Parse(e.to_string()))?;
+            if bytes.len() <= MAX_USAGE_LEN {
+                return Ok(bytes);
+            }
+            if age <= FOLD_EARLIEST {
+                return Err(UsageError::TooLarge(bytes.len()));
+            }
+            age = (age / 2).max(FOLD_EARLIEST);
+        }
+    }
+}
--- a/crates/geraniummux-wire/src/codec.rs
+++ b/crates/geraniummux-wire/src/codec.rs
@@ -2,6 +2,7 @@
 
 use crate::errors::{Error, Result};
 use crate::message::Envelope;
+use geraniummux_core::membership::MAX_HOST_NAME_LEN;
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::Sha256;
 
@@ -10,6 +11,9 @@
 /// Largest frame on a TCP stream in bytes: a configuration of 1 MiB with room to spare.
 pub const MAX_STREAM_FRAME_LEN: usize = 2 << 20;
 
+/// Length of the prefix of a frame on a stream in bytes.
+pub const STREAM_PREFIX_LEN: usize = 4;
+
 const MAGIC: [u8; 2] = *b"gm";
 const VERSION: u8 = 1;
 const HEADER_LEN: usize = 3;
@@ -56,7 +60,48 @@
         let mut mac = self.mac.clone();
         mac.update(content);
         mac.verify_truncated_left(tag).map_err(|_| Error::Tag)?;
-        postcard::from_bytes(&content[HEADER_LEN..]).map_err(|e| Error::Codec(e.to_string()))
+        let (envelope, rest) = postcard::take_from_bytes::<Envelope>(&content[HEADER_LEN..])
+            .map_err(|e| Error::Codec(e.to_string()))?;
+        if !rest.is_empty() {
+            return Err(Error::Codec(format!("{} bytes after the message", rest.len())));
+        }
+        if envelope.from.is_empty() || envelope.from.len() > MAX_HOST_NAME_LEN {
+            return Err(Error::Codec(String::from("the sender's name is empty or too long")));
+        }
+        Ok(envelope)
+    }
+
+    /// Encodes an envelope for a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the frame is longer than [`MAX_DATAGRAM_LEN`].
+    pub fn encode_datagram(&self, envelope: &Envelope) -> Result<Vec<u8>> {
+        self.encode(envelope, MAX_DATAGRAM_LEN)
+    }
+
+    /// Decodes a datagram.
+    pub fn decode_datagram(&self, datagram: &[u8]) -> Result<Envelope> {
+        self.decode(datagram, MAX_DATAGRAM_LEN)
+    }
+
+    /// Encodes an envelope for a stream: a frame after its length as four bytes in network order.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the frame is longer than [`MAX_STREAM_FRAME_LEN`].
+    pub fn encode_stream(&self, envelope: &Envelope) -> Result<Vec<u8>> {
+        let frame = self.encode(envelope, MAX_STREAM_FRAME_LEN)?;
+        let mut out = Vec::with_capacity(STREAM_PREFIX_LEN + frame.len());
+        // The limit is far below the range of the prefix.
+        out.extend_from_slice(&(frame.len() as u32).to_be_bytes());
+        out.extend_from_slice(&frame);
+        Ok(out)
+    }
+
+    /// Decodes a frame that was read from a stream after its length.
+    pub fn decode_stream(&self, frame: &[u8]) -> Result<Envelope> {
+        self.decode(frame, MAX_STREAM_FRAME_LEN)
     }
 
     fn tag(&self, content: &[u8]) -> [u8; TAG_LEN] {
@@ -69,6 +114,18 @@
     }
 }
 
+/// Returns the length of the frame that follows a stream's length prefix.
+///
+/// # Errors
+///
+/// Fails if the frame would be longer than [`MAX_STREAM_FRAME_LEN`], so that a reader allocates no
+/// more than that.
+pub fn stream_frame_len(prefix: [u8; STREAM_PREFIX_LEN]) -> Result<usize> {
+    let len = u32::from_be_bytes(prefix) as usize;
+    check_len(len, MAX_STREAM_FRAME_LEN)?;
+    Ok(len)
+}
+
 fn check_len(len: usize, limit: usize) -> Result<()> {
     if len > limit { Err(Error::TooLong { len, limit }) } else { Ok(()) }
 }
--- a/crates/geraniummux-wire/src/lib.rs
+++ b/crates/geraniummux-wire/src/lib.rs
@@ -10,6 +10,6 @@
 pub mod errors;
 pub mod message;
 
-pub use codec::{Codec, MAX_DATAGRAM_LEN, MAX_STREAM_FRAME_LEN};
+pub use codec::{Codec, MAX_DATAGRAM_LEN, MAX_STREAM_FRAME_LEN, stream_frame_len};
 pub use errors::{Error, Result};
-pub use message::{Envelope, Message};
+pub use message::{Envelope, Message, ProbeResult, ProbeResults, ProbedState, State, Strike};
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -1,6 +1,10 @@
 //! The messages.
 
+use geraniummux_core::drain::{LeavingAck, LeavingNotice};
+use geraniummux_core::membership::{Gossip, Member};
+use geraniummux_core::usage::UsageReport;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// A message with its sender.
@@ -20,16 +24,129 @@
 /// variant by its position.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
-    /// Asks for the configuration if it is newer than `generation`.
+    /// TCP: asks for the configuration if it is newer than `generation`.
     FetchConfig {
         /// Generation that the asker has.
         generation: u64,
     },
-    /// A configuration as JSON; answers [`Message::FetchConfig`] or is sent after an edit.
+    /// TCP: a configuration as JSON; answers [`Message::FetchConfig`] or is sent after an edit.
     Config {
         /// The encoded configuration.
         json: Vec<u8>,
     },
-    /// The asker's configuration is up to date.
+    /// TCP: the asker's configuration is up to date.
     NoNewerConfig,
+    /// TCP: the asked host is not ready or is isolated, so its answer proves nothing.
+    NotReady,
+    /// UDP: ping, ping request, ack or member deltas.
+    Gossip(Gossip),
+    /// UDP: load of targets as the sender knows it, in the encoding of the core's `load` module.
+    LoadDigest(Vec<u8>),
+    /// UDP: a target is leaving.
+    Leaving(LeavingNotice),
+    /// UDP: acknowledges [`Message::Leaving`].
+    LeavingAck(LeavingAck),
+    /// UDP: a target broke while it ran a request.
+    Strike(Strike),
+    /// UDP: acknowledges [`Message::Strike`].
+    StrikeAck {
+        /// Number of the strike.
+        id: u64,
+    },
+    /// UDP: counts of one process.
+    Usage(UsageReport),
+    /// UDP: the usage writer asks for all counts that are not confirmed.
+    UsageCollect,
+    /// UDP: the usage writer confirms that reports are in the platform object.
+    UsageConfirm {
+        /// Numbers of the reports.
+        seqs: Vec<u64>,
+    },
+    /// UDP: results of paid probes of one pool's targets.
+    ProbeResults(ProbeResults),
+    /// TCP: exchanges the full state; the answer is [`Message::State`] too.
+    SyncState(State),
+    /// TCP: answers [`Message::SyncState`].
+    State(State),
+    /// TCP or UDP: confirms a message that needs no other answer.
+    Done,
+}
+
+/// One strike, or its retraction.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Strike {
+    /// Number of the strike at its sender; repeated in the acknowledgement.
+    pub id: u64,
+    /// Fingerprint of the request.
+    pub fingerprint: u128,
+    /// Address of the target that broke.
+    pub target: SocketAddr,
+    /// How long ago the target broke, in milliseconds.
+    pub age_ms: u32,
+    /// Whether the strike is retracted, because the targets were the cause.
+    pub retracted: bool,
+}
+
+/// Results of paid probes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ProbeResults {
+    /// The pool.
+    pub pool: Arc<str>,
+    /// One result a target. [`ProbeResults::split`] splits them into datagrams.
+    pub results: Vec<ProbeResult>,
+}
+
+/// What a target answered to a probe.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ProbeResult {
+    /// Address of the target.
+    pub target: SocketAddr,
+    /// What it answered.
+    pub state: ProbedState,
+    /// Requests that it runs.
+    pub in_flight: u32,
+    /// Requests that wait at it.
+    pub queued: u32,
+    /// Round-trip time of the probe in microseconds.
+    pub round_trip_us: u32,
+    /// How long ago the answer came, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// State of a probed target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ProbedState {
+    /// It accepts requests.
+    Ready,
+    /// It is starting.
+    Starting,
+    /// It is leaving.
+    Draining,
+    /// It did not answer.
+    Failed,
+}
+
+/// The full state that hosts exchange over TCP.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct State {
+    /// All members.
+    pub members: Vec<Member>,
+    /// All leaving targets.
+    pub leaving: Vec<LeavingNotice>,
+    /// Quarantined requests, in the encoding of the core's `quarantine` module.
+    pub quarantine: Vec<u8>,
+}
+
+/// Most results of one datagram. A result has at most 39 bytes: an address of 20, a state, and
+/// four counters of up to 5 bytes each, which leaves room for header and pool name.
+const RESULTS_PER_DATAGRAM: usize = 22;
+
+impl ProbeResults {
+    /// Splits results into parts that each fit into a datagram.
+    pub fn split(self) -> impl Iterator<Item = ProbeResults> {
+        let ProbeResults { pool, results } = self;
+        let parts: Vec<Vec<ProbeResult>> =
+            results.chunks(RESULTS_PER_DATAGRAM).map(<[_]>::to_vec).collect();
+        parts.into_iter().map(move |results| ProbeResults { pool: pool.clone(), results })
+    }
 }
