--- /dev/null
+++ b/crates/geraniummux-core/src/measure.rs
@@ -0,0 +1,140 @@
+//! Paid probes under the per-target budget.
+//!
+//! The budget holds in any sliding window of [`WINDOW`], counted at the target over all entry
+//! hosts. Only the holder of the pool's lease probes, so the bound doesn't depend on which peers a
+//! host believes to be alive.
+
+use crate::config::Pool;
+use crate::lease::LeaseGrant;
+use crate::load::{LoadTable, TargetId};
+use crate::time::Time;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Length of the sliding window over which the budget is counted.
+pub const WINDOW: Duration = Duration::from_secs(10);
+/// Added to [`WINDOW`] when the own probes are counted, for the difference between a probe's time
+/// at the sender and at the target and for clocks that drift by up to 1%.
+pub const WINDOW_MARGIN: Duration = Duration::from_millis(600);
+
+#[derive(Clone, Debug)]
+struct Probed {
+    id: TargetId,
+    /// Times of the probes of the last window, oldest first.
+    sent: VecDeque<Time>,
+    outstanding: bool,
+    next_at: Time,
+}
+
+/// Schedules the probes of one pool's targets.
+#[derive(Clone, Debug)]
+pub struct ProbeScheduler {
+    limit: usize,
+    /// Sorted by id.
+    targets: Vec<Probed>,
+}
+
+impl ProbeScheduler {
+    /// Returns a scheduler for the targets of `pool`, which are in `table`.
+    pub fn new(pool: &Pool, table: &LoadTable, now: Time) -> Self {
+        let mut scheduler = ProbeScheduler { limit: 0, targets: Vec::new() };
+        scheduler.update(pool, table, now);
+        scheduler
+    }
+
+    /// Adopts a changed pool, after [`LoadTable::update`].
+    pub fn update(&mut self, pool: &Pool, table: &LoadTable, now: Time) {
+        self.limit = probe_limit(pool.probe_budget_per_s, pool.probe_share);
+        let mut old = std::mem::take(&mut self.targets);
+        for target in &pool.targets {
+            let Some(id) = table.id(&pool.name, &target.name) else { continue };
+            let kept = old.iter().position(|p| p.id == id).map(|i| old.swap_remove(i));
+            let fresh = || Probed { id, sent: VecDeque::new(), outstanding: false, next_at: now };
+            self.targets.push(kept.unwrap_or_else(fresh));
+        }
+        self.targets.sort_unstable_by_key(|p| p.id);
+    }
+
+    /// Returns the largest number of probes that a target gets in a window.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Returns the targets to probe now.
+    ///
+    /// Each is to be confirmed with [`ProbeScheduler::confirm`] directly before it is sent.
+    pub fn due(&self, lease: Option<LeaseGrant>, now: Time) -> Vec<TargetId> {
+        if !self.may_probe(lease, now) {
+            return Vec::new();
+        }
+        self.targets.iter().filter(|p| self.is_due(p, now)).map(|p| p.id).collect()
+    }
+
+    /// Returns when the next probe is due, if the lease is held until then.
+    pub fn next_at(&self) -> Option<Time> {
+        if self.limit == 0 {
+            return None;
+        }
+        self.targets.iter().filter(|p| !p.outstanding).map(|p| p.next_at).min()
+    }
+
+    /// Returns whether a probe may be sent now, and counts it.
+    ///
+    /// The caller sends the probe at once and calls [`ProbeScheduler::on_sent`] after that.
+    pub fn confirm(&mut self, id: TargetId, lease: Option<LeaseGrant>, now: Time) -> bool {
+        if !self.may_probe(lease, now) {
+            return false;
+        }
+        let Ok(i) = self.targets.binary_search_by_key(&id, |p| p.id) else { return false };
+        if !self.is_due(&self.targets[i], now) {
+            return false;
+        }
+        let interval = (WINDOW + WINDOW_MARGIN).div_f64(self.limit as f64);
+        let target = &mut self.targets[i];
+        while target.sent.front().is_some_and(|t| now.since(*t) > WINDOW + WINDOW_MARGIN) {
+            target.sent.pop_front();
+        }
+        target.sent.push_back(now);
+        target.outstanding = true;
+        target.next_at = now + interval;
+        true
+    }
+
+    /// Notes that a confirmed probe left at `now`, which is later than its confirmation if the
+    /// process was paused in between.
+    pub fn on_sent(&mut self, id: TargetId, now: Time) {
+        if let Ok(i) = self.targets.binary_search_by_key(&id, |p| p.id)
+            && let Some(last) = self.targets[i].sent.back_mut()
+        {
+            *last = now;
+        }
+    }
+
+    /// Notes that a confirmed probe ended: with an answer, an error, a timeout, or unsent.
+    pub fn on_done(&mut self, id: TargetId) {
+        if let Ok(i) = self.targets.binary_search_by_key(&id, |p| p.id) {
+            self.targets[i].outstanding = false;
+        }
+    }
+
+    /// Returns whether the lease is valid and probes of a former holder lie outside the window.
+    fn may_probe(&self, lease: Option<LeaseGrant>, now: Time) -> bool {
+        lease.is_some_and(|l| l.is_valid(now) && now >= l.since + WINDOW + WINDOW_MARGIN)
+    }
+
+    fn is_due(&self, target: &Probed, now: Time) -> bool {
+        let recent = target.sent.iter().filter(|t| now.since(**t) <= WINDOW + WINDOW_MARGIN);
+        !target.outstanding && now >= target.next_at && recent.count() < self.limit
+    }
+}
+
+/// Returns how many probes of the budget the lease holder sends to a target in a window.
+///
+/// One probe per target and window stays unspent, as the reserve for a probe of another process
+/// that was paused between check and send.
+fn probe_limit(budget_per_s: f64, share: f64) -> usize {
+    let window = WINDOW.as_secs_f64();
+    let budget = (window * budget_per_s).floor() as usize;
+    let spend = (window * budget_per_s * share).floor() as usize;
+    spend.min(budget.saturating_sub(1))
+}
