--- a/crates/geraniummux-core/src/lib.rs
+++ b/crates/geraniummux-core/src/lib.rs
@@ -7,7 +7,11 @@
 
 #![forbid(unsafe_code)]
 
+pub mod admission;
+pub mod attempt;
 pub mod balance;
+pub mod budget;
+pub mod claim;
 pub mod config;
 pub mod config_edit;
 pub mod config_sync;
@@ -20,11 +24,16 @@
 pub mod membership;
 pub mod outcome;
 pub mod pause;
+pub mod quarantine;
 pub mod routing;
 pub mod time;
 pub mod usage;
 
+pub use admission::Admission;
+pub use attempt::RequestState;
 pub use balance::{Balancer, BalancerOptions, Choice, Exclusion, Policy};
+pub use budget::TokenBudget;
+pub use claim::ClaimState;
 pub use config::{Config, Pool, Route, TableEdit, TableKind, Tables, Target};
 pub use config_edit::ConfigEdit;
 pub use config_sync::ConfigSync;
@@ -37,6 +46,7 @@
 pub use membership::{Member, MemberState, Membership};
 pub use outcome::{Outcome, Reason};
 pub use pause::PauseGate;
+pub use quarantine::{Fingerprint, Quarantine};
 pub use routing::Router;
 pub use time::{Time, UnixMs};
 pub use usage::{UsageCounters, UsageMerge};
