config: prove distribution and edits in virtual time

Ruled out as a fault of the code: an edit whose answer was lost while the platform went down is known to nobody that could tell.

--- a/crates/geraniummux-wire/tests/fleet/mod.rs
+++ b/crates/geraniummux-wire/tests/fleet/mod.rs
@@ -159,6 +159,21 @@
         serde_json::from_slice(&value).ok()
     }
 
+    /// Ends all faults.
+    pub fn repair(&mut self) {
+        self.down = false;
+        self.silent_watch = false;
+        self.lag = Duration::ZERO;
+        self.lost_answers = 0.0;
+    }
+
+    /// Returns all configurations that were ever written.
+    pub fn history(&self) -> Vec<Config> {
+        let states = self.objects.get(CONFIG).into_iter().flatten();
+        let values = states.filter_map(|s| s.2.as_deref());
+        values.map(|v| serde_json::from_slice(v).unwrap()).collect()
+    }
+
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         Some(self.latest(key)?.1)
     }
@@ -183,6 +198,11 @@
     /// Results of edits, by number.
     pub edits: BTreeMap<usize, Edited>,
     pub member_opts: MembershipOptions,
+    /// Hosts that can't reach the platform.
+    pub unreachable_from: Vec<usize>,
+    /// For how long each accepted generation could have been known, for the check of R7.
+    pub exposed: Vec<(u64, Duration)>,
+    pub checked: Time,
     /// Hosts that act as usage writer.
     pub holders: Vec<usize>,
     queue: BTreeMap<(Time, u64), Event>,
@@ -220,6 +240,9 @@
             changes: Vec::new(),
             edits: BTreeMap::new(),
             member_opts: MembershipOptions::default(),
+            unreachable_from: Vec::new(),
+            exposed: Vec::new(),
+            checked: Time::from_millis(1_000_000),
             holders: Vec::new(),
             queue: BTreeMap::new(),
             next: 0,
@@ -727,7 +750,9 @@
     fn handle_platform(&mut self, event: Event) {
         match event {
             Event::Call { host, epoch, call, ctx } => {
-                if self.platform.down || self.platform.cut.contains(&self.hosts[host].part) {
+                let cut = self.platform.cut.contains(&self.hosts[host].part)
+                    || self.unreachable_from.contains(&host);
+                if self.platform.down || cut {
                     let (after, answer) = match self.rng.random_bool(0.5) {
                         true => (ms(2), Answer::Refused),
                         false => (secs(1), Answer::Lost),
