Drive membership, configuration, leaving and usage in the daemon

The thin path watched the platform from each host, knew no peers, named only itself to callers and stopped at once on SIGTERM.

The daemon now opens one UDP socket and one TCP listener on `peer` and drives the core's membership, config sync, target drain, usage, leases, probes and shutdown. All decisions stand behind one lock, which is held for microseconds and never over an await. A configuration comes in force under that lock, so that a request can't be permitted by an answer and then be routed by the tables from before it.

Choices: two candidates for each lease and three pollers of the host list, by rank, so that platform calls don't grow with the fleet; probe results go to at most 16 peers every 500 ms, since single datagrams would take half of a host's byte budget; a starting host exchanges the full state with a peer before it fetches the configuration, since it would otherwise serve without knowing the leaving targets; responses of a leaving host close HTTP/1 connections, so that none is closed while a request is on its way.

The core's shutdown takes the notice time as an argument, because the ttl of entry answers is a setting.

--- a/crates/geraniummux-core/src/drain.rs
+++ b/crates/geraniummux-core/src/drain.rs
@@ -340,21 +340,27 @@
 #[derive(Clone, Debug)]
 pub struct ShutdownState {
     phase: Phase,
+    notice: Duration,
 }
 
 impl Default for ShutdownState {
     fn default() -> Self {
-        ShutdownState { phase: Phase::Serving }
+        ShutdownState::new(SHUTDOWN_NOTICE)
     }
 }
 
 impl ShutdownState {
+    /// Returns the state of a host that serves on for `notice` after it announced that it leaves.
+    pub fn new(notice: Duration) -> Self {
+        ShutdownState { phase: Phase::Serving, notice }
+    }
+
     /// Begins the shutdown; a second call changes nothing.
     pub fn begin(&mut self, now: Time) -> Option<ShutdownAction> {
         if self.phase != Phase::Serving {
             return None;
         }
-        self.phase = Phase::Announced { until: now + SHUTDOWN_NOTICE };
+        self.phase = Phase::Announced { until: now + self.notice };
         Some(ShutdownAction::Announce)
     }
 
--- /dev/null
+++ b/crates/geraniummuxd/src/actions.rs
@@ -0,0 +1,169 @@
+//! Performs the actions that the core decided on.
+
+use crate::control::{Phase, State};
+use crate::shared::Shared;
+use crate::{config_sync, peer_messages, peer_net, usage};
+use geraniummux_core::config_sync::ConfigAction;
+use geraniummux_core::drain::{DrainAction, ShutdownAction};
+use geraniummux_core::membership::MembershipAction;
+use geraniummux_core::usage::UsageAction;
+use geraniummux_wire::Message;
+use slog::{error, info, warn};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Performs actions of the membership.
+pub fn membership(shared: &Arc<Shared>, actions: Vec<MembershipAction>) {
+    if actions.is_empty() {
+        return;
+    }
+    let incarnation = shared.control.lock().members.me().incarnation;
+    shared.control.net.set_incarnation(incarnation);
+    for action in actions {
+        match action {
+            MembershipAction::Send { to, gossip } => {
+                peer_net::send(shared, to, Message::Gossip(gossip));
+            }
+            MembershipAction::Sync { peer } => {
+                let shared = shared.clone();
+                tokio::spawn(async move { peer_messages::sync(&shared, peer).await });
+            }
+            MembershipAction::Changed { member, was } => {
+                info!(shared.log, "member_changed"; "member" => &*member.name,
+                    "state" => format!("{:?}", member.state).to_lowercase(),
+                    "was" => was.map_or("unknown".to_owned(), |w| format!("{w:?}").to_lowercase()),
+                    "incarnation" => member.incarnation);
+                shared.telemetry.event("member_changes");
+            }
+            MembershipAction::Resumed { pause } => {
+                warn!(shared.log, "resumed"; "paused_ms" => pause.as_millis() as u64);
+                shared.telemetry.event("pauses");
+            }
+            MembershipAction::Replaced { by } => {
+                error!(shared.log, "replaced"; "by" => by.to_string());
+                shared.control.enter(Phase::Failed);
+            }
+        }
+    }
+}
+
+/// Changes the state of the configuration and performs the actions that follow from it.
+///
+/// A configuration comes in force before the lock is released, so that no request is permitted by
+/// an answer and then sent under the configuration from before it.
+pub fn config<F>(shared: &Arc<Shared>, change: F)
+where
+    F: FnOnce(&mut State) -> Vec<ConfigAction>,
+{
+    let actions = {
+        let mut state = shared.control.lock();
+        let actions = change(&mut state);
+        for action in &actions {
+            if let ConfigAction::InForce(config) = action {
+                shared.offer(config.clone());
+            }
+        }
+        actions
+    };
+    for action in actions {
+        config_sync::perform(shared, action);
+    }
+}
+
+/// Performs actions about leaving targets.
+pub fn drain(shared: &Arc<Shared>, actions: Vec<DrainAction>) {
+    for action in actions {
+        match action {
+            DrainAction::Notify { to, notice } => {
+                peer_net::send(shared, to, Message::Leaving(notice));
+            }
+            DrainAction::Acknowledge { to, ack } => {
+                peer_net::send(shared, to, Message::LeavingAck(ack));
+            }
+            DrainAction::Leaving(target) => {
+                info!(shared.log, "target_leaving"; "target" => target.to_string());
+                shared.telemetry.event("targets_leaving");
+            }
+            DrainAction::Expired(target) => {
+                info!(shared.log, "target_back"; "target" => target.to_string());
+            }
+            DrainAction::Refresh { peers } => {
+                for peer in peers {
+                    let shared = shared.clone();
+                    tokio::spawn(async move { peer_messages::sync(&shared, peer).await });
+                }
+            }
+        }
+    }
+}
+
+/// Records that a target said that it is leaving, and tells all peers.
+pub fn report_draining(shared: &Arc<Shared>, target: SocketAddr) {
+    let now = shared.clock.now();
+    let out = {
+        let mut guard = shared.control.lock();
+        let state = &mut *guard;
+        state.drain.report(now, target, &state.members, &mut rand::rng())
+    };
+    drain(shared, out);
+}
+
+/// Performs actions about the usage.
+pub fn usage(shared: &Arc<Shared>, actions: Vec<UsageAction>) {
+    for action in actions {
+        match action {
+            UsageAction::Report { to, report } => {
+                peer_net::send(shared, to, Message::Usage(report));
+            }
+            UsageAction::Collect { to } => peer_net::send(shared, to, Message::UsageCollect),
+            UsageAction::Confirm { to, seqs } => {
+                peer_net::send(shared, to, Message::UsageConfirm { seqs });
+            }
+            UsageAction::Write { month } => {
+                let shared = shared.clone();
+                tokio::spawn(async move { usage::write_month(&shared, month).await });
+            }
+        }
+    }
+}
+
+/// Performs the next step of a shutdown.
+pub fn shutdown(shared: &Arc<Shared>, action: ShutdownAction) {
+    let connections = shared.control.connections();
+    match action {
+        ShutdownAction::Announce => {
+            let now = shared.clock.now();
+            let out = {
+                let mut state = shared.control.lock();
+                state.members.leave();
+                state.members.announce(now)
+            };
+            membership(shared, out);
+            info!(shared.log, "leaving"; "connections" => connections);
+            shared.control.enter(Phase::Leaving);
+        }
+        ShutdownAction::StopAccepting => {
+            info!(shared.log, "draining"; "connections" => connections);
+            shared.control.enter(Phase::Draining);
+        }
+        ShutdownAction::AbortRequests => {
+            warn!(shared.log, "aborting_requests"; "connections" => connections);
+            shared.control.enter(Phase::Aborting);
+        }
+        ShutdownAction::WriteUsage => {
+            let shared = shared.clone();
+            tokio::spawn(async move {
+                usage::write_at_exit(&shared).await;
+                let next = shared.control.lock().shutdown.usage_written();
+                if let Some(action) = next {
+                    self::shutdown(&shared, action);
+                }
+            });
+        }
+        ShutdownAction::Exit => {
+            let unwritten = shared.control.lock().usage.unwritten_months().len();
+            info!(shared.log, "stopped"; "unwritten_months" => unwritten);
+            shared.control.enter(Phase::Exited);
+        }
+    }
+}
--- a/crates/geraniummuxd/src/admin.rs
+++ b/crates/geraniummuxd/src/admin.rs
@@ -1,10 +1,12 @@
 //! The admin listener: tables, status and usage as JSON, and a status page.
 
-use crate::config_sync::{self, EditError, EditRequest};
+use crate::config_sync::{self, EditRequest};
 use crate::reply::{self, Body};
 use crate::shared::Shared;
+use crate::{status, usage};
+use geraniummux_core::config_edit::EditError;
+use geraniummux_core::usage::Month;
 use geraniummux_core::{Error as CoreError, TableEdit, TableKind};
-use geraniummux_platform::Error as PlatformError;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -12,7 +14,6 @@
 use hyper_util::service::TowerToHyperService;
 use serde_json::json;
 use std::convert::Infallible;
-use std::fmt::Write as _;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -42,14 +43,16 @@
     }
 }
 
-async fn handle(shared: &Shared, req: Request<Incoming>) -> Response<Body> {
+async fn handle(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
     let segments: Vec<&str> = path.split('/').skip(1).collect();
     match (req.method().clone(), segments.as_slice()) {
         (Method::GET, ["v1", "tables", name]) => get_table(shared, name),
         (Method::POST, ["v1", "tables", name]) => edit_table(shared, name, req).await,
-        (Method::GET, ["v1", "status"]) => reply::json(StatusCode::OK, &status(shared)),
-        (Method::GET, ["status"]) => Response::new(reply::full(status_page(shared))),
+        (Method::GET, ["v1", "status"]) => reply::json(StatusCode::OK, &status::report(shared)),
+        (Method::GET, ["status"]) => Response::new(reply::full(status::page(shared))),
+        (Method::GET, ["v1", "usage"]) => get_usage(shared, &req).await,
+        (Method::GET, ["health"]) => health(shared).await,
         _ => error(StatusCode::NOT_FOUND, "not-found", "unknown path"),
     }
 }
@@ -90,7 +93,7 @@
     })
 }
 
-async fn edit_table(shared: &Shared, name: &str, req: Request<Incoming>) -> Response<Body> {
+async fn edit_table(shared: &Arc<Shared>, name: &str, req: Request<Incoming>) -> Response<Body> {
     let Some(kind) = TableKind::from_name(name) else {
         return unknown_table(name);
     };
@@ -125,38 +128,31 @@
     let (status, kind) = match e {
         EditError::Rejected(CoreError::Conflict { .. }) => (StatusCode::CONFLICT, "conflict"),
         EditError::Rejected(_) => (StatusCode::UNPROCESSABLE_ENTITY, "invalid"),
-        EditError::Platform(PlatformError::TooLarge) => {
-            (StatusCode::PAYLOAD_TOO_LARGE, "too-large")
-        }
-        EditError::Platform(e) if e.may_have_written() => {
-            (StatusCode::SERVICE_UNAVAILABLE, "undecided")
-        }
-        EditError::Platform(_) => (StatusCode::SERVICE_UNAVAILABLE, "unavailable"),
+        EditError::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too-large"),
+        EditError::Unsettled { .. } => (StatusCode::SERVICE_UNAVAILABLE, "undecided"),
+        EditError::Unavailable(_) => (StatusCode::SERVICE_UNAVAILABLE, "unavailable"),
     };
     error(status, kind, &e.to_string())
 }
 
-fn status(shared: &Shared) -> serde_json::Value {
-    let in_force = shared.in_force();
-    let config = &in_force.config;
-    json!({
-        "host": shared.settings.host,
-        "failure_domain": shared.settings.failure_domain,
-        "region": shared.settings.region,
-        "generation": config.generation,
-        "routes_revision": config.routes_revision.number,
-        "pools_revision": config.pools_revision.number,
-        "classes": shared.telemetry.report(),
-    })
+async fn get_usage(shared: &Shared, req: &Request<Incoming>) -> Response<Body> {
+    let present = Month::of(shared.clock.wall()).to_string();
+    let month = query(req, "month").unwrap_or(&present);
+    let digits = |s: &str, len| s.len() == len && s.bytes().all(|b| b.is_ascii_digit());
+    if !month.split_once('-').is_some_and(|(y, m)| digits(y, 4) && digits(m, 2)) {
+        let message = format!("{month:?} is not a month: use YYYY-MM");
+        return error(StatusCode::BAD_REQUEST, "bad-request", &message);
+    }
+    match usage::totals(shared, month).await {
+        Ok(totals) => reply::json(StatusCode::OK, &totals),
+        Err(e) => error(StatusCode::SERVICE_UNAVAILABLE, "unavailable", &e),
+    }
 }
 
-fn status_page(shared: &Shared) -> String {
-    let mut page = String::new();
-    if let serde_json::Value::Object(fields) = status(shared) {
-        for (name, value) in fields {
-            // Writing to a String can't fail.
-            let _ = writeln!(page, "{name}: {value}");
-        }
+async fn health(shared: &Shared) -> Response<Body> {
+    if status::ready(shared).await {
+        Response::new(reply::full("ready\n"))
+    } else {
+        error(StatusCode::SERVICE_UNAVAILABLE, "not-ready", "this host serves no requests")
     }
-    page
 }
--- /dev/null
+++ b/crates/geraniummuxd/src/claim_retention.rs
@@ -0,0 +1,54 @@
+//! Deletes claims whose retention has passed, as the holder of `lease/claims`.
+
+use crate::leases::Lease;
+use crate::shared::Shared;
+use geraniummux_core::claim::{CLAIM_KIND, Claim};
+use geraniummux_platform::Platform;
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Claims are listed in this many parts by the first hexadecimal digits of their names, so that
+/// one call does not return the claims of a whole day.
+const PARTS: u32 = 256;
+/// Pause between two parts. One pass takes about 43 minutes, against a retention of 24 hours.
+const PAUSE: Duration = Duration::from_secs(10);
+
+/// Deletes expired claims until the task is dropped.
+pub async fn run(shared: Arc<Shared>) {
+    let lease = Lease::start(&shared, "claims");
+    let mut part = rand::random::<u32>() % PARTS;
+    loop {
+        tokio::time::sleep(PAUSE).await;
+        if lease.grant(shared.clock.now()).is_none() {
+            continue;
+        }
+        match delete_expired(&shared, &format!("{part:02x}")).await {
+            Ok(0) => {}
+            Ok(deleted) => info!(shared.log, "claims_deleted"; "count" => deleted),
+            Err(e) => {
+                warn!(shared.log, "claims_not_deleted"; "error" => e.to_string());
+                continue;
+            }
+        }
+        part = (part + 1) % PARTS;
+    }
+}
+
+/// Deletes the expired claims whose names start with `prefix` and returns their number.
+///
+/// # Errors
+///
+/// Fails if the claims can't be listed. A claim that can't be deleted is left for the next pass.
+async fn delete_expired(shared: &Shared, prefix: &str) -> geraniummux_platform::Result<usize> {
+    let mut deleted = 0;
+    for (key, object) in shared.platform.list(CLAIM_KIND, prefix).await? {
+        let expired =
+            Claim::decode(&object.value).is_some_and(|claim| claim.is_expired(shared.clock.wall()));
+        // The version keeps a claim that was created again in the meantime.
+        if expired && shared.platform.delete(&key, object.version).await.is_ok() {
+            deleted += 1;
+        }
+    }
+    Ok(deleted)
+}
--- a/crates/geraniummuxd/src/config_sync.rs
+++ b/crates/geraniummuxd/src/config_sync.rs
@@ -1,66 +1,132 @@
-//! Keeps the configuration in force up to date with the platform, and carries out edits.
+//! Distributes the configuration and carries out edits: I/O around the decisions of the core.
 
 use crate::shared::Shared;
+use crate::{actions, peer_messages, peer_net};
 use bytes::Bytes;
-use geraniummux_core::{Config, Error as CoreError, TableEdit};
-use geraniummux_platform::{Condition, Error as PlatformError, Key, Platform, Version};
-use slog::warn;
-use std::fmt;
+use geraniummux_core::config_edit::{EditAction, EditError, ReadResult, WriteResult};
+use geraniummux_core::config_sync::{CallAnswer, ConfigAction, FetchAnswer};
+use geraniummux_core::{Config, ConfigEdit, TableEdit};
+use geraniummux_platform::{Condition, Error as PlatformError, Key, Object, Platform, Version};
+use geraniummux_wire::Message;
+use slog::{info, warn};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long a watch waits for a change before it is renewed.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Longest exchange with a peer about the configuration.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Returns the key of the object that holds both tables.
 pub fn tables_key() -> Key {
     Key::new("config", "tables")
 }
 
-/// Follows the platform's configuration object until the task is dropped.
-pub async fn follow(shared: Arc<Shared>) {
-    let mut version = Version::default();
-    loop {
-        match shared.platform.watch(&tables_key(), version, WATCH_WAIT).await {
-            Ok(Some(object)) => {
-                version = object.version;
-                match serde_json::from_slice::<Config>(&object.value) {
-                    Ok(config) => drop(shared.offer(Arc::new(config))),
-                    Err(e) => {
-                        warn!(shared.log, "config_unreadable"; "error" => e.to_string());
-                        tokio::time::sleep(RETRY_PAUSE).await;
-                    }
-                }
-            }
-            Ok(None) => {}
-            Err(e) => {
-                warn!(shared.log, "watch_failed"; "error" => e.to_string());
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+/// Performs an action of the configuration's distribution.
+pub fn perform(shared: &Arc<Shared>, action: ConfigAction) {
+    let shared = shared.clone();
+    match action {
+        ConfigAction::Fetch { id, peer, generation } => {
+            tokio::spawn(async move {
+                let answer = fetch(&shared, peer, generation).await;
+                let now = shared.clock.now();
+                actions::config(&shared, |s| s.config.fetched(now, id, answer));
+            });
+        }
+        ConfigAction::Push { to, config } => {
+            tokio::spawn(async move {
+                let message = peer_messages::encode_config(&config);
+                // Peers that miss it hear of the generation and fetch it.
+                let _ = peer_net::call(&shared, to, message, PEER_TIMEOUT).await;
+            });
+        }
+        ConfigAction::Read { id } => {
+            tokio::spawn(async move {
+                let result = shared.platform.get(&tables_key()).await;
+                called(&shared, id, result.map(|o| answer_of(&shared, o, CallAnswer::Absent)));
+            });
+        }
+        ConfigAction::Watch { id, after, wait } => {
+            tokio::spawn(async move {
+                let result = shared.platform.watch(&tables_key(), Version(after), wait).await;
+                called(&shared, id, result.map(|o| answer_of(&shared, o, CallAnswer::Unchanged)));
+            });
+        }
+        ConfigAction::WriteBack { id, config, version } => {
+            tokio::spawn(async move {
+                warn!(shared.log, "config_written_back"; "generation" => config.generation);
+                let answer = match write(&shared, &config, version).await {
+                    Ok(version) => Ok(CallAnswer::Written { version: version.0 }),
+                    Err(PlatformError::Conflict) => Ok(CallAnswer::Conflict),
+                    Err(e) => Err(e),
+                };
+                called(&shared, id, answer);
+            });
         }
+        ConfigAction::InForce(config) => report_leaving(&shared, &config),
     }
 }
 
-/// Why an edit was not accepted.
-#[derive(Debug)]
-pub enum EditError {
-    /// The edit is invalid or based on an outdated revision; nothing was written.
-    Rejected(CoreError),
-    /// The platform could not carry it out; `may_have_written` tells whether it may still have.
-    Platform(PlatformError),
+fn called(shared: &Arc<Shared>, id: u64, answer: Result<CallAnswer, PlatformError>) {
+    let answer = answer.unwrap_or_else(|e| {
+        warn!(shared.log, "platform_call_failed"; "object" => "config/tables",
+            "error" => e.to_string());
+        shared.telemetry.event("platform_failures");
+        CallAnswer::Failed
+    });
+    let now = shared.clock.now();
+    actions::config(shared, |s| s.config.called(now, id, answer, &mut rand::rng()));
 }
 
-impl fmt::Display for EditError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            EditError::Rejected(e) => e.fmt(f),
-            EditError::Platform(e) => e.fmt(f),
+fn answer_of(shared: &Shared, object: Option<Object>, none: CallAnswer) -> CallAnswer {
+    let Some(object) = object else { return none };
+    match serde_json::from_slice::<Config>(&object.value) {
+        Ok(config) => CallAnswer::Object { version: object.version.0, config: Arc::new(config) },
+        Err(e) => {
+            warn!(shared.log, "config_unreadable"; "error" => e.to_string());
+            CallAnswer::Failed
         }
     }
 }
 
+async fn write(
+    shared: &Shared,
+    config: &Config,
+    version: Option<u64>,
+) -> Result<Version, PlatformError> {
+    let value = serde_json::to_vec(config).map_err(|e| PlatformError::Protocol(e.to_string()))?;
+    let condition = version.map_or(Condition::Absent, |v| Condition::Version(Version(v)));
+    shared.platform.put(&tables_key(), Bytes::from(value), condition).await
+}
+
+async fn fetch(shared: &Arc<Shared>, peer: SocketAddr, generation: u64) -> FetchAnswer {
+    // A host that starts must know the leaving targets before it serves.
+    if !shared.control.is_synced() && !peer_messages::sync(shared, peer).await {
+        return FetchAnswer::Failed;
+    }
+    let message = Message::FetchConfig { generation };
+    match peer_net::call(shared, peer, message, PEER_TIMEOUT).await.map(|e| e.message) {
+        Ok(Message::Config { json }) => match serde_json::from_slice::<Config>(&json) {
+            Ok(config) => FetchAnswer::Config(Arc::new(config)),
+            Err(e) => {
+                warn!(shared.log, "config_unreadable"; "peer" => peer.to_string(),
+                    "error" => e.to_string());
+                FetchAnswer::Failed
+            }
+        },
+        Ok(Message::NoNewerConfig) => FetchAnswer::NoNewer,
+        Ok(Message::NotReady) => FetchAnswer::NotReady,
+        Ok(_) | Err(_) => FetchAnswer::Failed,
+    }
+}
+
+/// Tells all peers about targets that the tables declare to be leaving.
+fn report_leaving(shared: &Arc<Shared>, config: &Config) {
+    let targets = config.tables.pools.iter().flat_map(|p| &p.targets);
+    for target in targets.filter(|t| t.leaving) {
+        actions::report_draining(shared, target.addr);
+    }
+}
+
 /// An edit of one table with its origin.
 #[derive(Clone, Debug)]
 pub struct EditRequest {
@@ -74,42 +140,70 @@
     pub write_id: String,
 }
 
-/// Carries out an edit and puts the result in force on this host.
+/// Carries out an edit, puts the result in force on this host and sends it to peers.
 ///
 /// # Errors
 ///
 /// See [`EditError`].
-pub async fn apply(shared: &Shared, req: EditRequest) -> Result<Arc<Config>, EditError> {
+pub async fn apply(shared: &Arc<Shared>, req: EditRequest) -> Result<Arc<Config>, EditError> {
+    let in_force = shared.in_force().config.clone();
+    let mut edit = ConfigEdit::new(
+        shared.clock.now(),
+        req.edit,
+        req.base,
+        Arc::from(&*req.writer),
+        Arc::from(&*req.write_id),
+        in_force,
+    );
+    let mut action = edit.start();
     loop {
-        let object = shared.platform.get(&tables_key()).await.map_err(EditError::Platform)?;
-        let (current, condition) = match object {
-            Some(o) => {
-                let config: Config = serde_json::from_slice(&o.value)
-                    .map_err(|e| EditError::Platform(PlatformError::Protocol(e.to_string())))?;
-                (config, Condition::Version(o.version))
+        action = match action {
+            EditAction::Read => {
+                let result = read_result(shared.platform.get(&tables_key()).await);
+                edit.read(shared.clock.now(), result, &mut rand::rng())
             }
-            None => (Config::default(), Condition::Absent),
-        };
-        // A write whose answer was lost shows in the object.
-        if *current.write_id == *req.write_id {
-            let config = Arc::new(current);
-            shared.offer(config.clone());
-            return Ok(config);
-        }
-        let next = current
-            .with_edit(req.edit.clone(), req.base, &req.writer, &req.write_id)
-            .map_err(EditError::Rejected)?;
-        let value = serde_json::to_vec(&next)
-            .map_err(|e| EditError::Platform(PlatformError::Protocol(e.to_string())))?;
-        match shared.platform.put(&tables_key(), Bytes::from(value), condition).await {
-            Ok(_) => {
-                let config = Arc::new(next);
-                shared.offer(config.clone());
-                return Ok(config);
+            EditAction::Write { config, version } => {
+                let result = write_result(write(shared, &config, version).await);
+                edit.wrote(shared.clock.now(), result, &mut rand::rng())
             }
-            // Another edit won, or the answer was lost: the next read tells.
-            Err(PlatformError::Conflict | PlatformError::Indeterminate(_)) => {}
-            Err(e) => return Err(EditError::Platform(e)),
-        }
+            EditAction::Wait { until } => {
+                tokio::time::sleep(until.since(shared.clock.now())).await;
+                edit.resume()
+            }
+            EditAction::Done(result) => {
+                if let Ok(config) = &result {
+                    accepted(shared, config, &req.writer);
+                }
+                return result;
+            }
+        };
+    }
+}
+
+fn accepted(shared: &Arc<Shared>, config: &Arc<Config>, writer: &str) {
+    info!(shared.log, "edit_accepted"; "writer" => writer, "generation" => config.generation);
+    let now = shared.clock.now();
+    actions::config(shared, |s| s.config.edited(now, config.clone(), &s.members, &mut rand::rng()));
+    report_leaving(shared, config);
+}
+
+fn read_result(result: Result<Option<Object>, PlatformError>) -> ReadResult {
+    match result {
+        Ok(None) => ReadResult::Absent,
+        Ok(Some(o)) => match serde_json::from_slice::<Config>(&o.value) {
+            Ok(config) => ReadResult::Object { version: o.version.0, config: Arc::new(config) },
+            Err(e) => ReadResult::Failed(format!("the object config/tables is unreadable: {e}")),
+        },
+        Err(e) => ReadResult::Failed(e.to_string()),
+    }
+}
+
+fn write_result(result: Result<Version, PlatformError>) -> WriteResult {
+    match result {
+        Ok(_) => WriteResult::Written,
+        Err(PlatformError::Conflict) => WriteResult::Conflict,
+        Err(PlatformError::TooLarge) => WriteResult::TooLarge,
+        Err(e) if e.may_have_written() => WriteResult::Lost(e.to_string()),
+        Err(e) => WriteResult::Refused(e.to_string()),
     }
 }
--- /dev/null
+++ b/crates/geraniummuxd/src/entry.rs
@@ -0,0 +1,21 @@
+//! Tells callers which entry hosts to use.
+
+use crate::reply::{self, Body};
+use crate::shared::Shared;
+use geraniummux_core::EntryAnswer;
+use http::{Response, StatusCode};
+
+/// Returns the answer for a caller; `query` is the query of its request.
+pub fn answer(shared: &Shared, query: Option<&str>) -> Response<Body> {
+    let domain = query
+        .unwrap_or("")
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("domain="))
+        .filter(|d| !d.is_empty());
+    let mut answer = {
+        let state = shared.control.lock();
+        EntryAnswer::new(&state.members, domain, |_| 1.0, &mut rand::rng())
+    };
+    answer.ttl_ms = shared.settings.entry_ttl_ms;
+    reply::json(StatusCode::OK, &answer)
+}
--- a/crates/geraniummuxd/src/main.rs
+++ b/crates/geraniummuxd/src/main.rs
@@ -1,18 +1,21 @@
 //! The geraniummux daemon. Reads its settings, then serves callers until it is told to stop.
 
-use anyhow::Context;
+use anyhow::{Context, bail};
 use argh::FromArgs;
+use geraniummuxd::control::Phase;
 use geraniummuxd::settings::Settings;
 use geraniummuxd::shared::Shared;
 use geraniummuxd::telemetry::Telemetry;
-use geraniummuxd::{admin, config_sync, logging, proxy};
-use slog::info;
+use geraniummuxd::{
+    admin, claim_retention, host_list, logging, peer_net, probes, proxy, timers, usage,
+};
+use slog::{error, info};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code for invalid settings; any other failure to start exits with 1.
 const EXIT_SETTINGS: u8 = 2;
@@ -60,7 +63,10 @@
         .build()
         .context("starting the runtime")?;
     let shared = Arc::new(Shared::new(settings, log, telemetry));
-    runtime.block_on(run(shared))
+    let result = runtime.block_on(run(shared));
+    // Tasks that still run belong to callers that were given up.
+    runtime.shutdown_background();
+    result
 }
 
 async fn bind(field: &str, addr: SocketAddr) -> anyhow::Result<TcpListener> {
@@ -68,15 +74,48 @@
 }
 
 async fn run(shared: Arc<Shared>) -> anyhow::Result<()> {
-    let callers = bind("listen", shared.settings.listen).await?;
-    let admins = bind("admin", shared.settings.admin).await?;
-    let mut stop = signal(SignalKind::terminate())?;
-    tokio::spawn(config_sync::follow(shared.clone()));
+    let settings = &shared.settings;
+    let callers = bind("listen", settings.listen).await?;
+    let admins = bind("admin", settings.admin).await?;
+    let peers = peer_net::open(&shared)
+        .await
+        .with_context(|| format!("peer: can't listen on {}", settings.peer))?;
+    let stop = signal(SignalKind::terminate())?;
+    info!(shared.log, "started"; "listen" => settings.listen.to_string(),
+        "admin" => settings.admin.to_string(), "peer" => settings.peer.to_string());
+    tokio::spawn(peer_net::serve(peers, shared.clone()));
+    tokio::spawn(peer_net::receive(shared.clone()));
+    tokio::spawn(timers::run(shared.clone()));
+    tokio::spawn(host_list::run(shared.clone()));
+    tokio::spawn(probes::run(shared.clone()));
+    tokio::spawn(usage::run(shared.clone()));
+    tokio::spawn(claim_retention::run(shared.clone()));
     tokio::spawn(admin::serve(admins, shared.clone()));
     tokio::spawn(proxy::serve(callers, shared.clone()));
-    info!(shared.log, "started"; "listen" => shared.settings.listen.to_string(),
-        "admin" => shared.settings.admin.to_string());
-    stop.recv().await;
-    info!(shared.log, "stopped");
-    Ok(())
+    until_stopped(&shared, stop).await
+}
+
+/// Waits for SIGTERM and for the shutdown that follows it. A second SIGTERM ends the process at
+/// once.
+async fn until_stopped(shared: &Arc<Shared>, mut stop: Signal) -> anyhow::Result<()> {
+    let mut phase = shared.control.phase();
+    let mut stopping = false;
+    loop {
+        tokio::select! {
+            _ = stop.recv() => {
+                if stopping {
+                    let connections = shared.control.connections();
+                    error!(shared.log, "stopped_at_once"; "connections" => connections);
+                    bail!("stopped at once by a second SIGTERM, {connections} connections cut off");
+                }
+                stopping = true;
+                timers::begin_shutdown(shared);
+            }
+            _ = phase.changed() => match *phase.borrow() {
+                Phase::Exited => return Ok(()),
+                Phase::Failed => bail!("another process took over the name of this host"),
+                _ => {}
+            }
+        }
+    }
 }
--- /dev/null
+++ b/crates/geraniummuxd/src/probes.rs
@@ -0,0 +1,222 @@
+//! Paid probes of targets under their budget, and what they tell.
+
+use crate::leases::Lease;
+use crate::shared::Shared;
+use crate::{actions, hooks, peer_net};
+use bytes::Bytes;
+use geraniummux_core::config::{Config, Pool};
+use geraniummux_core::load::{LoadOptions, TargetId};
+use geraniummux_core::{LoadTable, ProbeScheduler};
+use geraniummux_wire::{Message, ProbeResult, ProbeResults, ProbedState};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::rt::TokioIo;
+use rand::seq::SliceRandom;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// Interval at which due probes are looked for.
+const TICK: Duration = Duration::from_millis(50);
+/// Results are sent to peers in batches at this interval. Single datagrams for each result would
+/// take half of the byte budget of a host.
+const BATCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Peers that a batch is sent to. Further hosts learn of it through load digests, so that the bytes
+/// that a prober sends don't grow with the fleet.
+const BATCH_FANOUT: usize = 16;
+/// Longest duration of a probe.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest accepted body of an answer in bytes; a probe costs at most 512 bytes with headers.
+const MAX_BODY: usize = 256;
+
+/// The body of an answer to a probe.
+#[derive(Deserialize)]
+struct Health {
+    state: HealthState,
+    #[serde(default)]
+    in_flight: u32,
+    #[serde(default)]
+    queued: u32,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum HealthState {
+    Ready,
+    Starting,
+    Draining,
+}
+
+/// Probing of one pool.
+struct Prober {
+    pool: Pool,
+    lease: Arc<Lease>,
+    scheduler: Mutex<ProbeScheduler>,
+}
+
+impl Prober {
+    fn scheduler(&self) -> MutexGuard<'_, ProbeScheduler> {
+        self.scheduler.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+/// Probes the targets of all pools whose lease this host holds, until the task is dropped.
+pub async fn run(shared: Arc<Shared>) {
+    let mut table = LoadTable::new(&[], LoadOptions::default());
+    let mut config = Arc::new(Config::default());
+    let mut probers: Vec<Arc<Prober>> = Vec::new();
+    let mut busy: Vec<TargetId> = Vec::new();
+    let (done, mut results) = mpsc::unbounded_channel::<(TargetId, Arc<str>, ProbeResult)>();
+    let mut batches: Vec<ProbeResults> = Vec::new();
+    let mut next_batch = tokio::time::Instant::now();
+    loop {
+        tokio::time::sleep(TICK).await;
+        let in_force = shared.in_force().config.clone();
+        if in_force.generation != config.generation {
+            config = in_force;
+            table.update(&config.tables.pools);
+            probers = adopt(&shared, &config, &table, probers);
+        }
+        for prober in &probers {
+            let now = shared.clock.now();
+            let due = prober.scheduler().due(prober.lease.grant(now), now);
+            for id in due {
+                let Some(addr) = table.addr(id) else { continue };
+                if busy.contains(&id) {
+                    continue;
+                }
+                busy.push(id);
+                let (shared, prober, done) = (shared.clone(), prober.clone(), done.clone());
+                tokio::spawn(async move {
+                    let result = probe(&shared, &prober, id, addr).await;
+                    // The receiver lives as long as the daemon.
+                    let _ = done.send((id, prober.pool.name.clone(), result));
+                });
+            }
+        }
+        while let Ok((id, pool, result)) = results.try_recv() {
+            busy.retain(|b| *b != id);
+            if result.state == ProbedState::Draining {
+                actions::report_draining(&shared, result.target);
+            }
+            hooks::probe(&shared, &pool, &result);
+            match batches.iter_mut().find(|b| b.pool == pool) {
+                Some(batch) => batch.results.push(result),
+                None => batches.push(ProbeResults { pool, results: vec![result] }),
+            }
+        }
+        if tokio::time::Instant::now() >= next_batch && !batches.is_empty() {
+            next_batch = tokio::time::Instant::now() + BATCH_INTERVAL;
+            send_batches(&shared, std::mem::take(&mut batches));
+        }
+    }
+}
+
+/// Returns the probers of the pools that have a probe budget. Leases and counts of pools that stay
+/// are kept.
+fn adopt(
+    shared: &Arc<Shared>,
+    config: &Config,
+    table: &LoadTable,
+    old: Vec<Arc<Prober>>,
+) -> Vec<Arc<Prober>> {
+    let now = shared.clock.now();
+    let mut probers = Vec::new();
+    for pool in &config.tables.pools {
+        let kept = old.iter().find(|p| p.pool.name == pool.name);
+        let mut scheduler = match kept {
+            Some(prober) => prober.scheduler().clone(),
+            None => ProbeScheduler::new(pool, table, now),
+        };
+        scheduler.update(pool, table, now);
+        if scheduler.limit() == 0 {
+            continue;
+        }
+        let lease = match kept {
+            Some(prober) => prober.lease.clone(),
+            None => Lease::start(shared, &format!("probe-{}", pool.name)),
+        };
+        let scheduler = Mutex::new(scheduler);
+        probers.push(Arc::new(Prober { pool: pool.clone(), lease, scheduler }));
+    }
+    probers
+}
+
+async fn probe(shared: &Shared, prober: &Prober, id: TargetId, addr: SocketAddr) -> ProbeResult {
+    let start = shared.clock.now();
+    let answer = tokio::time::timeout(TIMEOUT, exchange(shared, prober, id, addr)).await;
+    prober.scheduler().on_done(id);
+    let health = answer.ok().flatten();
+    let took = shared.clock.now().since(start);
+    ProbeResult {
+        target: addr,
+        state: match health.as_ref().map(|h| h.state) {
+            Some(HealthState::Ready) => ProbedState::Ready,
+            Some(HealthState::Starting) => ProbedState::Starting,
+            Some(HealthState::Draining) => ProbedState::Draining,
+            None => ProbedState::Failed,
+        },
+        in_flight: health.as_ref().map_or(0, |h| h.in_flight),
+        queued: health.as_ref().map_or(0, |h| h.queued),
+        round_trip_us: u32::try_from(took.as_micros()).unwrap_or(u32::MAX),
+        age_ms: 0,
+    }
+}
+
+/// Sends one probe; `None` if there was no valid answer.
+async fn exchange(
+    shared: &Shared,
+    prober: &Prober,
+    id: TargetId,
+    addr: SocketAddr,
+) -> Option<Health> {
+    let confirm = || {
+        let now = shared.clock.now();
+        prober.scheduler().confirm(id, prober.lease.grant(now), now)
+    };
+    let Ok(stream) = TcpStream::connect(addr).await else {
+        // A failed connect counts like a probe, so that it is not repeated at once.
+        confirm();
+        return None;
+    };
+    let (mut tx, conn) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let conn = tokio::spawn(conn);
+    let req = http::Request::get(&*prober.pool.health_path)
+        .header(http::header::HOST, addr.to_string())
+        .body(Empty::<Bytes>::new())
+        .ok()?;
+    // The lease is checked directly before the sending.
+    if !confirm() {
+        conn.abort();
+        return None;
+    }
+    let sending = tx.send_request(req);
+    prober.scheduler().on_sent(id, shared.clock.now());
+    let rsp = sending.await.ok()?;
+    let body = Limited::new(rsp.into_body(), MAX_BODY).collect().await.ok()?.to_bytes();
+    conn.abort();
+    serde_json::from_slice(&body).ok()
+}
+
+fn send_batches(shared: &Shared, batches: Vec<ProbeResults>) {
+    let mut peers: Vec<SocketAddr> = {
+        let state = shared.control.lock();
+        state.members.live_peers().map(|m| m.addr).collect()
+    };
+    peers.shuffle(&mut rand::rng());
+    peers.truncate(BATCH_FANOUT);
+    for part in batches.into_iter().flat_map(ProbeResults::split) {
+        for peer in &peers {
+            peer_net::send(shared, *peer, Message::ProbeResults(part.clone()));
+        }
+    }
+}
+
+/// Takes in probe results of a peer. The peer itself reports leaving targets.
+pub fn learn(shared: &Shared, results: &ProbeResults) {
+    for result in &results.results {
+        hooks::probe(shared, &results.pool, result);
+    }
+}
--- a/crates/geraniummuxd/src/proxy.rs
+++ b/crates/geraniummuxd/src/proxy.rs
@@ -1,5 +1,7 @@
 //! Accepts callers' requests, routes them and relays the answers.
 
+use crate::control::{self, Phase};
+use crate::entry;
 use crate::reply::{self, Body, OUTCOME_HEADER};
 use crate::shared::{InForce, Shared};
 use crate::upstream;
@@ -14,7 +16,6 @@
 use hyper_util::server::conn::auto;
 use hyper_util::service::TowerToHyperService;
 use rand::RngExt;
-use serde_json::json;
 use slog::debug;
 use std::convert::Infallible;
 use std::io;
@@ -35,10 +36,15 @@
     header::PROXY_AUTHENTICATE,
 ];
 
-/// Accepts callers on `listener` until the task is dropped.
+/// Accepts callers on `listener` until the shutdown stops it.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    let mut phase = shared.control.phase();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|p| *p >= Phase::Draining) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve_connection(stream, shared.clone()));
             }
@@ -49,34 +55,59 @@
 }
 
 async fn serve_connection(stream: TcpStream, shared: Arc<Shared>) {
+    let _guard = shared.control.connection();
+    let mut draining = shared.control.phase();
+    let mut aborting = shared.control.phase();
     // Losing the option only adds delay.
     let _ = stream.set_nodelay(true);
     let service = tower::service_fn(move |req| {
         let shared = shared.clone();
-        async move { Ok::<_, Infallible>(handle(&shared, req).await) }
+        async move { Ok::<_, Infallible>(respond(&shared, req).await) }
     });
+    let builder = auto::Builder::new(TokioExecutor::new());
+    let conn = builder.serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+    let mut conn = std::pin::pin!(conn);
     // A connection error concerns that caller only.
-    let _ = auto::Builder::new(TokioExecutor::new())
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service))
-        .await;
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        _ = draining.wait_for(|p| *p >= Phase::Draining) => conn.as_mut().graceful_shutdown(),
+    }
+    tokio::select! {
+        _ = conn => {}
+        _ = aborting.wait_for(|p| *p >= Phase::Aborting) => {}
+    }
+}
+
+async fn respond(shared: &Shared, req: Request<Incoming>) -> Response<Body> {
+    let http1 = req.version() <= http::Version::HTTP_11;
+    let mut rsp = handle(shared, req).await;
+    // While callers still learn that this host leaves, their idle connections are closed by the
+    // answer to their next request, so that none is closed while a request is on its way.
+    if http1 && *shared.control.phase().borrow() > Phase::Serving {
+        rsp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    rsp
 }
 
 async fn handle(shared: &Shared, req: Request<Incoming>) -> Response<Body> {
     if req.uri().path() == ENTRY_HOSTS_PATH {
-        return entry_hosts(shared);
+        return entry::answer(shared, req.uri().query());
     }
     let start = shared.clock.now();
-    let in_force = shared.in_force();
-    if in_force.config.generation == 0 {
-        return reply::refusal(Outcome::NotRun, Reason::NotReady);
-    }
+    let in_force = match control::fresh(shared).await {
+        Ok(in_force) => in_force,
+        Err(reason) => return reply::refusal(Outcome::NotRun, reason),
+    };
     let (parts, body) = req.into_parts();
     let host = request_host(&parts);
     let Some(route) = in_force.router.find(host, parts.method.as_str(), parts.uri.path()) else {
         return reply::refusal(Outcome::NotRun, Reason::NoRoute);
     };
-    let result = forward(&in_force, route, &parts, body).await;
+    let result = forward(shared, &in_force, route, &parts, body).await;
     let outcome = result.as_ref().map_or_else(|(outcome, _)| *outcome, |_| Outcome::Served);
+    if outcome == Outcome::Served {
+        shared.control.count(&shared.clock, &route.tenant, &route.class);
+    }
     let took = shared.clock.now().since(start);
     shared.telemetry.request(&route.tenant, &route.class, outcome, took);
     debug!(shared.log, "request"; "route" => &*route.name, "outcome" => outcome.as_str(),
@@ -84,17 +115,6 @@
     result.unwrap_or_else(|(outcome, reason)| reply::refusal(outcome, reason))
 }
 
-fn entry_hosts(shared: &Shared) -> Response<Body> {
-    let answer = json!({
-        "hosts": [{
-            "addr": shared.settings.advertised(),
-            "failure_domain": shared.settings.failure_domain,
-        }],
-        "ttl_ms": shared.settings.entry_ttl_ms,
-    });
-    reply::json(http::StatusCode::OK, &answer)
-}
-
 fn request_host(parts: &Parts) -> &str {
     let authority = parts.uri.host();
     let header = parts.headers.get(header::HOST).and_then(|v| v.to_str().ok());
@@ -102,6 +122,7 @@
 }
 
 async fn forward(
+    shared: &Shared,
     in_force: &InForce,
     route: &Route,
     parts: &Parts,
@@ -113,7 +134,7 @@
         .await
         .map_err(|_| (Outcome::NotRun, Reason::BodyTooLarge))?
         .to_bytes();
-    let target = pick(in_force, route).ok_or((Outcome::NotRun, Reason::NoTarget))?;
+    let target = pick(shared, in_force, route).ok_or((Outcome::NotRun, Reason::NoTarget))?;
     let req =
         upstream_request(parts, target, body).map_err(|_| (Outcome::NotRun, Reason::BadRequest))?;
     let timeout = Duration::from_millis(route.timeout_ms);
@@ -124,9 +145,11 @@
     Ok(relay(rsp))
 }
 
-fn pick<'a>(in_force: &'a InForce, route: &Route) -> Option<&'a Target> {
+fn pick<'a>(shared: &Shared, in_force: &'a InForce, route: &Route) -> Option<&'a Target> {
     let pool = in_force.config.tables.pool(&route.pool)?;
-    let usable: Vec<&Target> = pool.targets.iter().filter(|t| !t.leaving).collect();
+    let now = shared.clock.now();
+    let leaving = |t: &Target| t.leaving || shared.control.is_draining(t.addr, now);
+    let usable: Vec<&Target> = pool.targets.iter().filter(|t| !leaving(t)).collect();
     if usable.is_empty() {
         return None;
     }
--- a/crates/geraniummuxd/src/shared.rs
+++ b/crates/geraniummuxd/src/shared.rs
@@ -1,6 +1,8 @@
 //! State shared by the tasks of the daemon.
 
 use crate::clock::Clock;
+use crate::control::Control;
+use crate::platform_calls::CountedPlatform;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
 use arc_swap::ArcSwap;
@@ -30,7 +32,9 @@
     /// Metrics and histograms.
     pub telemetry: Telemetry,
     /// Client of the platform.
-    pub platform: HttpPlatform,
+    pub platform: CountedPlatform,
+    /// Membership, configuration, leaving targets, usage and shutdown.
+    pub control: Arc<Control>,
     config: Mutex<ConfigState>,
     in_force: ArcSwap<InForce>,
 }
@@ -38,13 +42,16 @@
 impl Shared {
     /// Returns the state of a host that has no configuration yet.
     pub fn new(settings: Settings, log: Logger, telemetry: Telemetry) -> Self {
-        let platform = HttpPlatform::new(settings.platform);
+        let platform = CountedPlatform::new(HttpPlatform::new(settings.platform));
+        let clock = Clock::start();
+        let control = Arc::new(Control::new(&settings, &clock));
         Shared {
             settings,
-            clock: Clock::start(),
+            clock,
             log,
             telemetry,
             platform,
+            control,
             config: Mutex::default(),
             in_force: ArcSwap::default(),
         }
--- /dev/null
+++ b/crates/geraniummuxd/src/status.rs
@@ -0,0 +1,149 @@
+//! The state of this host as JSON and as a text page.
+
+use crate::control::{self, State};
+use crate::shared::Shared;
+use geraniummux_core::config_sync::{Permit, Refusal};
+use geraniummux_core::{Member, MemberState, Time};
+use serde_json::{Value, json};
+use std::fmt::Write as _;
+
+/// A configuration counts as confirmed while the platform was read this recently, in milliseconds,
+/// by this host or by one that it hears of.
+const CONFIRMED_WITHIN_MS: u64 = 8_000;
+
+/// Returns the state of this host.
+pub fn report(shared: &Shared) -> Value {
+    let now = shared.clock.now();
+    let in_force = shared.in_force();
+    let config = &in_force.config;
+    let phase = *shared.control.phase().borrow();
+    let mut report = {
+        let state = shared.control.lock();
+        let age = state.members.config_known().map(|t| now.since(t).as_millis() as u64);
+        json!({
+            "serving": serving(&state, now, config.generation),
+            "config_age_ms": age,
+            "config_confirmed": age.is_some_and(|a| a <= CONFIRMED_WITHIN_MS),
+            "highest_generation_heard": state.config.highest_known(),
+            "platform_contact_ms":
+                state.config.platform_contact().map(|t| now.since(t).as_millis() as u64),
+            "peer_contact_ms": state.members.contact().map(|t| now.since(t).as_millis() as u64),
+            "members": members(&state),
+            "leaving_targets": state.drain.notices(now),
+        })
+    };
+    report["host"] = json!(shared.settings.host);
+    report["failure_domain"] = json!(shared.settings.failure_domain);
+    report["region"] = json!(shared.settings.region);
+    report["generation"] = json!(config.generation);
+    report["routes_revision"] = json!(config.routes_revision.number);
+    report["pools_revision"] = json!(config.pools_revision.number);
+    report["phase"] = json!(format!("{phase:?}").to_lowercase());
+    report["connections"] = json!(shared.control.connections());
+    report["targets"] = targets(shared, now);
+    report["classes"] = json!(shared.telemetry.report());
+    report["counted"] = json!(shared.control.counters().rows());
+    report["peer_traffic"] = json!(shared.control.net.traffic());
+    report["platform_calls"] = json!(shared.platform.calls());
+    report
+}
+
+fn serving(state: &State, now: Time, generation: u64) -> &'static str {
+    match state.config.permit(now) {
+        Permit::Serve if generation == 0 => "no-configuration",
+        Permit::Serve => "yes",
+        Permit::Hold => "held-after-pause",
+        Permit::Refuse(Refusal::Starting) => "starting",
+        Permit::Refuse(Refusal::Isolated) => "isolated",
+        Permit::Refuse(Refusal::Behind) => "behind",
+    }
+}
+
+fn members(state: &State) -> Vec<Value> {
+    let row = |m: &Member| {
+        json!({
+            "name": m.name, "addr": m.http_addr, "peer": m.addr,
+            "failure_domain": m.failure_domain, "incarnation": m.incarnation,
+            "state": match m.state {
+                MemberState::Alive => "alive",
+                MemberState::Leaving => "leaving",
+                MemberState::Suspect => "suspect",
+                MemberState::Dead => "dead",
+            },
+        })
+    };
+    std::iter::once(state.members.me()).chain(state.members.peers()).map(row).collect()
+}
+
+fn targets(shared: &Shared, now: Time) -> Value {
+    let in_force = shared.in_force();
+    let mut rows = Vec::new();
+    for pool in &in_force.config.tables.pools {
+        for target in &pool.targets {
+            let leaving = target.leaving || shared.control.is_draining(target.addr, now);
+            let mut row = json!({
+                "pool": pool.name, "target": target.name, "addr": target.addr,
+                "state": if leaving { "leaving" } else { "in-service" },
+            });
+            if let Some(load) = crate::hooks::load(shared, &pool.name, &target.name, now) {
+                row["load"] = load;
+            }
+            rows.push(row);
+        }
+    }
+    Value::Array(rows)
+}
+
+/// Returns the state of this host as text for people.
+pub fn page(shared: &Shared) -> String {
+    let report = report(shared);
+    let mut page = String::new();
+    // Writing to a String can't fail.
+    for name in [
+        "host",
+        "failure_domain",
+        "region",
+        "phase",
+        "serving",
+        "generation",
+        "routes_revision",
+        "pools_revision",
+        "config_age_ms",
+        "config_confirmed",
+        "connections",
+    ] {
+        let _ = writeln!(page, "{name:<20} {}", plain(&report[name]));
+    }
+    for name in ["members", "targets", "classes", "leaving_targets"] {
+        let _ = writeln!(page, "\n{name}");
+        for row in report[name].as_array().into_iter().flatten() {
+            let cells: Vec<String> = row
+                .as_object()
+                .into_iter()
+                .flatten()
+                .map(|(key, value)| format!("{key}={}", plain(value)))
+                .collect();
+            let _ = writeln!(page, "  {}", cells.join(" "));
+        }
+    }
+    for name in ["peer_traffic", "platform_calls"] {
+        let _ = writeln!(page, "\n{name}");
+        for (key, value) in report[name].as_object().into_iter().flatten() {
+            let _ = writeln!(page, "  {key:<20} {}", plain(value));
+        }
+    }
+    page
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::String(s) => s.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// Returns whether this host serves requests, for health checks of its operator.
+pub async fn ready(shared: &Shared) -> bool {
+    control::fresh(shared).await.is_ok()
+}
--- /dev/null
+++ b/crates/geraniummuxd/src/timers.rs
@@ -0,0 +1,62 @@
+//! The timer that drives the decisions of the control path.
+
+use crate::actions;
+use crate::shared::Shared;
+use geraniummux_core::drain::ShutdownAction;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::MissedTickBehavior;
+
+/// Interval of the timer. The decisions of the core ask for at most 100 ms.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Drives the control path until the task is dropped.
+pub async fn run(shared: Arc<Shared>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        tick(&shared);
+    }
+}
+
+fn tick(shared: &Arc<Shared>) {
+    let now = shared.clock.now();
+    let longest = longest_timeout(shared);
+    let connections = shared.control.connections();
+    let mut rng = rand::rng();
+    // All pause gates see the same time, so that one can't open before another has noticed a
+    // pause.
+    let (members, config, drain, usage, shutdown) = {
+        let mut guard = shared.control.lock();
+        let state = &mut *guard;
+        let members = state.members.tick(now, &mut rng);
+        let config = state.config.tick(now, &mut state.members, &mut rng);
+        let drain = state.drain.tick(now, &state.members, &mut rng);
+        let own = shared.control.counters();
+        let usage = state.usage.tick(now, &own, &state.members);
+        let shutdown = state.shutdown.tick(now, connections, longest);
+        (members, config, drain, usage, shutdown)
+    };
+    actions::membership(shared, members);
+    actions::config(shared, |_| config);
+    actions::drain(shared, drain);
+    actions::usage(shared, usage);
+    if let Some(action) = shutdown {
+        actions::shutdown(shared, action);
+    }
+}
+
+/// Begins the shutdown of this host.
+pub fn begin_shutdown(shared: &Arc<Shared>) {
+    let action: Option<ShutdownAction> = shared.control.lock().shutdown.begin(shared.clock.now());
+    if let Some(action) = action {
+        actions::shutdown(shared, action);
+    }
+}
+
+fn longest_timeout(shared: &Shared) -> Duration {
+    let in_force = shared.in_force();
+    let longest = in_force.config.tables.routes.iter().map(|r| r.timeout_ms).max();
+    Duration::from_millis(longest.unwrap_or(0))
+}
