--- a/crates/geraniummux-core/src/lib.rs
+++ b/crates/geraniummux-core/src/lib.rs
@@ -9,10 +9,14 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod balance;
 pub mod budget;
 pub mod claim;
 pub mod config;
 pub mod errors;
+pub mod lease;
+pub mod load;
+pub mod measure;
 pub mod outcome;
 pub mod quarantine;
 pub mod routing;
@@ -20,10 +24,14 @@
 
 pub use admission::Admission;
 pub use attempt::RequestState;
+pub use balance::{Balancer, BalancerOptions, Choice, Exclusion, Policy};
 pub use budget::TokenBudget;
 pub use claim::ClaimState;
 pub use config::{Config, Pool, Route, TableEdit, TableKind, Tables, Target};
 pub use errors::{Error, Result};
+pub use lease::{LeaseAction, LeaseOptions, LeaseResult, LeaseState};
+pub use load::{AttemptEnd, LoadDigest, LoadOptions, LoadReport, LoadTable, Refusal, TargetId};
+pub use measure::ProbeScheduler;
 pub use outcome::{Outcome, Reason};
 pub use quarantine::{Fingerprint, Quarantine};
 pub use routing::Router;
