--- a/crates/geraniummux-platform/src/memory.rs
+++ b/crates/geraniummux-platform/src/memory.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Lists all objects, in order of their keys.
+    pub fn list_all(&self) -> Vec<(Key, Object)> {
+        self.objects.iter().map(|(k, o)| (k.clone(), o.clone())).collect()
+    }
+
     /// Lists the objects of a kind whose names start with `prefix`, in order of their names.
     pub fn list(&self, kind: &str, prefix: &str) -> Vec<(Key, Object)> {
         self.objects
--- a/crates/geraniummux-standin/src/platform.rs
+++ b/crates/geraniummux-standin/src/platform.rs
@@ -1,7 +1,8 @@
 //! A stand-in for the platform's object API, with call counting and faults on demand.
 //!
-//! `POST /faults` replaces the [`Faults`], `GET /stats` returns the calls by method and kind, and
-//! `PUT /hosts` replaces the host list.
+//! `POST /faults` replaces the [`Faults`], `GET /stats` returns the calls by method and kind, `PUT
+//! /hosts` replaces the host list, `POST /backup` keeps a copy of all objects and `POST /restore`
+//! puts it back.
 
 use crate::server::{Reply, read_body, serve};
 use bytes::Bytes;
@@ -21,6 +22,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
+    /// Only calls for objects of this kind are affected; all calls if absent.
+    pub kind: Option<String>,
     /// Every connection is closed without an answer and nothing is written.
     pub down: bool,
     /// Calls never get an answer and nothing is written.
@@ -37,10 +40,17 @@
     pub stale_reads: bool,
 }
 
+impl Faults {
+    fn affects(&self, key: &Key) -> bool {
+        self.kind.as_ref().is_none_or(|k| *k == key.kind)
+    }
+}
+
 #[derive(Default)]
 struct State {
     store: MemoryStore,
     previous: BTreeMap<Key, Object>,
+    backup: MemoryStore,
     hosts: Vec<HostEntry>,
     faults: Faults,
     calls: BTreeMap<String, u64>,
@@ -103,6 +113,8 @@
             (&Method::POST, ["faults"]) => return self.set_faults(req).await,
             (&Method::GET, ["stats"]) => return Reply::json(&self.lock().calls),
             (&Method::PUT, ["hosts"]) => return self.set_hosts(req).await,
+            (&Method::POST, ["backup"]) => return self.back_up(),
+            (&Method::POST, ["restore"]) => return self.restore(),
             _ => {}
         }
         if let Some(reply) = self.fault(&req, &segments).await {
@@ -145,6 +157,32 @@
         }
     }
 
+    fn back_up(&self) -> Reply {
+        let mut state = self.lock();
+        state.backup = state.store.clone();
+        Reply::text(StatusCode::NO_CONTENT, "")
+    }
+
+    /// Puts back the values of the backup under new versions, since versions never repeat.
+    fn restore(&self) -> Reply {
+        {
+            let mut state = self.lock();
+            let (old, present) = (state.backup.list_all(), state.store.list_all());
+            for (key, object) in present {
+                // The versions were read under the same lock, so neither call can fail.
+                let _ = match old.iter().find(|(k, _)| *k == key) {
+                    Some((_, o)) => {
+                        let condition = Condition::Version(object.version);
+                        state.store.put(&key, o.value.clone(), condition).map(drop)
+                    }
+                    None => state.store.delete(&key, object.version),
+                };
+            }
+        }
+        self.changed.send_modify(|n| *n += 1);
+        Reply::text(StatusCode::NO_CONTENT, "")
+    }
+
     /// Counts the call and applies the faults that keep it from being carried out.
     async fn fault(&self, req: &Request<Incoming>, segments: &[&str]) -> Option<Reply> {
         let faults = {
@@ -154,6 +192,10 @@
             *state.calls.entry(format!("{} {api}/{kind}", req.method())).or_default() += 1;
             state.faults.clone()
         };
+        let kind = segments.get(2).copied().unwrap_or(segments.get(1).copied().unwrap_or(""));
+        if faults.kind.as_ref().is_some_and(|k| k != kind) {
+            return None;
+        }
         if faults.slow_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
         }
@@ -182,7 +224,8 @@
 
     fn read(&self, key: &Key) -> Reply {
         let state = self.lock();
-        let previous = state.faults.stale_reads.then(|| state.previous.get(key).cloned());
+        let stale = state.faults.stale_reads && state.faults.affects(key);
+        let previous = stale.then(|| state.previous.get(key).cloned());
         object_or_missing(previous.flatten().or_else(|| state.store.get(key)))
     }
 
@@ -190,6 +233,7 @@
         let after = query(req, "after").and_then(|v| v.parse().ok()).unwrap_or(0);
         let wait = query(req, "wait_ms").and_then(|v| v.parse().ok()).unwrap_or(1_000);
         if self.lock().faults.silent_watch {
+            // The connection stays open and silent.
             return Reply::Hang;
         }
         let mut changed = self.changed.subscribe();
@@ -224,7 +268,7 @@
                     if let Some(object) = previous {
                         state.previous.insert(key.clone(), object);
                     }
-                    if state.faults.lose_write_answers > 0 {
+                    if state.faults.lose_write_answers > 0 && state.faults.affects(key) {
                         state.faults.lose_write_answers -= 1;
                         Reply::Close
                     } else {
--- a/crates/geraniummuxd/tests/common/mod.rs
+++ b/crates/geraniummuxd/tests/common/mod.rs
@@ -273,6 +273,14 @@
         serde_json::from_slice(&answer.ok()?.body).ok()
     }
 
+    /// Waits until the host serves requests: a host that starts first asks its peers.
+    pub async fn await_serving(&self) {
+        eventually("readiness", || async {
+            (self.status().await?["serving"] == "yes").then_some(())
+        })
+        .await;
+    }
+
     /// Waits until the configuration generation in force is at least `generation`.
     pub async fn await_generation(&self, generation: u64) {
         eventually("adoption of the configuration", || async {
@@ -382,6 +390,7 @@
         let generation = self.hosts[0].apply("routes", routes).await;
         for host in &self.hosts {
             host.await_generation(generation).await;
+            host.await_serving().await;
         }
     }
 }
