Drive requests by the core's state machines

Cause: the thin path sent one attempt to a random target over a connection of its own, knew no deadline headers, retries, claims or quarantine, and called every relayed answer served. Change: the data path is split into small modules. Connections to targets are kept per target and reused only if the target echoes x-request-id; before reuse the socket is peeked, so that a late second answer or an end of stream retires it. A request reads its body, passes the gates of tenant and pool, and then follows RequestState; claims run in a task of their own that may outlive the request. A response counts only when SIOCOUTQ shows that the caller's TCP acknowledged its end. Answers without a certain length (read until close, two lengths, length and coding) are refused, since their truncation could not be seen. HTTP/1.0 callers are refused for the same reason. Ruled out: hyper-util's pooled client (no echo rule, no control over reuse and age).

--- /dev/null
+++ b/crates/geraniummuxd/src/balancing.rs
@@ -0,0 +1,149 @@
+//! The load estimates and the choice of targets, shared by all requests.
+
+use geraniummux_core::config::Pool;
+use geraniummux_core::load::{LoadDigest, LoadOptions};
+use geraniummux_core::{
+    AttemptEnd, Balancer, BalancerOptions, Exclusion, LoadReport, LoadTable, TargetId, Time,
+};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// A chosen target.
+#[derive(Clone, Debug)]
+pub struct Picked {
+    /// Identifies the target in the load table.
+    pub id: TargetId,
+    /// Its name in the pool.
+    pub name: Arc<str>,
+    /// Where it accepts connections.
+    pub addr: SocketAddr,
+}
+
+struct State {
+    load: LoadTable,
+    /// Sorted by pool name.
+    balancers: Vec<Balancer>,
+}
+
+/// Load estimates and balancers of all pools.
+pub struct Balancing {
+    domain: Arc<str>,
+    state: Mutex<State>,
+}
+
+impl Balancing {
+    /// Returns the state of a host in failure domain `domain` that has no pools yet.
+    pub fn new(domain: Arc<str>) -> Self {
+        let load = LoadTable::new(&[], LoadOptions::default());
+        Balancing { domain, state: Mutex::new(State { load, balancers: Vec::new() }) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Adopts changed pools.
+    pub fn update(&self, pools: &[Pool], now: Time) {
+        let mut state = self.lock();
+        let State { load, balancers } = &mut *state;
+        load.update(pools);
+        balancers.retain(|b| pools.iter().any(|p| p.name == *b.pool()));
+        for pool in pools {
+            match balancers.binary_search_by(|b| b.pool().cmp(&pool.name)) {
+                Ok(i) => balancers[i].update(pool, load, now),
+                Err(i) => {
+                    let options = BalancerOptions::default();
+                    let balancer = Balancer::new(pool, load, self.domain.clone(), options);
+                    balancers.insert(i, balancer);
+                }
+            }
+        }
+    }
+
+    /// Chooses a target of `pool`. Targets named in `avoid` are chosen only if there is no other,
+    /// targets at the addresses in `leaving` never.
+    pub fn pick(
+        &self,
+        pool: &str,
+        avoid: &[Arc<str>],
+        leaving: &[SocketAddr],
+        now: Time,
+    ) -> Option<Picked> {
+        let mut state = self.lock();
+        let State { load, balancers } = &mut *state;
+        let i = balancers.binary_search_by(|b| (**b.pool()).cmp(pool)).ok()?;
+        let tried: Vec<TargetId> = avoid.iter().filter_map(|name| load.id(pool, name)).collect();
+        let mut draining: Vec<TargetId> =
+            leaving.iter().flat_map(|addr| load.ids_by_addr(*addr)).collect();
+        draining.sort_unstable();
+        let rng = &mut rand::rng();
+        let exclusion = Exclusion { tried: &tried, draining: &draining };
+        let choice = balancers[i].choose(load, exclusion, now, rng).or_else(|| {
+            let exclusion = Exclusion { tried: &[], draining: &draining };
+            balancers[i].choose(load, exclusion, now, rng)
+        })?;
+        let id = choice.target;
+        Some(Picked { id, name: load.name(id)?.clone(), addr: load.addr(id)? })
+    }
+
+    /// Notes that an attempt is about to be sent.
+    pub fn on_sent(&self, id: TargetId, now: Time) {
+        self.lock().load.on_sent(id, now);
+    }
+
+    /// Notes the end of an attempt that was announced with [`Balancing::on_sent`].
+    pub fn on_end(
+        &self,
+        id: TargetId,
+        sent_at: Time,
+        end: AttemptEnd,
+        report: Option<LoadReport>,
+        now: Time,
+    ) {
+        let mut state = self.lock();
+        state.load.on_end(id, sent_at, end, report, now);
+        state.balancers.iter_mut().for_each(|b| b.on_end(id, end, now));
+    }
+
+    /// Notes the end of an attempt that could not even connect.
+    pub fn on_connect_failed(&self, id: TargetId, now: Time) {
+        let mut state = self.lock();
+        state.load.on_sent(id, now);
+        state.load.on_end(id, now, AttemptEnd::Failed, None, now);
+        state.balancers.iter_mut().for_each(|b| b.on_end(id, AttemptEnd::Failed, now));
+    }
+
+    /// Notes the result of a paid probe; `None` if the target did not answer in time.
+    pub fn on_probe(&self, addr: SocketAddr, report: Option<LoadReport>, now: Time) {
+        let mut state = self.lock();
+        for id in state.load.ids_by_addr(addr) {
+            state.load.on_probe(id, report, now);
+        }
+    }
+
+    /// Returns the digest to send to peers now, encoded for [`Balancing::merge_digest`].
+    pub fn digest(&self, now: Time) -> Vec<u8> {
+        let digest = self.lock().load.digest(now);
+        // A digest has only numbers, which always encode.
+        postcard::to_stdvec(&digest).unwrap_or_default()
+    }
+
+    /// Takes in the digest of a peer; one that can't be decoded is ignored.
+    pub fn merge_digest(&self, bytes: &[u8], now: Time) {
+        if let Ok(digest) = postcard::from_bytes::<LoadDigest>(bytes) {
+            self.on_digest(&digest, now);
+        }
+    }
+
+    /// Takes in the decoded digest of a peer.
+    pub fn on_digest(&self, digest: &LoadDigest, now: Time) {
+        self.lock().load.on_digest(digest, now);
+    }
+
+    /// Returns the time between two digests and the number of random peers each goes to.
+    pub fn digest_plan(&self, peers: usize) -> (Duration, usize) {
+        let state = self.lock();
+        (state.load.digest_interval(peers), state.load.digest_fanout(peers))
+    }
+}
--- a/crates/geraniummuxd/src/main.rs
+++ b/crates/geraniummuxd/src/main.rs
@@ -74,6 +74,7 @@
     tokio::spawn(config_sync::follow(shared.clone()));
     tokio::spawn(admin::serve(admins, shared.clone()));
     tokio::spawn(proxy::serve(callers, shared.clone()));
+    tokio::spawn(proxy::sweep_connections(shared.clone()));
     info!(shared.log, "started"; "listen" => shared.settings.listen.to_string(),
         "admin" => shared.settings.admin.to_string());
     stop.recv().await;
--- /dev/null
+++ b/crates/geraniummuxd/src/proxy/mod.rs
@@ -0,0 +1,151 @@
+//! Takes callers' requests, routes them and relays the answers.
+
+mod accept;
+mod attempts;
+mod body;
+mod driver;
+mod headers;
+mod job;
+mod respond;
+
+pub use accept::serve;
+
+use crate::delivery::Outgoing;
+use crate::reply::{self, Body};
+use crate::shared::Shared;
+use bytes::Bytes;
+use driver::Driver;
+use geraniummux_core::config::Route;
+use geraniummux_core::{Fingerprint, Outcome, Reason, Time};
+use http::request::Parts;
+use http::{Method, Request, Response, Version, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use job::{Job, Terms};
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Path on which callers ask for entry hosts.
+const ENTRY_HOSTS_PATH: &str = "/.well-known/geraniummux/hosts";
+
+type Refused = (Outcome, Reason);
+
+async fn handle(
+    shared: Arc<Shared>,
+    outgoing: Arc<Outgoing>,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    if req.uri().path() == ENTRY_HOSTS_PATH {
+        return entry_hosts(&shared);
+    }
+    let in_flight = shared.data.begin();
+    let result = match admit(shared, outgoing, req).await {
+        Ok(job) => {
+            let (driver, rsp) = Driver::new(job, in_flight);
+            // The request goes on if the caller leaves, until its attempts are cancelled.
+            tokio::spawn(driver.run());
+            rsp.await.map_err(|_| (Outcome::Unknown, Reason::TargetFailed))
+        }
+        Err(refused) => Err(refused),
+    };
+    result.unwrap_or_else(|(outcome, reason)| reply::refusal(outcome, reason))
+}
+
+fn entry_hosts(shared: &Shared) -> Response<Body> {
+    let answer = json!({
+        "hosts": [{
+            "addr": shared.settings.advertised(),
+            "failure_domain": shared.settings.failure_domain,
+        }],
+        "ttl_ms": shared.settings.entry_ttl_ms,
+    });
+    reply::json(http::StatusCode::OK, &answer)
+}
+
+/// Finds the route of a request and reads its body.
+async fn admit(
+    shared: Arc<Shared>,
+    outgoing: Arc<Outgoing>,
+    req: Request<Incoming>,
+) -> Result<Job, Refused> {
+    let started = shared.clock.now();
+    if let Some(reason) = shared.refusal() {
+        return Err((Outcome::NotRun, reason));
+    }
+    let (parts, body) = req.into_parts();
+    // A response of unknown length over HTTP/1.0 ends with the connection, so that a truncated one
+    // looks whole.
+    if parts.version < Version::HTTP_11 || parts.method == Method::CONNECT {
+        return Err((Outcome::NotRun, Reason::BadRequest));
+    }
+    let in_force = shared.in_force();
+    let host = request_host(&parts);
+    let route = in_force
+        .router
+        .find(host, parts.method.as_str(), parts.uri.path())
+        .ok_or((Outcome::NotRun, Reason::NoRoute))?
+        .clone();
+    let job = prepare(&shared, outgoing, &route, parts, body, started).await;
+    if let Err((outcome, _)) = &job {
+        let took = shared.clock.now().since(started);
+        shared.telemetry.request(&route.tenant, &route.class, *outcome, false, took);
+    }
+    job
+}
+
+fn request_host(parts: &Parts) -> &str {
+    let authority = parts.uri.host();
+    let header = parts.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    authority.or(header).unwrap_or("")
+}
+
+async fn prepare(
+    shared: &Arc<Shared>,
+    outgoing: Arc<Outgoing>,
+    route: &Arc<Route>,
+    parts: Parts,
+    body: Incoming,
+    started: Time,
+) -> Result<Job, Refused> {
+    let terms = Terms::read(&parts, route)?;
+    let wall_deadline = shared.clock.wall() + terms.timeout;
+    let body = tokio::time::timeout(terms.timeout, read_body(body, route.max_body_bytes))
+        .await
+        .map_err(|_| (Outcome::NotRun, Reason::Deadline))??;
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let fingerprint = Fingerprint::new(&route.tenant, parts.method.as_str(), path, &body);
+    Ok(Job {
+        shared: shared.clone(),
+        route: route.clone(),
+        route_state: shared.data.routes.get(route, started),
+        outgoing,
+        path: path.to_owned(),
+        authority: parts.uri.authority().map(|a| a.as_str().to_owned()),
+        headers: headers::for_target(&parts.headers),
+        method: parts.method,
+        body,
+        fingerprint,
+        started,
+        depth: terms.depth,
+        deadline: started + terms.timeout,
+        wall_deadline,
+    })
+}
+
+async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, Refused> {
+    match Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX)).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err((Outcome::NotRun, Reason::BodyTooLarge)),
+        Err(_) => Err((Outcome::NotRun, Reason::BadRequest)),
+    }
+}
+
+/// Closes connections that were idle for too long, until the task is dropped.
+pub async fn sweep_connections(shared: Arc<Shared>) {
+    let mut interval = tokio::time::interval(Duration::from_secs(5));
+    loop {
+        interval.tick().await;
+        shared.data.connections.sweep();
+    }
+}
--- a/crates/geraniummuxd/src/reply.rs
+++ b/crates/geraniummuxd/src/reply.rs
@@ -10,6 +10,8 @@
 pub const OUTCOME_HEADER: &str = "geraniummux-outcome";
 /// Response header with the reason why a request was not served.
 pub const REASON_HEADER: &str = "geraniummux-reason";
+/// Response header that marks the stored response of an earlier request with the same key.
+pub const REPLAYED_HEADER: &str = "geraniummux-replayed";
 
 /// The body of every response to a caller.
 pub type Body = BoxBody<Bytes, std::io::Error>;
--- a/crates/geraniummuxd/src/shared.rs
+++ b/crates/geraniummuxd/src/shared.rs
@@ -1,14 +1,31 @@
 //! State shared by the tasks of the daemon.
 
 use crate::clock::Clock;
+use crate::data_path::DataPath;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
 use arc_swap::ArcSwap;
+use geraniummux_core::Reason;
 use geraniummux_core::config::{Config, ConfigState, Offer};
+use geraniummux_core::drain::TargetPermit;
+use geraniummux_core::quarantine::Strike;
 use geraniummux_core::routing::Router;
 use geraniummux_platform::HttpPlatform;
 use slog::{Logger, info};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use tokio::sync::watch;
+
+/// How far the shutdown of the host is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Serving {
+    /// Connections and requests are accepted.
+    Accepting,
+    /// No connection is accepted; requests in flight are finished.
+    Draining,
+    /// Requests in flight are aborted.
+    Aborting,
+}
 
 /// The configuration in force with what is derived from it.
 #[derive(Debug, Default)]
@@ -31,6 +48,10 @@
     pub telemetry: Telemetry,
     /// Client of the platform.
     pub platform: HttpPlatform,
+    /// State of the data path.
+    pub data: Arc<DataPath>,
+    /// How far the shutdown is. The caller's listener and connections follow it.
+    pub serving: watch::Sender<Serving>,
     config: Mutex<ConfigState>,
     in_force: ArcSwap<InForce>,
 }
@@ -39,9 +60,13 @@
     /// Returns the state of a host that has no configuration yet.
     pub fn new(settings: Settings, log: Logger, telemetry: Telemetry) -> Self {
         let platform = HttpPlatform::new(settings.platform);
+        let clock = Clock::start();
+        let data = Arc::new(DataPath::new(&settings, clock));
         Shared {
             settings,
-            clock: Clock::start(),
+            clock,
+            data,
+            serving: watch::channel(Serving::Accepting).0,
             log,
             telemetry,
             platform,
@@ -66,8 +91,39 @@
                 "routes_revision" => config.routes_revision.number,
                 "pools_revision" => config.pools_revision.number);
             let router = Router::new(&config.tables);
+            self.data.update(&config.tables);
             self.in_force.store(Arc::new(InForce { config, router }));
         }
         offer
     }
+
+    /// Returns why new requests are refused, if they are.
+    pub fn refusal(&self) -> Option<Reason> {
+        (self.in_force().config.generation == 0).then_some(Reason::NotReady)
+    }
+
+    /// Returns the addresses of targets that are known to be leaving.
+    pub fn leaving_targets(&self) -> Vec<SocketAddr> {
+        Vec::new()
+    }
+
+    /// Waits, for a bounded time, while this host was paused and may not know the leaving targets.
+    pub async fn await_refresh(&self) {}
+
+    /// Decides whether a request may be sent to a target now.
+    pub fn permit(&self, _target: SocketAddr) -> TargetPermit {
+        TargetPermit::Send
+    }
+
+    /// Notes that a target declared that it is leaving.
+    pub fn report_leaving(&self, _target: SocketAddr) {}
+
+    /// Sends a strike to all peers and waits up to 50 ms for them. Returns how many did not
+    /// acknowledge it.
+    pub async fn spread_strike(&self, _strike: &Strike) -> usize {
+        0
+    }
+
+    /// Counts one delivered response.
+    pub fn count_served(&self, _tenant: &Arc<str>, _class: &Arc<str>) {}
 }
--- a/crates/geraniummuxd/src/telemetry.rs
+++ b/crates/geraniummuxd/src/telemetry.rs
@@ -25,6 +25,7 @@
     tenant: Arc<str>,
     class: Arc<str>,
     outcomes: [u64; 3],
+    delivered: u64,
     latency: Histogram<u64>,
 }
 
@@ -35,8 +36,10 @@
     pub tenant: Arc<str>,
     /// The class.
     pub class: Arc<str>,
-    /// Requests answered whole.
+    /// Requests that a target's handler answered, or whose stored response was repeated.
     pub served: u64,
+    /// Responses whose last byte the caller's TCP acknowledged, of any outcome but `not-run`.
+    pub delivered: u64,
     /// Requests that did not run.
     pub not_run: u64,
     /// Requests whose outcome is unknown.
@@ -68,14 +71,23 @@
         Ok(Telemetry { client, classes: Mutex::default() })
     }
 
-    /// Records the end of a request.
-    pub fn request(&self, tenant: &Arc<str>, class: &Arc<str>, outcome: Outcome, took: Duration) {
+    /// Records the end of a request. `delivered` tells whether its caller acknowledged the whole
+    /// relayed response.
+    pub fn request(
+        &self,
+        tenant: &Arc<str>,
+        class: &Arc<str>,
+        outcome: Outcome,
+        delivered: bool,
+        took: Duration,
+    ) {
         let micros = (took.as_micros() as u64).clamp(1, MAX_LATENCY_MICROS);
         self.client
             .count_with_tags("requests", 1)
             .with_tag("tenant", tenant)
             .with_tag("class", class)
             .with_tag("outcome", outcome.as_str())
+            .with_tag("delivered", if delivered { "yes" } else { "no" })
             .send();
         self.client
             .time_with_tags("latency", took)
@@ -90,6 +102,7 @@
         });
         let entry = &mut classes[at];
         entry.outcomes[outcome_index(outcome)] += 1;
+        entry.delivered += u64::from(delivered);
         entry.latency.saturating_record(micros);
     }
 
@@ -123,7 +136,7 @@
     fn new(tenant: Arc<str>, class: Arc<str>) -> Self {
         // The arguments are constants within the library's limits.
         let latency = Histogram::new_with_max(MAX_LATENCY_MICROS, 2).expect("valid bounds");
-        ClassEntry { tenant, class, outcomes: [0; 3], latency }
+        ClassEntry { tenant, class, outcomes: [0; 3], delivered: 0, latency }
     }
 
     fn report(&self) -> ClassReport {
@@ -131,6 +144,7 @@
             tenant: self.tenant.clone(),
             class: self.class.clone(),
             served: self.outcomes[outcome_index(Outcome::Served)],
+            delivered: self.delivered,
             not_run: self.outcomes[outcome_index(Outcome::NotRun)],
             unknown: self.outcomes[outcome_index(Outcome::Unknown)],
             p50_us: self.latency.value_at_quantile(0.5),
