--- a/crates/geraniummux-core/src/drain.rs
+++ b/crates/geraniummux-core/src/drain.rs
@@ -136,6 +136,11 @@
         self.entries.iter().map(|e| notice(now, e)).collect()
     }
 
+    /// Returns the addresses of the targets that are leaving.
+    pub fn leaving(&self, now: Time) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.target).filter(|t| self.is_leaving(now, *t)).collect()
+    }
+
     /// Handles a sign that a target is leaving: a response header, a refusal, a probe, the host
     /// list or a table. May be called for every such sign.
     pub fn report<R>(
--- a/crates/geraniummuxd/src/hooks.rs
+++ b/crates/geraniummuxd/src/hooks.rs
@@ -1,14 +1,27 @@
 //! What the data path does with messages of peers.
 
 use crate::shared::Shared;
-use geraniummux_wire::{ProbeResult, Strike};
+use geraniummux_core::quarantine::Strike as CoreStrike;
+use geraniummux_core::{Fingerprint, LoadReport, Time};
+use geraniummux_wire::{ProbeResult, ProbedState, Strike};
+use serde_json::json;
 use std::sync::Arc;
 
 /// Takes in the load digest of a peer.
-pub fn digest(_shared: &Shared, _bytes: &[u8]) {}
+pub fn digest(shared: &Shared, bytes: &[u8]) {
+    shared.data.balancing.merge_digest(bytes, shared.clock.now());
+}
 
-/// Takes in a strike of a peer, before it is acknowledged.
-pub fn strike(_shared: &Shared, _from: &Arc<str>, _strike: &Strike) {}
+/// Takes in a strike of a peer, before it is acknowledged. A restarted peer numbers its strikes
+/// anew, so its incarnation is part of the origin.
+pub fn strike(shared: &Shared, from: &Arc<str>, incarnation: u64, strike: &Strike) {
+    shared.data.merge_strike(&CoreStrike {
+        origin: format!("{from}/{incarnation}").into(),
+        seq: strike.id,
+        fingerprint: Fingerprint::from(strike.fingerprint),
+        target: strike.target.to_string().into(),
+    });
+}
 
 /// Returns the quarantined requests for a peer that starts or resumes.
 pub fn quarantine(_shared: &Shared) -> Vec<u8> {
@@ -19,14 +32,22 @@
 pub fn merge_quarantine(_shared: &Shared, _bytes: &[u8]) {}
 
 /// Takes in the result of a paid probe, of this host or of a peer.
-pub fn probe(_shared: &Shared, _pool: &str, _result: &ProbeResult) {}
+pub fn probe(shared: &Shared, _pool: &str, result: &ProbeResult) {
+    let report = match result.state {
+        ProbedState::Ready => {
+            Some(LoadReport { in_flight: result.in_flight, queued: result.queued })
+        }
+        _ => None,
+    };
+    shared.data.balancing.on_probe(result.target, report, shared.clock.now());
+}
 
 /// Returns the load of a target as this host estimates it.
-pub fn load(
-    _shared: &Shared,
-    _pool: &str,
-    _target: &str,
-    _now: geraniummux_core::Time,
-) -> Option<serde_json::Value> {
-    None
+pub fn load(shared: &Shared, pool: &str, target: &str, now: Time) -> Option<serde_json::Value> {
+    let (estimate, in_flight) = shared.data.balancing.estimate(pool, target, now)?;
+    Some(json!({
+        "outstanding": estimate.outstanding,
+        "latency_ms": estimate.latency_ms,
+        "own_in_flight": in_flight,
+    }))
 }
--- a/crates/geraniummuxd/src/lib.rs
+++ b/crates/geraniummuxd/src/lib.rs
@@ -2,11 +2,17 @@
 
 pub mod actions;
 pub mod admin;
+pub mod balancing;
 pub mod claim_retention;
+pub mod claims;
 pub mod clock;
 pub mod config_sync;
 pub mod control;
+pub mod data_path;
+pub mod delivery;
+pub mod digests;
 pub mod entry;
+pub mod gate;
 pub mod hooks;
 pub mod host_list;
 pub mod leases;
@@ -17,8 +23,10 @@
 pub mod probes;
 pub mod proxy;
 pub mod reply;
+pub mod routes;
 pub mod settings;
 pub mod shared;
+pub mod socket;
 pub mod status;
 pub mod telemetry;
 pub mod timers;
--- a/crates/geraniummuxd/src/shared.rs
+++ b/crates/geraniummuxd/src/shared.rs
@@ -1,15 +1,22 @@
 //! State shared by the tasks of the daemon.
 
+use crate::actions;
 use crate::clock::Clock;
-use crate::control::Control;
+use crate::control::{self, Control};
+use crate::data_path::DataPath;
+use crate::peer_messages;
 use crate::platform_calls::CountedPlatform;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
 use arc_swap::ArcSwap;
+use geraniummux_core::Reason;
 use geraniummux_core::config::{Config, ConfigState, Offer};
+use geraniummux_core::drain::TargetPermit;
+use geraniummux_core::quarantine::Strike;
 use geraniummux_core::routing::Router;
 use geraniummux_platform::HttpPlatform;
 use slog::{Logger, info};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 /// The configuration in force with what is derived from it.
@@ -35,6 +42,8 @@
     pub platform: CountedPlatform,
     /// Membership, configuration, leaving targets, usage and shutdown.
     pub control: Arc<Control>,
+    /// State of the data path.
+    pub data: Arc<DataPath>,
     config: Mutex<ConfigState>,
     in_force: ArcSwap<InForce>,
 }
@@ -45,6 +54,7 @@
         let platform = CountedPlatform::new(HttpPlatform::new(settings.platform));
         let clock = Clock::start();
         let control = Arc::new(Control::new(&settings, &clock));
+        let data = Arc::new(DataPath::new(&settings, clock));
         Shared {
             settings,
             clock,
@@ -52,6 +62,7 @@
             telemetry,
             platform,
             control,
+            data,
             config: Mutex::default(),
             in_force: ArcSwap::default(),
         }
@@ -73,8 +84,60 @@
                 "routes_revision" => config.routes_revision.number,
                 "pools_revision" => config.pools_revision.number);
             let router = Router::new(&config.tables);
+            self.data.update(&config.tables);
             self.in_force.store(Arc::new(InForce { config, router }));
         }
         offer
     }
+
+    /// Returns the addresses of targets that are known to be leaving.
+    pub fn leaving_targets(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let in_force = self.in_force();
+        let tables = &in_force.config.tables;
+        let mut leaving = self.control.lock().drain.leaving(now);
+        let edited = tables.pools.iter().flat_map(|p| &p.targets).filter(|t| t.leaving);
+        leaving.extend(edited.map(|t| t.addr));
+        leaving
+    }
+
+    /// Waits, for a bounded time, while this host was paused and may not know the present
+    /// configuration and the leaving targets.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request can't be sent under the configuration in force.
+    pub async fn await_refresh(&self) -> Result<(), Reason> {
+        control::fresh(self).await.map(drop)
+    }
+
+    /// Decides whether a request may be sent to a target now.
+    pub fn permit(&self, target: SocketAddr) -> TargetPermit {
+        self.control.lock().drain.permit(self.clock.now(), target)
+    }
+
+    /// Notes that a target declared that it is leaving.
+    pub fn report_leaving(self: &Arc<Self>, target: SocketAddr) {
+        actions::report_draining(self, target);
+    }
+
+    /// Sends a strike to all peers and waits up to 50 ms for them. Returns how many did not
+    /// acknowledge it.
+    pub async fn spread_strike(&self, strike: &Strike) -> usize {
+        let Ok(target) = strike.target.parse() else { return 0 };
+        let strike = geraniummux_wire::Strike {
+            // Set when it is sent.
+            id: 0,
+            fingerprint: strike.fingerprint.into(),
+            target,
+            age_ms: 0,
+            retracted: false,
+        };
+        peer_messages::broadcast_strike(self, strike).await
+    }
+
+    /// Counts one delivered response.
+    pub fn count_served(&self, tenant: &Arc<str>, class: &Arc<str>) {
+        self.control.count(&self.clock, tenant, class);
+    }
 }
