--- a/crates/geraniummux-core/src/quarantine.rs
+++ b/crates/geraniummux-core/src/quarantine.rs
@@ -42,6 +42,18 @@
     }
 }
 
+impl From<Fingerprint> for u128 {
+    fn from(fingerprint: Fingerprint) -> u128 {
+        u128::from(fingerprint.tenant) << 64 | u128::from(fingerprint.request)
+    }
+}
+
+impl From<u128> for Fingerprint {
+    fn from(bits: u128) -> Self {
+        Fingerprint { tenant: (bits >> 64) as u64, request: bits as u64 }
+    }
+}
+
 /// One broken connection, as sent to peers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Strike {
--- /dev/null
+++ b/crates/geraniummuxd/src/shared.rs
@@ -0,0 +1,143 @@
+//! State shared by the tasks of the daemon.
+
+use crate::actions;
+use crate::clock::Clock;
+use crate::control::{self, Control};
+use crate::data_path::DataPath;
+use crate::peer_messages;
+use crate::platform_calls::CountedPlatform;
+use crate::settings::Settings;
+use crate::telemetry::Telemetry;
+use arc_swap::ArcSwap;
+use geraniummux_core::Reason;
+use geraniummux_core::config::{Config, ConfigState, Offer};
+use geraniummux_core::drain::TargetPermit;
+use geraniummux_core::quarantine::Strike;
+use geraniummux_core::routing::Router;
+use geraniummux_platform::HttpPlatform;
+use slog::{Logger, info};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+/// The configuration in force with what is derived from it.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// The configuration; generation 0 means that none is in force yet.
+    pub config: Arc<Config>,
+    /// Its routes.
+    pub router: Router,
+}
+
+/// State shared by the tasks of the daemon.
+pub struct Shared {
+    /// Settings of this host.
+    pub settings: Settings,
+    /// The clocks.
+    pub clock: Clock,
+    /// The root logger.
+    pub log: Logger,
+    /// Metrics and histograms.
+    pub telemetry: Telemetry,
+    /// Client of the platform.
+    pub platform: CountedPlatform,
+    /// Membership, configuration, leaving targets, usage and shutdown.
+    pub control: Arc<Control>,
+    /// State of the data path.
+    pub data: Arc<DataPath>,
+    config: Mutex<ConfigState>,
+    in_force: ArcSwap<InForce>,
+}
+
+impl Shared {
+    /// Returns the state of a host that has no configuration yet.
+    pub fn new(settings: Settings, log: Logger, telemetry: Telemetry) -> Self {
+        let platform = CountedPlatform::new(HttpPlatform::new(settings.platform));
+        let clock = Clock::start();
+        let control = Arc::new(Control::new(&settings, &clock));
+        let data = Arc::new(DataPath::new(&settings, clock));
+        Shared {
+            settings,
+            clock,
+            log,
+            telemetry,
+            platform,
+            control,
+            data,
+            config: Mutex::default(),
+            in_force: ArcSwap::default(),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn in_force(&self) -> Arc<InForce> {
+        self.in_force.load_full()
+    }
+
+    /// Puts a configuration in force if it is newer than the present one.
+    pub fn offer(&self, config: Arc<Config>) -> Offer {
+        // The lock is held over the swap, so that two offers can't be swapped in the wrong order.
+        let mut state = self.config.lock().unwrap_or_else(|e| e.into_inner());
+        let offer = state.offer(config);
+        if offer == Offer::Adopted {
+            let config = state.current().clone();
+            info!(self.log, "config_adopted"; "generation" => config.generation,
+                "routes_revision" => config.routes_revision.number,
+                "pools_revision" => config.pools_revision.number);
+            let router = Router::new(&config.tables);
+            self.data.update(&config.tables);
+            self.in_force.store(Arc::new(InForce { config, router }));
+        }
+        offer
+    }
+
+    /// Returns the addresses of targets that are known to be leaving.
+    pub fn leaving_targets(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let in_force = self.in_force();
+        let tables = &in_force.config.tables;
+        let mut leaving = self.control.lock().drain.leaving(now);
+        let edited = tables.pools.iter().flat_map(|p| &p.targets).filter(|t| t.leaving);
+        leaving.extend(edited.map(|t| t.addr));
+        leaving
+    }
+
+    /// Waits, for a bounded time, while this host was paused and may not know the present
+    /// configuration and the leaving targets.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request can't be sent under the configuration in force.
+    pub async fn await_refresh(&self) -> Result<(), Reason> {
+        control::fresh(self).await.map(drop)
+    }
+
+    /// Decides whether a request may be sent to a target now.
+    pub fn permit(&self, target: SocketAddr) -> TargetPermit {
+        self.control.lock().drain.permit(self.clock.now(), target)
+    }
+
+    /// Notes that a target declared that it is leaving.
+    pub fn report_leaving(self: &Arc<Self>, target: SocketAddr) {
+        actions::report_draining(self, target);
+    }
+
+    /// Sends a strike to all peers and waits up to 50 ms for them. Returns how many did not
+    /// acknowledge it.
+    pub async fn spread_strike(&self, strike: &Strike) -> usize {
+        let Ok(target) = strike.target.parse() else { return 0 };
+        let strike = geraniummux_wire::Strike {
+            // Set when it is sent.
+            id: 0,
+            fingerprint: strike.fingerprint.into(),
+            target,
+            age_ms: 0,
+            retracted: false,
+        };
+        peer_messages::broadcast_strike(self, strike).await
+    }
+
+    /// Counts one delivered response.
+    pub fn count_served(&self, tenant: &Arc<str>, class: &Arc<str>) {
+        self.control.count(&self.clock, tenant, class);
+    }
+}
