Let Quarantine::is_empty cover strikes, and take the time in answered

Cause: the daemon skips answered() while is_empty() holds.

Change: is_empty() covers strikes; answered() takes the time again, as the daemon calls it, and drops old strikes.

Measured: cargo test -p geraniummux-core passes.

Conclusion: daemon and module agree.

--- a/crates/geraniummux-core/src/quarantine.rs
+++ b/crates/geraniummux-core/src/quarantine.rs
@@ -177,9 +177,7 @@
 
     /// Records a strike, of this host or of a peer. Merging a strike again changes nothing.
     pub fn merge(&mut self, now: Time, strike: &Strike) {
-        while self.recent.front().is_some_and(|r| now.since(r.at) > self.options.window) {
-            self.recent.pop_front();
-        }
+        self.expire(now);
         let known = |r: &Recent| r.strike.seq == strike.seq && r.strike.origin == strike.origin;
         if self.recent.iter().any(known) {
             return;
@@ -199,7 +197,8 @@
     /// each target that runs it.
     ///
     /// Returns whether there was anything to clear. The peers are then told, and call this as well.
-    pub fn answered(&mut self, fingerprint: Fingerprint) -> bool {
+    pub fn answered(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.expire(now);
         let mut cleared = false;
         for recent in &mut self.recent {
             if recent.strike.fingerprint == fingerprint && !recent.cleared {
@@ -224,9 +223,9 @@
         self.recent.len()
     }
 
-    /// Returns whether no fingerprint is remembered.
+    /// Returns whether no fingerprint and no strike is remembered.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.entries.is_empty() && self.recent.is_empty()
     }
 
     /// Returns the fingerprints that are blocked, with the end of their blocks.
@@ -235,6 +234,12 @@
         blocked.map(|e| (e.fingerprint, e.blocked_until)).collect()
     }
 
+    fn expire(&mut self, now: Time) {
+        while self.recent.front().is_some_and(|r| now.since(r.at) > self.options.window) {
+            self.recent.pop_front();
+        }
+    }
+
     fn blocks(&self, now: Time, entry: &Entry) -> bool {
         now < entry.blocked_until && !entry.is_lifted(now, self.options.settle)
     }
--- a/crates/geraniummux-core/tests/quarantine.rs
+++ b/crates/geraniummux-core/tests/quarantine.rs
@@ -152,7 +152,7 @@
             Ev::Finish { req, attempt } => self.finish(req, attempt),
             Ev::Strike { host, strike } => self.merge(host, strike),
             Ev::Answered { host, fingerprint } => {
-                self.hosts[host].answered(fingerprint);
+                self.hosts[host].answered(Time::from_micros(self.now), fingerprint);
             }
             Ev::Break { target } => self.crash(target),
             Ev::Up { target } => self.up[target] = true,
@@ -202,7 +202,8 @@
         self.running[target].retain(|r| *r != req);
         self.reqs[req].target = None;
         self.reqs[req].ended = Some(self.now);
-        if self.hosts[host].answered(fingerprint) && self.scenario.mode == Mode::Full {
+        let now = Time::from_micros(self.now);
+        if self.hosts[host].answered(now, fingerprint) && self.scenario.mode == Mode::Full {
             for peer in (0..HOSTS).filter(|p| *p != host) {
                 let delay = self.rng.random_range(MS..PEER_DELAY);
                 self.at(self.now + delay, Ev::Answered { host: peer, fingerprint });
@@ -359,7 +360,7 @@
     let mut q = quarantine();
     let names: Vec<Arc<str>> = (0..20).map(|n| format!("t{n}").into()).collect();
     q.strike(seconds(0), POISON, &names[0]);
-    assert!(!q.is_blocked(seconds(0), POISON));
+    assert!(!q.is_blocked(seconds(0), POISON) && !q.is_empty());
     q.strike(seconds(10), POISON, &names[1]);
     let mut now = seconds(10);
     // The caller repeats for two hours; each block is followed by one strike.
