drain, entry: hold at the start, expiry without instants before the clock's origin; proofs

Change: TargetDrain starts with a hold of at most 2 s until a peer has told it of leaving targets, and keeps when an entry expires instead of when it was reported. A received notice counts as the sender's acknowledgement and delays the own next refresh. The age of a peer's knowledge of the configuration is ignored if it is older than the clock.

Tests: tests/drain.rs of geraniummux-wire checks every 10 ms, and at each resume before anything else runs, that no host would send to a target that left more than 3 s ago, with pauses of 0.9 to 20 s, the first reporter killed after 10 ms, restarts, and 2 to 10% loss. tests/drain.rs and tests/entry.rs of geraniummux-core check one host, the phases of a shutdown, and entry answers.

Seen red on the naive way: each notice sent once, no relay by receivers, no hold, a hold that starts only with the timer, no hold at the start, notices without age, a notice for each report, acknowledgements ignored, requests cut off at shutdown, a fixed order of entry hosts.

Ruled out: telling only some peers directly and leaving the rest to relays. It would cost less at 100 hosts, but each peer would be missed with a probability of about e^-6 per notice.

A host that is cut off from all peers learns of a leaving target only from the target itself.

--- a/crates/geraniummux-core/src/drain.rs
+++ b/crates/geraniummux-core/src/drain.rs
@@ -21,6 +21,8 @@
 /// Peers that a host passes a notice on to when it first hears of it, in case that the first
 /// reporter dies before it has told everyone.
 pub const RELAY_FANOUT: usize = 6;
+/// Pause before other peers are asked for their notices after a start or pause.
+pub const REFRESH_RETRY: Duration = Duration::from_millis(150);
 /// Most leaving targets that a host keeps. It bounds memory.
 pub const MAX_LEAVING: usize = 4_096;
 
@@ -64,7 +66,7 @@
     Leaving(SocketAddr),
     /// No report came for [`LEAVING_TTL`]: the target may be chosen again.
     Expired(SocketAddr),
-    /// This host was paused. Ask these peers for their notices at once (see
+    /// This host starts or was paused. Ask these peers for their notices at once (see
     /// [`TargetDrain::notices`]) and pass the answers to [`TargetDrain::refreshed`].
     Refresh {
         /// The peers; one answer is enough.
@@ -79,7 +81,7 @@
     Send,
     /// The target is leaving.
     Leaving,
-    /// The host was paused and may not know about leaving targets: ask again.
+    /// The host starts or was paused and may not know about leaving targets: ask again.
     Hold,
 }
 
@@ -93,8 +95,9 @@
 #[derive(Clone, Debug)]
 struct Entry {
     target: SocketAddr,
-    /// When the target was last reported, on this host's clock.
-    reported: Time,
+    /// When it expires, on this host's clock. An instant of the last report could lie before the
+    /// clock's origin.
+    expires: Time,
     /// The report that was last passed on.
     passed_on: Time,
     /// Peers that have not acknowledged it.
@@ -107,12 +110,14 @@
     /// Sorted by address.
     entries: Vec<Entry>,
     gate: PauseGate,
+    next_refresh: Time,
 }
 
 impl TargetDrain {
-    /// Returns the state of a starting host.
+    /// Returns the state of a starting host. It holds requests until a peer has told it of leaving
+    /// targets, or for [`START_HOLD`](crate::pause::START_HOLD) if no peer does.
     pub fn new(now: Time) -> Self {
-        TargetDrain { entries: Vec::new(), gate: PauseGate::new(now) }
+        TargetDrain { entries: Vec::new(), gate: PauseGate::starting(now), next_refresh: now }
     }
 
     /// Decides whether a request may be sent to a target now.
@@ -128,7 +133,7 @@
 
     /// Returns whether a target is known to be leaving.
     pub fn is_leaving(&self, now: Time, target: SocketAddr) -> bool {
-        self.find(target).is_ok_and(|i| now.since(self.entries[i].reported) < LEAVING_TTL)
+        self.find(target).is_ok_and(|i| now < self.entries[i].expires)
     }
 
     /// Returns all known notices, for a peer that starts or resumes.
@@ -149,7 +154,9 @@
         R: Rng + ?Sized,
     {
         let mut out = Vec::new();
-        let Some((i, new)) = self.record(now, target, now, &mut out) else { return out };
+        let Some((i, new)) = self.record(now, target, now + LEAVING_TTL, &mut out) else {
+            return out;
+        };
         if new || now.since(self.entries[i].passed_on) >= REFRESH_INTERVAL {
             self.pass_on(now, i, usize::MAX, members, rng, &mut out);
         }
@@ -170,10 +177,16 @@
     {
         let ack = LeavingAck { target: notice.target, age_ms: notice.age_ms };
         let mut out = vec![DrainAction::Acknowledge { to: from, ack }];
-        if let Some(reported) = reported_at(now, &notice)
-            && let Some((i, true)) = self.record(now, notice.target, reported, &mut out)
+        if let Some(expires) = expires_at(now, &notice)
+            && let Some((i, new)) = self.record(now, notice.target, expires, &mut out)
         {
-            self.pass_on(now, i, RELAY_FANOUT, members, rng, &mut out);
+            if new {
+                self.pass_on(now, i, RELAY_FANOUT, members, rng, &mut out);
+            }
+            let e = &mut self.entries[i];
+            // The sender knows, and while it passes fresh reports on this host need not.
+            e.open.retain(|n| members.peer(&n.to).is_none_or(|m| m.addr != from));
+            e.passed_on = now;
         }
         out
     }
@@ -189,8 +202,8 @@
     pub fn merge(&mut self, now: Time, notices: Vec<LeavingNotice>) -> Vec<DrainAction> {
         let mut out = Vec::new();
         for n in notices {
-            if let Some(reported) = reported_at(now, &n) {
-                self.record(now, n.target, reported, &mut out);
+            if let Some(expires) = expires_at(now, &n) {
+                self.record(now, n.target, expires, &mut out);
             }
         }
         out
@@ -215,13 +228,19 @@
     {
         let mut out = Vec::new();
         if self.gate.beat(now).is_some() {
+            self.next_refresh = now;
+        }
+        if self.gate.waits(now) && now >= self.next_refresh {
             let mut peers: Vec<SocketAddr> = members.live_peers().map(|m| m.addr).collect();
-            peers.shuffle(rng);
-            peers.truncate(3);
-            out.push(DrainAction::Refresh { peers });
+            if !peers.is_empty() {
+                peers.shuffle(rng);
+                peers.truncate(3);
+                self.next_refresh = now + REFRESH_RETRY;
+                out.push(DrainAction::Refresh { peers });
+            }
         }
         self.entries.retain(|e| {
-            let keep = now.since(e.reported) < LEAVING_TTL;
+            let keep = now < e.expires;
             if !keep {
                 out.push(DrainAction::Expired(e.target));
             }
@@ -242,20 +261,20 @@
         &mut self,
         now: Time,
         target: SocketAddr,
-        reported: Time,
+        expires: Time,
         out: &mut Vec<DrainAction>,
     ) -> Option<(usize, bool)> {
         match self.find(target) {
             Ok(i) => {
                 let e = &mut self.entries[i];
                 // An entry that expired since the last tick is new again.
-                let expired = now.since(e.reported) >= LEAVING_TTL;
-                e.reported = e.reported.max(reported);
+                let expired = now >= e.expires;
+                e.expires = e.expires.max(expires);
                 Some((i, expired))
             }
             Err(_) if self.entries.len() >= MAX_LEAVING => None,
             Err(i) => {
-                let e = Entry { target, reported, passed_on: Time::ZERO, open: Vec::new() };
+                let e = Entry { target, expires, passed_on: now, open: Vec::new() };
                 self.entries.insert(i, e);
                 out.push(DrainAction::Leaving(target));
                 Some((i, true))
@@ -302,14 +321,15 @@
 }
 
 fn notice(now: Time, e: &Entry) -> LeavingNotice {
-    let age_ms = u32::try_from(now.since(e.reported).as_millis()).unwrap_or(u32::MAX);
-    LeavingNotice { target: e.target, age_ms }
+    let age = LEAVING_TTL.saturating_sub(e.expires.since(now));
+    // The age is rounded up, so that passing a notice on never lengthens its life.
+    LeavingNotice { target: e.target, age_ms: age.as_micros().div_ceil(1_000) as u32 }
 }
 
-/// Returns when a notice's report was made, or `None` if it has expired.
-fn reported_at(now: Time, notice: &LeavingNotice) -> Option<Time> {
-    let age = Duration::from_millis(u64::from(notice.age_ms));
-    (age < LEAVING_TTL).then(|| now - age)
+/// Returns when a notice expires, or `None` if it already has.
+fn expires_at(now: Time, notice: &LeavingNotice) -> Option<Time> {
+    let left = LEAVING_TTL.checked_sub(Duration::from_millis(u64::from(notice.age_ms)))?;
+    (!left.is_zero()).then(|| now + left)
 }
 
 /// Time after the announcement for which a leaving host still accepts requests: the ttl of answers
--- a/crates/geraniummux-core/src/membership.rs
+++ b/crates/geraniummux-core/src/membership.rs
@@ -704,9 +704,11 @@
         }
         let probe = self.probes.swap_remove(i);
         self.contact = self.contact.max(Some(probe.sent));
-        if let Some(age) = config_age_ms {
-            let known = probe.sent - Duration::from_millis(u64::from(age));
-            self.config_known = self.config_known.max(Some(known));
+        // An age from before the clock's origin is of no use, and the clock can't express it.
+        if let Some(age) = config_age_ms.map(|a| Duration::from_millis(u64::from(a)))
+            && probe.sent.since(Time::ZERO) > age
+        {
+            self.config_known = self.config_known.max(Some(probe.sent - age));
         }
     }
 
--- a/crates/geraniummux-core/src/pause.rs
+++ b/crates/geraniummux-core/src/pause.rs
@@ -7,21 +7,32 @@
 pub const PAUSE: Duration = Duration::from_secs(1);
 /// Longest time for which a resumed host holds requests while it refreshes its state.
 pub const RESUME_HOLD: Duration = Duration::from_millis(300);
+/// Longest time for which a starting host holds requests while it gets its state. It is longer,
+/// because the host first has to find its peers, which may be in another region.
+pub const START_HOLD: Duration = Duration::from_secs(2);
 
-/// Holds work after a pause until the state has been refreshed or [`RESUME_HOLD`] has passed.
+/// Holds work after a start or pause until the state has been refreshed or a time has passed.
 ///
 /// The check by [`holds`](PauseGate::holds) also works before the first timer fires after a pause,
 /// since it compares `now` with the last timer itself.
 #[derive(Clone, Debug)]
 pub struct PauseGate {
     last: Time,
+    /// Since when a refresh is awaited.
     resumed: Option<Time>,
+    /// Longest wait for it.
+    hold: Duration,
 }
 
 impl PauseGate {
-    /// Returns a gate of a process that is not paused.
+    /// Returns a gate that is open.
     pub fn new(now: Time) -> Self {
-        PauseGate { last: now, resumed: None }
+        PauseGate { last: now, resumed: None, hold: RESUME_HOLD }
+    }
+
+    /// Returns the gate of a starting process, which holds for at most [`START_HOLD`].
+    pub fn starting(now: Time) -> Self {
+        PauseGate { last: now, resumed: Some(now), hold: START_HOLD }
     }
 
     /// Records that the timer fired; returns the length of the pause if it was late.
@@ -32,6 +43,7 @@
             return None;
         }
         self.resumed = Some(now);
+        self.hold = RESUME_HOLD;
         Some(gap)
     }
 
@@ -48,8 +60,8 @@
         now.since(self.last) > PAUSE || self.waits(now)
     }
 
-    /// Returns whether a refresh is awaited after a pause that the timer has noticed.
+    /// Returns whether a refresh is awaited after the start or a pause that the timer has noticed.
     pub fn waits(&self, now: Time) -> bool {
-        self.resumed.is_some_and(|t| now.since(t) < RESUME_HOLD)
+        self.resumed.is_some_and(|t| now.since(t) < self.hold)
     }
 }
