--- a/crates/geraniummux-core/src/usage.rs
+++ b/crates/geraniummux-core/src/usage.rs
@@ -22,6 +22,8 @@
 pub const FOLD_AFTER: Duration = Duration::from_secs(7 * 24 * 3_600);
 /// If the object would grow above [`MAX_USAGE_LEN`], processes are folded from this age on.
 pub const FOLD_EARLIEST: Duration = Duration::from_secs(3_600);
+/// An idle process is marked as alive in the object when its mark is older than this.
+const SEEN_INTERVAL: Duration = Duration::from_secs(6 * 3_600);
 /// Interval of the reports to peers; bounds what a kill can lose.
 pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of the merges into the platform object.
@@ -30,6 +32,10 @@
 pub const REPORT_PEERS: usize = 3;
 /// Most bytes of rows in one report, so that it fits into a datagram.
 pub const MAX_REPORT_LEN: usize = 900;
+/// Reports in which a key is named after it appeared or the peers changed.
+pub const NEW_KEY_REPORTS: u32 = 3;
+/// After that each key is named once in this many reports.
+pub const KEY_TURNS: u32 = 16;
 /// Most processes of other hosts that a host holds unwritten counters of.
 pub const MAX_PROCESSES: usize = 4_096;
 /// Most rows held for one process; bounds memory.
@@ -97,7 +103,7 @@
 }
 
 /// A cumulative count of served requests.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UsageRow {
     /// What is counted.
     pub key: UsageKey,
@@ -105,6 +111,18 @@
     pub served: u64,
 }
 
+/// A row of a report. The names of 70 rows take about 1.5 KB, so they are left out once the
+/// receiver is likely to know them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReportRow {
+    /// Position of the row in the process's counters, which never changes.
+    pub index: u32,
+    /// What is counted; `None` if the receiver should know it from an earlier report.
+    pub key: Option<UsageKey>,
+    /// Requests served since the start of the process.
+    pub served: u64,
+}
+
 /// Counts of one process, sent to a peer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UsageReport {
@@ -113,35 +131,39 @@
     /// The process that counted.
     pub process: ProcessId,
     /// Some or all of its counts.
-    pub rows: Vec<UsageRow>,
+    pub rows: Vec<ReportRow>,
 }
 
 /// The counters of this process.
 #[derive(Clone, Debug)]
 pub struct UsageCounters {
     process: ProcessId,
-    /// Sorted by key.
+    /// In the order in which the keys first appeared.
     rows: Vec<UsageRow>,
+    /// Positions in `rows`, sorted by key.
+    sorted: Vec<u32>,
 }
 
 impl UsageCounters {
     /// Returns counters at zero.
     pub fn new(process: ProcessId) -> Self {
-        UsageCounters { process, rows: Vec::new() }
+        UsageCounters { process, rows: Vec::new(), sorted: Vec::new() }
     }
 
     /// Counts one request whose response was acknowledged by the caller's TCP at `now`.
     pub fn count(&mut self, now: UnixMs, tenant: &Arc<str>, class: &Arc<str>) {
         let month = Month::of(now);
         let wanted = (month, &**tenant, &**class);
-        let found = self
-            .rows
-            .binary_search_by(|r| (r.key.month, &*r.key.tenant, &*r.key.class).cmp(&wanted));
+        let found = self.sorted.binary_search_by(|i| {
+            let key = &self.rows[*i as usize].key;
+            (key.month, &*key.tenant, &*key.class).cmp(&wanted)
+        });
         match found {
-            Ok(i) => self.rows[i].served += 1,
-            Err(i) => {
+            Ok(k) => self.rows[self.sorted[k] as usize].served += 1,
+            Err(k) => {
                 let key = UsageKey { month, tenant: tenant.clone(), class: class.clone() };
-                self.rows.insert(i, UsageRow { key, served: 1 });
+                self.sorted.insert(k, self.rows.len() as u32);
+                self.rows.push(UsageRow { key, served: 1 });
             }
         }
     }
@@ -151,7 +173,7 @@
         &self.process
     }
 
-    /// Returns the counts, sorted by key.
+    /// Returns the counts in the order in which their keys first appeared.
     pub fn rows(&self) -> &[UsageRow] {
         &self.rows
     }
@@ -171,6 +193,8 @@
     Collect {
         /// The peer.
         to: SocketAddr,
+        /// Number of the first rows of the peer's process whose keys are known here.
+        known: u32,
     },
     /// As the writer, confirm that reports of a peer are in the platform object.
     Confirm {
@@ -191,14 +215,17 @@
 /// A row with the count that is known to be in the platform object.
 #[derive(Clone, Debug)]
 struct Tracked {
+    index: u32,
     row: UsageRow,
     written: u64,
+    /// How often the key was reported to the present peers; used for the own process only.
+    named: u32,
 }
 
 #[derive(Clone, Debug)]
 struct Process {
     id: ProcessId,
-    /// Sorted by key.
+    /// Sorted by index.
     rows: Vec<Tracked>,
     /// When the process itself last reported.
     heard: Time,
@@ -208,7 +235,8 @@
 struct Outstanding {
     seq: u64,
     process: ProcessId,
-    rows: Vec<UsageRow>,
+    /// Index and count.
+    rows: Vec<(u32, u64)>,
 }
 
 /// A peer's report that waits for being written.
@@ -226,7 +254,7 @@
     pub month: Month,
     /// The new value; `None` if the object already contains everything.
     pub value: Option<Vec<u8>>,
-    rows: Vec<(ProcessId, UsageRow)>,
+    rows: Vec<(ProcessId, u32, u64)>,
     reports: Vec<(SocketAddr, u64)>,
 }
 
@@ -240,6 +268,8 @@
     pending: Vec<Pending>,
     next_seq: u64,
     next_report: Time,
+    reports: u32,
+    peers: Vec<SocketAddr>,
     next_collect: Time,
     write_at: Option<Time>,
     holder: bool,
@@ -255,6 +285,8 @@
             pending: Vec::new(),
             next_seq: 0,
             next_report: now + REPORT_INTERVAL,
+            reports: 0,
+            peers: Vec::new(),
             next_collect: now,
             write_at: None,
             holder: false,
@@ -299,11 +331,13 @@
         }
         if self.holder && now >= self.next_collect {
             self.next_collect = now + MERGE_INTERVAL;
+            // Peers answer with new numbers, so unconfirmed ones are of no use any more.
+            self.pending.clear();
             // The answers take a round trip between regions; what comes later goes into the next
             // merge.
             self.write_at = Some(now + Duration::from_secs(1));
-            let to = members.live_peers().map(|m| m.addr);
-            out.extend(to.map(|to| UsageAction::Collect { to }));
+            let to = members.live_peers();
+            out.extend(to.map(|m| UsageAction::Collect { to: m.addr, known: self.known(&m.name) }));
         }
         if self.write_at.is_some_and(|t| now >= t) {
             self.write_at = None;
@@ -318,34 +352,47 @@
     /// Takes over the present own counts. [`tick`](UsageMerge::tick) does this every second; a host
     /// that shuts down calls it before its last writes.
     pub fn take_own(&mut self, now: Time, own: &UsageCounters) {
-        self.merge(now, own.process(), own.rows());
+        let rows = own.rows().iter().enumerate().map(|(i, r)| ReportRow {
+            index: i as u32,
+            key: Some(r.key.clone()),
+            served: r.served,
+        });
+        self.merge(now, own.process(), rows);
     }
 
     /// Handles a report of a peer.
     pub fn receive(&mut self, now: Time, from: SocketAddr, report: UsageReport) {
         let fits = |s: &str| s.len() <= MAX_HOST_NAME_LEN;
         let valid = fits(&report.process.host)
-            && report.rows.iter().all(|r| fits(&r.key.tenant) && fits(&r.key.class));
+            && report.rows.iter().flat_map(|r| &r.key).all(|k| fits(&k.tenant) && fits(&k.class));
         // Nobody else knows this process's counts better.
         if !valid || report.process == self.me {
             return;
         }
-        if !self.merge(now, &report.process, &report.rows) {
+        let indexes: Vec<u32> = report.rows.iter().map(|r| r.index).collect();
+        // A report with a row that could not be kept must be sent again, with its key.
+        if !self.merge(now, &report.process, report.rows.into_iter()) {
             return;
         }
         if report.seq > 0 && self.holder {
-            let mut months: Vec<Month> = report.rows.iter().map(|r| r.key.month).collect();
+            let Some(p) = self.process(&report.process) else { return };
+            let mut months: Vec<Month> = indexes
+                .iter()
+                .filter_map(|i| Some(p.rows[p.find(*i).ok()?].row.key.month))
+                .collect();
             months.sort_unstable();
             months.dedup();
             self.pending.push(Pending { from, seq: report.seq, months });
         }
     }
 
-    /// Handles the writer's request for counts. The answer is reported to `to`.
+    /// Handles the writer's request for counts. The answer is reported to `to`, which knows the keys
+    /// of this process's first `known` rows.
     pub fn collect(
         &mut self,
         now: Time,
         to: SocketAddr,
+        known: u32,
         own: &UsageCounters,
         members: &Membership,
     ) -> Vec<UsageAction> {
@@ -363,13 +410,18 @@
                 continue;
             }
             let id = p.id.clone();
-            let rows = unwritten(p);
-            // An empty report tells the writer that the process is alive.
-            for rows in split(rows, own) {
+            let named = |t: &Tracked| !own || t.index >= known;
+            let mut rows = unwritten(p, named);
+            if own && rows.is_empty() {
+                // An idle process shows that it lives, since it must not be folded.
+                rows.extend(p.rows.last().map(|t| report_row(t, named(t))));
+            }
+            for rows in split(rows) {
                 self.next_seq += 1;
                 let seq = self.next_seq;
-                let report = UsageReport { seq, process: id.clone(), rows: rows.clone() };
-                self.outstanding.push(Outstanding { seq, process: id.clone(), rows });
+                let sent = rows.iter().map(|r| (r.index, r.served)).collect();
+                self.outstanding.push(Outstanding { seq, process: id.clone(), rows: sent });
+                let report = UsageReport { seq, process: id.clone(), rows };
                 out.push(UsageAction::Report { to, report });
             }
         }
@@ -406,11 +458,11 @@
         let mut rows = Vec::new();
         let mut changed = false;
         for p in &self.processes {
-            let of_month: Vec<&UsageRow> =
-                p.rows.iter().map(|t| &t.row).filter(|r| r.key.month == month).collect();
+            let of_month: Vec<&Tracked> =
+                p.rows.iter().filter(|t| t.row.key.month == month).collect();
             if !of_month.is_empty() {
-                changed |= object.merge(&p.id, &of_month, wall);
-                rows.extend(of_month.into_iter().map(|r| (p.id.clone(), r.clone())));
+                changed |= object.merge(&p.id, of_month.iter().map(|t| &t.row), wall);
+                rows.extend(of_month.iter().map(|t| (p.id.clone(), t.index, t.row.served)));
             }
         }
         let reports = self
@@ -425,8 +477,8 @@
 
     /// Records that a value of [`encode`](UsageMerge::encode) is in the platform object.
     pub fn written(&mut self, write: &UsageWrite) -> Vec<UsageAction> {
-        for (id, row) in &write.rows {
-            self.mark_written(id, std::slice::from_ref(row));
+        for (id, index, served) in &write.rows {
+            self.mark_written(id, &[(*index, *served)]);
         }
         // A report is confirmed when the objects of all its months are written.
         let mut confirm: Vec<(SocketAddr, Vec<u64>)> = Vec::new();
@@ -445,8 +497,23 @@
         confirm.into_iter().map(|(to, seqs)| UsageAction::Confirm { to, seqs }).collect()
     }
 
-    /// Merges counts by maximum; returns whether they are kept.
-    fn merge(&mut self, now: Time, id: &ProcessId, rows: &[UsageRow]) -> bool {
+    fn process(&self, id: &ProcessId) -> Option<&Process> {
+        let i = self.processes.binary_search_by(|p| p.id.cmp(id)).ok()?;
+        Some(&self.processes[i])
+    }
+
+    /// Returns how many of the first rows of a host's latest process are known.
+    fn known(&self, host: &str) -> u32 {
+        let latest = self.processes.iter().rfind(|p| *p.id.host == *host);
+        let rows = latest.map_or(&[][..], |p| &p.rows);
+        rows.iter().enumerate().take_while(|(i, t)| t.index == *i as u32).count() as u32
+    }
+
+    /// Merges counts by maximum; returns whether all of them are kept.
+    fn merge<I>(&mut self, now: Time, id: &ProcessId, rows: I) -> bool
+    where
+        I: Iterator<Item = ReportRow>,
+    {
         let i = match self.processes.binary_search_by(|p| p.id.cmp(id)) {
             Ok(i) => i,
             Err(_) if self.processes.len() >= MAX_PROCESSES => return false,
@@ -457,33 +524,56 @@
         };
         let p = &mut self.processes[i];
         p.heard = now;
+        let mut all = true;
         for r in rows {
-            match p.rows.binary_search_by(|t| t.row.key.cmp(&r.key)) {
-                Ok(k) => p.rows[k].row.served = p.rows[k].row.served.max(r.served),
-                Err(_) if p.rows.len() >= MAX_ROWS => return false,
-                Err(k) => p.rows.insert(k, Tracked { row: r.clone(), written: 0 }),
+            match (p.find(r.index), r.key) {
+                (Ok(k), key) => {
+                    let known = &mut p.rows[k].row;
+                    if key.is_none_or(|key| key == known.key) {
+                        known.served = known.served.max(r.served);
+                    }
+                }
+                (Err(k), Some(key)) if p.rows.len() < MAX_ROWS => {
+                    let row = UsageRow { key, served: r.served };
+                    p.rows.insert(k, Tracked { index: r.index, row, written: 0, named: 0 });
+                }
+                _ => all = false,
             }
         }
-        true
+        all
     }
 
-    fn mark_written(&mut self, id: &ProcessId, rows: &[UsageRow]) {
+    fn mark_written(&mut self, id: &ProcessId, rows: &[(u32, u64)]) {
         let Ok(i) = self.processes.binary_search_by(|p| p.id.cmp(id)) else { return };
         let p = &mut self.processes[i];
-        for r in rows {
-            if let Ok(k) = p.rows.binary_search_by(|t| t.row.key.cmp(&r.key)) {
-                p.rows[k].written = p.rows[k].written.max(r.served);
+        for (index, served) in rows {
+            if let Ok(k) = p.find(*index) {
+                p.rows[k].written = p.rows[k].written.max(*served);
             }
         }
     }
 
     fn report_own(&mut self, members: &Membership, out: &mut Vec<UsageAction>) {
         let Ok(i) = self.processes.binary_search_by(|p| p.id.cmp(&self.me)) else { return };
-        let rows = unwritten(&self.processes[i]);
-        for to in report_peers(members) {
-            for rows in split(rows.clone(), false) {
+        let rows = &mut self.processes[i].rows;
+        let peers = report_peers(members);
+        if peers != self.peers {
+            self.peers = peers;
+            rows.iter_mut().for_each(|t| t.named = 0);
+        }
+        // Keys are named a few times when they are new to the peers, and then in turn, so that a
+        // peer that missed them learns them.
+        self.reports = self.reports.wrapping_add(1);
+        let turn = self.reports % KEY_TURNS;
+        let named = |t: &Tracked| t.named < NEW_KEY_REPORTS || t.index % KEY_TURNS == turn;
+        let report = unwritten(&self.processes[i], named);
+        for t in &mut self.processes[i].rows {
+            t.named += u32::from(t.row.served > t.written && t.named < NEW_KEY_REPORTS);
+        }
+        for to in &self.peers {
+            for rows in split(report.clone()) {
                 let report = UsageReport { seq: 0, process: self.me.clone(), rows };
-                out.push(UsageAction::Report { to, report });
+                out.push(UsageAction::Report { to: *to, report });
             }
         }
     }
@@ -499,18 +589,34 @@
     }
 }
 
-fn unwritten(p: &Process) -> Vec<UsageRow> {
-    p.rows.iter().filter(|t| t.row.served > t.written).map(|t| t.row.clone()).collect()
+impl Process {
+    fn find(&self, index: u32) -> Result<usize, usize> {
+        self.rows.binary_search_by_key(&index, |t| t.index)
+    }
+}
+
+/// Returns the rows that are not known to be written, with the keys that `named` selects.
+fn unwritten<F>(p: &Process, named: F) -> Vec<ReportRow>
+where
+    F: Fn(&Tracked) -> bool,
+{
+    let open = p.rows.iter().filter(|t| t.row.served > t.written);
+    open.map(|t| report_row(t, named(t))).collect()
+}
+
+fn report_row(t: &Tracked, named: bool) -> ReportRow {
+    let key = named.then(|| t.row.key.clone());
+    ReportRow { index: t.index, key, served: t.row.served }
 }
 
-/// Splits rows into reports that fit into a datagram; `empty` asks for one report if there are no
-/// rows.
-fn split(rows: Vec<UsageRow>, empty: bool) -> Vec<Vec<UsageRow>> {
-    let mut out: Vec<Vec<UsageRow>> = Vec::new();
+/// Splits rows into reports that fit into a datagram.
+fn split(rows: Vec<ReportRow>) -> Vec<Vec<ReportRow>> {
+    let mut out: Vec<Vec<ReportRow>> = Vec::new();
     let mut len = MAX_REPORT_LEN;
     for r in rows {
-        // Month, two lengths and the count are variable-length numbers.
-        let row_len = 17 + r.key.tenant.len() + r.key.class.len();
+        // Index, presence of the key, and count; month, two lengths and the names of the key.
+        let key_len = r.key.as_ref().map_or(0, |k| 9 + k.tenant.len() + k.class.len());
+        let row_len = 16 + key_len;
         if len + row_len > MAX_REPORT_LEN {
             out.push(Vec::new());
             len = 0;
@@ -520,9 +626,6 @@
             last.push(r);
         }
     }
-    if out.is_empty() && empty {
-        out.push(Vec::new());
-    }
     out
 }
 
@@ -579,7 +682,7 @@
 struct StoredProcess {
     host: Arc<str>,
     run: u64,
-    /// When it was last merged with a change.
+    /// When it was last merged with a change, or known to live.
     seen: UnixMs,
     /// Position of the key, and count.
     counts: Vec<(u32, u64)>,
@@ -616,7 +719,10 @@
     }
 
     /// Merges counts of a process by maximum; returns whether anything changed.
-    fn merge(&mut self, id: &ProcessId, rows: &[&UsageRow], wall: UnixMs) -> bool {
+    fn merge<'a, I>(&mut self, id: &ProcessId, rows: I, wall: UnixMs) -> bool
+    where
+        I: Iterator<Item = &'a UsageRow>,
+    {
         if self.is_folded(id) {
             return false;
         }
@@ -645,8 +751,11 @@
                 }
             }
         }
-        if changed {
+        // A process whose counts stand still is marked as alive now and then.
+        let idle = wall.0.saturating_sub(self.processes[i].seen.0);
+        if changed || idle >= SEEN_INTERVAL.as_millis() as u64 {
             self.processes[i].seen = wall;
+            changed = true;
         }
         changed
     }
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -56,7 +56,10 @@
     /// UDP: counts of one process.
     Usage(UsageReport),
     /// UDP: the usage writer asks for all counts that are not confirmed.
-    UsageCollect,
+    UsageCollect {
+        /// Number of the first rows of the receiver's process whose keys the writer knows.
+        known: u32,
+    },
     /// UDP: the usage writer confirms that reports are in the platform object.
     UsageConfirm {
         /// Numbers of the reports.
--- a/crates/geraniummux-wire/tests/fleet/mod.rs
+++ b/crates/geraniummux-wire/tests/fleet/mod.rs
@@ -198,6 +198,8 @@
     /// Results of edits, by number.
     pub edits: BTreeMap<usize, Edited>,
     pub member_opts: MembershipOptions,
+    /// Added to the wall clock of all hosts.
+    pub wall_offset_ms: u64,
     /// Hosts that can't reach the platform.
     pub unreachable_from: Vec<usize>,
     /// For how long each accepted generation could have been known, for the check of R7.
@@ -240,6 +242,7 @@
             changes: Vec::new(),
             edits: BTreeMap::new(),
             member_opts: MembershipOptions::default(),
+            wall_offset_ms: 0,
             unreachable_from: Vec::new(),
             exposed: Vec::new(),
             checked: Time::from_millis(1_000_000),
@@ -265,7 +268,7 @@
     }
 
     pub fn wall(&self, host: usize) -> UnixMs {
-        let wall = WALL_START + self.now.as_micros() / 1_000;
+        let wall = WALL_START + self.wall_offset_ms + self.now.as_micros() / 1_000;
         UnixMs(wall.saturating_add_signed(self.hosts[host].skew_ms))
     }
 
@@ -512,8 +515,8 @@
             }
             Message::LeavingAck(ack) => p.drain.acknowledged(&e.from, &ack),
             Message::Usage(r) => p.usage.receive(now, from, r),
-            Message::UsageCollect => {
-                let actions = p.usage.collect(now, from, &p.counters, &p.members);
+            Message::UsageCollect { known } => {
+                let actions = p.usage.collect(now, from, known, &p.counters, &p.members);
                 self.perform_usage(i, actions);
             }
             Message::UsageConfirm { seqs } => p.usage.confirmed(&seqs),
@@ -688,7 +691,9 @@
         for a in actions {
             match a {
                 UsageAction::Report { to, report } => self.send(i, to, Message::Usage(report)),
-                UsageAction::Collect { to } => self.send(i, to, Message::UsageCollect),
+                UsageAction::Collect { to, known } => {
+                    self.send(i, to, Message::UsageCollect { known });
+                }
                 UsageAction::Confirm { to, seqs } => {
                     self.send(i, to, Message::UsageConfirm { seqs });
                 }
@@ -920,7 +925,7 @@
         | Message::NotReady
         | Message::Done => "config",
         Message::Leaving(_) | Message::LeavingAck(_) => "leaving",
-        Message::Usage(_) | Message::UsageCollect | Message::UsageConfirm { .. } => "usage",
+        Message::Usage(_) | Message::UsageCollect { .. } | Message::UsageConfirm { .. } => "usage",
         _ => "other",
     }
 }
