--- a/crates/geraniummux-core/src/drain.rs
+++ b/crates/geraniummux-core/src/drain.rs
@@ -141,6 +141,11 @@
         self.entries.iter().map(|e| notice(now, e)).collect()
     }
 
+    /// Returns the addresses of the targets that are leaving.
+    pub fn leaving(&self, now: Time) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.target).filter(|t| self.is_leaving(now, *t)).collect()
+    }
+
     /// Handles a sign that a target is leaving: a response header, a refusal, a probe, the host
     /// list or a table. May be called for every such sign.
     pub fn report<R>(
@@ -366,21 +371,27 @@
 #[derive(Clone, Debug)]
 pub struct ShutdownState {
     phase: Phase,
+    notice: Duration,
 }
 
 impl Default for ShutdownState {
     fn default() -> Self {
-        ShutdownState { phase: Phase::Serving }
+        ShutdownState::new(SHUTDOWN_NOTICE)
     }
 }
 
 impl ShutdownState {
+    /// Returns the state of a host that serves on for `notice` after it announced that it leaves.
+    pub fn new(notice: Duration) -> Self {
+        ShutdownState { phase: Phase::Serving, notice }
+    }
+
     /// Begins the shutdown; a second call changes nothing.
     pub fn begin(&mut self, now: Time) -> Option<ShutdownAction> {
         if self.phase != Phase::Serving {
             return None;
         }
-        self.phase = Phase::Announced { until: now + SHUTDOWN_NOTICE };
+        self.phase = Phase::Announced { until: now + self.notice };
         Some(ShutdownAction::Announce)
     }
 
