Adapt the daemon to the usage messages; no hold at the start of a host without peers

Cause: the merged daemon used the former UsageCollect and merged a peer's unasked state through TargetDrain::refreshed. A host without seeds waited 2 s at its start for peers that can't exist.

Change: pass the number of known keys on, use TargetDrain::merge, open the drain gate at once if there is neither a peer nor a seed.

--- a/crates/geraniummux-core/src/drain.rs
+++ b/crates/geraniummux-core/src/drain.rs
@@ -237,7 +237,10 @@
         }
         if self.gate.waits(now) && now >= self.next_refresh {
             let mut peers: Vec<SocketAddr> = members.live_peers().map(|m| m.addr).collect();
-            if !peers.is_empty() {
+            if peers.is_empty() && !members.has_seeds() {
+                // Nobody can be asked, and nobody else can have heard of a leaving target.
+                self.gate.refreshed(now);
+            } else if !peers.is_empty() {
                 peers.shuffle(rng);
                 peers.truncate(3);
                 self.next_refresh = now + REFRESH_RETRY;
--- a/crates/geraniummux-core/src/usage.rs
+++ b/crates/geraniummux-core/src/usage.rs
@@ -103,7 +103,7 @@
 }
 
 /// A cumulative count of served requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UsageRow {
     /// What is counted.
     pub key: UsageKey,
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -2,7 +2,6 @@
 
 use crate::shared::Shared;
 use crate::{actions, peer_net, probes};
-use geraniummux_core::Time;
 use geraniummux_core::config::Config;
 use geraniummux_wire::{Envelope, Message, State, Strike};
 use std::collections::BTreeSet;
@@ -43,12 +42,12 @@
         }
         Message::LeavingAck(ack) => control.lock().drain.acknowledged(&from, &ack),
         Message::Usage(report) => control.lock().usage.receive(now, addr, report),
-        Message::UsageCollect => {
+        Message::UsageCollect { known } => {
             let out = {
                 let mut guard = control.lock();
                 let state = &mut *guard;
                 let own = control.counters();
-                state.usage.collect(now, addr, &own, &state.members)
+                state.usage.collect(now, addr, known, &own, &state.members)
             };
             actions::usage(shared, out);
         }
@@ -101,7 +100,7 @@
             let out = shared.control.lock().members.merge(now, state.members);
             actions::membership(shared, out);
             // What the asker knows does not refresh this host, so no time of asking is given.
-            let out = shared.control.lock().drain.refreshed(now, Time::ZERO, state.leaving);
+            let out = shared.control.lock().drain.merge(now, state.leaving);
             actions::drain(shared, out);
             crate::hooks::merge_quarantine(shared, &state.quarantine);
             Message::State(own_state(shared))
