Hold the probe budget through a platform lease

Cause: each host that probes its share of the budget by its own membership view exceeds the budget when views are split.

Ruled out: reusing the start of an earlier lease after another host held it in between, which a lost answer made possible; the start is now forgotten when another holder is seen. Giving a target that is removed and added again a fresh budget.

Change: LeaseState releases a lease that is no longer wanted, and tracks since when no other host can have held it. ProbeScheduler keeps the history of removed targets by address. The test runs five processes with drifting clocks against one lease object, with outages, lost and late writes, pauses, pauses between permission and send, and restarts.

Conclusion: the budget holds for one process paused in that gap at a time. The reserve of one probe doesn't cover two.

--- a/crates/geraniummux-core/src/lease.rs
+++ b/crates/geraniummux-core/src/lease.rs
@@ -103,7 +103,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Call {
     Read,
-    Write { number: u64, sent_at: Time },
+    Write { number: u64, released: bool, sent_at: Time },
 }
 
 /// The version seen last, and since when.
@@ -121,7 +121,9 @@
     holder: Arc<str>,
     seen: Option<Seen>,
     grant: Option<LeaseGrant>,
-    /// Writes whose effect is not known.
+    /// Since when no other host can have held the lease, as far as this process has seen.
+    sole_since: Option<Time>,
+    /// The write whose effect is not known, and when it was sent.
     open: Option<(u64, Time)>,
     call: Option<Call>,
     writes: u64,
@@ -139,6 +141,7 @@
             holder,
             seen: None,
             grant: None,
+            sole_since: None,
             open: None,
             call: None,
             writes: 0,
@@ -148,10 +151,17 @@
         }
     }
 
-    /// Sets whether the host should hold the lease. A host that doesn't want it lets it lapse, and
-    /// calls the platform only while it waits for an outstanding result.
-    pub fn set_wanted(&mut self, wanted: bool) {
+    /// Sets whether the host should hold the lease.
+    ///
+    /// A holder that no longer wants the lease gives it up at once, and [`LeaseState::poll`] then
+    /// returns a write that lets the next holder take over without waiting for the term.
+    pub fn set_wanted(&mut self, wanted: bool, now: Time) {
         self.wanted = wanted;
+        if !wanted {
+            self.grant = None;
+            self.sole_since = None;
+        }
+        self.next_at = now;
     }
 
     /// Returns the lease if it is held and its term has not ended.
@@ -164,26 +174,39 @@
 
     /// Returns when [`LeaseState::poll`] has something to do next, unless a call is outstanding.
     pub fn next_at(&self) -> Option<Time> {
-        (self.wanted && self.call.is_none()).then_some(self.next_at)
+        (self.call.is_none() && (self.wanted || self.must_release())).then_some(self.next_at)
     }
 
     /// Returns the call to perform now. Its result must be given to [`LeaseState::on_result`].
     pub fn poll(&mut self, now: Time) -> Option<LeaseAction> {
-        if !self.wanted || self.call.is_some() || now < self.next_at {
+        if self.call.is_some() || now < self.next_at {
             return None;
         }
+        if !self.wanted {
+            return self.must_release().then(|| self.write(true, now));
+        }
         let ours = self.seen.as_ref().is_some_and(|s| self.is_own(s));
         let free = self.seen.as_ref().is_some_and(|s| now >= s.since + self.takeover_wait(s));
         if self.open.is_some() || !(ours || free) {
             self.call = Some(Call::Read);
             return Some(LeaseAction::Read);
         }
+        Some(self.write(false, now))
+    }
+
+    /// Returns whether the object still names this process as the holder, who gave the lease up.
+    fn must_release(&self) -> bool {
+        let released = |s: &Seen| s.value.as_ref().is_some_and(|v| v.released);
+        !self.wanted && self.seen.as_ref().is_some_and(|s| self.is_own(s) && !released(s))
+    }
+
+    fn write(&mut self, released: bool, now: Time) -> LeaseAction {
         self.writes += 1;
-        self.call = Some(Call::Write { number: self.writes, sent_at: now });
-        let value = LeaseValue { holder: self.holder.clone(), write: self.writes, released: false };
+        self.call = Some(Call::Write { number: self.writes, released, sent_at: now });
+        let value = LeaseValue { holder: self.holder.clone(), write: self.writes, released };
         match self.seen.as_ref().and_then(|s| s.version) {
-            Some(version) => Some(LeaseAction::Update { version, value }),
-            None => Some(LeaseAction::Create(value)),
+            Some(version) => LeaseAction::Update { version, value },
+            None => LeaseAction::Create(value),
         }
     }
 
@@ -206,15 +229,17 @@
         let Some(call) = self.call.take() else { return };
         match (call, result) {
             (Call::Read, LeaseResult::Read(object)) => self.on_read(object, now),
-            (Call::Write { number, sent_at }, LeaseResult::Written(version)) => {
+            // A release is not repeated: if it failed, the term runs out.
+            (Call::Write { released: true, .. }, _) => self.seen = None,
+            (Call::Write { number, sent_at, .. }, LeaseResult::Written(version)) => {
                 self.on_written(version, number, sent_at, now);
             }
             (Call::Write { .. }, LeaseResult::Conflict) => {
                 self.failures = 0;
-                self.next_at = now;
                 self.seen = None;
+                self.next_at = now;
             }
-            (Call::Write { number, sent_at }, LeaseResult::Indeterminate) => {
+            (Call::Write { number, sent_at, .. }, LeaseResult::Indeterminate) => {
                 self.open = Some((number, sent_at));
                 self.back_off(now);
             }
@@ -228,19 +253,23 @@
             Some((version, value)) => (Some(version), value),
             None => (None, None),
         };
-        let own = value.as_ref().filter(|v| v.holder == self.holder).map(|v| v.write);
-        if let (Some((number, sent_at)), Some(version), Some(write)) = (self.open, version, own)
+        let own =
+            value.as_ref().filter(|v| v.holder == self.holder && !v.released).map(|v| v.write);
+        if let (Some((number, sent_at)), Some(version), Some(write)) =
+            (self.open.take(), version, own)
             && write == number
         {
             self.on_written(version, number, sent_at, now);
             return;
         }
-        self.open = None;
+        if own.is_none() {
+            self.sole_since = None;
+        }
         if self.seen.as_ref().is_none_or(|s| s.version != version) {
             self.seen = Some(Seen { version, value, since: now });
         }
-        let seen = self.seen.as_ref().filter(|s| !self.is_own(s));
-        self.next_at = match seen {
+        let other = self.seen.as_ref().filter(|s| !self.is_own(s));
+        self.next_at = match other {
             Some(s) => {
                 let free_at = s.since + self.takeover_wait(s);
                 if free_at <= now { now } else { free_at.min(now + self.options.read_every) }
@@ -252,14 +281,13 @@
     fn on_written(&mut self, version: u64, number: u64, sent_at: Time, now: Time) {
         self.failures = 0;
         self.open = None;
-        let since = match (&self.grant, &self.seen) {
-            (Some(grant), Some(seen)) if self.is_own(seen) => grant.since,
-            _ => sent_at,
-        };
-        self.grant = Some(LeaseGrant { since, until: sent_at + self.options.term });
+        if self.wanted {
+            let since = *self.sole_since.get_or_insert(sent_at);
+            self.grant = Some(LeaseGrant { since, until: sent_at + self.options.term });
+        }
         let value = LeaseValue { holder: self.holder.clone(), write: number, released: false };
         self.seen = Some(Seen { version: Some(version), value: Some(value), since: now });
-        self.next_at = sent_at + self.options.renew_every;
+        self.next_at = if self.wanted { sent_at + self.options.renew_every } else { now };
     }
 
     fn back_off(&mut self, now: Time) {
--- a/crates/geraniummux-core/src/measure.rs
+++ b/crates/geraniummux-core/src/measure.rs
@@ -9,6 +9,7 @@
 use crate::load::{LoadTable, TargetId};
 use crate::time::Time;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Length of the sliding window over which the budget is counted.
@@ -20,6 +21,7 @@
 #[derive(Clone, Debug)]
 struct Probed {
     id: TargetId,
+    addr: SocketAddr,
     /// Times of the probes of the last window, oldest first.
     sent: VecDeque<Time>,
     outstanding: bool,
@@ -32,12 +34,15 @@
     limit: usize,
     /// Sorted by id.
     targets: Vec<Probed>,
+    /// Former targets of the pool that were probed lately. A target that is removed and added
+    /// again within the window doesn't get a fresh budget.
+    removed: Vec<Probed>,
 }
 
 impl ProbeScheduler {
     /// Returns a scheduler for the targets of `pool`, which are in `table`.
     pub fn new(pool: &Pool, table: &LoadTable, now: Time) -> Self {
-        let mut scheduler = ProbeScheduler { limit: 0, targets: Vec::new() };
+        let mut scheduler = ProbeScheduler { limit: 0, targets: Vec::new(), removed: Vec::new() };
         scheduler.update(pool, table, now);
         scheduler
     }
@@ -46,13 +51,25 @@
     pub fn update(&mut self, pool: &Pool, table: &LoadTable, now: Time) {
         self.limit = probe_limit(pool.probe_budget_per_s, pool.probe_share);
         let mut old = std::mem::take(&mut self.targets);
+        old.append(&mut self.removed);
         for target in &pool.targets {
             let Some(id) = table.id(&pool.name, &target.name) else { continue };
-            let kept = old.iter().position(|p| p.id == id).map(|i| old.swap_remove(i));
-            let fresh = || Probed { id, sent: VecDeque::new(), outstanding: false, next_at: now };
-            self.targets.push(kept.unwrap_or_else(fresh));
+            let kept = old.iter().position(|p| p.addr == target.addr);
+            let probed = match kept {
+                Some(i) => Probed { id, ..old.swap_remove(i) },
+                None => Probed {
+                    id,
+                    addr: target.addr,
+                    sent: VecDeque::new(),
+                    outstanding: false,
+                    next_at: now,
+                },
+            };
+            self.targets.push(probed);
         }
         self.targets.sort_unstable_by_key(|p| p.id);
+        old.retain(|p| p.sent.back().is_some_and(|t| now.since(*t) <= WINDOW + WINDOW_MARGIN));
+        self.removed = old;
     }
 
     /// Returns the largest number of probes that a target gets in a window.
