--- a/crates/geraniummux-core/src/membership.rs
+++ b/crates/geraniummux-core/src/membership.rs
@@ -26,7 +26,7 @@
 pub enum MemberState {
     /// It answers.
     Alive,
-    /// It serves on but is shutting down and must not be named to callers.
+    /// It answers but must not be named to callers, because it is starting or shutting down.
     Leaving,
     /// It did not answer; it is dead unless it refutes this in time.
     Suspect,
@@ -381,6 +381,15 @@
         }
     }
 
+    /// Announces that this host, which started as [`MemberState::Leaving`], may be named to callers.
+    pub fn enter_service(&mut self) {
+        if self.me.state == MemberState::Leaving {
+            self.me.state = MemberState::Alive;
+            self.me.incarnation += 1;
+            self.spread(self.me.name.clone());
+        }
+    }
+
     /// Sends the own record to all live peers at once.
     pub fn announce(&mut self, now: Time) -> Vec<MembershipAction> {
         let to: Vec<SocketAddr> = self.live_peers().map(|m| m.addr).collect();
--- a/crates/geraniummuxd/src/control.rs
+++ b/crates/geraniummuxd/src/control.rs
@@ -81,7 +81,8 @@
             http_addr: settings.advertised(),
             failure_domain: settings.failure_domain.clone(),
             incarnation: wall.0,
-            state: MemberState::Alive,
+            // Callers are told of this host when it serves.
+            state: MemberState::Leaving,
         };
         let opts = MembershipOptions::default();
         let process = ProcessId::new(settings.host.clone(), wall, &mut rng);
--- a/crates/geraniummuxd/src/entry.rs
+++ b/crates/geraniummuxd/src/entry.rs
@@ -3,6 +3,7 @@
 use crate::reply::{self, Body};
 use crate::shared::Shared;
 use geraniummux_core::EntryAnswer;
+use geraniummux_core::config_sync::Permit;
 use http::{Response, StatusCode};
 
 /// Returns the answer for a caller; `query` is the query of its request.
@@ -12,9 +13,16 @@
         .split('&')
         .find_map(|pair| pair.strip_prefix("domain="))
         .filter(|d| !d.is_empty());
+    let now = shared.clock.now();
     let mut answer = {
         let state = shared.control.lock();
-        EntryAnswer::new(&state.members, domain, |_| 1.0, &mut rand::rng())
+        let mut answer = EntryAnswer::new(&state.members, domain, |_| 1.0, &mut rand::rng());
+        // A host that is cut off refuses requests.
+        if matches!(state.config.permit(now), Permit::Refuse(_)) {
+            let own = shared.settings.advertised();
+            answer.hosts.retain(|h| h.addr != own);
+        }
+        answer
     };
     answer.ttl_ms = shared.settings.entry_ttl_ms;
     reply::json(StatusCode::OK, &answer)
--- a/crates/geraniummuxd/src/timers.rs
+++ b/crates/geraniummuxd/src/timers.rs
@@ -1,8 +1,12 @@
 //! The timer that drives the decisions of the control path.
 
 use crate::actions;
+use crate::control::State;
 use crate::shared::Shared;
+use geraniummux_core::config_sync::Permit;
 use geraniummux_core::drain::ShutdownAction;
+use geraniummux_core::membership::MembershipAction;
+use geraniummux_core::{MemberState, Time};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::MissedTickBehavior;
@@ -30,12 +34,13 @@
     let (members, config, drain, usage, shutdown) = {
         let mut guard = shared.control.lock();
         let state = &mut *guard;
-        let members = state.members.tick(now, &mut rng);
+        let mut members = state.members.tick(now, &mut rng);
         let config = state.config.tick(now, &mut state.members, &mut rng);
         let drain = state.drain.tick(now, &state.members, &mut rng);
         let own = shared.control.counters();
         let usage = state.usage.tick(now, &own, &state.members);
         let shutdown = state.shutdown.tick(now, connections, longest);
+        members.extend(enter_service(state, now));
         (members, config, drain, usage, shutdown)
     };
     actions::membership(shared, members);
@@ -47,6 +52,18 @@
     }
 }
 
+/// Lets peers name this host to callers once it serves. A host that starts is known to its peers
+/// before it has learned the configuration, and would refuse the requests.
+fn enter_service(state: &mut State, now: Time) -> Vec<MembershipAction> {
+    let starting = state.members.me().state == MemberState::Leaving && !state.shutdown.is_leaving();
+    let serves = state.config.permit(now) == Permit::Serve && state.config.current().generation > 0;
+    if !starting || !serves {
+        return Vec::new();
+    }
+    state.members.enter_service();
+    state.members.announce(now)
+}
+
 /// Begins the shutdown of this host.
 pub fn begin_shutdown(shared: &Arc<Shared>) {
     let action: Option<ShutdownAction> = shared.control.lock().shutdown.begin(shared.clock.now());
--- a/crates/geraniummuxd/tests/common/mod.rs
+++ b/crates/geraniummuxd/tests/common/mod.rs
@@ -40,7 +40,13 @@
 
 /// Returns a listener on an address that nothing else uses.
 pub async fn free_listener() -> TcpListener {
-    TcpListener::bind(free_addr()).await.expect("bind a free address")
+    loop {
+        // A process that another test starts at this moment inherits the listener with which
+        // `free_addr` checked the address, until it executes its own program.
+        if let Ok(listener) = TcpListener::bind(free_addr()).await {
+            return listener;
+        }
+    }
 }
 
 /// Waits until `check` returns a value.
