--- a/crates/geraniummuxd/tests/leaving.rs
+++ b/crates/geraniummuxd/tests/leaving.rs
@@ -67,18 +67,19 @@
 async fn leaving_target() {
     let a = Target::start("t-1", Behaviour::default()).await;
     let b = Target::start("t-2", Behaviour::default()).await;
-    let fleet = Fleet::start(4).await;
+    // Three hosts poll the host list; the others must hear of it from them.
+    let fleet = Fleet::start(6).await;
     fleet.apply(&pools(&[("t-1", a.addr), ("t-2", b.addr)]), &routes(json!({}))).await;
     let addrs: Vec<SocketAddr> = fleet.hosts.iter().map(|h| h.listen).collect();
     let (stop, tasks) = load(&addrs);
     tokio::time::sleep(Duration::from_millis(500)).await;
     let before = a.record().await.runs;
     assert!(before > 50, "only {before} requests before the target leaves");
-    let paused = &fleet.hosts[3];
+    let paused = &fleet.hosts[5];
     paused.pause();
     list_leaving(&fleet, &a).await;
     let reported =
-        eventually("the first report", || async { first_report(&fleet.hosts[..3]) }).await;
+        eventually("the first report", || async { first_report(&fleet.hosts[..5]) }).await;
     // The host resumes when no request may reach the target any more.
     while unix_ms() < reported + LEFT_MS + 200 {
         tokio::time::sleep(Duration::from_millis(10)).await;
