Prove whole answers and silent connections over real processes

Cause: nothing showed what a caller sees when a target misbehaves. The first run of the new test found one fault: hyper drops content-length from an answer that also has a transfer-encoding, so a truncated length went unnoticed in mode 9. The connection keeps the raw head of an answer to see both lengths. tests/common no longer probes ports by binding them: a child between fork and exec holds the probe's listener and the later bind fails.

--- a/crates/geraniummux-wire/tests/fleet/mod.rs
+++ b/crates/geraniummux-wire/tests/fleet/mod.rs
@@ -875,7 +875,7 @@
         r#"{{"pools":[{{"name":"p","slots":{slots},"targets":[
         {{"name":"t1","addr":"10.1.0.1:1","failure_domain":"a"}}]}}]}}"#
     );
-    TableEdit::parse(geraniummux_core::TableKind::Pools, &text).unwrap()
+    TableEdit::parse(geraniummux_core::TableKind::Pools, &text).unwrap().0
 }
 
 pub fn routes_edit(timeout_ms: u64) -> TableEdit {
@@ -883,7 +883,7 @@
         r#"{{"routes":[{{"name":"r","path":"/","tenant":"t","class":"c","pool":"p",
         "timeout_ms":{timeout_ms}}}]}}"#
     );
-    TableEdit::parse(geraniummux_core::TableKind::Routes, &text).unwrap()
+    TableEdit::parse(geraniummux_core::TableKind::Routes, &text).unwrap().0
 }
 
 fn kind(message: &Message) -> &'static str {
--- a/crates/geraniummuxd/src/socket.rs
+++ b/crates/geraniummuxd/src/socket.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Learns what is written to a stream.
+/// Learns what is read from and written to a stream.
 pub trait Observer: Send + Sync + 'static {
     /// Decides directly before a write whether it may take place.
     ///
@@ -21,6 +21,9 @@
         Ok(())
     }
 
+    /// Bytes arrived.
+    fn read(&self, _bytes: &[u8]) {}
+
     /// Bytes were taken over by the kernel.
     fn wrote(&self, bytes: &[u8]);
 
@@ -28,7 +31,7 @@
     fn flushed(&self) {}
 }
 
-/// A stream whose writes are reported to an [`Observer`].
+/// A stream whose reads and writes are reported to an [`Observer`].
 #[derive(Debug)]
 pub struct ObservedStream<O> {
     stream: Arc<TcpStream>,
@@ -76,11 +79,15 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read_buf(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result.map(|_| ())),
+                result => {
+                    self.observer.read(&buf.filled()[before..]);
+                    return Poll::Ready(result.map(|_| ()));
+                }
             }
         }
     }
--- a/crates/geraniummuxd/src/upstream/answer.rs
+++ b/crates/geraniummuxd/src/upstream/answer.rs
@@ -83,7 +83,9 @@
     if conn.is_reused() && !echoed {
         return Err(SendError::BadAnswer);
     }
-    if !has_certain_length(&parts, is_head) {
+    let two_lengths =
+        parts.headers.contains_key(header::TRANSFER_ENCODING) && conn.has_raw_length();
+    if two_lengths || !has_certain_length(&parts, is_head) {
         return Err(SendError::BadAnswer);
     }
     Ok(Head { parts, body, conn, echoed })
--- a/crates/geraniummuxd/src/upstream/connection.rs
+++ b/crates/geraniummuxd/src/upstream/connection.rs
@@ -11,8 +11,8 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -20,7 +20,11 @@
 /// A target that doesn't acknowledge data for this long has lost the connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Counts what a connection has written, and refuses to begin a request after its deadline.
+/// The part of an answer that is searched for its head, in bytes.
+const MAX_HEAD: usize = 16 << 10;
+
+/// Counts what a connection has written, refuses to begin a request after its deadline, and keeps
+/// the head of the answer as it arrived.
 #[derive(Debug)]
 pub struct Progress {
     clock: Clock,
@@ -29,9 +33,15 @@
     begin: AtomicU64,
     /// Latest time for the first byte of the present request, in microseconds.
     not_after: AtomicU64,
+    /// What arrived since the present request was handed to hyper, up to the end of the head.
+    head: Mutex<Vec<u8>>,
 }
 
 impl Progress {
+    fn head(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.head.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn is_untouched(&self) -> bool {
         self.written.load(Ordering::Acquire) == self.begin.load(Ordering::Acquire)
     }
@@ -47,6 +57,19 @@
         Ok(())
     }
 
+    fn read(&self, bytes: &[u8]) {
+        let mut head = self.head();
+        let known = head.len();
+        if known >= MAX_HEAD || head.ends_with(b"\r\n\r\n") {
+            return;
+        }
+        head.extend_from_slice(&bytes[..bytes.len().min(MAX_HEAD - known)]);
+        let end = head.windows(4).skip(known.saturating_sub(3)).position(|w| w == b"\r\n\r\n");
+        if let Some(end) = end {
+            head.truncate(known.saturating_sub(3) + end + 4);
+        }
+    }
+
     fn wrote(&self, bytes: &[u8]) {
         self.written.fetch_add(bytes.len() as u64, Ordering::AcqRel);
     }
@@ -79,6 +102,7 @@
             written: AtomicU64::new(0),
             begin: AtomicU64::new(0),
             not_after: AtomicU64::new(u64::MAX),
+            head: Mutex::default(),
         });
         let io = TokioIo::new(ObservedStream::new(stream.clone(), progress.clone()));
         let (tx, conn) = http1::handshake(io).await.map_err(io::Error::other)?;
@@ -102,6 +126,17 @@
         let written = self.progress.written.load(Ordering::Acquire);
         self.progress.begin.store(written, Ordering::Release);
         self.progress.not_after.store(not_after.as_micros(), Ordering::Release);
+        self.progress.head().clear();
+    }
+
+    /// Returns whether the head of the answer has a `content-length`, as it arrived: hyper drops it
+    /// from an answer that has a `transfer-encoding` too.
+    pub(super) fn has_raw_length(&self) -> bool {
+        let name = b"\ncontent-length";
+        let head = self.progress.head();
+        // After an interim answer the final head was not kept, so nothing is known about it.
+        head.starts_with(b"HTTP/1.1 1")
+            || head.windows(name.len()).any(|w| w.eq_ignore_ascii_case(name))
     }
 
     /// Returns whether no byte of the present request was handed to the kernel.
--- a/crates/geraniummuxd/tests/common/mod.rs
+++ b/crates/geraniummuxd/tests/common/mod.rs
@@ -4,6 +4,8 @@
 // Each test binary uses a part of the harness.
 #![allow(dead_code)]
 
+pub mod raw;
+
 use bytes::Bytes;
 use geraniummux_standin::caller::{self, Answer};
 use geraniummux_standin::platform::{self, Faults};
@@ -29,18 +31,17 @@
     static NEXT: AtomicU16 = AtomicU16::new(20_000);
     let pid = std::process::id();
     let ip = Ipv4Addr::new(127, 64 + (pid >> 16 & 63) as u8, (pid >> 8) as u8, pid as u8);
-    loop {
-        let addr = SocketAddr::new(IpAddr::V4(ip), NEXT.fetch_add(1, Ordering::Relaxed));
-        // An earlier process with the same id may have left connections behind.
-        if std::net::TcpListener::bind(addr).is_ok() {
-            return addr;
-        }
-    }
+    SocketAddr::new(IpAddr::V4(ip), NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
 /// Returns a listener on an address that nothing else uses.
 pub async fn free_listener() -> TcpListener {
-    TcpListener::bind(free_addr()).await.expect("bind a free address")
+    loop {
+        // An earlier process with the same id may have left sockets behind.
+        if let Ok(listener) = TcpListener::bind(free_addr()).await {
+            return listener;
+        }
+    }
 }
 
 /// Waits until `check` returns a value.
--- /dev/null
+++ b/crates/geraniummuxd/tests/connections.rs
@@ -0,0 +1,165 @@
+//! Connections that go silent, hedges, and requests that crash targets.
+
+mod common;
+
+use common::raw::{RawRequest, RawTarget, Step};
+use common::{Fleet, Target, pools, routes};
+use geraniummux_standin::target::Behaviour;
+use http::{Method, StatusCode};
+use serde_json::json;
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Guards against requests that wait for their deadline on old connections that went silent while
+/// new ones work.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_connections_idempotent() {
+    const OLD: usize = 4;
+    let silent = Arc::new(AtomicBool::new(false));
+    let swallow = silent.clone();
+    let target = RawTarget::start(move |req| {
+        // Connections from before the fault swallow everything.
+        if swallow.load(Ordering::SeqCst) && req.index > 0 {
+            return vec![Step::Hang];
+        }
+        // Slow enough that concurrent requests need several connections.
+        vec![Step::Pause(Duration::from_millis(5)), Step::Write(req.answer("ok"))]
+    })
+    .await;
+    let fleet = Arc::new(Fleet::start(1).await);
+    let rows = routes(json!({ "timeout_ms": 60_000, "hedge_budget": 1.0 }));
+    fleet.apply(&pools(&[("t-1", target.addr)]), &rows).await;
+    for (n, fault) in [(60, false), (OLD, true)] {
+        silent.store(fault, Ordering::SeqCst);
+        let mut calls = Vec::new();
+        for _ in 0..OLD {
+            let fleet = fleet.clone();
+            calls.push(tokio::spawn(async move {
+                for _ in 0..n / OLD {
+                    let answer = fleet.hosts[0].get("/").await.expect("an answer");
+                    assert_eq!(answer.header("geraniummux-outcome"), "served");
+                }
+            }));
+        }
+        for call in calls {
+            call.await.expect("served requests");
+        }
+    }
+    assert!(target.seen.cancelled() > 0, "no request met a silent connection");
+}
+
+/// Guards against a non-idempotent request on an old connection, which may be silent and from which
+/// the request can't be moved.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_connections_non_idempotent() {
+    let target = RawTarget::start(|req| match req.index {
+        0 => vec![Step::Write(req.answer("ok"))],
+        _ => vec![Step::Hang],
+    })
+    .await;
+    let fleet = Fleet::start(1).await;
+    fleet.apply(&pools(&[("t-1", target.addr)]), &routes(json!({}))).await;
+    for _ in 0..5 {
+        let answer = fleet.hosts[0].send(Method::POST, "/", &[], "x").await.expect("an answer");
+        assert_eq!(answer.header("geraniummux-outcome"), "served");
+        // Past the time within which a connection counts as proven.
+        tokio::time::sleep(Duration::from_millis(80)).await;
+    }
+}
+
+/// Guards against hedges whose loser keeps the target busy.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hedge_cancels_loser() {
+    const HEDGED: usize = 20;
+    // The first attempt of each hedged request hangs, whichever target gets it.
+    let hung = Arc::new(Mutex::new(HashSet::new()));
+    let script = |hung: Arc<Mutex<HashSet<String>>>| {
+        move |req: &RawRequest| {
+            let path = req.path().to_owned();
+            let hangs = path.starts_with("/hang") && hung.lock().expect("a lock").insert(path);
+            if hangs { vec![Step::Hang] } else { vec![Step::Write(req.answer("ok"))] }
+        }
+    };
+    let a = RawTarget::start(script(hung.clone())).await;
+    let b = RawTarget::start(script(hung.clone())).await;
+    let fleet = Fleet::start(1).await;
+    let rows = routes(json!({ "hedge_budget": 1.0, "timeout_ms": 60_000 }));
+    fleet.apply(&pools(&[("a", a.addr), ("b", b.addr)]), &rows).await;
+    // Hedges are sent once the p95 of the route is known.
+    for n in 0..40 {
+        fleet.hosts[0].get(&format!("/warm/{n}")).await.expect("an answer");
+    }
+    for n in 0..HEDGED {
+        let answer = fleet.hosts[0].get(&format!("/hang/{n}")).await.expect("an answer");
+        assert_eq!(answer.header("geraniummux-outcome"), "served");
+    }
+    common::eventually("cancellation of the losers", || async {
+        (a.seen.cancelled() + b.seen.cancelled() == HEDGED).then_some(())
+    })
+    .await;
+}
+
+/// Guards against one request that takes down target after target because it is retried and its
+/// caller repeats it through every entry host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn poison_bounded() {
+    const TARGETS: usize = 8;
+    let mut targets = Vec::new();
+    for _ in 0..TARGETS {
+        targets.push(
+            RawTarget::start(|req| match req.path() {
+                "/poison" => vec![Step::Crash],
+                _ => vec![Step::Write(req.answer("ok"))],
+            })
+            .await,
+        );
+    }
+    let names: Vec<String> = (1..=TARGETS).map(|n| format!("t-{n}")).collect();
+    let rows: Vec<(&str, _)> = names.iter().zip(&targets).map(|(n, t)| (&**n, t.addr)).collect();
+    let fleet = Fleet::start(1).await;
+    fleet.apply(&pools(&rows), &routes(json!({ "retry_budget": 1.0 }))).await;
+    for n in 0..20 {
+        let answer = fleet.hosts[0].get("/poison").await.expect("an answer");
+        assert_ne!(answer.header("geraniummux-outcome"), "served");
+        if n > 1 {
+            assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+            assert_eq!(answer.header("geraniummux-reason"), "quarantined");
+            assert_eq!(answer.header("geraniummux-outcome"), "not-run");
+        }
+        let answer = fleet.hosts[0].get(&format!("/good/{n}")).await.expect("an answer");
+        assert_eq!(answer.header("geraniummux-outcome"), "served");
+    }
+    let ran: usize = targets.iter().map(|t| t.seen.requests.load(Ordering::SeqCst).min(1)).sum();
+    assert!(ran > 0);
+    let mut down = 0;
+    for target in &targets {
+        down += usize::from(tokio::net::TcpStream::connect(target.addr).await.is_err());
+    }
+    assert!(down <= 2, "{down} targets are down");
+}
+
+/// Guards against a caller that is told that its request didn't run although a target ran it, and
+/// against refused requests that are given up while other targets are free.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_not_run() {
+    let shed = Target::start("shed", Behaviour { shed: true, ..Behaviour::default() }).await;
+    let open = Target::start("open", Behaviour::default()).await;
+    let fleet = Fleet::start(1).await;
+    let rows = routes(json!({ "retry_budget": 1.0 }));
+    fleet.apply(&pools(&[("shed", shed.addr), ("open", open.addr)]), &rows).await;
+    let host = &fleet.hosts[0];
+    for _ in 0..20 {
+        let answer = host.send(Method::POST, "/", &[], "x").await.expect("an answer");
+        assert_eq!(answer.header("geraniummux-outcome"), "served");
+    }
+    assert_eq!(open.record().await.runs, 20);
+    open.behave(&Behaviour { shed: true, ..Behaviour::default() }).await;
+    for _ in 0..5 {
+        let answer = host.send(Method::POST, "/", &[], "x").await.expect("an answer");
+        assert_eq!(answer.header("geraniummux-outcome"), "not-run");
+        assert_eq!(answer.header("geraniummux-reason"), "overloaded");
+    }
+    assert_eq!(open.record().await.runs + shed.record().await.runs, 20);
+}
