--- a/crates/geraniummuxd/src/main.rs
+++ b/crates/geraniummuxd/src/main.rs
@@ -7,7 +7,7 @@
 use geraniummuxd::shared::Shared;
 use geraniummuxd::telemetry::Telemetry;
 use geraniummuxd::{
-    admin, claim_retention, host_list, logging, peer_net, probes, proxy, timers, usage,
+    admin, claim_retention, digests, host_list, logging, peer_net, probes, proxy, timers, usage,
 };
 use slog::{error, info};
 use std::net::SocketAddr;
@@ -88,10 +88,12 @@
     tokio::spawn(timers::run(shared.clone()));
     tokio::spawn(host_list::run(shared.clone()));
     tokio::spawn(probes::run(shared.clone()));
+    tokio::spawn(digests::run(shared.clone()));
     tokio::spawn(usage::run(shared.clone()));
     tokio::spawn(claim_retention::run(shared.clone()));
     tokio::spawn(admin::serve(admins, shared.clone()));
     tokio::spawn(proxy::serve(callers, shared.clone()));
+    tokio::spawn(proxy::sweep_connections(shared.clone()));
     until_stopped(&shared, stop).await
 }
 
--- a/crates/geraniummuxd/src/timers.rs
+++ b/crates/geraniummuxd/src/timers.rs
@@ -27,7 +27,7 @@
 fn tick(shared: &Arc<Shared>) {
     let now = shared.clock.now();
     let longest = longest_timeout(shared);
-    let connections = shared.control.connections();
+    let busy = shared.control.connections() + shared.data.in_flight();
     let mut rng = rand::rng();
     // All pause gates see the same time, so that one can't open before another has noticed a
     // pause.
@@ -39,7 +39,7 @@
         let drain = state.drain.tick(now, &state.members, &mut rng);
         let own = shared.control.counters();
         let usage = state.usage.tick(now, &own, &state.members);
-        let shutdown = state.shutdown.tick(now, connections, longest);
+        let shutdown = state.shutdown.tick(now, busy, longest);
         members.extend(enter_service(state, now));
         (members, config, drain, usage, shutdown)
     };
--- a/crates/geraniummuxd/tests/leaving.rs
+++ b/crates/geraniummuxd/tests/leaving.rs
@@ -174,6 +174,32 @@
     }
 }
 
+/// A caller that opens a connection for each request and uses an answer for the whole ttl.
+async fn connect_anew(
+    seeds: Vec<SocketAddr>,
+    stop: Arc<AtomicBool>,
+    path: &str,
+    sent: &AtomicUsize,
+) {
+    while !stop.load(Ordering::Relaxed) {
+        let Ok(entry) = caller::entry_hosts(&seeds, "b").await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let until = tokio::time::Instant::now() + Duration::from_millis(entry.ttl_ms);
+        for host in entry.hosts.iter().cycle() {
+            if tokio::time::Instant::now() >= until || stop.load(Ordering::Relaxed) {
+                break;
+            }
+            let answer = caller::send(host.addr, Method::GET, path, &[], Bytes::new()).await;
+            let answer = answer.unwrap_or_else(|e| panic!("request cut off: {e:#}"));
+            assert_eq!(answer.header("geraniummux-outcome"), "served");
+            sent.fetch_add(1, Ordering::Relaxed);
+            tokio::time::sleep(Duration::from_millis(3)).await;
+        }
+    }
+}
+
 /// Guards against a graceful stop that cuts off or refuses a request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn graceful_stops() {
@@ -192,11 +218,16 @@
     let seeds: Vec<SocketAddr> = fleet.hosts.iter().map(|h| h.listen).collect();
     let stop = Arc::new(AtomicBool::new(false));
     let sent = Arc::new(AtomicUsize::new(0));
-    let callers: Vec<JoinHandle<()>> = (0..9)
+    let callers: Vec<JoinHandle<()>> = (0..12)
         .map(|i| {
             let (seeds, stop, sent) = (seeds.clone(), stop.clone(), sent.clone());
             let path = if i % 3 == 0 { "/slow" } else { "/" };
-            tokio::spawn(async move { keep_sending(seeds, stop, path, &sent).await })
+            tokio::spawn(async move {
+                match i % 2 {
+                    0 => keep_sending(seeds, stop, path, &sent).await,
+                    _ => connect_anew(seeds, stop, path, &sent).await,
+                }
+            })
         })
         .collect();
     let stops = 8;
