--- a/crates/geraniummuxd/src/actions.rs
+++ b/crates/geraniummuxd/src/actions.rs
@@ -1,7 +1,7 @@
 //! Performs the actions that the core decided on.
 
 use crate::control::{Phase, State};
-use crate::shared::{Serving, Shared};
+use crate::shared::Shared;
 use crate::{config_sync, peer_messages, peer_net, usage};
 use geraniummux_core::config_sync::ConfigAction;
 use geraniummux_core::drain::{DrainAction, ShutdownAction};
@@ -155,13 +155,11 @@
         ShutdownAction::StopAccepting => {
             info!(shared.log, "draining"; "connections" => connections,
                 "in_flight" => in_flight);
-            shared.serving.send_replace(Serving::Draining);
             shared.control.enter(Phase::Draining);
         }
         ShutdownAction::AbortRequests => {
             warn!(shared.log, "aborting_requests"; "connections" => connections,
                 "in_flight" => in_flight);
-            shared.serving.send_replace(Serving::Aborting);
             shared.control.enter(Phase::Aborting);
         }
         ShutdownAction::WriteUsage => {
--- a/crates/geraniummuxd/src/balancing.rs
+++ b/crates/geraniummuxd/src/balancing.rs
@@ -1,7 +1,7 @@
 //! The load estimates and the choice of targets, shared by all requests.
 
 use geraniummux_core::config::Pool;
-use geraniummux_core::load::{LoadDigest, LoadOptions};
+use geraniummux_core::load::{Estimate, LoadDigest, LoadOptions};
 use geraniummux_core::{
     AttemptEnd, Balancer, BalancerOptions, Exclusion, LoadReport, LoadTable, TargetId, Time,
 };
@@ -87,6 +87,13 @@
         Some(Picked { id, name: load.name(id)?.clone(), addr: load.addr(id)? })
     }
 
+    /// Returns the estimated load of a target and the host's own requests in flight there.
+    pub fn estimate(&self, pool: &str, target: &str, now: Time) -> Option<(Estimate, u32)> {
+        let state = self.lock();
+        let id = state.load.id(pool, target)?;
+        Some((state.load.estimate(id, now)?, state.load.in_flight(id)))
+    }
+
     /// Notes that an attempt is about to be sent.
     pub fn on_sent(&self, id: TargetId, now: Time) {
         self.lock().load.on_sent(id, now);
@@ -122,20 +129,6 @@
         }
     }
 
-    /// Returns the load of a target for the status, or `None` if the target is not known.
-    pub fn report(&self, pool: &str, target: &str, now: Time) -> Option<serde_json::Value> {
-        let state = self.lock();
-        let id = state.load.id(pool, target)?;
-        let estimate = state.load.estimate(id, now)?;
-        let ejected = state.balancers.iter().any(|b| **b.pool() == *pool && b.is_ejected(id));
-        Some(serde_json::json!({
-            "outstanding": (f64::from(estimate.outstanding) * 10.0).round() / 10.0,
-            "latency_ms": (f64::from(estimate.latency_ms) * 10.0).round() / 10.0,
-            "in_flight_here": state.load.in_flight(id),
-            "ejected": ejected,
-        }))
-    }
-
     /// Returns the digest to send to peers now, encoded for [`Balancing::merge_digest`].
     pub fn digest(&self, now: Time) -> Vec<u8> {
         let digest = self.lock().load.digest(now);
--- a/crates/geraniummuxd/src/digests.rs
+++ b/crates/geraniummuxd/src/digests.rs
@@ -1,33 +1,34 @@
-//! Sends load digests to random peers within their byte budget.
+//! Sends load digests to peers.
 
 use crate::peer_net;
 use crate::shared::Shared;
 use geraniummux_wire::Message;
-use rand::seq::SliceRandom;
+use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Pause while there is no peer.
-const IDLE: Duration = Duration::from_millis(200);
+/// Pause while there is no peer or no target.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+/// Shortest pause between two digests, so that few targets don't mean a busy loop.
+const MIN_PAUSE: Duration = Duration::from_millis(10);
 
-/// Sends digests until the task is dropped.
+/// Sends digests at the pace that the byte budget allows, until the task is dropped.
 pub async fn run(shared: Arc<Shared>) {
     loop {
-        let mut peers: Vec<SocketAddr> = {
+        let peers: Vec<SocketAddr> = {
             let state = shared.control.lock();
             state.members.live_peers().map(|m| m.addr).collect()
         };
-        let (interval, fanout) = shared.data.balancing.digest_plan(peers.len());
         if peers.is_empty() {
-            tokio::time::sleep(IDLE).await;
+            tokio::time::sleep(IDLE_PAUSE).await;
             continue;
         }
-        tokio::time::sleep(interval).await;
+        let (pause, fanout) = shared.data.balancing.digest_plan(peers.len());
         let digest = shared.data.balancing.digest(shared.clock.now());
-        peers.shuffle(&mut rand::rng());
-        for peer in peers.into_iter().take(fanout) {
-            peer_net::send(&shared, peer, Message::LoadDigest(digest.clone()));
+        for addr in peers.into_iter().sample(&mut rand::rng(), fanout) {
+            peer_net::send(&shared, addr, Message::LoadDigest(digest.clone()));
         }
+        tokio::time::sleep(pause.max(MIN_PAUSE)).await;
     }
 }
--- a/crates/geraniummuxd/src/main.rs
+++ b/crates/geraniummuxd/src/main.rs
@@ -88,12 +88,12 @@
     tokio::spawn(timers::run(shared.clone()));
     tokio::spawn(host_list::run(shared.clone()));
     tokio::spawn(probes::run(shared.clone()));
-    tokio::spawn(digests::run(shared.clone()));
     tokio::spawn(usage::run(shared.clone()));
     tokio::spawn(claim_retention::run(shared.clone()));
     tokio::spawn(admin::serve(admins, shared.clone()));
     tokio::spawn(proxy::serve(callers, shared.clone()));
     tokio::spawn(proxy::sweep_connections(shared.clone()));
+    tokio::spawn(digests::run(shared.clone()));
     until_stopped(&shared, stop).await
 }
 
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -56,7 +56,7 @@
         Message::LoadDigest(bytes) => crate::hooks::digest(shared, &bytes),
         Message::Strike(strike) => {
             let id = strike.id;
-            crate::hooks::strike(shared, &from, &strike);
+            crate::hooks::strike(shared, &from, incarnation, &strike);
             peer_net::send(shared, addr, Message::StrikeAck { id });
         }
         Message::StrikeAck { id } => control.net.strike_acknowledged(id, &from),
--- a/crates/geraniummuxd/src/probes.rs
+++ b/crates/geraniummuxd/src/probes.rs
@@ -101,7 +101,7 @@
             if result.state == ProbedState::Draining {
                 actions::report_draining(&shared, result.target);
             }
-            hooks::probe(&shared, &result);
+            hooks::probe(&shared, &pool, &result);
             match batches.iter_mut().find(|b| b.pool == pool) {
                 Some(batch) => batch.results.push(result),
                 None => batches.push(ProbeResults { pool, results: vec![result] }),
@@ -217,6 +217,6 @@
 /// Takes in probe results of a peer. The peer itself reports leaving targets.
 pub fn learn(shared: &Shared, results: &ProbeResults) {
     for result in &results.results {
-        hooks::probe(shared, result);
+        hooks::probe(shared, &results.pool, result);
     }
 }
--- a/crates/geraniummuxd/src/proxy/accept.rs
+++ b/crates/geraniummuxd/src/proxy/accept.rs
@@ -4,7 +4,7 @@
 use crate::control::Phase;
 use crate::delivery::Outgoing;
 use crate::reply::Body;
-use crate::shared::{Serving, Shared};
+use crate::shared::Shared;
 use crate::socket::{self, ObservedStream};
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
@@ -26,11 +26,11 @@
 
 /// Accepts callers on `listener` until the host stops accepting.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    let mut serving = shared.serving.subscribe();
+    let mut phase = shared.control.phase();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = serving.wait_for(|s| *s != Serving::Accepting) => return,
+            _ = phase.wait_for(|p| *p >= Phase::Draining) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -43,14 +43,13 @@
 }
 
 async fn serve_connection(stream: TcpStream, shared: Arc<Shared>) {
-    // A shutdown waits for open connections, since a request may be on its way over them.
     let _guard = shared.control.connection();
     socket::prepare(&stream, USER_TIMEOUT);
     let stream = Arc::new(stream);
     let outgoing = Arc::new(Outgoing::new(stream.clone()));
     let io = TokioIo::new(ObservedStream::new(stream, outgoing.clone()));
-    let mut serving = shared.serving.subscribe();
-    let mut draining = serving.clone();
+    let mut phase = shared.control.phase();
+    let mut draining = phase.clone();
     let service = {
         let outgoing = outgoing.clone();
         tower::service_fn(move |req| {
@@ -67,8 +66,8 @@
         tokio::select! {
             // An error concerns that caller only.
             _ = conn.as_mut() => break,
-            _ = serving.wait_for(|s| *s == Serving::Aborting) => break,
-            _ = draining.wait_for(|s| *s != Serving::Accepting), if !graceful => {
+            _ = phase.wait_for(|p| *p >= Phase::Aborting) => break,
+            _ = draining.wait_for(|p| *p >= Phase::Draining), if !graceful => {
                 conn.as_mut().graceful_shutdown();
                 graceful = true;
             }
--- a/crates/geraniummuxd/src/proxy/mod.rs
+++ b/crates/geraniummuxd/src/proxy/mod.rs
@@ -10,10 +10,11 @@
 
 pub use accept::serve;
 
+use crate::control;
 use crate::delivery::Outgoing;
+use crate::entry;
 use crate::reply::{self, Body};
 use crate::shared::Shared;
-use crate::{control, entry};
 use bytes::Bytes;
 use driver::Driver;
 use geraniummux_core::config::Route;
@@ -59,13 +60,13 @@
     req: Request<Incoming>,
 ) -> Result<Job, Refused> {
     let started = shared.clock.now();
-    let in_force = control::fresh(&shared).await.map_err(|reason| (Outcome::NotRun, reason))?;
     let (parts, body) = req.into_parts();
     // A response of unknown length over HTTP/1.0 ends with the connection, so that a truncated one
     // looks whole.
     if parts.version < Version::HTTP_11 || parts.method == Method::CONNECT {
         return Err((Outcome::NotRun, Reason::BadRequest));
     }
+    let in_force = control::fresh(&shared).await.map_err(|r| (Outcome::NotRun, r))?;
     let host = request_host(&parts);
     let route = in_force
         .router
--- a/crates/geraniummuxd/src/shared.rs
+++ b/crates/geraniummuxd/src/shared.rs
@@ -1,12 +1,13 @@
 //! State shared by the tasks of the daemon.
 
+use crate::actions;
 use crate::clock::Clock;
 use crate::control::{self, Control};
 use crate::data_path::DataPath;
+use crate::peer_messages;
 use crate::platform_calls::CountedPlatform;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
-use crate::{actions, hooks, peer_messages};
 use arc_swap::ArcSwap;
 use geraniummux_core::Reason;
 use geraniummux_core::config::{Config, ConfigState, Offer};
@@ -17,18 +18,6 @@
 use slog::{Logger, info};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use tokio::sync::watch;
-
-/// How far the shutdown of the host is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Serving {
-    /// Connections and requests are accepted.
-    Accepting,
-    /// No connection is accepted; requests in flight are finished.
-    Draining,
-    /// Requests in flight are aborted.
-    Aborting,
-}
 
 /// The configuration in force with what is derived from it.
 #[derive(Debug, Default)]
@@ -55,8 +44,6 @@
     pub control: Arc<Control>,
     /// State of the data path.
     pub data: Arc<DataPath>,
-    /// How far the shutdown is. The caller's listener and connections follow it.
-    pub serving: watch::Sender<Serving>,
     config: Mutex<ConfigState>,
     in_force: ArcSwap<InForce>,
 }
@@ -71,12 +58,11 @@
         Shared {
             settings,
             clock,
-            data,
-            serving: watch::channel(Serving::Accepting).0,
             log,
             telemetry,
             platform,
             control,
+            data,
             config: Mutex::default(),
             in_force: ArcSwap::default(),
         }
@@ -107,20 +93,22 @@
     /// Returns the addresses of targets that are known to be leaving.
     pub fn leaving_targets(&self) -> Vec<SocketAddr> {
         let now = self.clock.now();
-        let mut leaving: Vec<SocketAddr> =
-            self.control.lock().drain.notices(now).into_iter().map(|n| n.target).collect();
         let in_force = self.in_force();
-        let targets = in_force.config.tables.pools.iter().flat_map(|p| &p.targets);
-        leaving.extend(targets.filter(|t| t.leaving).map(|t| t.addr));
+        let tables = &in_force.config.tables;
+        let mut leaving = self.control.lock().drain.leaving(now);
+        let edited = tables.pools.iter().flat_map(|p| &p.targets).filter(|t| t.leaving);
+        leaving.extend(edited.map(|t| t.addr));
         leaving
     }
 
-    /// Waits, for a bounded time, while this host was paused and may not know the leaving targets
-    /// or the latest configuration. Returns whether it had to wait.
+    /// Waits, for a bounded time, while this host was paused and may not know the present
+    /// configuration and the leaving targets.
+    ///
+    /// Returns whether it had to wait, so that the configuration may have changed.
     ///
     /// # Errors
     ///
-    /// [`Reason::NotReady`] if this host may hold an outdated configuration.
+    /// Returns why the request can't be sent under the configuration in force.
     pub async fn await_refresh(&self) -> Result<bool, Reason> {
         let start = self.clock.now();
         control::fresh(self).await?;
@@ -140,10 +128,16 @@
     /// Sends a strike to all peers and waits up to 50 ms for them. Returns how many did not
     /// acknowledge it.
     pub async fn spread_strike(&self, strike: &Strike) -> usize {
-        match hooks::strike_message(strike) {
-            Some(message) => peer_messages::broadcast_strike(self, message).await,
-            None => 0,
-        }
+        let Ok(target) = strike.target.parse() else { return 0 };
+        let strike = geraniummux_wire::Strike {
+            // Set when it is sent.
+            id: 0,
+            fingerprint: strike.fingerprint.into(),
+            target,
+            age_ms: 0,
+            retracted: false,
+        };
+        peer_messages::broadcast_strike(self, strike).await
     }
 
     /// Counts one delivered response.
