--- a/crates/geraniummuxd/src/actions.rs
+++ b/crates/geraniummuxd/src/actions.rs
@@ -123,7 +123,9 @@
             UsageAction::Report { to, report } => {
                 peer_net::send(shared, to, Message::Usage(report));
             }
-            UsageAction::Collect { to } => peer_net::send(shared, to, Message::UsageCollect),
+            UsageAction::Collect { to, known } => {
+                peer_net::send(shared, to, Message::UsageCollect { known });
+            }
             UsageAction::Confirm { to, seqs } => {
                 peer_net::send(shared, to, Message::UsageConfirm { seqs });
             }
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -43,12 +43,12 @@
         }
         Message::LeavingAck(ack) => control.lock().drain.acknowledged(&from, &ack),
         Message::Usage(report) => control.lock().usage.receive(now, addr, report),
-        Message::UsageCollect => {
+        Message::UsageCollect { known } => {
             let out = {
                 let mut guard = control.lock();
                 let state = &mut *guard;
                 let own = control.counters();
-                state.usage.collect(now, addr, &own, &state.members)
+                state.usage.collect(now, addr, known, &own, &state.members)
             };
             actions::usage(shared, out);
         }
--- a/crates/geraniummuxd/src/status.rs
+++ b/crates/geraniummuxd/src/status.rs
@@ -3,6 +3,7 @@
 use crate::control::{self, State};
 use crate::shared::Shared;
 use geraniummux_core::config_sync::{Permit, Refusal};
+use geraniummux_core::usage::UsageRow;
 use geraniummux_core::{Member, MemberState, Time};
 use serde_json::{Value, json};
 use std::fmt::Write as _;
@@ -42,12 +43,23 @@
     report["connections"] = json!(shared.control.connections());
     report["targets"] = targets(shared, now);
     report["classes"] = json!(shared.telemetry.report());
-    report["counted"] = json!(shared.control.counters().rows());
+    report["counted"] = counted(shared);
     report["peer_traffic"] = json!(shared.control.net.traffic());
     report["platform_calls"] = json!(shared.platform.calls());
     report
 }
 
+fn counted(shared: &Shared) -> Value {
+    let counters = shared.control.counters();
+    let row = |r: &UsageRow| {
+        json!({
+            "month": r.key.month.to_string(), "tenant": r.key.tenant, "class": r.key.class,
+            "served": r.served,
+        })
+    };
+    counters.rows().iter().map(row).collect()
+}
+
 fn serving(state: &State, now: Time, generation: u64) -> &'static str {
     match state.config.permit(now) {
         Permit::Serve if generation == 0 => "no-configuration",
@@ -114,7 +126,7 @@
     ] {
         let _ = writeln!(page, "{name:<20} {}", plain(&report[name]));
     }
-    for name in ["members", "targets", "classes", "leaving_targets"] {
+    for name in ["members", "targets", "classes", "leaving_targets", "counted"] {
         let _ = writeln!(page, "\n{name}");
         for row in report[name].as_array().into_iter().flatten() {
             let cells: Vec<String> = row
