Prove at-most-once over real processes

Cause: claims, retries and refusals were only proved in the core; nothing showed that the daemon's platform calls and connections keep to the same rules when processes die. Change: tests/at_most_once.rs checks each row of the claim table through two entry hosts, sends 240 requests with and without keys through three hosts while hosts are killed (SIGKILL), paused and resumed and the platform is down, slow or loses write answers, and pauses a holder after its claim took effect. Runs are counted at the targets.

--- /dev/null
+++ b/crates/geraniummuxd/tests/at_most_once.rs
@@ -0,0 +1,273 @@
+//! Non-idempotent requests run at most once, whatever fails, and replies tell what happened.
+
+mod common;
+
+use common::raw::{RawRequest, RawTarget, Step};
+use common::{Fleet, Target, eventually, pools, routes};
+use geraniummux_standin::caller::{self, Answer};
+use geraniummux_standin::platform::Faults;
+use geraniummux_standin::target::Behaviour;
+use http::Method;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Outcome, reason and status of a reply.
+fn told(answer: &Answer) -> (&str, &str, u16) {
+    let reason = answer.header("geraniummux-reason");
+    (answer.header("geraniummux-outcome"), reason, answer.status.as_u16())
+}
+
+/// Guards against replies that differ from the table of claims on the design page.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn claims_table() {
+    let target = Target::start("t-1", Behaviour::default()).await;
+    let fleet = Fleet::start(2).await;
+    fleet.apply(&pools(&[("t-1", target.addr)]), &routes(json!({ "timeout_ms": 5_000 }))).await;
+    let [a, b] = &fleet.hosts[..] else { unreachable!() };
+    let post = async |host: &common::Daemon, key: &str, path: &str, timeout: &str| {
+        let headers = [("idempotency-key", key), ("x-request-timeout-ms", timeout)];
+        host.send(Method::POST, path, &headers, "order").await.expect("a reply")
+    };
+
+    // None: the request runs. Done: the same response again.
+    let first = post(a, "k-1", "/", "5000").await;
+    assert_eq!(told(&first), ("served", "", 200));
+    for host in [a, b] {
+        let again = post(host, "k-1", "/", "5000").await;
+        assert_eq!(told(&again), ("served", "", 200));
+        assert_eq!(again.header("geraniummux-replayed"), "1");
+        assert_eq!(again.body, first.body);
+    }
+
+    // Another request under the same key.
+    let other = post(b, "k-1", "/other", "5000").await;
+    assert_eq!(told(&other), ("not-run", "key-reused", 422));
+
+    // Running: waits and replays, or gives up at its deadline.
+    target.behave(&Behaviour { service_ms: 700, ..Behaviour::default() }).await;
+    let (slow, late, waited) = tokio::join!(
+        post(a, "k-2", "/", "5000"),
+        async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            post(b, "k-2", "/", "150").await
+        },
+        async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            post(b, "k-2", "/", "5000").await
+        },
+    );
+    assert_eq!(told(&slow), ("served", "", 200));
+    assert_eq!(told(&late), ("unknown", "claim-pending", 409));
+    assert_eq!(told(&waited), ("served", "", 200));
+    assert_eq!(waited.header("geraniummux-replayed"), "1");
+
+    // The outcome is unknown: the target never answered.
+    target.behave(&Behaviour { stall: true, ..Behaviour::default() }).await;
+    let stalled = post(a, "k-3", "/", "150").await;
+    assert_eq!(told(&stalled), ("unknown", "deadline", 504));
+    target.behave(&Behaviour::default()).await;
+    assert_eq!(told(&post(b, "k-3", "/", "5000").await), ("unknown", "claim-pending", 409));
+
+    // Too long to be stored.
+    target.behave(&Behaviour { body_len: 100_000, ..Behaviour::default() }).await;
+    assert_eq!(told(&post(a, "k-4", "/", "5000").await), ("served", "", 200));
+    assert_eq!(told(&post(b, "k-4", "/", "5000").await), ("unknown", "answer-not-kept", 409));
+
+    // Refused by the target: the claim is released.
+    target.behave(&Behaviour { shed: true, ..Behaviour::default() }).await;
+    assert_eq!(told(&post(a, "k-5", "/", "5000").await), ("not-run", "overloaded", 503));
+    target.behave(&Behaviour::default()).await;
+    assert_eq!(told(&post(b, "k-5", "/", "5000").await), ("served", "", 200));
+
+    // Platform unreachable, also for a key that was used before; without a key requests go on.
+    fleet.platform.faults(&Faults { down: true, ..Faults::default() }).await;
+    for key in ["k-1", "k-6"] {
+        let refused = post(b, key, "/", "5000").await;
+        assert_eq!(told(&refused), ("unknown", "claim-unavailable", 503));
+    }
+    let plain = a.send(Method::POST, "/", &[], "order").await.expect("a reply");
+    assert_eq!(told(&plain), ("served", "", 200));
+    let get = a.send(Method::GET, "/", &[("idempotency-key", "k-7")], "").await.expect("a reply");
+    assert_eq!(told(&get), ("served", "", 200));
+    fleet.platform.faults(&Faults::default()).await;
+
+    let runs = target.record().await.runs_by_key;
+    for (key, expected) in [("k-1", 1), ("k-2", 1), ("k-3", 1), ("k-4", 1), ("k-5", 1), ("k-6", 0)]
+    {
+        assert_eq!(runs.get(key).copied().unwrap_or(0), expected, "runs of {key}");
+    }
+    assert_eq!(fleet.platform.objects("claim").await.len(), 5, "an idempotent request has a claim");
+}
+
+/// Runs by path, counted at the targets.
+type Runs = Arc<Mutex<HashMap<String, u32>>>;
+
+fn counting(runs: Runs) -> impl Fn(&RawRequest) -> Vec<Step> + Send + Sync + 'static {
+    move |req| {
+        let run = {
+            let mut runs = runs.lock().expect("no panic while locked");
+            let run = runs.entry(req.path().to_owned()).or_default();
+            *run += 1;
+            *run
+        };
+        let answer = req.answer(&format!("run {run} of {}", req.path()));
+        // Requests by the last digit of their path: fast, slow, lost, cut off.
+        match req.path().as_bytes().last() {
+            Some(b'0'..=b'3') => vec![Step::Write(answer)],
+            Some(b'4'..=b'6') => vec![Step::Pause(Duration::from_millis(60)), Step::Write(answer)],
+            Some(b'7') => vec![Step::Hang],
+            _ => vec![Step::Write(answer[..answer.len() / 2].to_vec()), Step::Close],
+        }
+    }
+}
+
+/// Breaks hosts and platform until `done`.
+async fn chaos(fleet: &mut Fleet, rng: &mut SmallRng, done: &AtomicBool) -> u32 {
+    let mut faults = 0;
+    while !done.load(Ordering::SeqCst) {
+        faults += 1;
+        let n = rng.random_range(0..fleet.hosts.len());
+        let wait = Duration::from_millis(rng.random_range(20..400));
+        match rng.random_range(0..5) {
+            0 => {
+                fleet.hosts[n].pause();
+                tokio::time::sleep(wait).await;
+                fleet.hosts[n].resume();
+            }
+            1 => {
+                fleet.hosts[n].kill();
+                fleet.hosts[n].spawn();
+            }
+            2 => {
+                fleet.platform.faults(&Faults { lose_write_answers: 4, ..Faults::default() }).await
+            }
+            3 => {
+                fleet.platform.faults(&Faults { down: true, ..Faults::default() }).await;
+                tokio::time::sleep(wait).await;
+                fleet.platform.faults(&Faults::default()).await;
+            }
+            _ => fleet.platform.faults(&Faults { slow_ms: 30, ..Faults::default() }).await,
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(20..150))).await;
+    }
+    faults
+}
+
+/// Sends one request up to `sends` times through random hosts; returns the replies.
+async fn repeat(hosts: &[SocketAddr], path: &str, key: Option<&str>, seed: u64) -> Vec<Answer> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut replies = Vec::new();
+    let mut headers = vec![("x-request-timeout-ms", "700")];
+    headers.extend(key.map(|key| ("idempotency-key", key)));
+    for _ in 0..if key.is_some() { 3 } else { 1 } {
+        let host = hosts[rng.random_range(0..hosts.len())];
+        // A killed host breaks the exchange; a paused one may need longer than a caller waits.
+        let sent = caller::send(host, Method::POST, path, &headers, "order".into());
+        if let Ok(Ok(reply)) = tokio::time::timeout(Duration::from_millis(1_500), sent).await {
+            replies.push(reply);
+        }
+    }
+    replies
+}
+
+/// Guards against double runs, wrong replays and a false `not-run` when hosts are killed and paused
+/// and the platform loses answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn non_idempotent_faults() {
+    let seed = rand::random();
+    eprintln!("seed {seed}");
+    const REQUESTS: usize = 240;
+    let runs = Runs::default();
+    let t1 = RawTarget::start(counting(runs.clone())).await;
+    let t2 = RawTarget::start(counting(runs.clone())).await;
+    let mut fleet = Fleet::start(3).await;
+    let rows = routes(json!({ "retry_budget": 1.0, "timeout_ms": 1_000 }));
+    fleet.apply(&pools(&[("t-1", t1.addr), ("t-2", t2.addr)]), &rows).await;
+    let hosts: Vec<SocketAddr> = fleet.hosts.iter().map(|h| h.listen).collect();
+    let done = Arc::new(AtomicBool::new(false));
+
+    let calls = tokio::spawn({
+        let (done, hosts) = (done.clone(), hosts.clone());
+        async move {
+            let mut replies = Vec::new();
+            for batch in 0..REQUESTS / 24 {
+                let mut calls = Vec::new();
+                for n in batch * 24..(batch + 1) * 24 {
+                    let hosts = hosts.clone();
+                    calls.push(tokio::spawn(async move {
+                        let path = format!("/order/{n}");
+                        let key = format!("key-{n}");
+                        // Every fourth request has no key.
+                        let key = (n % 4 != 0).then_some(&*key);
+                        (path.clone(), repeat(&hosts, &path, key, seed ^ n as u64).await)
+                    }));
+                }
+                for call in calls {
+                    replies.push(call.await.expect("a caller"));
+                }
+            }
+            done.store(true, Ordering::SeqCst);
+            replies
+        }
+    });
+    let faults = chaos(&mut fleet, &mut SmallRng::seed_from_u64(seed), &done).await;
+    let replies = calls.await.expect("replies");
+
+    let runs = runs.lock().expect("no panic while locked").clone();
+    let mut counts: HashMap<&str, u32> = HashMap::new();
+    for (path, replies) in &replies {
+        let run = runs.get(path).copied().unwrap_or(0);
+        assert!(run <= 1, "{path} ran {run} times");
+        for reply in replies {
+            let (outcome, reason, status) = told(reply);
+            *counts.entry(if outcome == "served" { outcome } else { reason }).or_default() += 1;
+            match outcome {
+                "served" => assert_eq!(reply.body, format!("run 1 of {path}")),
+                // Sent once without a key, so that nothing else can have run it.
+                "not-run" if replies.len() == 1 => assert_eq!(run, 0, "{path}: {reason} {status}"),
+                _ => assert_ne!(status, 200, "{path}: {outcome}"),
+            }
+        }
+    }
+    eprintln!("{faults} faults, {} paths ran, replies {counts:?}", runs.len());
+    assert!(runs.len() > REQUESTS / 4, "too few requests ran to prove anything");
+    assert!(counts.get("served").copied().unwrap_or(0) > 0);
+}
+
+/// Guards against a second run by a holder that is paused after its claim was granted and resumes
+/// past the deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn claims_paused_holder() {
+    let target = Target::start("t-1", Behaviour { service_ms: 1, ..Behaviour::default() }).await;
+    let fleet = Fleet::start(2).await;
+    fleet.apply(&pools(&[("t-1", target.addr)]), &routes(json!({ "timeout_ms": 600 }))).await;
+    let [a, b] = &fleet.hosts[..] else { unreachable!() };
+    let headers = [("idempotency-key", "k")];
+    // The create takes effect but its answer comes late, and the holder is paused meanwhile.
+    fleet.platform.faults(&Faults { slow_ms: 150, ..Faults::default() }).await;
+    let (first, second) = tokio::join!(a.send(Method::POST, "/", &headers, "x"), async {
+        eventually("the claim", || async {
+            (!fleet.platform.objects("claim").await.is_empty()).then_some(())
+        })
+        .await;
+        a.pause();
+        let second = b.send(Method::POST, "/", &headers, "x").await;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        a.resume();
+        second
+    });
+    for reply in [&first, &second].into_iter().flatten() {
+        assert_ne!(reply.header("geraniummux-outcome"), "not-run");
+    }
+    fleet.platform.faults(&Faults::default()).await;
+    for host in [a, b] {
+        host.send(Method::POST, "/", &headers, "x").await.expect("a reply");
+    }
+    assert!(target.record().await.runs <= 1, "the request ran twice");
+}
