--- a/crates/geraniummuxd/src/balancing.rs
+++ b/crates/geraniummuxd/src/balancing.rs
@@ -1,7 +1,7 @@
 //! The load estimates and the choice of targets, shared by all requests.
 
 use geraniummux_core::config::Pool;
-use geraniummux_core::load::{LoadDigest, LoadOptions};
+use geraniummux_core::load::{Estimate, LoadDigest, LoadOptions};
 use geraniummux_core::{
     AttemptEnd, Balancer, BalancerOptions, Exclusion, LoadReport, LoadTable, TargetId, Time,
 };
@@ -122,11 +122,22 @@
         }
     }
 
-    /// Returns the digest to send to peers now, encoded for [`Balancing::merge_digest`].
-    pub fn digest(&self, now: Time) -> Vec<u8> {
+    /// Returns the digest to send to peers now, encoded for [`Balancing::merge_digest`]; `None` if
+    /// there is nothing to tell.
+    pub fn digest(&self, now: Time) -> Option<Vec<u8>> {
         let digest = self.lock().load.digest(now);
-        // A digest has only numbers, which always encode.
-        postcard::to_stdvec(&digest).unwrap_or_default()
+        if digest.entries.is_empty() {
+            return None;
+        }
+        postcard::to_stdvec(&digest).ok()
+    }
+
+    /// Returns a target's estimated load, the own requests in flight and whether it is ejected.
+    pub fn estimate(&self, pool: &str, target: &str, now: Time) -> Option<(Estimate, u32, bool)> {
+        let state = self.lock();
+        let id = state.load.id(pool, target)?;
+        let ejected = state.balancers.iter().any(|b| b.is_ejected(id));
+        Some((state.load.estimate(id, now)?, state.load.in_flight(id), ejected))
     }
 
     /// Takes in the digest of a peer; one that can't be decoded is ignored.
--- a/crates/geraniummuxd/src/data_path.rs
+++ b/crates/geraniummuxd/src/data_path.rs
@@ -9,7 +9,8 @@
 use geraniummux_core::config::Tables;
 use geraniummux_core::quarantine::{QuarantineOptions, Strike};
 use geraniummux_core::{Fingerprint, Quarantine};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Limits of a tenant without an entry in the settings: requests under way and waiting.
@@ -39,16 +40,6 @@
     /// Identity of this process in request identities, not guessable by targets.
     process: u64,
     next_id: AtomicU64,
-    in_flight: AtomicUsize,
-}
-
-/// Counts a request as in flight until it is dropped.
-pub struct InFlight(Arc<DataPath>);
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
 }
 
 impl DataPath {
@@ -72,7 +63,6 @@
             pools: Mutex::default(),
             process,
             next_id: AtomicU64::new(0),
-            in_flight: AtomicUsize::new(0),
         }
     }
 
@@ -114,17 +104,6 @@
         format!("{:016x}-{n:x}-{:08x}", self.process, rand::random::<u32>())
     }
 
-    /// Counts a request as in flight.
-    pub fn begin(self: &Arc<Self>) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        InFlight(self.clone())
-    }
-
-    /// Returns how many requests are in flight, undelivered responses included.
-    pub fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Acquire)
-    }
-
     fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
     }
@@ -134,9 +113,10 @@
         self.quarantine().is_blocked(self.clock.now(), fingerprint)
     }
 
-    /// Records a strike seen here and returns it for the peers.
-    pub fn strike(&self, fingerprint: Fingerprint, target: &Arc<str>) -> Strike {
-        self.quarantine().strike(self.clock.now(), fingerprint, target)
+    /// Records a strike seen here. Targets are told apart by their addresses, as in messages.
+    pub fn strike(&self, fingerprint: Fingerprint, target: SocketAddr) {
+        let target = target.to_string().into();
+        self.quarantine().strike(self.clock.now(), fingerprint, &target);
     }
 
     /// Records a strike of a peer.
--- a/crates/geraniummuxd/src/proxy/accept.rs
+++ b/crates/geraniummuxd/src/proxy/accept.rs
@@ -1,8 +1,9 @@
 //! Accepts callers' connections, HTTP/1.1 and HTTP/2.
 
 use super::handle;
+use crate::control::Phase;
 use crate::delivery::Outgoing;
-use crate::shared::{Serving, Shared};
+use crate::shared::Shared;
 use crate::socket::{self, ObservedStream};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -22,11 +23,11 @@
 
 /// Accepts callers on `listener` until the host stops accepting.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    let mut serving = shared.serving.subscribe();
+    let mut phase = shared.control.phase();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = serving.wait_for(|s| *s != Serving::Accepting) => return,
+            _ = phase.wait_for(|p| *p >= Phase::Draining) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -43,8 +44,9 @@
     let stream = Arc::new(stream);
     let outgoing = Arc::new(Outgoing::new(stream.clone()));
     let io = TokioIo::new(ObservedStream::new(stream, outgoing.clone()));
-    let mut serving = shared.serving.subscribe();
-    let mut draining = serving.clone();
+    let _guard = shared.control.connection();
+    let mut draining = shared.control.phase();
+    let mut aborting = shared.control.phase();
     let service = {
         let outgoing = outgoing.clone();
         tower::service_fn(move |req| {
@@ -61,8 +63,8 @@
         tokio::select! {
             // An error concerns that caller only.
             _ = conn.as_mut() => break,
-            _ = serving.wait_for(|s| *s == Serving::Aborting) => break,
-            _ = draining.wait_for(|s| *s != Serving::Accepting), if !graceful => {
+            _ = aborting.wait_for(|p| *p >= Phase::Aborting) => break,
+            _ = draining.wait_for(|p| *p >= Phase::Draining), if !graceful => {
                 conn.as_mut().graceful_shutdown();
                 graceful = true;
             }
--- a/crates/geraniummuxd/src/proxy/job.rs
+++ b/crates/geraniummuxd/src/proxy/job.rs
@@ -3,7 +3,7 @@
 use super::headers;
 use crate::delivery::Outgoing;
 use crate::routes::RouteState;
-use crate::shared::Shared;
+use crate::shared::{InForce, Shared};
 use bytes::Bytes;
 use geraniummux_core::config::Route;
 use geraniummux_core::{Fingerprint, Outcome, Reason, Time, UnixMs};
@@ -18,6 +18,10 @@
 pub struct Job {
     /// State of the host.
     pub shared: Arc<Shared>,
+    /// Generation of the configuration that the route is from.
+    pub generation: u64,
+    /// The host that the caller asked for.
+    pub host: String,
     /// The route.
     pub route: Arc<Route>,
     /// Budgets and latency of the route.
@@ -83,6 +87,17 @@
 }
 
 impl Job {
+    /// Returns the pool that serves the request under `in_force`, which may be newer than the route
+    /// that the request was admitted by; `None` if no route matches any more.
+    pub fn pool(&self, in_force: &InForce) -> Option<Arc<str>> {
+        if in_force.config.generation == self.generation {
+            return Some(self.route.pool.clone());
+        }
+        let path = self.path.split('?').next().unwrap_or("");
+        let route = in_force.router.find(&self.host, self.method.as_str(), path)?;
+        Some(route.pool.clone())
+    }
+
     /// Returns whether the request may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.route.is_idempotent(self.method.as_str())
--- a/crates/geraniummuxd/src/proxy/mod.rs
+++ b/crates/geraniummuxd/src/proxy/mod.rs
@@ -10,7 +10,9 @@
 
 pub use accept::serve;
 
+use crate::control::{self, Phase};
 use crate::delivery::Outgoing;
+use crate::entry;
 use crate::reply::{self, Body};
 use crate::shared::Shared;
 use bytes::Bytes;
@@ -18,11 +20,10 @@
 use geraniummux_core::config::Route;
 use geraniummux_core::{Fingerprint, Outcome, Reason, Time};
 use http::request::Parts;
-use http::{Method, Request, Response, Version, header};
+use http::{HeaderValue, Method, Request, Response, Version, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use job::{Job, Terms};
-use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,30 +38,26 @@
     req: Request<Incoming>,
 ) -> Response<Body> {
     if req.uri().path() == ENTRY_HOSTS_PATH {
-        return entry_hosts(&shared);
+        return entry::answer(&shared, req.uri().query());
     }
-    let in_flight = shared.data.begin();
+    let http1 = req.version() <= Version::HTTP_11;
+    let phase = shared.control.phase();
     let result = match admit(shared, outgoing, req).await {
         Ok(job) => {
-            let (driver, rsp) = Driver::new(job, in_flight);
+            let (driver, rsp) = Driver::new(job);
             // The request goes on if the caller leaves, until its attempts are cancelled.
             tokio::spawn(driver.run());
             rsp.await.map_err(|_| (Outcome::Unknown, Reason::TargetFailed))
         }
         Err(refused) => Err(refused),
     };
-    result.unwrap_or_else(|(outcome, reason)| reply::refusal(outcome, reason))
-}
-
-fn entry_hosts(shared: &Shared) -> Response<Body> {
-    let answer = json!({
-        "hosts": [{
-            "addr": shared.settings.advertised(),
-            "failure_domain": shared.settings.failure_domain,
-        }],
-        "ttl_ms": shared.settings.entry_ttl_ms,
-    });
-    reply::json(http::StatusCode::OK, &answer)
+    let mut rsp = result.unwrap_or_else(|(outcome, reason)| reply::refusal(outcome, reason));
+    // While callers still learn that this host leaves, their idle connections are closed by the
+    // answer to their next request, so that none is closed while a request is on its way.
+    if http1 && *phase.borrow() > Phase::Serving {
+        rsp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    rsp
 }
 
 /// Finds the route of a request and reads its body.
@@ -70,23 +67,21 @@
     req: Request<Incoming>,
 ) -> Result<Job, Refused> {
     let started = shared.clock.now();
-    if let Some(reason) = shared.refusal() {
-        return Err((Outcome::NotRun, reason));
-    }
+    let in_force = control::fresh(&shared).await.map_err(|reason| (Outcome::NotRun, reason))?;
     let (parts, body) = req.into_parts();
     // A response of unknown length over HTTP/1.0 ends with the connection, so that a truncated one
     // looks whole.
     if parts.version < Version::HTTP_11 || parts.method == Method::CONNECT {
         return Err((Outcome::NotRun, Reason::BadRequest));
     }
-    let in_force = shared.in_force();
     let host = request_host(&parts);
     let route = in_force
         .router
         .find(host, parts.method.as_str(), parts.uri.path())
         .ok_or((Outcome::NotRun, Reason::NoRoute))?
         .clone();
-    let job = prepare(&shared, outgoing, &route, parts, body, started).await;
+    let origin = Origin { generation: in_force.config.generation, host: host.to_owned(), started };
+    let job = prepare(&shared, outgoing, &route, parts, body, origin).await;
     if let Err((outcome, _)) = &job {
         let took = shared.clock.now().since(started);
         shared.telemetry.request(&route.tenant, &route.class, *outcome, false, took);
@@ -100,14 +95,22 @@
     authority.or(header).unwrap_or("")
 }
 
+/// How a request came to its route.
+struct Origin {
+    generation: u64,
+    host: String,
+    started: Time,
+}
+
 async fn prepare(
     shared: &Arc<Shared>,
     outgoing: Arc<Outgoing>,
     route: &Arc<Route>,
     parts: Parts,
     body: Incoming,
-    started: Time,
+    origin: Origin,
 ) -> Result<Job, Refused> {
+    let Origin { generation, host, started } = origin;
     let terms = Terms::read(&parts, route)?;
     let wall_deadline = shared.clock.wall() + terms.timeout;
     let body = tokio::time::timeout(terms.timeout, read_body(body, route.max_body_bytes))
@@ -117,6 +120,8 @@
     let fingerprint = Fingerprint::new(&route.tenant, parts.method.as_str(), path, &body);
     Ok(Job {
         shared: shared.clone(),
+        generation,
+        host,
         route: route.clone(),
         route_state: shared.data.routes.get(route, started),
         outgoing,
