--- a/crates/geraniummux-core/src/load.rs
+++ b/crates/geraniummux-core/src/load.rs
@@ -674,6 +674,11 @@
         }
     }
 
+    /// Returns whether there is news for peers that no digest has told yet.
+    pub fn has_news(&self) -> bool {
+        !self.news.is_empty()
+    }
+
     /// Returns the digest to send now, if there is news and the byte budget allows it.
     ///
     /// Called after each [`LoadTable::on_end`] and [`LoadTable::on_probe`], and about every 100 ms.
--- a/crates/geraniummuxd/src/balancing.rs
+++ b/crates/geraniummuxd/src/balancing.rs
@@ -7,7 +7,7 @@
 };
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use tokio::sync::Notify;
 
 /// A chosen target.
 #[derive(Clone, Debug)]
@@ -30,13 +30,18 @@
 pub struct Balancing {
     domain: Arc<str>,
     state: Mutex<State>,
+    news: Notify,
 }
 
 impl Balancing {
     /// Returns the state of a host in failure domain `domain` that has no pools yet.
     pub fn new(domain: Arc<str>) -> Self {
         let load = LoadTable::new(&[], LoadOptions::default());
-        Balancing { domain, state: Mutex::new(State { load, balancers: Vec::new() }) }
+        Balancing {
+            domain,
+            state: Mutex::new(State { load, balancers: Vec::new() }),
+            news: Notify::new(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -87,13 +92,6 @@
         Some(Picked { id, name: load.name(id)?.clone(), addr: load.addr(id)? })
     }
 
-    /// Returns the estimated load of a target and the host's own requests in flight there.
-    pub fn estimate(&self, pool: &str, target: &str, now: Time) -> Option<(Estimate, u32)> {
-        let state = self.lock();
-        let id = state.load.id(pool, target)?;
-        Some((state.load.estimate(id, now)?, state.load.in_flight(id)))
-    }
-
     /// Notes that an attempt is about to be sent.
     pub fn on_sent(&self, id: TargetId, now: Time) {
         self.lock().load.on_sent(id, now);
@@ -111,6 +109,9 @@
         let mut state = self.lock();
         state.load.on_end(id, sent_at, end, report, now);
         state.balancers.iter_mut().for_each(|b| b.on_end(id, end, now));
+        if state.load.has_news() {
+            self.news.notify_one();
+        }
     }
 
     /// Notes the end of an attempt that could not even connect.
@@ -129,11 +130,24 @@
         }
     }
 
-    /// Returns the digest to send to peers now, encoded for [`Balancing::merge_digest`].
-    pub fn digest(&self, now: Time) -> Vec<u8> {
-        let digest = self.lock().load.digest(now);
-        // A digest has only numbers, which always encode.
-        postcard::to_stdvec(&digest).unwrap_or_default()
+    /// Waits until there may be news for a digest.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
+    /// Returns the digest to send now, encoded for [`Balancing::merge_digest`], and the number of
+    /// random peers that it goes to; `None` if there is nothing to tell or no byte budget left.
+    pub fn poll_digest(&self, peers: usize, now: Time) -> Option<(Vec<u8>, usize)> {
+        let due = self.lock().load.poll_digest(peers, now)?;
+        Some((postcard::to_stdvec(&due.digest).ok()?, due.fanout))
+    }
+
+    /// Returns a target's estimated load, the own requests in flight and whether it is ejected.
+    pub fn estimate(&self, pool: &str, target: &str, now: Time) -> Option<(Estimate, usize, bool)> {
+        let state = self.lock();
+        let id = state.load.id(pool, target)?;
+        let ejected = state.balancers.iter().any(|b| b.is_ejected(id, now));
+        Some((state.load.estimate(id, now)?, state.load.in_flight(id), ejected))
     }
 
     /// Takes in the digest of a peer; one that can't be decoded is ignored.
@@ -147,10 +161,4 @@
     pub fn on_digest(&self, digest: &LoadDigest, now: Time) {
         self.lock().load.on_digest(digest, now);
     }
-
-    /// Returns the time between two digests and the number of random peers each goes to.
-    pub fn digest_plan(&self, peers: usize) -> (Duration, usize) {
-        let state = self.lock();
-        (state.load.digest_interval(peers), state.load.digest_fanout(peers))
-    }
 }
--- a/crates/geraniummuxd/src/digests.rs
+++ b/crates/geraniummuxd/src/digests.rs
@@ -1,4 +1,4 @@
-//! Sends load digests to peers.
+//! Sends load digests to random peers.
 
 use crate::peer_net;
 use crate::shared::Shared;
@@ -8,27 +8,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Pause while there is no peer or no target.
-const IDLE_PAUSE: Duration = Duration::from_millis(500);
-/// Shortest pause between two digests, so that few targets don't mean a busy loop.
-const MIN_PAUSE: Duration = Duration::from_millis(10);
+/// Longest time between two looks for news. News that exceeds the byte budget waits for one.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Sends digests at the pace that the byte budget allows, until the task is dropped.
+/// Sends digests as there is news and the byte budget allows, until the task is dropped.
 pub async fn run(shared: Arc<Shared>) {
     loop {
+        // The timeout only bounds the wait.
+        let _ = tokio::time::timeout(POLL_INTERVAL, shared.data.balancing.news()).await;
         let peers: Vec<SocketAddr> = {
             let state = shared.control.lock();
             state.members.live_peers().map(|m| m.addr).collect()
         };
-        if peers.is_empty() {
-            tokio::time::sleep(IDLE_PAUSE).await;
-            continue;
+        let now = shared.clock.now();
+        if let Some((digest, fanout)) = shared.data.balancing.poll_digest(peers.len(), now) {
+            for addr in peers.into_iter().sample(&mut rand::rng(), fanout) {
+                peer_net::send(&shared, addr, Message::LoadDigest(digest.clone()));
+            }
         }
-        let (pause, fanout) = shared.data.balancing.digest_plan(peers.len());
-        let digest = shared.data.balancing.digest(shared.clock.now());
-        for addr in peers.into_iter().sample(&mut rand::rng(), fanout) {
-            peer_net::send(&shared, addr, Message::LoadDigest(digest.clone()));
-        }
-        tokio::time::sleep(pause.max(MIN_PAUSE)).await;
     }
 }
