--- a/crates/geraniummux-core/src/lease.rs
+++ b/crates/geraniummux-core/src/lease.rs
@@ -155,13 +155,17 @@
     ///
     /// A holder that no longer wants the lease gives it up at once, and [`LeaseState::poll`] then
     /// returns a write that lets the next holder take over without waiting for the term.
-    pub fn set_wanted(&mut self, wanted: bool, now: Time) {
+    pub fn set_wanted(&mut self, wanted: bool) {
+        if wanted == self.wanted {
+            return;
+        }
         self.wanted = wanted;
         if !wanted {
             self.grant = None;
             self.sole_since = None;
         }
-        self.next_at = now;
+        // The change takes effect with the next poll.
+        self.next_at = Time::ZERO;
     }
 
     /// Returns the lease if it is held and its term has not ended.
--- a/crates/geraniummux-core/src/load.rs
+++ b/crates/geraniummux-core/src/load.rs
@@ -178,6 +178,9 @@
 const SLOW_NEWS_EVERY: Duration = Duration::from_millis(500);
 /// Slowness from which a target is worth a digest.
 const SLOW_NEWS: f32 = 2.5;
+/// Service time of a pool before its first answer. Without one, all targets would cost the same,
+/// failing ones included.
+const ASSUMED_SERVICE_MS: f32 = 10.0;
 /// Slowness is sent in units of 1/8.
 const SLOWNESS_UNITS: f32 = 8.0;
 
@@ -262,8 +265,8 @@
 pub struct Estimate {
     /// Expected requests at the target, running and waiting.
     pub outstanding: f32,
-    /// Expected time from sending a request now to its answer, in ms. It is 0 before the first
-    /// answer of the pool.
+    /// Expected time from sending a request now to its answer, in ms. Before the first answer of the
+    /// pool it rests on an assumed service time.
     pub latency_ms: f32,
 }
 
@@ -354,7 +357,7 @@
             outstanding: 0.0,
             rounds: 1.0,
             latency_ms: 0.0,
-            service_ms: 0.0,
+            service_ms: ASSUMED_SERVICE_MS,
             answers: 0,
         }
     }
@@ -491,8 +494,8 @@
     }
 
     /// Returns the host's own requests in flight at a target.
-    pub fn in_flight(&self, id: TargetId) -> usize {
-        self.position(id).map_or(0, |p| self.entries[p].in_flight())
+    pub fn in_flight(&self, id: TargetId) -> u32 {
+        self.position(id).map_or(0, |p| self.entries[p].in_flight() as u32)
     }
 
     pub(crate) fn position(&self, id: TargetId) -> Option<usize> {
@@ -581,15 +584,16 @@
         }
     }
 
-    /// Notes the result of a paid probe, or `None` if the target did not answer in time. The
-    /// result is sent to peers with the next digest.
+    /// Notes the result of a paid probe, or `None` if the target did not answer in time.
+    ///
+    /// The prober and the peers that it sends its results to call this alike. Since all hosts learn
+    /// the same result, it counts like the report of a peer.
     pub fn on_probe(&mut self, id: TargetId, report: Option<LoadReport>, now: Time) {
         let Some(p) = self.position(id) else { return };
         match report {
-            Some(report) => self.learn_report(p, report.outstanding() as f32, now),
+            Some(report) => self.learn_shared(p, report.outstanding() as f32, now, now),
             None => self.learn_slowness(p, self.options.failure_slowness, FAILURE_GAIN, now),
         }
-        self.add_news(p);
     }
 
     fn learn_report(&mut self, p: usize, outstanding: f32, at: Time) {
@@ -676,16 +680,20 @@
 
     /// Returns the digest to send now, if there is news and the byte budget allows it.
     ///
-    /// Called after each [`LoadTable::on_end`] and [`LoadTable::on_probe`], and about every 100 ms.
-    /// What the budget doesn't allow stays for the next call.
+    /// Called after each [`LoadTable::on_end`], or every few milliseconds: the sooner peers hear of
+    /// a queue that builds up, the better. What the budget doesn't allow
+    /// stays for the next call.
     pub fn poll_digest(&mut self, peers: usize, now: Time) -> Option<DueDigest> {
         if self.news.is_empty() || peers == 0 {
             return None;
         }
         let fanout = peers.min(self.options.digest_fanout);
-        let count = self.news.len().min(DIGEST_MAX_ENTRIES);
-        let cost = (fanout * (DIGEST_FRAME_LEN + count * DIGEST_ENTRY_LEN)) as f64;
         let rate = self.options.digest_bytes_per_s;
+        // A digest that costs more than half a second's worth would have to wait too long.
+        let room = rate / 2.0 / fanout as f64 - DIGEST_FRAME_LEN as f64;
+        let room = (room.max(0.0) as usize / DIGEST_ENTRY_LEN).clamp(1, DIGEST_MAX_ENTRIES);
+        let count = self.news.len().min(room);
+        let cost = (fanout * (DIGEST_FRAME_LEN + count * DIGEST_ENTRY_LEN)) as f64;
         let earned = now.since(self.allowance_at).as_secs_f64() * rate;
         // The allowance holds one second's worth, but at least the digest that is due.
         self.allowance = (self.allowance + earned).min(rate.max(cost));
@@ -755,13 +763,18 @@
             return;
         }
         let at = now - Duration::from_millis(u64::from(entry.age_ms));
-        let outstanding = f32::from(entry.outstanding);
+        self.learn_shared(p, f32::from(entry.outstanding), at, now);
+    }
+
+    /// Takes over a report that other hosts learn as well, unless that would make all of them
+    /// choose the same target.
+    fn learn_shared(&mut self, p: usize, outstanding: f32, at: Time, now: Time) {
         let quiet = self.entries[p].known.is_none_or(|k| now.since(k.at) >= QUIET_AGE);
         let takes = match self.options.peer_reports {
             PeerReports::All => true,
             PeerReports::Raising => {
-                let excess = self.pools[usize::from(self.entries[p].pool)].outstanding;
-                quiet || outstanding >= excess + self.options.news_excess
+                let mean = self.pools[usize::from(self.entries[p].pool)].outstanding;
+                quiet || outstanding >= mean + self.options.news_excess
             }
         };
         if takes {
--- a/crates/geraniummuxd/src/balancing.rs
+++ b/crates/geraniummuxd/src/balancing.rs
@@ -7,7 +7,6 @@
 };
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
 
 /// A chosen target.
 #[derive(Clone, Debug)]
@@ -129,11 +128,12 @@
         }
     }
 
-    /// Returns the digest to send to peers now, encoded for [`Balancing::merge_digest`].
-    pub fn digest(&self, now: Time) -> Vec<u8> {
-        let digest = self.lock().load.digest(now);
+    /// Returns the digest that is due, encoded for [`Balancing::merge_digest`], and the number of
+    /// random peers to send it to.
+    pub fn poll_digest(&self, peers: usize, now: Time) -> Option<(Vec<u8>, usize)> {
+        let due = self.lock().load.poll_digest(peers, now)?;
         // A digest has only numbers, which always encode.
-        postcard::to_stdvec(&digest).unwrap_or_default()
+        Some((postcard::to_stdvec(&due.digest).unwrap_or_default(), due.fanout))
     }
 
     /// Takes in the digest of a peer; one that can't be decoded is ignored.
@@ -147,10 +147,4 @@
     pub fn on_digest(&self, digest: &LoadDigest, now: Time) {
         self.lock().load.on_digest(digest, now);
     }
-
-    /// Returns the time between two digests and the number of random peers each goes to.
-    pub fn digest_plan(&self, peers: usize) -> (Duration, usize) {
-        let state = self.lock();
-        (state.load.digest_interval(peers), state.load.digest_fanout(peers))
-    }
 }
