--- a/crates/geraniummuxd/src/actions.rs
+++ b/crates/geraniummuxd/src/actions.rs
@@ -74,38 +74,46 @@
 pub fn drain(shared: &Arc<Shared>, actions: Vec<DrainAction>) {
     for action in actions {
         match action {
-            DrainAction::Notify { to, notice } => {
-                peer_net::send(shared, to, Message::Leaving(notice));
-            }
-            DrainAction::Acknowledge { to, ack } => {
-                peer_net::send(shared, to, Message::LeavingAck(ack));
-            }
-            DrainAction::Leaving(target) => {
-                info!(shared.log, "target_leaving"; "target" => target.to_string());
-                shared.telemetry.event("targets_leaving");
-            }
-            DrainAction::Expired(target) => {
-                info!(shared.log, "target_back"; "target" => target.to_string());
-            }
             DrainAction::Refresh { peers } => {
                 for peer in peers {
                     let shared = shared.clone();
                     tokio::spawn(async move { peer_messages::sync(&shared, peer).await });
                 }
             }
+            action => tell_draining(shared, action),
         }
     }
 }
 
+fn tell_draining(shared: &Shared, action: DrainAction) {
+    match action {
+        DrainAction::Notify { to, notice } => {
+            peer_net::send(shared, to, Message::Leaving(notice));
+        }
+        DrainAction::Acknowledge { to, ack } => {
+            peer_net::send(shared, to, Message::LeavingAck(ack));
+        }
+        DrainAction::Leaving(target) => {
+            info!(shared.log, "target_leaving"; "target" => target.to_string());
+            shared.telemetry.event("targets_leaving");
+        }
+        DrainAction::Expired(target) => {
+            info!(shared.log, "target_back"; "target" => target.to_string());
+        }
+        // Only the timer, which calls `drain`, notices pauses.
+        DrainAction::Refresh { .. } => {}
+    }
+}
+
 /// Records that a target said that it is leaving, and tells all peers.
-pub fn report_draining(shared: &Arc<Shared>, target: SocketAddr) {
+pub fn report_draining(shared: &Shared, target: SocketAddr) {
     let now = shared.clock.now();
     let out = {
         let mut guard = shared.control.lock();
         let state = &mut *guard;
         state.drain.report(now, target, &state.members, &mut rand::rng())
     };
-    drain(shared, out);
+    out.into_iter().for_each(|action| tell_draining(shared, action));
 }
 
 /// Performs actions about the usage.
@@ -115,7 +123,9 @@
             UsageAction::Report { to, report } => {
                 peer_net::send(shared, to, Message::Usage(report));
             }
-            UsageAction::Collect { to } => peer_net::send(shared, to, Message::UsageCollect),
+            UsageAction::Collect { to, known } => {
+                peer_net::send(shared, to, Message::UsageCollect { known });
+            }
             UsageAction::Confirm { to, seqs } => {
                 peer_net::send(shared, to, Message::UsageConfirm { seqs });
             }
@@ -130,6 +140,7 @@
 /// Performs the next step of a shutdown.
 pub fn shutdown(shared: &Arc<Shared>, action: ShutdownAction) {
     let connections = shared.control.connections();
+    let in_flight = shared.data.in_flight();
     match action {
         ShutdownAction::Announce => {
             let now = shared.clock.now();
@@ -139,15 +150,18 @@
                 state.members.announce(now)
             };
             membership(shared, out);
-            info!(shared.log, "leaving"; "connections" => connections);
+            info!(shared.log, "leaving"; "connections" => connections,
+                "in_flight" => in_flight);
             shared.control.enter(Phase::Leaving);
         }
         ShutdownAction::StopAccepting => {
-            info!(shared.log, "draining"; "connections" => connections);
+            info!(shared.log, "draining"; "connections" => connections,
+                "in_flight" => in_flight);
             shared.control.enter(Phase::Draining);
         }
         ShutdownAction::AbortRequests => {
-            warn!(shared.log, "aborting_requests"; "connections" => connections);
+            warn!(shared.log, "aborting_requests"; "connections" => connections,
+                "in_flight" => in_flight);
             shared.control.enter(Phase::Aborting);
         }
         ShutdownAction::WriteUsage => {
--- a/crates/geraniummuxd/src/proxy/job.rs
+++ b/crates/geraniummuxd/src/proxy/job.rs
@@ -88,6 +88,13 @@
         self.route.is_idempotent(self.method.as_str())
     }
 
+    /// Returns whether the configuration in force still has the route as it was when the request
+    /// was routed. Checked after a pause of the process.
+    pub fn route_is_in_force(&self) -> bool {
+        let in_force = self.shared.in_force();
+        in_force.router.routes().contains(&self.route)
+    }
+
     /// Returns the idempotency key, if it matters.
     pub fn key(&self) -> Option<&str> {
         if self.is_idempotent() {
--- a/crates/geraniummuxd/src/shared.rs
+++ b/crates/geraniummuxd/src/shared.rs
@@ -104,20 +104,24 @@
     /// Waits, for a bounded time, while this host was paused and may not know the present
     /// configuration and the leaving targets.
     ///
+    /// Returns whether it had to wait, so that the configuration may have changed.
+    ///
     /// # Errors
     ///
     /// Returns why the request can't be sent under the configuration in force.
-    pub async fn await_refresh(&self) -> Result<(), Reason> {
-        control::fresh(self).await.map(drop)
+    pub async fn await_refresh(&self) -> Result<bool, Reason> {
+        let start = self.clock.now();
+        control::fresh(self).await?;
+        Ok(self.clock.now().since(start) >= control::HOLD_POLL)
     }
 
     /// Decides whether a request may be sent to a target now.
     pub fn permit(&self, target: SocketAddr) -> TargetPermit {
-        self.control.lock().drain.permit(self.clock.now(), target)
+        self.control.permit(target, self.clock.now())
     }
 
     /// Notes that a target declared that it is leaving.
-    pub fn report_leaving(self: &Arc<Self>, target: SocketAddr) {
+    pub fn report_leaving(&self, target: SocketAddr) {
         actions::report_draining(self, target);
     }
 
