--- a/crates/geraniummux-core/src/usage.rs
+++ b/crates/geraniummux-core/src/usage.rs
@@ -32,6 +32,8 @@
 pub const REPORT_PEERS: usize = 3;
 /// Most bytes of rows in one report, so that it fits into a datagram.
 pub const MAX_REPORT_LEN: usize = 900;
+/// Most reports that one message confirms, with up to 10 bytes each.
+pub const MAX_CONFIRMED: usize = 100;
 /// Reports in which a key is named after it appeared or the peers changed.
 pub const NEW_KEY_REPORTS: u32 = 3;
 /// After that each key is named once in this many reports.
@@ -494,7 +496,11 @@
             }
             !p.months.is_empty()
         });
-        confirm.into_iter().map(|(to, seqs)| UsageAction::Confirm { to, seqs }).collect()
+        let parts = |(to, seqs): (SocketAddr, Vec<u64>)| {
+            let parts: Vec<Vec<u64>> = seqs.chunks(MAX_CONFIRMED).map(<[_]>::to_vec).collect();
+            parts.into_iter().map(move |seqs| UsageAction::Confirm { to, seqs })
+        };
+        confirm.into_iter().flat_map(parts).collect()
     }
 
     fn process(&self, id: &ProcessId) -> Option<&Process> {
