membership: check a failure domain apart, and that neither side doubts its own

Cause: only regions apart for an hour were checked, and not whether each part keeps its own members.

Change: separation_parts_meet_again also cuts off one of three failure domains for 600 s, and fails if a host takes a member of its own part for dead. traffic_per_host prints datagrams.

--- a/crates/geraniummux-wire/tests/fleet/mod.rs
+++ b/crates/geraniummux-wire/tests/fleet/mod.rs
@@ -472,6 +472,7 @@
         let kind = kind(&message);
         let frame = self.codec.encode_datagram(&self.envelope(i, message)).unwrap();
         *self.hosts[i].traffic.entry(kind).or_default() += frame.len() as u64 + 28;
+        *self.hosts[i].traffic.entry("datagrams").or_default() += 1;
         let Some(k) = self.host_at(to) else { return };
         if self.hosts[k].part != self.hosts[i].part || self.rng.random_bool(self.loss) {
             return;
--- a/crates/geraniummux-wire/tests/membership.rs
+++ b/crates/geraniummux-wire/tests/membership.rs
@@ -128,23 +128,33 @@
     }
 }
 
-// Guards against regions that never find each other again after an hour apart, and against a
-// failure domain that comes back unnoticed.
+// Guards against regions or a failure domain that never find the others again, and against live
+// hosts that are taken for dead on one side because the other side is gone.
 #[test]
-fn separation_regions_meet_again() {
-    for seed in 0..2 {
-        let mut fleet = Fleet::started(seed, 24, 2);
-        for h in fleet.hosts.iter_mut().filter(|h| h.region == 1) {
-            h.part = 1;
+fn separation_parts_meet_again() {
+    for (seed, n, regions, hour) in [(0, 24, 2, 3_600), (1, 24, 2, 3_600), (2, 18, 1, 600)] {
+        let mut fleet = Fleet::started(seed, n, regions);
+        let parts = if regions == 2 { 2 } else { 3 };
+        for (i, h) in fleet.hosts.iter_mut().enumerate() {
+            h.part = usize::from(i % parts == 1);
         }
-        fleet.run(secs(3_600));
-        let others = fleet.hosts[0].process().members.live_peers().count();
-        assert_eq!(others, 11, "seed {seed}: members of the own region");
-        for h in &mut fleet.hosts {
-            h.part = 0;
+        fleet.changes.clear();
+        fleet.run(secs(hour));
+        let apart = |a: usize, b: usize| fleet.hosts[a].part != fleet.hosts[b].part;
+        for (_, i, m) in fleet.changes.iter().filter(|c| c.2.state == MemberState::Dead) {
+            let other = fleet.hosts.iter().position(|h| h.name == m.name).unwrap();
+            assert!(apart(*i, other), "seed {seed}: {} is dead for host {i}", m.name);
         }
+        for i in 0..n {
+            let live = fleet.hosts[i].process().members.live_peers().count();
+            let own = (0..n).filter(|k| *k != i && !apart(i, *k)).count();
+            assert_eq!(live, own, "seed {seed}: members that host {i} sees");
+        }
+        fleet.hosts.iter_mut().for_each(|h| h.part = 0);
         let took = until(&mut fleet, secs(30), all_see_all);
-        println!("24 hosts, regions apart for 3600 s, seed {seed}: whole again after {took:?}");
+        println!(
+            "{n} hosts, {regions} regions, one of {parts} parts apart for {hour} s: whole again after {took:?}"
+        );
         assert!(took.is_some_and(|t| t <= secs(10)), "seed {seed}: {took:?}");
     }
 }
@@ -237,10 +247,11 @@
                 .collect();
             (rates.iter().sum::<f64>() / n as f64, rates.iter().copied().fold(0.0, f64::max))
         };
-        let (members, config) = (per_host("membership"), per_host("config"));
+        let [members, config, sent] = ["membership", "config", "datagrams"].map(per_host);
         println!(
-            "hosts {n:3}: membership mean {:.0} max {:.0} B/s, configuration mean {:.0} max {:.0} B/s",
-            members.0, members.1, config.0, config.1
+            "hosts {n:3}: membership mean {:.0} max {:.0} B/s, configuration mean {:.0} max {:.0} \
+             B/s, datagrams sent mean {:.1}/s",
+            members.0, members.1, config.0, config.1, sent.0
         );
         assert!(members.1 + config.1 <= 8_000.0);
     }
