ctl: complete the tool, prove its output and exit codes

Unusable arguments exited with 1, the code of `diff` for differing tables, so a script took a typing mistake for a difference; they exit with 2 now, in the daemon too. Differences are listed by field instead of whole rows. An undecided edit names its write id, and `--write-id` settles it. A file past 1 MiB is refused before it is sent.

--- a/crates/geraniummuxctl/src/args.rs
+++ b/crates/geraniummuxctl/src/args.rs
@@ -5,11 +5,20 @@
 use std::path::PathBuf;
 
 /// Read and edit the tables of geraniummux and show the state of its hosts.
-///
-/// Exit codes: 0 done, 1 the tables differ (diff only), 2 unusable arguments or file, 3 invalid
-/// table, 4 the table was changed by somebody else, 5 no host or platform reachable, 6 undecided
-/// whether the edit took effect.
 #[derive(FromArgs)]
+#[argh(
+    note = "Nothing is changed unless the exit code of apply is 0 or 6.",
+    error_code(0, "done"),
+    error_code(1, "the tables differ (diff only)"),
+    error_code(2, "unusable arguments or file"),
+    error_code(3, "invalid table"),
+    error_code(4, "the table was changed by somebody else"),
+    error_code(5, "no host or platform reachable"),
+    error_code(6, "undecided whether the edit took effect"),
+    example = "{command_name} --admin 10.0.0.1:8081 --json get pools > pools.json\n\
+               {command_name} --admin 10.0.0.1:8081 diff pools pools.json\n\
+               {command_name} --admin 10.0.0.1:8081 --admin 10.0.0.2:8081 apply pools pools.json"
+)]
 pub struct Args {
     /// admin address of an entry host; repeat to name hosts to fall back to
     #[argh(option)]
@@ -93,6 +102,10 @@
     /// name recorded with the edit (default: $USER)
     #[argh(option)]
     pub writer: Option<String>,
+    /// identity of an earlier edit that was undecided (exit code 6), to learn what became of it
+    /// and to make it if it was not made
+    #[argh(option)]
+    pub write_id: Option<String>,
 }
 
 /// Print the state of each host named by --admin.
--- a/crates/geraniummuxctl/src/commands.rs
+++ b/crates/geraniummuxctl/src/commands.rs
@@ -1,11 +1,12 @@
 //! The commands.
 
-use crate::args::{Apply, Args, Check, Command, Diff, Usage};
+use crate::args::{Apply, Args, Check, Command, Diff};
 use crate::client::{self, Answer};
 use crate::errors::{Error, Result};
-use crate::table::render;
+use crate::table::{cell, render};
+use crate::{difference, show};
 use bytes::Bytes;
-use geraniummux_core::config::{Pool, Route};
+use geraniummux_core::config::{MAX_CONFIG_LEN, Pool, Route};
 use geraniummux_core::{TableEdit, TableKind, Tables};
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
@@ -18,12 +19,6 @@
     ["name", "host", "path", "methods", "tenant", "class", "pool", "timeout_ms"];
 /// Columns of the pools table, one line for each target.
 const POOL_COLUMNS: [&str; 6] = ["pool", "target", "addr", "failure_domain", "weight", "leaving"];
-/// Columns of the per-class part of a host's state.
-const CLASS_COLUMNS: [&str; 8] =
-    ["tenant", "class", "served", "not_run", "unknown", "p50_us", "p99_us", "p999_us"];
-/// Columns of the monthly totals.
-const USAGE_COLUMNS: [&str; 3] = ["tenant", "class", "served"];
-
 /// What a command printed and whether it found a difference.
 #[derive(Debug)]
 pub struct Output {
@@ -34,14 +29,16 @@
 }
 
 impl Output {
-    fn text<T>(text: T) -> Self
+    /// Returns an output of text.
+    pub fn text<T>(text: T) -> Self
     where
         T: Into<String>,
     {
         Output { text: text.into(), differs: false }
     }
 
-    fn json(value: &Value) -> Self {
+    /// Returns an output of JSON.
+    pub fn json(value: &Value) -> Self {
         Output::text(format!("{value:#}\n"))
     }
 }
@@ -57,8 +54,8 @@
         Command::Diff(c) => diff(args, c).await,
         Command::Check(c) => check(args, c).await,
         Command::Apply(c) => apply(args, c).await,
-        Command::Status(_) => status(args).await,
-        Command::Usage(c) => usage(args, c).await,
+        Command::Status(_) => show::status(args).await,
+        Command::Usage(c) => show::usage(args, c).await,
     }
 }
 
@@ -67,7 +64,12 @@
         .ok_or_else(|| Error::Usage(format!("there is no table {name:?}: use routes or pools")))
 }
 
-fn admins(args: &Args) -> Result<&[SocketAddr]> {
+/// Returns the hosts to ask.
+///
+/// # Errors
+///
+/// [`Error::Usage`] if none is named.
+pub fn admins(args: &Args) -> Result<&[SocketAddr]> {
     if args.admin.is_empty() {
         return Err(Error::Usage("name an entry host with --admin".to_owned()));
     }
@@ -75,8 +77,16 @@
 }
 
 fn read_file(path: &Path) -> Result<String> {
-    fs::read_to_string(path)
-        .map_err(|e| Error::Usage(format!("can't read {}: {e}", path.display())))
+    let text = fs::read_to_string(path)
+        .map_err(|e| Error::Usage(format!("can't read {}: {e}", path.display())))?;
+    if text.len() > MAX_CONFIG_LEN {
+        return Err(Error::Invalid(format!(
+            "{} has {} bytes, both tables together may have {MAX_CONFIG_LEN}",
+            path.display(),
+            text.len()
+        )));
+    }
+    Ok(text)
 }
 
 fn parse_file(kind: TableKind, path: &Path) -> Result<(TableEdit, Option<u64>)> {
@@ -102,7 +112,12 @@
         TableKind::Routes => render(&ROUTE_COLUMNS, &rows),
         TableKind::Pools => render(&POOL_COLUMNS, &target_rows(&rows)),
     };
-    text.push_str(&format!("revision {} by {}\n", table["revision"], table["writer"]));
+    text.push_str(&format!(
+        "{} table, revision {} by {}\n",
+        kind.as_str(),
+        cell(&table["revision"]),
+        cell(&table["writer"])
+    ));
     Ok(Output::text(text))
 }
 
@@ -129,29 +144,17 @@
     }
 }
 
-/// Describes the differences between two tables, one line for each row that differs.
-fn differences(old: &[Value], new: &[Value]) -> String {
-    let find = |rows: &[Value], name: &Value| rows.iter().find(|r| r["name"] == *name).cloned();
-    let mut out = String::new();
-    for row in old {
-        match find(new, &row["name"]) {
-            None => out.push_str(&format!("- {row}\n")),
-            Some(other) if other != *row => out.push_str(&format!("- {row}\n+ {other}\n")),
-            Some(_) => {}
-        }
-    }
-    for row in new.iter().filter(|row| find(old, &row["name"]).is_none()) {
-        out.push_str(&format!("+ {row}\n"));
-    }
-    out
-}
-
 async fn diff(args: &Args, cmd: &Diff) -> Result<Output> {
     let kind = table_kind(&cmd.table)?;
     let (edit, _) = parse_file(kind, &cmd.file)?;
     let table = fetch(args, kind).await?;
-    let text = differences(&rows_of(kind, &table), &edit_rows(&edit));
-    Ok(Output { differs: !text.is_empty(), text })
+    let (old, new) = (rows_of(kind, &table), edit_rows(&edit));
+    let text = difference::lines(&old, &new);
+    let differs = !text.is_empty();
+    Ok(match args.json {
+        true => Output { differs, ..Output::json(&difference::json(&old, &new)) },
+        false => Output { differs, text },
+    })
 }
 
 async fn check(args: &Args, cmd: &Check) -> Result<Output> {
@@ -174,7 +177,12 @@
         }
     }
     tables.validate().map_err(|e| Error::Invalid(e.to_string()))?;
-    Ok(Output::text("valid\n"))
+    let targets: usize = tables.pools.iter().map(|p| p.targets.len()).sum();
+    Ok(Output::text(format!(
+        "valid: {} routes, {} pools, {targets} targets\n",
+        tables.routes.len(),
+        tables.pools.len()
+    )))
 }
 
 /// Returns the rows of a table in force, or none if no host is named.
@@ -199,10 +207,19 @@
     let writer = cmd.writer.clone().or_else(|| env::var("USER").ok());
     let writer = url_safe(&writer.unwrap_or_else(|| "unknown".to_owned()));
     // One identity for all tries, so that a repeated edit takes effect once.
-    let write_id = format!("{:032x}", rand::random::<u128>());
+    let write_id = match &cmd.write_id {
+        Some(id) => url_safe(id),
+        None => format!("{:032x}", rand::random::<u128>()),
+    };
     let path =
         format!("/v1/tables/{}?base={base}&writer={writer}&write_id={write_id}", kind.as_str());
-    let answer = post_edit(admins(args)?, &path, Bytes::from(text)).await?;
+    let answer = post_edit(admins(args)?, &path, Bytes::from(text)).await.map_err(|e| match e {
+        Error::Undecided(cause) => Error::Undecided(format!(
+            "the edit may have taken effect: {cause}; \
+             to settle it, repeat the command with --write-id {write_id}"
+        )),
+        e => e,
+    })?;
     match answer.status {
         StatusCode::OK if args.json => Ok(Output::json(&answer.body)),
         StatusCode::OK => Ok(Output::text(format!(
@@ -235,9 +252,7 @@
         }
     }
     match (undecided, last) {
-        (Some(e), _) => Err(Error::Undecided(format!(
-            "the edit may have taken effect ({e}); run get to see, repeating apply is safe"
-        ))),
+        (Some(e), _) => Err(Error::Undecided(e)),
         (None, last) => Err(Error::Unreachable(last.unwrap_or_default())),
     }
 }
@@ -252,68 +267,16 @@
 ) -> Error {
     let mut message = answer.message();
     if let Ok(table) = fetch(args, kind).await {
-        message.push_str("\nthe winning table differs from the file as follows:\n");
-        message.push_str(&differences(&rows_of(kind, &table), &edit_rows(edit)));
+        message.push_str("\nfrom the file to the winning table:\n");
+        message.push_str(&difference::lines(&edit_rows(edit), &rows_of(kind, &table)));
     }
     message.push_str(&format!("{} is unchanged", file.display()));
     Error::Conflict(message)
 }
 
-fn url_safe(text: &str) -> String {
+/// Replaces characters that have a meaning in a query.
+pub fn url_safe(text: &str) -> String {
     text.chars()
         .map(|c| if c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.') { c } else { '_' })
         .collect()
 }
-
-async fn status(args: &Args) -> Result<Output> {
-    let mut reports = Vec::new();
-    let mut reached = false;
-    for addr in admins(args)? {
-        let report = match client::get(&[*addr], "/v1/status").await {
-            Ok(report) => {
-                reached = true;
-                report
-            }
-            Err(e) => json!({ "admin": addr, "error": e.to_string() }),
-        };
-        reports.push(report);
-    }
-    if !reached {
-        return Err(Error::Unreachable("no entry host answered".to_owned()));
-    }
-    if args.json {
-        return Ok(Output::json(&json!(reports)));
-    }
-    Ok(Output::text(reports.iter().map(status_text).collect::<String>()))
-}
-
-fn status_text(report: &Value) -> String {
-    if let Some(e) = report["error"].as_str() {
-        return format!("{}: {e}\n", report["admin"]);
-    }
-    let mut text = format!(
-        "host {} domain {} generation {} routes {} pools {}\n",
-        report["host"],
-        report["failure_domain"],
-        report["generation"],
-        report["routes_revision"],
-        report["pools_revision"],
-    );
-    if let Some(classes) = report["classes"].as_array().filter(|c| !c.is_empty()) {
-        text.push_str(&render(&CLASS_COLUMNS, classes));
-    }
-    text
-}
-
-async fn usage(args: &Args, cmd: &Usage) -> Result<Output> {
-    let path = match &cmd.month {
-        Some(month) => format!("/v1/usage?month={}", url_safe(month)),
-        None => "/v1/usage".to_owned(),
-    };
-    let answer = client::get(admins(args)?, &path).await?;
-    if args.json {
-        return Ok(Output::json(&answer));
-    }
-    let rows = answer["totals"].as_array().cloned().unwrap_or_default();
-    Ok(Output::text(format!("month {}\n{}", answer["month"], render(&USAGE_COLUMNS, &rows))))
-}
--- a/crates/geraniummuxctl/src/lib.rs
+++ b/crates/geraniummuxctl/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod args;
 pub mod client;
 pub mod commands;
+pub mod difference;
 pub mod errors;
+pub mod show;
 pub mod table;
 
 pub use args::Args;
--- a/crates/geraniummuxctl/src/main.rs
+++ b/crates/geraniummuxctl/src/main.rs
@@ -1,14 +1,20 @@
 //! The operators' command-line tool of geraniummux.
 
+use argh::FromArgs;
 use geraniummuxctl::{Args, commands};
 use std::process::ExitCode;
 
 /// Exit code of `diff` when the tables differ.
 const EXIT_DIFFERS: u8 = 1;
+/// Exit code for unusable arguments.
+const EXIT_USAGE: u8 = 2;
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    let args: Args = argh::from_env();
+    let args = match parse() {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     match commands::run(&args).await {
         Ok(output) => {
             print!("{}", output.text);
@@ -20,3 +26,20 @@
         }
     }
 }
+
+/// Parses the arguments. `argh::from_env` would exit with 1, the code for differing tables.
+fn parse() -> Result<Args, ExitCode> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    Args::from_args(&["geraniummuxctl"], &words).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            let text: Vec<&str> = exit.output.lines().map(str::trim).collect();
+            eprintln!("geraniummuxctl: {}", text.join(" ").trim());
+            ExitCode::from(EXIT_USAGE)
+        }
+    })
+}
--- a/crates/geraniummuxctl/src/table.rs
+++ b/crates/geraniummuxctl/src/table.rs
@@ -16,7 +16,8 @@
     std::iter::once(&header).chain(&cells).map(|row| line(row, &widths)).collect()
 }
 
-fn cell(value: &Value) -> String {
+/// Returns a value as text without quotes; `-` if it is absent.
+pub fn cell(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
         Value::String(s) => s.clone(),
--- a/crates/geraniummuxd/src/hooks.rs
+++ b/crates/geraniummuxd/src/hooks.rs
@@ -48,6 +48,6 @@
     Some(json!({
         "outstanding": estimate.outstanding,
         "latency_ms": estimate.latency_ms,
-        "own_in_flight": in_flight,
+        "in_flight_here": in_flight,
     }))
 }
--- a/crates/geraniummuxd/src/main.rs
+++ b/crates/geraniummuxd/src/main.rs
@@ -17,12 +17,16 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Exit code for invalid settings; any other failure to start exits with 1.
+/// Exit code for invalid arguments or settings; any other failure exits with 1.
 const EXIT_SETTINGS: u8 = 2;
 
-/// Serve callers of this entry host. Exit codes: 0 stopped on SIGTERM, 1 could not start or
-/// failed, 2 invalid settings.
+/// Serve callers of this entry host until SIGTERM; a second SIGTERM ends it at once.
 #[derive(FromArgs)]
+#[argh(
+    error_code(0, "stopped on SIGTERM, no request was cut off"),
+    error_code(1, "could not start, failed, or was stopped at once"),
+    error_code(2, "invalid arguments or settings")
+)]
 struct Args {
     /// settings file (JSON)
     #[argh(option)]
@@ -33,7 +37,10 @@
 }
 
 fn main() -> ExitCode {
-    let args: Args = argh::from_env();
+    let args = match parse() {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     let settings = match Settings::load(&args.settings) {
         Ok(settings) => settings,
         Err(e) => {
@@ -54,6 +61,23 @@
     }
 }
 
+/// Parses the arguments. `argh::from_env` would exit with 1, the code for a failed start.
+fn parse() -> Result<Args, ExitCode> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    Args::from_args(&["geraniummuxd"], &words).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            let text: Vec<&str> = exit.output.lines().map(str::trim).collect();
+            eprintln!("geraniummuxd: {}", text.join(" ").trim());
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    })
+}
+
 fn start(settings: Settings) -> anyhow::Result<()> {
     let (log, _guard) = logging::start(settings.log_level, &settings.host);
     let telemetry = Telemetry::start(settings.metrics)?;
