--- a/crates/geraniummuxd/src/main.rs
+++ b/crates/geraniummuxd/src/main.rs
@@ -110,6 +110,7 @@
     tokio::spawn(peer_net::serve(peers, shared.clone()));
     tokio::spawn(peer_net::receive(shared.clone()));
     tokio::spawn(timers::run(shared.clone()));
+    tokio::spawn(timers::report_metrics(shared.clone()));
     tokio::spawn(host_list::run(shared.clone()));
     tokio::spawn(probes::run(shared.clone()));
     tokio::spawn(usage::run(shared.clone()));
--- a/crates/geraniummuxd/src/status.rs
+++ b/crates/geraniummuxd/src/status.rs
@@ -60,7 +60,8 @@
     counters.rows().iter().map(row).collect()
 }
 
-fn serving(state: &State, now: Time, generation: u64) -> &'static str {
+/// Returns whether this host serves requests, and why not.
+pub fn serving(state: &State, now: Time, generation: u64) -> &'static str {
     match state.config.permit(now) {
         Permit::Serve if generation == 0 => "no-configuration",
         Permit::Serve => "yes",
