--- a/crates/geraniummuxd/src/control.rs
+++ b/crates/geraniummuxd/src/control.rs
@@ -22,7 +22,7 @@
 use tokio::sync::watch;
 
 /// Pause between two looks at a gate that holds requests.
-const HOLD_POLL: Duration = Duration::from_millis(10);
+pub const HOLD_POLL: Duration = Duration::from_millis(10);
 /// Time for which a stopping host goes on serving beyond the ttl of answers that name it.
 const NOTICE_MARGIN: Duration = Duration::from_secs(2);
 
@@ -81,7 +81,8 @@
             http_addr: settings.advertised(),
             failure_domain: settings.failure_domain.clone(),
             incarnation: wall.0,
-            state: MemberState::Alive,
+            // Callers are told of this host when it serves.
+            state: MemberState::Leaving,
         };
         let opts = MembershipOptions::default();
         let process = ProcessId::new(settings.host.clone(), wall, &mut rng);
@@ -122,6 +123,15 @@
         self.lock().drain.is_leaving(now, target)
     }
 
+    /// Decides whether a request may be sent to a target now.
+    pub fn permit(&self, target: SocketAddr, now: Time) -> TargetPermit {
+        let state = self.lock();
+        match state.config.permit(now) {
+            Permit::Serve => state.drain.permit(now, target),
+            Permit::Hold | Permit::Refuse(_) => TargetPermit::Hold,
+        }
+    }
+
     /// Returns the phase of the shutdown as a channel.
     pub fn phase(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
--- a/crates/geraniummuxd/src/proxy/attempts.rs
+++ b/crates/geraniummuxd/src/proxy/attempts.rs
@@ -93,7 +93,12 @@
         let job = self.job.clone();
         self.start(n, async move {
             // A host that was paused may not know which targets are leaving.
-            if job.shared.await_refresh().await.is_err() {
+            // Nor may it send the request under an older configuration.
+            let fresh = match job.shared.await_refresh().await {
+                Ok(held) => !held || job.route_is_in_force(),
+                Err(_) => false,
+            };
+            if !fresh {
                 return AttemptEvent::Picked(n, None);
             }
             let leaving = job.shared.leaving_targets();
