--- a/crates/geraniummuxd/src/digests.rs
+++ b/crates/geraniummuxd/src/digests.rs
@@ -1,35 +1,30 @@
-//! Sends load digests to random peers.
+//! Sends load digests to peers.
 
 use crate::peer_net;
 use crate::shared::Shared;
 use geraniummux_wire::Message;
-use rand::seq::SliceRandom;
+use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Pause while there is no peer.
-const IDLE: Duration = Duration::from_millis(200);
+/// Longest time between two looks for news, which the byte budget may have held back.
+const MAX_PAUSE: Duration = Duration::from_millis(100);
 
-/// Sends digests until the task is dropped. The interval keeps all copies within the byte budget.
+/// Sends news of the targets' load at the pace that the byte budget allows, until the task is
+/// dropped.
 pub async fn run(shared: Arc<Shared>) {
     loop {
-        let mut peers: Vec<SocketAddr> = {
+        // Without news the pause ends by itself.
+        let _ = tokio::time::timeout(MAX_PAUSE, shared.data.balancing.news()).await;
+        let peers: Vec<SocketAddr> = {
             let state = shared.control.lock();
             state.members.live_peers().map(|m| m.addr).collect()
         };
-        if peers.is_empty() || shared.in_force().config.generation == 0 {
-            tokio::time::sleep(IDLE).await;
-            continue;
-        }
-        let (interval, fanout) = shared.data.balancing.digest_plan(peers.len());
-        tokio::time::sleep(interval).await;
-        peers.shuffle(&mut rand::rng());
-        peers.truncate(fanout);
-        if let Some(bytes) = shared.data.balancing.digest(shared.clock.now()) {
-            for peer in peers {
-                peer_net::send(&shared, peer, Message::LoadDigest(bytes.clone()));
-            }
+        let due = shared.data.balancing.digest(peers.len(), shared.clock.now());
+        let Some((digest, fanout)) = due else { continue };
+        for addr in peers.into_iter().sample(&mut rand::rng(), fanout) {
+            peer_net::send(&shared, addr, Message::LoadDigest(digest.clone()));
         }
     }
 }
--- a/crates/geraniummuxd/src/proxy/attempts.rs
+++ b/crates/geraniummuxd/src/proxy/attempts.rs
@@ -2,7 +2,6 @@
 
 use super::headers;
 use super::job::Job;
-use crate::actions;
 use crate::balancing::Picked;
 use crate::control;
 use crate::upstream::{self, Answer, Connection, Head, SendError};
@@ -10,6 +9,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::attempt::{Connection as Which, Event, FRESH_CONNECTION, Refusal};
 use geraniummux_core::claim::StoredAnswer;
+use geraniummux_core::drain::TargetPermit;
 use geraniummux_core::{AttemptEnd, LoadReport, Time, load};
 use http::{HeaderMap, StatusCode};
 use std::io;
@@ -201,7 +201,7 @@
             return Event::ConnectFailed { attempt };
         };
         // The target may have begun to leave, or this host may have been paused, since the pick.
-        if !shared.may_send(conn.addr()) {
+        if shared.permit(conn.addr()) != TargetPermit::Send {
             return Event::ConnectFailed { attempt };
         }
         let reused = conn.is_reused();
@@ -227,7 +227,7 @@
         slot.refusal = refusal(parts.status, &parts.headers);
         let state = headers::single(&parts.headers, headers::TARGET_STATE);
         if state == Ok(Some("draining")) || slot.refusal == Some(Refusal::Draining) {
-            actions::report_draining(&self.job.shared, head.conn.addr());
+            self.job.shared.report_leaving(head.conn.addr());
         }
         self.start(
             attempt,
--- a/crates/geraniummuxd/src/proxy/driver.rs
+++ b/crates/geraniummuxd/src/proxy/driver.rs
@@ -4,7 +4,7 @@
 use super::job::Job;
 use super::respond;
 use crate::claims::{ClaimEvent, ClaimHandle};
-use crate::control::ConnectionGuard;
+use crate::data_path::InFlight;
 use crate::gate::{Applicant, Permit};
 use crate::reply::{self, Body};
 use futures_util::future::{AbortHandle, Abortable, BoxFuture, FutureExt};
@@ -43,14 +43,14 @@
     told: Option<(Outcome, Time)>,
     delivered: bool,
     /// Keeps a shutdown waiting until the response is delivered.
-    _guard: ConnectionGuard,
+    _in_flight: InFlight,
 }
 
 impl Driver {
     /// Returns a driver that has not started, and where the response arrives.
     pub fn new(job: Job) -> (Self, oneshot::Receiver<Response<Body>>) {
         let job = Arc::new(job);
-        let guard = job.shared.control.connection();
+        let in_flight = job.shared.data.begin();
         let (tx, rx) = oneshot::channel();
         let request = RequestState::new(RequestOptions {
             idempotent: job.is_idempotent(),
@@ -74,7 +74,7 @@
             reply: Some(tx),
             told: None,
             delivered: false,
-            _guard: guard,
+            _in_flight: in_flight,
         };
         (driver, rx)
     }
@@ -273,9 +273,10 @@
     fn record_strike(&mut self, attempt: u8) {
         let Some(addr) = self.attempts.addr(attempt) else { return };
         let job = self.job.clone();
-        job.shared.data.strike(job.fingerprint, addr);
+        let target = addr.to_string().into();
+        let strike = job.shared.data.strike(job.fingerprint, &target);
         self.start(async move {
-            let missing = job.shared.spread_strike(job.fingerprint, addr).await;
+            let missing = job.shared.spread_strike(&strike).await;
             if missing > 0 {
                 debug!(job.shared.log, "strike_unacknowledged"; "peers" => missing);
             }
--- a/crates/geraniummuxd/tests/common/mod.rs
+++ b/crates/geraniummuxd/tests/common/mod.rs
@@ -37,7 +37,8 @@
 /// Returns a listener on an address that nothing else uses.
 pub async fn free_listener() -> TcpListener {
     loop {
-        // An earlier process with the same id may have left sockets behind.
+        // A process that another test starts at this moment inherits the listener with which
+        // `free_addr` checked the address, until it executes its own program.
         if let Ok(listener) = TcpListener::bind(free_addr()).await {
             return listener;
         }
