--- a/crates/geraniummuxd/src/proxy/attempts.rs
+++ b/crates/geraniummuxd/src/proxy/attempts.rs
@@ -3,6 +3,7 @@
 use super::headers;
 use super::job::Job;
 use crate::balancing::Picked;
+use crate::control;
 use crate::upstream::{self, Answer, Connection, Head, SendError};
 use futures_util::future::{AbortHandle, Abortable, BoxFuture, FutureExt};
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -92,19 +93,16 @@
         self.attempts.push(Attempt::default());
         let job = self.job.clone();
         self.start(n, async move {
-            // A host that was paused may not know which targets are leaving.
-            // Nor may it send the request under an older configuration.
-            let fresh = match job.shared.await_refresh().await {
-                Ok(held) => !held || job.route_is_in_force(),
-                Err(_) => false,
+            // A host that was paused may not know the configuration or the leaving targets.
+            let pool = match control::fresh(&job.shared).await {
+                Ok(in_force) => job.pool(&in_force),
+                Err(_) => None,
             };
-            if !fresh {
-                return AttemptEvent::Picked(n, None);
-            }
             let leaving = job.shared.leaving_targets();
             let now = job.shared.clock.now();
             let balancing = &job.shared.data.balancing;
-            AttemptEvent::Picked(n, balancing.pick(&job.route.pool, &avoid, &leaving, now))
+            let picked = pool.and_then(|pool| balancing.pick(&pool, &avoid, &leaving, now));
+            AttemptEvent::Picked(n, picked)
         });
     }
 
--- a/crates/geraniummuxd/src/proxy/driver.rs
+++ b/crates/geraniummuxd/src/proxy/driver.rs
@@ -42,13 +42,15 @@
     /// Outcome, and when the response was handed over.
     told: Option<(Outcome, Time)>,
     delivered: bool,
+    /// Keeps a shutdown waiting until the response is delivered.
     _in_flight: InFlight,
 }
 
 impl Driver {
     /// Returns a driver that has not started, and where the response arrives.
-    pub fn new(job: Job, in_flight: InFlight) -> (Self, oneshot::Receiver<Response<Body>>) {
+    pub fn new(job: Job) -> (Self, oneshot::Receiver<Response<Body>>) {
         let job = Arc::new(job);
+        let in_flight = job.shared.data.begin();
         let (tx, rx) = oneshot::channel();
         let request = RequestState::new(RequestOptions {
             idempotent: job.is_idempotent(),
@@ -271,7 +273,8 @@
     fn record_strike(&mut self, attempt: u8) {
         let Some(addr) = self.attempts.addr(attempt) else { return };
         let job = self.job.clone();
-        let strike = job.shared.data.strike(job.fingerprint, &addr.to_string().into());
+        let target = addr.to_string().into();
+        let strike = job.shared.data.strike(job.fingerprint, &target);
         self.start(async move {
             let missing = job.shared.spread_strike(&strike).await;
             if missing > 0 {
@@ -310,7 +313,7 @@
             self.events.push_back(Event::DeliveryFailed);
             return;
         }
-        let outgoing = self.job.outgoing.clone();
+        let outgoing = self.job.transfer.outgoing.clone();
         self.start(async move {
             let delivered = match end.await {
                 Ok(end) => outgoing.acknowledged(end).await,
@@ -327,7 +330,8 @@
             // The claim decides whether this replay is the one that counts.
             (Some(claim), _) if replayed => claim.replay_delivered(),
             (_, Some((Outcome::Served, _))) => {
-                self.job.shared.count_served(&self.job.route.tenant, &self.job.route.class);
+                let (shared, route) = (&self.job.shared, &self.job.route);
+                shared.control.count(&shared.clock, &route.tenant, &route.class);
             }
             _ => {}
         }
--- a/crates/geraniummuxd/src/proxy/job.rs
+++ b/crates/geraniummuxd/src/proxy/job.rs
@@ -1,9 +1,9 @@
 //! One request as it was received, with what was decided about it at the start.
 
+use super::body::Transfer;
 use super::headers;
-use crate::delivery::Outgoing;
 use crate::routes::RouteState;
-use crate::shared::Shared;
+use crate::shared::{InForce, Shared};
 use bytes::Bytes;
 use geraniummux_core::config::Route;
 use geraniummux_core::{Fingerprint, Outcome, Reason, Time, UnixMs};
@@ -18,12 +18,16 @@
 pub struct Job {
     /// State of the host.
     pub shared: Arc<Shared>,
+    /// Generation of the configuration that the route is from.
+    pub generation: u64,
+    /// The host that the caller asked for.
+    pub host: String,
     /// The route.
     pub route: Arc<Route>,
     /// Budgets and latency of the route.
     pub route_state: Arc<RouteState>,
-    /// The caller's connection.
-    pub outgoing: Arc<Outgoing>,
+    /// Where the response is sent.
+    pub transfer: Transfer,
     /// The method.
     pub method: Method,
     /// Path and query.
@@ -83,18 +87,22 @@
 }
 
 impl Job {
+    /// Returns the pool that serves the request under `in_force`, which may be newer than the route
+    /// that the request was admitted by; `None` if no route matches any more.
+    pub fn pool(&self, in_force: &InForce) -> Option<Arc<str>> {
+        if in_force.config.generation == self.generation {
+            return Some(self.route.pool.clone());
+        }
+        let path = self.path.split('?').next().unwrap_or("");
+        let route = in_force.router.find(&self.host, self.method.as_str(), path)?;
+        Some(route.pool.clone())
+    }
+
     /// Returns whether the request may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.route.is_idempotent(self.method.as_str())
     }
 
-    /// Returns whether the configuration in force still has the route as it was when the request
-    /// was routed. Checked after a pause of the process.
-    pub fn route_is_in_force(&self) -> bool {
-        let in_force = self.shared.in_force();
-        in_force.router.routes().contains(&self.route)
-    }
-
     /// Returns the idempotency key, if it matters.
     pub fn key(&self) -> Option<&str> {
         if self.is_idempotent() {
--- a/crates/geraniummuxd/src/proxy/mod.rs
+++ b/crates/geraniummuxd/src/proxy/mod.rs
@@ -5,24 +5,24 @@
 mod body;
 mod driver;
 mod headers;
+mod http2;
 mod job;
 mod respond;
 
 pub use accept::serve;
 
-use crate::control;
-use crate::delivery::Outgoing;
+use crate::control::{self, Phase};
 use crate::entry;
 use crate::reply::{self, Body};
 use crate::shared::Shared;
+use body::Transfer;
 use bytes::Bytes;
 use driver::Driver;
 use geraniummux_core::config::Route;
 use geraniummux_core::{Fingerprint, Outcome, Reason, Time};
 use http::request::Parts;
-use http::{Method, Request, Response, Version, header};
+use http::{HeaderValue, Method, Request, Response, Version, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use job::{Job, Terms};
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,50 +30,59 @@
 /// Path on which callers ask for entry hosts.
 const ENTRY_HOSTS_PATH: &str = "/.well-known/geraniummux/hosts";
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
 type Refused = (Outcome, Reason);
 
-async fn handle(
-    shared: Arc<Shared>,
-    outgoing: Arc<Outgoing>,
-    req: Request<Incoming>,
-) -> Response<Body> {
+async fn handle<B>(shared: Arc<Shared>, transfer: Transfer, req: Request<B>) -> Response<Body>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
     if req.uri().path() == ENTRY_HOSTS_PATH {
         return entry::answer(&shared, req.uri().query());
     }
-    let in_flight = shared.data.begin();
-    let result = match admit(shared, outgoing, req).await {
+    let http1 = req.version() <= Version::HTTP_11;
+    let phase = shared.control.phase();
+    let result = match admit(shared, transfer, req).await {
         Ok(job) => {
-            let (driver, rsp) = Driver::new(job, in_flight);
+            let (driver, rsp) = Driver::new(job);
             // The request goes on if the caller leaves, until its attempts are cancelled.
             tokio::spawn(driver.run());
             rsp.await.map_err(|_| (Outcome::Unknown, Reason::TargetFailed))
         }
         Err(refused) => Err(refused),
     };
-    result.unwrap_or_else(|(outcome, reason)| reply::refusal(outcome, reason))
+    let mut rsp = result.unwrap_or_else(|(outcome, reason)| reply::refusal(outcome, reason));
+    // While callers still learn that this host leaves, their idle connections are closed by the
+    // answer to their next request, so that none is closed while a request is on its way.
+    if http1 && *phase.borrow() > Phase::Serving {
+        rsp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    rsp
 }
 
 /// Finds the route of a request and reads its body.
-async fn admit(
-    shared: Arc<Shared>,
-    outgoing: Arc<Outgoing>,
-    req: Request<Incoming>,
-) -> Result<Job, Refused> {
+async fn admit<B>(shared: Arc<Shared>, transfer: Transfer, req: Request<B>) -> Result<Job, Refused>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
     let started = shared.clock.now();
+    let in_force = control::fresh(&shared).await.map_err(|reason| (Outcome::NotRun, reason))?;
     let (parts, body) = req.into_parts();
     // A response of unknown length over HTTP/1.0 ends with the connection, so that a truncated one
     // looks whole.
     if parts.version < Version::HTTP_11 || parts.method == Method::CONNECT {
         return Err((Outcome::NotRun, Reason::BadRequest));
     }
-    let in_force = control::fresh(&shared).await.map_err(|r| (Outcome::NotRun, r))?;
     let host = request_host(&parts);
     let route = in_force
         .router
         .find(host, parts.method.as_str(), parts.uri.path())
         .ok_or((Outcome::NotRun, Reason::NoRoute))?
         .clone();
-    let job = prepare(&shared, outgoing, &route, parts, body, started).await;
+    let origin = Origin { generation: in_force.config.generation, host: host.to_owned(), started };
+    let job = prepare(&shared, transfer, &route, parts, body, origin).await;
     if let Err((outcome, _)) = &job {
         let took = shared.clock.now().since(started);
         shared.telemetry.request(&route.tenant, &route.class, *outcome, false, took);
@@ -87,14 +96,26 @@
     authority.or(header).unwrap_or("")
 }
 
-async fn prepare(
+/// How a request came to its route.
+struct Origin {
+    generation: u64,
+    host: String,
+    started: Time,
+}
+
+async fn prepare<B>(
     shared: &Arc<Shared>,
-    outgoing: Arc<Outgoing>,
+    transfer: Transfer,
     route: &Arc<Route>,
     parts: Parts,
-    body: Incoming,
-    started: Time,
-) -> Result<Job, Refused> {
+    body: B,
+    origin: Origin,
+) -> Result<Job, Refused>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
+    let Origin { generation, host, started } = origin;
     let terms = Terms::read(&parts, route)?;
     let wall_deadline = shared.clock.wall() + terms.timeout;
     let body = tokio::time::timeout(terms.timeout, read_body(body, route.max_body_bytes))
@@ -104,9 +125,11 @@
     let fingerprint = Fingerprint::new(&route.tenant, parts.method.as_str(), path, &body);
     Ok(Job {
         shared: shared.clone(),
+        generation,
+        host,
         route: route.clone(),
         route_state: shared.data.routes.get(route, started),
-        outgoing,
+        transfer,
         path: path.to_owned(),
         authority: parts.uri.authority().map(|a| a.as_str().to_owned()),
         headers: headers::for_target(&parts.headers),
@@ -120,8 +143,13 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, Refused> {
-    match Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX)).collect().await {
+async fn read_body<B>(body: B, limit: u64) -> Result<Bytes, Refused>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    match std::pin::pin!(Limited::new(body, limit)).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => Err((Outcome::NotRun, Reason::BodyTooLarge)),
         Err(_) => Err((Outcome::NotRun, Reason::BadRequest)),
