--- a/crates/geraniummuxd/src/leases.rs
+++ b/crates/geraniummuxd/src/leases.rs
@@ -57,7 +57,7 @@
         let now = shared.clock.now();
         let action = {
             let mut state = lease.lock();
-            state.set_wanted(wanted, now);
+            state.set_wanted(wanted);
             state.poll(now)
         };
         if let Some(action) = action {
