Bound how long a request waits for a platform call of its claim

Cause: a request stopped waiting for the platform only when a call returned, so a call that hangs held the caller past its deadline.

Change: each call comes with a Sleep to the end of the patience; on_timer lets the request go on while the call is outstanding, and its result is handled in the background (a claim that was created after all is released). Each poll of a running claim has its own patience.

--- a/crates/geraniummux-core/src/claim.rs
+++ b/crates/geraniummux-core/src/claim.rs
@@ -422,6 +422,9 @@
     pub fn on_timer(&mut self, now: Time, wall: UnixMs) -> Vec<ClaimAction> {
         let mut out = Vec::new();
         if self.outstanding.is_some() {
+            if now >= self.patient_until {
+                self.stop_waiting(&mut out);
+            }
             return out;
         }
         if self.goal == Goal::Acquire && now >= self.options.deadline {
@@ -431,6 +434,9 @@
         } else if wall > self.give_up {
             self.end(false, &mut out);
         } else {
+            if self.waiting {
+                self.patient_until = (now + self.options.patience).min(self.options.deadline);
+            }
             self.step(&mut out);
         }
         out
@@ -590,6 +596,10 @@
             _ => call,
         });
         out.push(action);
+        // A call may take longer than the request waits for it.
+        if !self.told && matches!(self.goal, Goal::Acquire | Goal::Store(_) | Goal::Release) {
+            out.push(ClaimAction::Sleep { until: self.patient_until });
+        }
     }
 
     /// Makes the next call towards the goal.
@@ -606,19 +616,12 @@
     /// Repeats the call after a pause, and stops the request's waiting if the platform has been
     /// unreachable for too long.
     fn retry(&mut self, now: Time, wall: UnixMs, out: &mut Vec<ClaimAction>) {
-        if now >= self.patient_until && !self.told {
-            match self.goal {
-                Goal::Acquire => {
-                    let give_up = Reason::ClaimUnavailable;
-                    self.refuse(Outcome::Unknown, give_up, out);
-                    return;
-                }
-                Goal::Store(_) | Goal::Release => {
-                    self.told = true;
-                    out.push(ClaimAction::Settled { stored: false });
-                }
-                _ => {}
+        if now >= self.patient_until {
+            if self.goal == Goal::Acquire {
+                self.refuse(Outcome::Unknown, Reason::ClaimUnavailable, out);
+                return;
             }
+            self.stop_waiting(out);
         }
         if wall > self.give_up {
             self.end(false, out);
@@ -628,6 +631,24 @@
         self.sleep(now, limit, out);
     }
 
+    /// Lets the request go on although the platform has not answered.
+    fn stop_waiting(&mut self, out: &mut Vec<ClaimAction>) {
+        if self.told {
+            return;
+        }
+        match self.goal {
+            // The result of the call under way decides whether there is a claim to release.
+            Goal::Acquire => {
+                let (outcome, reason) = (Outcome::Unknown, Reason::ClaimUnavailable);
+                out.push(ClaimAction::Refused { outcome, reason });
+                self.goal = Goal::Release;
+            }
+            Goal::Store(_) | Goal::Release => out.push(ClaimAction::Settled { stored: false }),
+            _ => return,
+        }
+        self.told = true;
+    }
+
     fn sleep(&mut self, now: Time, limit: Duration, out: &mut Vec<ClaimAction>) {
         // Jitter keeps hosts apart that met the same outage.
         self.sleeps += 1;
@@ -697,7 +718,6 @@
                     self.pause = self.options.backoff;
                     out.push(ClaimAction::Waiting);
                 }
-                self.patient_until = (now + self.options.patience).min(self.options.deadline);
                 self.sleep(now, self.options.max_poll, out);
             }
             Progress::Running | Progress::Unknown => {
