--- a/crates/geraniummux-core/tests/claim.rs
+++ b/crates/geraniummux-core/tests/claim.rs
@@ -155,6 +155,7 @@
     reqs: Vec<Req>,
     keys: Vec<KeyLog>,
     writes: u32,
+    reads: u32,
     late_grants: u32,
 }
 
@@ -194,6 +195,7 @@
             reqs: Vec::new(),
             keys: (0..KEYS).map(|_| KeyLog::default()).collect(),
             writes: 0,
+            reads: 0,
             late_grants: 0,
         };
         sim.plan();
@@ -410,6 +412,7 @@
         let wall = UnixMs(1_000_000 + self.now / MS);
         let found = self.objects.get(&name).map(|(version, _)| *version);
         self.version += 1;
+        self.reads += u32::from(*action == ClaimAction::Read);
         match (action, found) {
             (ClaimAction::Read, None) => CallResult::Absent,
             (ClaimAction::Read, Some(version)) => {
@@ -634,6 +637,7 @@
 /// Guards against claims that are safe because they refuse everything.
 #[test]
 fn claim_quiet_all_served() {
+    let (mut sendings, mut writes, mut reads) = (0, 0, 0);
     for seed in 0..300 {
         let mut sim = Sim::new(seed, Mode::Claims, NO_FAULTS);
         sim.run();
@@ -649,9 +653,14 @@
                 assert!(if req.fingerprint == first { served } else { req.reply == reused });
             }
         }
+        sendings += sim.reqs.len();
+        writes += sim.writes;
+        reads += sim.reads;
         // Two writes for each key, one more for an undelivered mark, one for a counted replay.
         assert!(sim.writes <= 4 * KEYS as u32, "seed {seed}: {} writes", sim.writes);
     }
+    let keys = 300 * KEYS;
+    println!("quiet: {keys} keys, {sendings} sendings, {writes} writes, {reads} reads");
 }
 
 fn record(progress: Progress) -> Claim {
@@ -674,6 +683,10 @@
     let value = claim.encode();
     assert!(value.len() <= MAX_CLAIM_LEN, "{}", value.len());
     assert_eq!(Claim::decode(&value), Some(claim));
+    let small = StoredAnswer { status: 201, headers: vec![], body: vec![b'x'; 1 << 10] };
+    let done = Progress::Done { answer: Some(small), delivery: Delivery::Runner };
+    let sizes = [Progress::Running, done].map(|p| record(p).encode().len());
+    println!("running {} B, 1 KiB answer {} B, largest {} B", sizes[0], sizes[1], value.len());
     let mut padded = value;
     padded.resize(MAX_CLAIM_LEN + 1, b' ');
     assert_eq!(Claim::decode(&padded), None);
