Serve HTTP/2 by stream and prove delivery

Cause: a response over HTTP/2 was taken for written at the next flush of its connection, which may belong to another stream, so that a reset or blocked response could be counted. Change: HTTP/2 connections are served through the h2 crate, which tells the id of each stream, and the bytes written are scanned for frames that end a stream; the position of that frame is the end of the response. Ruled out: waiting until all ended responses of a connection are written (a reset response never is), matching streams to requests by order (refused streams shift it).

--- a/crates/geraniummuxd/src/lib.rs
+++ b/crates/geraniummuxd/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod delivery;
 pub mod digests;
 pub mod entry;
+pub mod frames;
 pub mod gate;
 pub mod hooks;
 pub mod host_list;
--- a/crates/geraniummuxd/src/proxy/body.rs
+++ b/crates/geraniummuxd/src/proxy/body.rs
@@ -15,23 +15,32 @@
 /// A long answer of which nothing arrives for this time is aborted.
 const MAX_STALL: Duration = Duration::from_secs(30);
 
+/// Where a response is sent.
+#[derive(Clone, Debug)]
+pub struct Transfer {
+    /// The caller's connection.
+    pub outgoing: Arc<Outgoing>,
+    /// The stream, over HTTP/2.
+    pub stream: Option<u32>,
+}
+
 /// Reports the end of a transfer: the position of its last byte in the caller's connection, or
 /// nothing if it broke.
 pub struct EndReport {
-    outgoing: Arc<Outgoing>,
+    transfer: Transfer,
     end: Option<oneshot::Sender<u64>>,
 }
 
 impl EndReport {
     /// Returns a report and where it arrives.
-    pub fn new(outgoing: Arc<Outgoing>) -> (Self, oneshot::Receiver<u64>) {
+    pub fn new(transfer: Transfer) -> (Self, oneshot::Receiver<u64>) {
         let (tx, rx) = oneshot::channel();
-        (EndReport { outgoing, end: Some(tx) }, rx)
+        (EndReport { transfer, end: Some(tx) }, rx)
     }
 
     fn complete(&mut self) {
         if let Some(end) = self.end.take() {
-            self.outgoing.response_ended(end);
+            self.transfer.outgoing.response_ended(self.transfer.stream, end);
         }
     }
 }
--- a/crates/geraniummuxd/src/proxy/driver.rs
+++ b/crates/geraniummuxd/src/proxy/driver.rs
@@ -312,7 +312,7 @@
             self.events.push_back(Event::DeliveryFailed);
             return;
         }
-        let outgoing = self.job.outgoing.clone();
+        let outgoing = self.job.transfer.outgoing.clone();
         self.start(async move {
             let delivered = match end.await {
                 Ok(end) => outgoing.acknowledged(end).await,
--- a/crates/geraniummuxd/src/proxy/job.rs
+++ b/crates/geraniummuxd/src/proxy/job.rs
@@ -1,7 +1,7 @@
 //! One request as it was received, with what was decided about it at the start.
 
+use super::body::Transfer;
 use super::headers;
-use crate::delivery::Outgoing;
 use crate::routes::RouteState;
 use crate::shared::{InForce, Shared};
 use bytes::Bytes;
@@ -26,8 +26,8 @@
     pub route: Arc<Route>,
     /// Budgets and latency of the route.
     pub route_state: Arc<RouteState>,
-    /// The caller's connection.
-    pub outgoing: Arc<Outgoing>,
+    /// Where the response is sent.
+    pub transfer: Transfer,
     /// The method.
     pub method: Method,
     /// Path and query.
--- a/crates/geraniummuxd/src/proxy/mod.rs
+++ b/crates/geraniummuxd/src/proxy/mod.rs
@@ -5,16 +5,17 @@
 mod body;
 mod driver;
 mod headers;
+mod http2;
 mod job;
 mod respond;
 
 pub use accept::serve;
 
 use crate::control::{self, Phase};
-use crate::delivery::Outgoing;
 use crate::entry;
 use crate::reply::{self, Body};
 use crate::shared::Shared;
+use body::Transfer;
 use bytes::Bytes;
 use driver::Driver;
 use geraniummux_core::config::Route;
@@ -22,7 +23,6 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, Version, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use job::{Job, Terms};
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,19 +30,20 @@
 /// Path on which callers ask for entry hosts.
 const ENTRY_HOSTS_PATH: &str = "/.well-known/geraniummux/hosts";
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
 type Refused = (Outcome, Reason);
 
-async fn handle(
-    shared: Arc<Shared>,
-    outgoing: Arc<Outgoing>,
-    req: Request<Incoming>,
-) -> Response<Body> {
+async fn handle<B>(shared: Arc<Shared>, transfer: Transfer, req: Request<B>) -> Response<Body>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
     if req.uri().path() == ENTRY_HOSTS_PATH {
         return entry::answer(&shared, req.uri().query());
     }
     let http1 = req.version() <= Version::HTTP_11;
     let phase = shared.control.phase();
-    let result = match admit(shared, outgoing, req).await {
+    let result = match admit(shared, transfer, req).await {
         Ok(job) => {
             let (driver, rsp) = Driver::new(job);
             // The request goes on if the caller leaves, until its attempts are cancelled.
@@ -61,11 +62,11 @@
 }
 
 /// Finds the route of a request and reads its body.
-async fn admit(
-    shared: Arc<Shared>,
-    outgoing: Arc<Outgoing>,
-    req: Request<Incoming>,
-) -> Result<Job, Refused> {
+async fn admit<B>(shared: Arc<Shared>, transfer: Transfer, req: Request<B>) -> Result<Job, Refused>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
     let started = shared.clock.now();
     let in_force = control::fresh(&shared).await.map_err(|reason| (Outcome::NotRun, reason))?;
     let (parts, body) = req.into_parts();
@@ -81,7 +82,7 @@
         .ok_or((Outcome::NotRun, Reason::NoRoute))?
         .clone();
     let origin = Origin { generation: in_force.config.generation, host: host.to_owned(), started };
-    let job = prepare(&shared, outgoing, &route, parts, body, origin).await;
+    let job = prepare(&shared, transfer, &route, parts, body, origin).await;
     if let Err((outcome, _)) = &job {
         let took = shared.clock.now().since(started);
         shared.telemetry.request(&route.tenant, &route.class, *outcome, false, took);
@@ -102,14 +103,18 @@
     started: Time,
 }
 
-async fn prepare(
+async fn prepare<B>(
     shared: &Arc<Shared>,
-    outgoing: Arc<Outgoing>,
+    transfer: Transfer,
     route: &Arc<Route>,
     parts: Parts,
-    body: Incoming,
+    body: B,
     origin: Origin,
-) -> Result<Job, Refused> {
+) -> Result<Job, Refused>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
     let Origin { generation, host, started } = origin;
     let terms = Terms::read(&parts, route)?;
     let wall_deadline = shared.clock.wall() + terms.timeout;
@@ -124,7 +129,7 @@
         host,
         route: route.clone(),
         route_state: shared.data.routes.get(route, started),
-        outgoing,
+        transfer,
         path: path.to_owned(),
         authority: parts.uri.authority().map(|a| a.as_str().to_owned()),
         headers: headers::for_target(&parts.headers),
@@ -138,8 +143,13 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, Refused> {
-    match Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX)).collect().await {
+async fn read_body<B>(body: B, limit: u64) -> Result<Bytes, Refused>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    match std::pin::pin!(Limited::new(body, limit)).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => Err((Outcome::NotRun, Reason::BodyTooLarge)),
         Err(_) => Err((Outcome::NotRun, Reason::BadRequest)),
--- a/crates/geraniummuxd/src/proxy/respond.rs
+++ b/crates/geraniummuxd/src/proxy/respond.rs
@@ -18,7 +18,7 @@
     answer: Answer,
     outcome: Outcome,
 ) -> (Response<Body>, oneshot::Receiver<u64>) {
-    let (report, end) = EndReport::new(job.outgoing.clone());
+    let (report, end) = EndReport::new(job.transfer.clone());
     let (status, mut headers, body) = match answer {
         Answer::Whole { parts, body, .. } => {
             let mut headers = headers::for_caller(&parts.headers);
@@ -40,7 +40,7 @@
 
 /// Returns the response that repeats a stored answer, and where its end is reported.
 pub fn replayed(job: &Job, answer: StoredAnswer) -> (Response<Body>, oneshot::Receiver<u64>) {
-    let (report, end) = EndReport::new(job.outgoing.clone());
+    let (report, end) = EndReport::new(job.transfer.clone());
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     let mut headers = HeaderMap::new();
     for (name, value) in &answer.headers {
