--- a/crates/geraniummuxd/src/claims.rs
+++ b/crates/geraniummuxd/src/claims.rs
@@ -158,8 +158,7 @@
             ClaimAction::Delete { version } => return Some(self.delete(Version(version))),
             ClaimAction::Counted { counts } => {
                 if counts {
-                    let clock = &self.shared.clock;
-                    self.shared.control.count(clock, &self.tenant, &self.class);
+                    self.shared.count_served(&self.tenant, &self.class);
                 }
                 return None;
             }
--- a/crates/geraniummuxd/src/config_sync.rs
+++ b/crates/geraniummuxd/src/config_sync.rs
@@ -62,7 +62,8 @@
                 called(&shared, id, answer);
             });
         }
-        ConfigAction::InForce(config) => report_leaving(&shared, &config),
+        // Done under the lock, see `actions::config`.
+        ConfigAction::InForce(_) => {}
     }
 }
 
--- a/crates/geraniummuxd/src/hooks.rs
+++ b/crates/geraniummuxd/src/hooks.rs
@@ -12,21 +12,13 @@
     shared.data.balancing.merge_digest(bytes, shared.clock.now());
 }
 
-/// Returns a fingerprint as messages carry it.
-pub fn wire_fingerprint(fingerprint: Fingerprint) -> u128 {
-    u128::from(fingerprint.tenant) << 64 | u128::from(fingerprint.request)
-}
-
-/// Takes in a strike of a peer, before it is acknowledged.
-pub fn strike(shared: &Shared, from: &Arc<str>, strike: &Strike) {
-    let fingerprint = Fingerprint {
-        tenant: (strike.fingerprint >> 64) as u64,
-        request: strike.fingerprint as u64,
-    };
+/// Takes in a strike of a peer, before it is acknowledged. A restarted peer numbers its strikes
+/// anew, so its incarnation is part of the origin.
+pub fn strike(shared: &Shared, from: &Arc<str>, incarnation: u64, strike: &Strike) {
     shared.data.merge_strike(&CoreStrike {
-        origin: from.clone(),
+        origin: format!("{from}/{incarnation}").into(),
         seq: strike.id,
-        fingerprint,
+        fingerprint: Fingerprint::from(strike.fingerprint),
         target: strike.target.to_string().into(),
     });
 }
@@ -41,18 +33,21 @@
 
 /// Takes in the result of a paid probe, of this host or of a peer.
 pub fn probe(shared: &Shared, _pool: &str, result: &ProbeResult) {
-    let report = (result.state == ProbedState::Ready)
-        .then_some(LoadReport { in_flight: result.in_flight, queued: result.queued });
+    let report = match result.state {
+        ProbedState::Ready => {
+            Some(LoadReport { in_flight: result.in_flight, queued: result.queued })
+        }
+        _ => None,
+    };
     shared.data.balancing.on_probe(result.target, report, shared.clock.now());
 }
 
 /// Returns the load of a target as this host estimates it.
 pub fn load(shared: &Shared, pool: &str, target: &str, now: Time) -> Option<serde_json::Value> {
-    let (estimate, in_flight, ejected) = shared.data.balancing.estimate(pool, target, now)?;
+    let (estimate, in_flight) = shared.data.balancing.estimate(pool, target, now)?;
     Some(json!({
         "outstanding": estimate.outstanding,
         "latency_ms": estimate.latency_ms,
-        "in_flight": in_flight,
-        "ejected": ejected,
+        "own_in_flight": in_flight,
     }))
 }
--- a/crates/geraniummuxd/src/shared.rs
+++ b/crates/geraniummuxd/src/shared.rs
@@ -1,18 +1,18 @@
 //! State shared by the tasks of the daemon.
 
+use crate::actions;
 use crate::clock::Clock;
-use crate::control::Control;
+use crate::control::{self, Control};
 use crate::data_path::DataPath;
-use crate::hooks;
 use crate::peer_messages;
 use crate::platform_calls::CountedPlatform;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
 use arc_swap::ArcSwap;
-use geraniummux_core::Fingerprint;
+use geraniummux_core::Reason;
 use geraniummux_core::config::{Config, ConfigState, Offer};
-use geraniummux_core::config_sync::Permit;
 use geraniummux_core::drain::TargetPermit;
+use geraniummux_core::quarantine::Strike;
 use geraniummux_core::routing::Router;
 use geraniummux_platform::HttpPlatform;
 use slog::{Logger, info};
@@ -58,11 +58,11 @@
         Shared {
             settings,
             clock,
-            data,
             log,
             telemetry,
             platform,
             control,
+            data,
             config: Mutex::default(),
             in_force: ArcSwap::default(),
         }
@@ -93,27 +93,55 @@
     /// Returns the addresses of targets that are known to be leaving.
     pub fn leaving_targets(&self) -> Vec<SocketAddr> {
         let now = self.clock.now();
-        self.control.lock().drain.notices(now).into_iter().map(|n| n.target).collect()
+        let in_force = self.in_force();
+        let tables = &in_force.config.tables;
+        let mut leaving = self.control.lock().drain.leaving(now);
+        let edited = tables.pools.iter().flat_map(|p| &p.targets).filter(|t| t.leaving);
+        leaving.extend(edited.map(|t| t.addr));
+        leaving
     }
 
-    /// Returns whether a request may be sent to a target now, without waiting.
-    pub fn may_send(&self, target: SocketAddr) -> bool {
-        let now = self.clock.now();
-        let state = self.control.lock();
-        state.config.permit(now) == Permit::Serve
-            && state.drain.permit(now, target) == TargetPermit::Send
+    /// Waits, for a bounded time, while this host was paused and may not know the present
+    /// configuration and the leaving targets.
+    ///
+    /// Returns whether it had to wait, so that the configuration may have changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request can't be sent under the configuration in force.
+    pub async fn await_refresh(&self) -> Result<bool, Reason> {
+        let start = self.clock.now();
+        control::fresh(self).await?;
+        Ok(self.clock.now().since(start) >= control::HOLD_POLL)
+    }
+
+    /// Decides whether a request may be sent to a target now.
+    pub fn permit(&self, target: SocketAddr) -> TargetPermit {
+        self.control.permit(target, self.clock.now())
+    }
+
+    /// Notes that a target declared that it is leaving.
+    pub fn report_leaving(&self, target: SocketAddr) {
+        actions::report_draining(self, target);
     }
 
     /// Sends a strike to all peers and waits up to 50 ms for them. Returns how many did not
     /// acknowledge it.
-    pub async fn spread_strike(&self, fingerprint: Fingerprint, target: SocketAddr) -> usize {
+    pub async fn spread_strike(&self, strike: &Strike) -> usize {
+        let Ok(target) = strike.target.parse() else { return 0 };
         let strike = geraniummux_wire::Strike {
+            // Set when it is sent.
             id: 0,
-            fingerprint: hooks::wire_fingerprint(fingerprint),
+            fingerprint: strike.fingerprint.into(),
             target,
             age_ms: 0,
             retracted: false,
         };
         peer_messages::broadcast_strike(self, strike).await
     }
+
+    /// Counts one delivered response.
+    pub fn count_served(&self, tenant: &Arc<str>, class: &Arc<str>) {
+        self.control.count(&self.clock, tenant, class);
+    }
 }
