Prove outages without stampede, hedged and repeated requests in the totals

The leaving test passed on a host that doesn't hold requests on resume: the notices waited in its UDP buffer and were mostly read before a request ran. 60 requests now wait in its socket when it resumes.

--- a/crates/geraniummuxd/tests/config.rs
+++ b/crates/geraniummuxd/tests/config.rs
@@ -248,3 +248,41 @@
     fleet.platform.faults(&Faults::default()).await;
     fleet.hosts[0].await_serving().await;
 }
+
+/// Returns the platform calls per second of all hosts over `seconds`, and the most in one of them.
+async fn calls_per_s(fleet: &Fleet, seconds: usize) -> (f64, f64) {
+    let mut counts = Vec::new();
+    for _ in 0..=seconds {
+        let stats = fleet.platform.stats().await;
+        let calls = stats.as_object().into_iter().flatten().filter_map(|(_, n)| n.as_f64());
+        counts.push(calls.sum::<f64>());
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let rates: Vec<f64> = counts.windows(2).map(|w| w[1] - w[0]).collect();
+    (rates.iter().sum::<f64>() / rates.len() as f64, rates.into_iter().fold(0.0, f64::max))
+}
+
+/// Guards against an outage that stops serving, against hosts that hammer a platform which is down,
+/// and against a stampede when it is back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn outage_without_stampede() {
+    let n = 9;
+    let target = Target::start("t-1", Behaviour::default()).await;
+    let fleet = Fleet::start(n as usize).await;
+    fleet.apply(&pools(&[("t-1", target.addr)]), &routes(json!({}))).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (usual, _) = calls_per_s(&fleet, 4).await;
+    fleet.platform.faults(&Faults { down: true, ..Faults::default() }).await;
+    let (down, _) = calls_per_s(&fleet, 9).await;
+    for host in &fleet.hosts {
+        let answer = host.get("/").await.expect("an answer during the outage");
+        assert_eq!(answer.header("geraniummux-outcome"), "served", "{}", host.name);
+    }
+    fleet.platform.faults(&Faults::default()).await;
+    let (_, peak) = calls_per_s(&fleet, 4).await;
+    println!("{n} hosts: {usual:.1} calls/s, {down:.1} while down, at most {peak:.0} after");
+    // Every host may look for itself while nobody reaches the platform, but each backs off.
+    let hosts = f64::from(n);
+    assert!(down <= usual + hosts, "{down:.1} calls/s while down, {usual:.1} before");
+    assert!(peak <= 2.0 * usual + 2.0 * hosts, "{peak:.1} calls/s after, {usual:.1} before");
+}
--- a/crates/geraniummuxd/tests/leaving.rs
+++ b/crates/geraniummuxd/tests/leaving.rs
@@ -84,8 +84,15 @@
     while unix_ms() < reported + LEFT_MS + 200 {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    paused.resume();
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    // These requests wait in the socket when the process resumes.
+    let waiting = (0..60).map(|_| caller::send(paused.listen, Method::GET, "/", &[], Bytes::new()));
+    let waiting = futures_util::future::join_all(waiting);
+    let resume = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        paused.resume();
+    };
+    tokio::join!(waiting, resume);
+    tokio::time::sleep(Duration::from_millis(500)).await;
     stop.store(true, Ordering::Relaxed);
     futures_util::future::join_all(tasks).await;
     let record = a.record().await;
--- a/crates/geraniummuxd/tests/usage.rs
+++ b/crates/geraniummuxd/tests/usage.rs
@@ -48,12 +48,39 @@
     (answers.iter().map(|a| a.len() as u64).sum(), answers.last().cloned().unwrap_or_default())
 }
 
+/// Sends each of `keys` requests with an idempotency key twice, to different hosts, and returns how
+/// many first responses arrived. The second response is a replay, which does not count.
+async fn send_repeated(fleet: &Fleet, keys: usize) -> u64 {
+    let mut first = 0;
+    for k in 0..keys {
+        let key = format!("usage-{k}");
+        for i in 0..2 {
+            let host = &fleet.hosts[(k + i) % fleet.hosts.len()];
+            let answer = host.send(Method::POST, "/", &[("idempotency-key", &*key)], "").await;
+            let answer = answer.expect("an answer");
+            assert_eq!(answer.header("geraniummux-outcome"), "served");
+            let replayed = answer.header("geraniummux-replayed") == "1";
+            assert_eq!(replayed, i == 1, "request {k}, sending {i}");
+            first += u64::from(!replayed);
+        }
+    }
+    first
+}
+
 /// Guards against counts that a stopping host leaves behind, and against a write that counts twice
-/// because its answer was lost.
+/// because its answer was lost, and against hedged and repeated requests that count twice.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn usage_over_stops() {
-    let (mut fleet, _target) = fleet(3).await;
-    let (got, _) = send_for(&fleet, Duration::from_secs(1)).await;
+    let (mut fleet, target) = fleet(3).await;
+    // Half of the requests are hedged, since one target is far slower than the usual latency.
+    let slow = Target::start("t-2", Behaviour { service_ms: 60, ..Behaviour::default() }).await;
+    let (got_first, _) = send_for(&fleet, Duration::from_millis(500)).await;
+    let both = pools(&[("t-1", target.addr), ("t-2", slow.addr)]);
+    fleet.apply(&both, &routes(json!({ "hedge_budget": 1.0 }))).await;
+    let (got_hedged, _) = send_for(&fleet, Duration::from_secs(1)).await;
+    let got = got_first + got_hedged + send_repeated(&fleet, 30).await;
+    let runs = target.record().await.runs + slow.record().await.runs;
+    assert!(runs > got, "no request was hedged: {runs} runs, {got} responses");
     let kind = Some("usage".to_owned());
     fleet.platform.faults(&Faults { kind, lose_write_answers: 4, ..Faults::default() }).await;
     for host in &fleet.hosts[..2] {
@@ -69,6 +96,7 @@
     eventually("a status answer", || fleet.hosts[2].status()).await;
     let reported = eventually("a total", || total(&fleet, 2)).await;
     assert_eq!(reported, got, "reported {reported}, answered {got}");
+    println!("answered {got}, reported {reported}, run {runs}");
 }
 
 /// Guards against counts that are lost with a killed host beyond its last second, and against
