--- a/crates/geraniummuxd/src/balancing.rs
+++ b/crates/geraniummuxd/src/balancing.rs
@@ -92,13 +92,6 @@
         Some(Picked { id, name: load.name(id)?.clone(), addr: load.addr(id)? })
     }
 
-    /// Returns the estimated load of a target and the host's own requests in flight there.
-    pub fn estimate(&self, pool: &str, target: &str, now: Time) -> Option<(Estimate, u32)> {
-        let state = self.lock();
-        let id = state.load.id(pool, target)?;
-        Some((state.load.estimate(id, now)?, state.load.in_flight(id) as u32))
-    }
-
     /// Notes that an attempt is about to be sent.
     pub fn on_sent(&self, id: TargetId, now: Time) {
         self.lock().load.on_sent(id, now);
@@ -116,8 +109,9 @@
         let mut state = self.lock();
         state.load.on_end(id, sent_at, end, report, now);
         state.balancers.iter_mut().for_each(|b| b.on_end(id, end, now));
-        drop(state);
-        self.news.notify_one();
+        if state.load.has_news() {
+            self.news.notify_one();
+        }
     }
 
     /// Notes the end of an attempt that could not even connect.
@@ -134,20 +128,26 @@
         for id in state.load.ids_by_addr(addr) {
             state.load.on_probe(id, report, now);
         }
-        drop(state);
-        self.news.notify_one();
     }
 
-    /// Returns the digest to send to peers now, encoded for [`Balancing::merge_digest`], and to how
-    /// many of `peers` peers; `None` if there is no news or the byte budget is spent.
-    pub fn digest(&self, peers: usize, now: Time) -> Option<(Vec<u8>, usize)> {
+    /// Waits until there may be news for a digest.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
+    /// Returns the digest to send now, encoded for [`Balancing::merge_digest`], and the number of
+    /// random peers that it goes to; `None` if there is nothing to tell or no byte budget left.
+    pub fn poll_digest(&self, peers: usize, now: Time) -> Option<(Vec<u8>, usize)> {
         let due = self.lock().load.poll_digest(peers, now)?;
         Some((postcard::to_stdvec(&due.digest).ok()?, due.fanout))
     }
 
-    /// Waits for the end of an attempt or a probe, which may be news to peers.
-    pub async fn news(&self) {
-        self.news.notified().await;
+    /// Returns a target's estimated load, the own requests in flight and whether it is ejected.
+    pub fn estimate(&self, pool: &str, target: &str, now: Time) -> Option<(Estimate, u32, bool)> {
+        let state = self.lock();
+        let id = state.load.id(pool, target)?;
+        let ejected = state.balancers.iter().any(|b| b.is_ejected(id, now));
+        Some((state.load.estimate(id, now)?, state.load.in_flight(id), ejected))
     }
 
     /// Takes in the digest of a peer; one that can't be decoded is ignored.
--- a/crates/geraniummuxd/src/hooks.rs
+++ b/crates/geraniummuxd/src/hooks.rs
@@ -44,10 +44,11 @@
 
 /// Returns the load of a target as this host estimates it.
 pub fn load(shared: &Shared, pool: &str, target: &str, now: Time) -> Option<serde_json::Value> {
-    let (estimate, in_flight) = shared.data.balancing.estimate(pool, target, now)?;
+    let (estimate, in_flight, ejected) = shared.data.balancing.estimate(pool, target, now)?;
     Some(json!({
         "outstanding": estimate.outstanding,
         "latency_ms": estimate.latency_ms,
         "in_flight_here": in_flight,
+        "ejected": ejected,
     }))
 }
--- a/crates/geraniummuxd/src/leases.rs
+++ b/crates/geraniummuxd/src/leases.rs
@@ -49,7 +49,6 @@
 
 async fn follow(shared: Arc<Shared>, lease: Arc<Lease>) {
     let mut held = false;
-    let mut wanted = None;
     // The task's own reference is the last one when nobody needs the lease any more.
     while Arc::strong_count(&lease) > 1 {
         let serving = *shared.control.phase().borrow() == Phase::Serving;
@@ -63,11 +62,7 @@
         let now = shared.clock.now();
         let action = {
             let mut state = lease.lock();
-            // Each call makes the lease due at once, so only changes are passed on.
-            if wanted != Some(serving && candidate) {
-                wanted = Some(serving && candidate);
-                state.set_wanted(serving && candidate, now);
-            }
+            state.set_wanted(serving && candidate);
             state.poll(now)
         };
         if let Some(action) = action {
--- a/crates/geraniummuxd/src/proxy/driver.rs
+++ b/crates/geraniummuxd/src/proxy/driver.rs
@@ -4,7 +4,7 @@
 use super::job::Job;
 use super::respond;
 use crate::claims::{ClaimEvent, ClaimHandle};
-use crate::data_path::InFlight;
+use crate::control::ConnectionGuard;
 use crate::gate::{Applicant, Permit};
 use crate::reply::{self, Body};
 use futures_util::future::{AbortHandle, Abortable, BoxFuture, FutureExt};
@@ -43,14 +43,14 @@
     told: Option<(Outcome, Time)>,
     delivered: bool,
     /// Keeps a shutdown waiting until the response is delivered.
-    _in_flight: InFlight,
+    _guard: ConnectionGuard,
 }
 
 impl Driver {
     /// Returns a driver that has not started, and where the response arrives.
     pub fn new(job: Job) -> (Self, oneshot::Receiver<Response<Body>>) {
         let job = Arc::new(job);
-        let in_flight = job.shared.data.begin();
+        let guard = job.shared.control.connection();
         let (tx, rx) = oneshot::channel();
         let request = RequestState::new(RequestOptions {
             idempotent: job.is_idempotent(),
@@ -74,7 +74,7 @@
             reply: Some(tx),
             told: None,
             delivered: false,
-            _in_flight: in_flight,
+            _guard: guard,
         };
         (driver, rx)
     }
@@ -273,10 +273,9 @@
     fn record_strike(&mut self, attempt: u8) {
         let Some(addr) = self.attempts.addr(attempt) else { return };
         let job = self.job.clone();
-        let target = addr.to_string().into();
-        let strike = job.shared.data.strike(job.fingerprint, &target);
+        job.shared.data.strike(job.fingerprint, addr);
         self.start(async move {
-            let missing = job.shared.spread_strike(&strike).await;
+            let missing = job.shared.spread_strike(job.fingerprint, addr).await;
             if missing > 0 {
                 debug!(job.shared.log, "strike_unacknowledged"; "peers" => missing);
             }
--- a/crates/geraniummuxd/src/proxy/mod.rs
+++ b/crates/geraniummuxd/src/proxy/mod.rs
@@ -43,11 +43,15 @@
     }
     let http1 = req.version() <= Version::HTTP_11;
     let phase = shared.control.phase();
+    let in_flight = shared.data.begin();
     let result = match admit(shared, transfer, req).await {
         Ok(job) => {
             let (driver, rsp) = Driver::new(job);
             // The request goes on if the caller leaves, until its attempts are cancelled.
-            tokio::spawn(driver.run());
+            tokio::spawn(async move {
+                driver.run().await;
+                drop(in_flight);
+            });
             rsp.await.map_err(|_| (Outcome::Unknown, Reason::TargetFailed))
         }
         Err(refused) => Err(refused),
