Don't take a short drop of speed for lasting slowness when hedging

Cause: a hedged attempt that is cancelled late counted as an observation of slowness. With hedging most of them met a drop that was over by then, so load moved away from targets that were fine.

Change: five late cancelled attempts in a row without an answer count as slow, and less counts for nothing.

--- a/crates/geraniummux-core/src/load.rs
+++ b/crates/geraniummux-core/src/load.rs
@@ -172,6 +172,8 @@
 const FAILURE_GAIN: f32 = 0.5;
 /// Largest ratio that one answer counts as, so that one stuck request does not decide.
 const MAX_ANSWER_RATIO: f32 = 4.0;
+/// Cancelled attempts in a row that count as a slow target.
+const SILENT_AFTER: u8 = 5;
 /// Age from which a report no longer counts as recent knowledge about a target.
 const QUIET_AGE: Duration = Duration::from_millis(250);
 /// Shortest time between two digests in which a host calls the same target slow.
@@ -298,6 +300,8 @@
     /// Mean latency of the last answers.
     pub(crate) latency_ms: f32,
     pub(crate) paused_until: Time,
+    /// Attempts since the last answer that the host cancelled.
+    unanswered: u8,
     has_news: bool,
 }
 
@@ -317,6 +321,7 @@
             slow_news_at: None,
             latency_ms: 0.0,
             paused_until: Time::ZERO,
+            unanswered: 0,
             has_news: false,
         }
     }
@@ -546,13 +551,16 @@
                 self.entries[p].paused_until = now + self.options.starting_pause;
             }
             AttemptEnd::Refused(Refusal::Draining | Refusal::Deadline) => {}
-            // An attempt that was given up early says nothing; one that lasted longer than usual
-            // says that the target is at least that slow.
+            // A single attempt that was given up late mostly met a short drop of the target's speed.
+            // Only a row of them without any answer shows a target that is silent.
             AttemptEnd::Cancelled => {
                 let usual = self.pools[usize::from(self.entries[p].pool)].latency_ms;
-                if usual > 0.0 && latency_ms > 2.0 * usual {
-                    let ratio = (latency_ms / usual).min(MAX_ANSWER_RATIO);
-                    self.learn_slowness(p, ratio, ANSWER_GAIN, now);
+                let e = &mut self.entries[p];
+                if latency_ms > 2.0 * usual {
+                    e.unanswered = e.unanswered.saturating_add(1);
+                    if e.unanswered >= SILENT_AFTER {
+                        self.learn_slowness(p, MAX_ANSWER_RATIO, FAILURE_GAIN, now);
+                    }
                 }
             }
         }
@@ -571,6 +579,7 @@
         let ratio = (service_ms / stats.service_ms.max(1e-3)).min(MAX_ANSWER_RATIO);
         let last = &mut self.entries[p].latency_ms;
         *last = if *last > 0.0 { 0.7 * *last + 0.3 * latency_ms } else { latency_ms };
+        self.entries[p].unanswered = 0;
         self.learn_slowness(p, ratio, ANSWER_GAIN, now);
         if let Some(outstanding) = outstanding {
             let estimate = self.estimate_at(p, now).outstanding;
--- a/crates/geraniummux-core/tests/load.rs
+++ b/crates/geraniummux-core/tests/load.rs
@@ -127,6 +127,22 @@
     assert!(at(200) > 3.0 * at(5), "{} {}", at(200), at(5));
 }
 
+// Guards against a silent target that keeps its share because each request there is hedged and
+// cancelled before it times out.
+#[test]
+fn estimate_cancelled_row_counts_as_slow() {
+    let mut table = table(5);
+    let (ids, mut now) = warm_up(&mut table, 5);
+    for _ in 0..6 {
+        let sent = now;
+        table.on_sent(ids[0], sent);
+        now = now + Duration::from_millis(30);
+        table.on_end(ids[0], sent, AttemptEnd::Cancelled, None, now);
+    }
+    let latency = |i: usize| table.estimate(ids[i], now).unwrap().latency_ms;
+    assert!(latency(0) > 1.5 * latency(1), "{} {}", latency(0), latency(1));
+}
+
 // Guards against a weight that has no effect on how full a target looks.
 #[test]
 fn estimate_weight_scales_slots() {
