Let processes stop wanting the lease in the budget test

Cause: the release of a lease had no test over faults, and it lets the next holder take over without waiting for the term.

Ruled out: a separate test, since the invariant is the same.

Change: the budget test changes which processes want the lease.

--- a/crates/geraniummux-core/tests/probe_budget.rs
+++ b/crates/geraniummux-core/tests/probe_budget.rs
@@ -172,6 +172,11 @@
                     p.view = self.rng.random_range(1..=5);
                 }
             }
+            // Candidates for the lease change with the membership views.
+            9..15 => {
+                let wanted = self.rng.random_range(0..3) > 0;
+                self.processes[i].lease.set_wanted(wanted);
+            }
             _ => {}
         }
     }
