--- a/crates/geraniummuxd/src/claims.rs
+++ b/crates/geraniummuxd/src/claims.rs
@@ -158,7 +158,8 @@
             ClaimAction::Delete { version } => return Some(self.delete(Version(version))),
             ClaimAction::Counted { counts } => {
                 if counts {
-                    self.shared.count_served(&self.tenant, &self.class);
+                    let clock = &self.shared.clock;
+                    self.shared.control.count(clock, &self.tenant, &self.class);
                 }
                 return None;
             }
--- a/crates/geraniummuxd/src/data_path.rs
+++ b/crates/geraniummuxd/src/data_path.rs
@@ -9,6 +9,7 @@
 use geraniummux_core::config::Tables;
 use geraniummux_core::quarantine::{QuarantineOptions, Strike};
 use geraniummux_core::{Fingerprint, Quarantine};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -120,7 +121,8 @@
         InFlight(self.clone())
     }
 
-    /// Returns how many requests are in flight, undelivered responses included.
+    /// Returns how many requests are in flight, undelivered responses included. A request outlives
+    /// its connection while its claim is settled.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
     }
@@ -134,9 +136,10 @@
         self.quarantine().is_blocked(self.clock.now(), fingerprint)
     }
 
-    /// Records a strike seen here and returns it for the peers.
-    pub fn strike(&self, fingerprint: Fingerprint, target: &Arc<str>) -> Strike {
-        self.quarantine().strike(self.clock.now(), fingerprint, target)
+    /// Records a strike seen here. Targets are told apart by their addresses, as in messages.
+    pub fn strike(&self, fingerprint: Fingerprint, target: SocketAddr) {
+        let target = target.to_string().into();
+        self.quarantine().strike(self.clock.now(), fingerprint, &target);
     }
 
     /// Records a strike of a peer.
--- a/crates/geraniummuxd/src/proxy/attempts.rs
+++ b/crates/geraniummuxd/src/proxy/attempts.rs
@@ -2,13 +2,14 @@
 
 use super::headers;
 use super::job::Job;
+use crate::actions;
 use crate::balancing::Picked;
+use crate::control;
 use crate::upstream::{self, Answer, Connection, Head, SendError};
 use futures_util::future::{AbortHandle, Abortable, BoxFuture, FutureExt};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::attempt::{Connection as Which, Event, FRESH_CONNECTION, Refusal};
 use geraniummux_core::claim::StoredAnswer;
-use geraniummux_core::drain::TargetPermit;
 use geraniummux_core::{AttemptEnd, LoadReport, Time, load};
 use http::{HeaderMap, StatusCode};
 use std::io;
@@ -92,19 +93,16 @@
         self.attempts.push(Attempt::default());
         let job = self.job.clone();
         self.start(n, async move {
-            // A host that was paused may not know which targets are leaving.
-            // Nor may it send the request under an older configuration.
-            let fresh = match job.shared.await_refresh().await {
-                Ok(held) => !held || job.route_is_in_force(),
-                Err(_) => false,
+            // A host that was paused may not know the configuration or the leaving targets.
+            let pool = match control::fresh(&job.shared).await {
+                Ok(in_force) => job.pool(&in_force),
+                Err(_) => None,
             };
-            if !fresh {
-                return AttemptEvent::Picked(n, None);
-            }
             let leaving = job.shared.leaving_targets();
             let now = job.shared.clock.now();
             let balancing = &job.shared.data.balancing;
-            AttemptEvent::Picked(n, balancing.pick(&job.route.pool, &avoid, &leaving, now))
+            let picked = pool.and_then(|pool| balancing.pick(&pool, &avoid, &leaving, now));
+            AttemptEvent::Picked(n, picked)
         });
     }
 
@@ -203,7 +201,7 @@
             return Event::ConnectFailed { attempt };
         };
         // The target may have begun to leave, or this host may have been paused, since the pick.
-        if shared.permit(conn.addr()) != TargetPermit::Send {
+        if !shared.may_send(conn.addr()) {
             return Event::ConnectFailed { attempt };
         }
         let reused = conn.is_reused();
@@ -229,7 +227,7 @@
         slot.refusal = refusal(parts.status, &parts.headers);
         let state = headers::single(&parts.headers, headers::TARGET_STATE);
         if state == Ok(Some("draining")) || slot.refusal == Some(Refusal::Draining) {
-            self.job.shared.report_leaving(head.conn.addr());
+            actions::report_draining(&self.job.shared, head.conn.addr());
         }
         self.start(
             attempt,
--- a/crates/geraniummuxd/src/proxy/driver.rs
+++ b/crates/geraniummuxd/src/proxy/driver.rs
@@ -4,7 +4,7 @@
 use super::job::Job;
 use super::respond;
 use crate::claims::{ClaimEvent, ClaimHandle};
-use crate::data_path::InFlight;
+use crate::control::ConnectionGuard;
 use crate::gate::{Applicant, Permit};
 use crate::reply::{self, Body};
 use futures_util::future::{AbortHandle, Abortable, BoxFuture, FutureExt};
@@ -42,13 +42,15 @@
     /// Outcome, and when the response was handed over.
     told: Option<(Outcome, Time)>,
     delivered: bool,
-    _in_flight: InFlight,
+    /// Keeps a shutdown waiting until the response is delivered.
+    _guard: ConnectionGuard,
 }
 
 impl Driver {
     /// Returns a driver that has not started, and where the response arrives.
-    pub fn new(job: Job, in_flight: InFlight) -> (Self, oneshot::Receiver<Response<Body>>) {
+    pub fn new(job: Job) -> (Self, oneshot::Receiver<Response<Body>>) {
         let job = Arc::new(job);
+        let guard = job.shared.control.connection();
         let (tx, rx) = oneshot::channel();
         let request = RequestState::new(RequestOptions {
             idempotent: job.is_idempotent(),
@@ -72,7 +74,7 @@
             reply: Some(tx),
             told: None,
             delivered: false,
-            _in_flight: in_flight,
+            _guard: guard,
         };
         (driver, rx)
     }
@@ -271,9 +273,9 @@
     fn record_strike(&mut self, attempt: u8) {
         let Some(addr) = self.attempts.addr(attempt) else { return };
         let job = self.job.clone();
-        let strike = job.shared.data.strike(job.fingerprint, &addr.to_string().into());
+        job.shared.data.strike(job.fingerprint, addr);
         self.start(async move {
-            let missing = job.shared.spread_strike(&strike).await;
+            let missing = job.shared.spread_strike(job.fingerprint, addr).await;
             if missing > 0 {
                 debug!(job.shared.log, "strike_unacknowledged"; "peers" => missing);
             }
@@ -310,7 +312,7 @@
             self.events.push_back(Event::DeliveryFailed);
             return;
         }
-        let outgoing = self.job.outgoing.clone();
+        let outgoing = self.job.transfer.outgoing.clone();
         self.start(async move {
             let delivered = match end.await {
                 Ok(end) => outgoing.acknowledged(end).await,
@@ -327,7 +329,8 @@
             // The claim decides whether this replay is the one that counts.
             (Some(claim), _) if replayed => claim.replay_delivered(),
             (_, Some((Outcome::Served, _))) => {
-                self.job.shared.count_served(&self.job.route.tenant, &self.job.route.class);
+                let (shared, route) = (&self.job.shared, &self.job.route);
+                shared.control.count(&shared.clock, &route.tenant, &route.class);
             }
             _ => {}
         }
