--- a/crates/geraniummux-core/src/admission.rs
+++ b/crates/geraniummux-core/src/admission.rs
@@ -78,21 +78,30 @@
     half: Duration,
 }
 
+/// The waiting requests of a class.
 #[derive(Clone, Debug)]
 struct Queue {
-    tenant: Arc<str>,
     class: Arc<str>,
     waiting: VecDeque<Waiting>,
 }
 
+/// A tenant with waiting requests.
+#[derive(Clone, Debug)]
+struct Tenant {
+    name: Arc<str>,
+    /// Waiting requests of all its classes.
+    waiting: usize,
+    /// Classes with waiting requests, in the order of their turns.
+    queues: VecDeque<Queue>,
+}
+
 /// The admission of one pool.
 #[derive(Clone, Debug)]
 pub struct Admission {
     options: AdmissionOptions,
     running: u32,
-    queues: Vec<Queue>,
-    /// Tenants in the order of their turns; one whose requests were all cancelled is skipped.
-    turns: VecDeque<Arc<str>>,
+    /// In the order of their turns.
+    tenants: VecDeque<Tenant>,
     /// Moving average of the time from admission to release, in seconds.
     service: f64,
     /// Moving average of its absolute deviation, in seconds.
@@ -113,8 +122,7 @@
         Admission {
             options,
             running: 0,
-            queues: Vec::new(),
-            turns: VecDeque::new(),
+            tenants: VecDeque::new(),
             service: options.initial_service.as_secs_f64(),
             deviation: 0.0,
         }
@@ -125,7 +133,7 @@
         if now >= offer.deadline {
             return Decision::Refused(Reason::Deadline);
         }
-        if self.running < self.options.limit && self.turns.is_empty() {
+        if self.running < self.options.limit && self.tenants.is_empty() {
             self.running += 1;
             return Decision::Admitted;
         }
@@ -133,21 +141,19 @@
         // at most half of its time is set aside.
         let half = offer.deadline.since(now) / 2;
         let service = self.likely_service_time(OFFER_DEVIATIONS).min(half);
-        if now + self.expected_wait(&offer) + service > offer.deadline {
+        let own = self.waiting_of(&offer.tenant);
+        if now + self.expected_wait(&offer.tenant, own) + service > offer.deadline {
             return Decision::Refused(Reason::Overloaded);
         }
-        let left = self.options.max_queued.saturating_sub(self.queued());
-        if self.waiting_of(&offer.tenant) >= left {
+        if own >= self.options.max_queued.saturating_sub(self.queued()) {
             return Decision::Refused(Reason::Overloaded);
         }
-        let Some(queue) = self.queue(&offer) else {
-            return Decision::Refused(Reason::Overloaded);
-        };
-        queue.waiting.push_back(Waiting { ticket: offer.ticket, deadline: offer.deadline, half });
-        if !self.turns.contains(&offer.tenant) {
-            self.turns.push_back(offer.tenant);
+        let waiting = Waiting { ticket: offer.ticket, deadline: offer.deadline, half };
+        if self.enqueue(offer.tenant, offer.class, waiting) {
+            Decision::Queued
+        } else {
+            Decision::Refused(Reason::Overloaded)
         }
-        Decision::Queued
     }
 
     /// Takes back the slot of an admitted request, which took `service` from its admission, and
@@ -165,10 +171,15 @@
 
     /// Removes a request from its queue; returns whether it was queued.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        for queue in &mut self.queues {
-            if let Some(i) = queue.waiting.iter().position(|w| w.ticket == ticket) {
-                queue.waiting.remove(i);
-                return true;
+        for tenant in &mut self.tenants {
+            for queue in &mut tenant.queues {
+                if let Some(i) = queue.waiting.iter().position(|w| w.ticket == ticket) {
+                    queue.waiting.remove(i);
+                    tenant.waiting -= 1;
+                    tenant.queues.retain(|q| !q.waiting.is_empty());
+                    self.tenants.retain(|t| t.waiting > 0);
+                    return true;
+                }
             }
         }
         false
@@ -187,83 +198,87 @@
 
     /// Returns how many requests wait.
     pub fn queued(&self) -> usize {
-        self.queues.iter().map(|q| q.waiting.len()).sum()
+        self.tenants.iter().map(|t| t.waiting).sum()
     }
 
     fn likely_service_time(&self, deviations: f64) -> Duration {
         Duration::from_secs_f64(self.service + deviations * self.deviation)
     }
 
-    /// Returns how long the offered request would wait: every tenant takes turns, so only as many
-    /// requests of another tenant precede it as its own tenant has waiting.
-    fn expected_wait(&self, offer: &Offer) -> Duration {
-        let own = self.waiting_of(&offer.tenant) + 1;
-        let ahead: usize = self
-            .turns
-            .iter()
-            .map(|t| if *t == offer.tenant { own - 1 } else { own.min(self.waiting_of(t)) })
-            .sum();
+    /// Returns how long a request would wait that is offered by a tenant with `own` waiting ones:
+    /// tenants take turns, so only as many requests of another tenant precede it.
+    fn expected_wait(&self, tenant: &str, own: usize) -> Duration {
+        let precede = |t: &Tenant| if *t.name == *tenant { own } else { t.waiting.min(own + 1) };
+        let ahead: usize = self.tenants.iter().map(precede).sum();
         let rounds = (ahead + 1) as f64 / f64::from(self.options.limit);
         Duration::from_secs_f64(rounds * self.service)
     }
 
     fn waiting_of(&self, tenant: &str) -> usize {
-        self.queues.iter().filter(|q| &*q.tenant == tenant).map(|q| q.waiting.len()).sum()
+        self.tenants.iter().find(|t| *t.name == *tenant).map_or(0, |t| t.waiting)
     }
 
-    /// Returns the queue of the request's tenant and class if it has room.
-    fn queue(&mut self, offer: &Offer) -> Option<&mut Queue> {
-        let found =
-            self.queues.iter().position(|q| q.tenant == offer.tenant && q.class == offer.class);
-        let i = match found {
+    /// Appends a request to the queue of its tenant and class; returns whether there was room.
+    fn enqueue(&mut self, name: Arc<str>, class: Arc<str>, waiting: Waiting) -> bool {
+        let queues: usize = self.tenants.iter().map(|t| t.queues.len()).sum();
+        let may_add = queues < self.options.max_queues;
+        let i = match self.tenants.iter().position(|t| t.name == name) {
             Some(i) => i,
-            None => {
-                if self.queues.len() >= self.options.max_queues {
-                    self.queues.retain(|q| !q.waiting.is_empty());
-                }
-                if self.queues.len() >= self.options.max_queues {
-                    return None;
-                }
-                self.queues.push(Queue {
-                    tenant: offer.tenant.clone(),
-                    class: offer.class.clone(),
-                    waiting: VecDeque::new(),
-                });
-                self.queues.len() - 1
+            None if may_add => {
+                self.tenants.push_back(Tenant { name, waiting: 0, queues: VecDeque::new() });
+                self.tenants.len() - 1
             }
+            None => return false,
         };
-        let limit = self.options.queue_len;
-        Some(&mut self.queues[i]).filter(|q| q.waiting.len() < limit)
+        let tenant = &mut self.tenants[i];
+        match tenant.queues.iter_mut().find(|q| q.class == class) {
+            Some(queue) if queue.waiting.len() >= self.options.queue_len => return false,
+            Some(queue) => queue.waiting.push_back(waiting),
+            None if may_add => {
+                tenant.queues.push_back(Queue { class, waiting: VecDeque::from([waiting]) });
+            }
+            None => return false,
+        }
+        tenant.waiting += 1;
+        true
     }
 
     /// Gives free slots to waiting requests, one tenant after the other.
     fn fill(&mut self, now: Time) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
+        let service = self.likely_service_time(NEXT_DEVIATIONS);
         while self.running < self.options.limit {
-            let Some(tenant) = self.turns.pop_front() else {
+            let Some(mut tenant) = self.tenants.pop_front() else {
                 break;
             };
-            if let Some(ticket) = self.next_of(now, &tenant, &mut verdicts) {
+            if let Some(ticket) = tenant.next(now, service, &mut verdicts) {
                 self.running += 1;
                 verdicts.push(Verdict::Admitted(ticket));
             }
-            if self.waiting_of(&tenant) > 0 {
-                self.turns.push_back(tenant);
+            if tenant.waiting > 0 {
+                self.tenants.push_back(tenant);
             }
         }
         verdicts
     }
+}
 
-    /// Takes the tenant's next request that can still be answered in time; sheds the others.
-    fn next_of(&mut self, now: Time, tenant: &str, verdicts: &mut Vec<Verdict>) -> Option<Ticket> {
-        let service = self.likely_service_time(NEXT_DEVIATIONS);
+impl Tenant {
+    /// Takes the next request that can still be answered in time; sheds the others.
+    fn next(
+        &mut self,
+        now: Time,
+        service: Duration,
+        verdicts: &mut Vec<Verdict>,
+    ) -> Option<Ticket> {
         loop {
-            let i =
-                self.queues.iter().position(|q| &*q.tenant == tenant && !q.waiting.is_empty())?;
-            let next = self.queues[i].waiting.pop_front()?;
+            let mut queue = self.queues.pop_front()?;
+            let next = queue.waiting.pop_front()?;
+            self.waiting -= 1;
             // The classes of a tenant take turns.
-            let queue = self.queues.remove(i);
-            self.queues.push(queue);
+            if !queue.waiting.is_empty() {
+                self.queues.push_back(queue);
+            }
             if now + service.min(next.half) <= next.deadline {
                 return Some(next.ticket);
             }
--- a/crates/geraniummux-core/tests/admission.rs
+++ b/crates/geraniummux-core/tests/admission.rs
@@ -312,13 +312,15 @@
 /// Guards against one tenant that takes all places of the queue.
 #[test]
 fn offer_leaves_room_for_other_tenants() {
-    let options = AdmissionOptions { queue_len: 1_000, max_queued: 100, ..Default::default() };
+    let options =
+        AdmissionOptions { queue_len: 1_000, max_queued: 100, max_queues: 2, ..Default::default() };
     let mut admission = full(options);
     let mut queued = |ticket, tenant| {
         admission.offer(Time::ZERO, offer(ticket, tenant, "x", 600_000)) == Decision::Queued
     };
     assert_eq!((1..=1_000).filter(|t| queued(*t, "a")).count(), 50);
     assert_eq!((2_001..=2_020).filter(|t| queued(*t, "b")).count(), 20);
+    assert!(!queued(3_000, "c"), "more queues than allowed");
     assert!(admission.queued() <= 100);
 }
 
--- a/crates/geraniummux-core/tests/attempt.rs
+++ b/crates/geraniummux-core/tests/attempt.rs
@@ -573,3 +573,20 @@
     let quarantined = Action::Respond { outcome: Outcome::Unknown, reason: Reason::Quarantined };
     assert_eq!(after(true, None, closed), [Action::ReleaseSlot, quarantined]);
 }
+
+/// Guards against timers that are not those of the page.
+#[test]
+fn request_timers_follow_p95() {
+    let timers = |options: RequestOptions| -> Vec<(Timer, u64)> {
+        let actions = actions_after(options, sent(Some(Duration::from_millis(80))));
+        let timer = |a| match a {
+            Action::StartTimer { timer, at } => Some((timer, at.since(NOW).as_millis() as u64)),
+            _ => None,
+        };
+        actions.into_iter().filter_map(timer).collect()
+    };
+    assert_eq!(timers(options(true, false)), [(Timer::Hedge(0), 40), (Timer::Silence(0), 80)]);
+    let unknown = RequestOptions { p95: None, ..options(true, false) };
+    assert_eq!(timers(unknown), [(Timer::Silence(0), 100)]);
+    assert_eq!(timers(options(false, false)), []);
+}
