--- a/crates/geraniummuxd/src/balancing.rs
+++ b/crates/geraniummuxd/src/balancing.rs
@@ -143,7 +143,7 @@
     }
 
     /// Returns a target's estimated load, the own requests in flight and whether it is ejected.
-    pub fn estimate(&self, pool: &str, target: &str, now: Time) -> Option<(Estimate, usize, bool)> {
+    pub fn estimate(&self, pool: &str, target: &str, now: Time) -> Option<(Estimate, u32, bool)> {
         let state = self.lock();
         let id = state.load.id(pool, target)?;
         let ejected = state.balancers.iter().any(|b| b.is_ejected(id, now));
