Split the longest checks so that they run side by side

Cause: the tests of geraniummux-wire took 60 s of wall time one after the other.

Change: loss, short and long pauses, sizes and halves of the seeds are tests of their own; cases, seeds and bounds are the same.

--- a/crates/geraniummux-wire/tests/config.rs
+++ b/crates/geraniummux-wire/tests/config.rs
@@ -147,8 +147,18 @@
 // lagging reads, lost answers, a host killed, restarted, or paused for a minute.
 #[test]
 fn distribution_random_faults() {
+    random_faults(0..20);
+}
+
+// See distribution_random_faults.
+#[test]
+fn distribution_random_faults_more_seeds() {
+    random_faults(20..40);
+}
+
+fn random_faults(seeds: std::ops::Range<u64>) {
     let mut edits = BTreeMap::new();
-    for seed in 0..40 {
+    for seed in seeds.clone() {
         let mut fleet = Fleet::started(seed, 18, 1);
         fleet.loss = 0.02;
         let (mut down, mut accepted) = (Time::ZERO, 0);
@@ -203,7 +213,7 @@
         }
         check_edits(&fleet, &mut edits);
     }
-    println!("18 hosts, 40 seeds of random faults: edits {edits:?}");
+    println!("18 hosts, random faults, seeds {seeds:?}: edits {edits:?}");
 }
 
 /// Every edit that reported success must be part of the history, and every one that reported
--- a/crates/geraniummux-wire/tests/drain.rs
+++ b/crates/geraniummux-wire/tests/drain.rs
@@ -31,48 +31,60 @@
 // when one notice in ten is lost. Each target is reported once only.
 #[test]
 fn leaving_reaches_all() {
-    for (n, loss) in [(18, 0.02), (18, 0.10), (100, 0.02)] {
-        let mut slowest = ms(10);
-        for seed in 0..if n == 18 { 30 } else { 2 } {
-            let mut fleet = Fleet::started(seed, n, 1);
-            fleet.loss = loss;
-            let mut leaving = Vec::new();
-            for k in 0..4 {
-                // Pauses around the 1 s limit of detection, and long ones.
-                for length in [ms(900), ms(1_100), ms(2_800), secs(5), secs(20)] {
-                    let i = fleet.rng.random_range(0..n);
-                    if fleet.is_running(i) {
-                        fleet.pause(i, length);
-                    }
+    reaches_all(18, 0.02, 30);
+}
+
+// See leaving_reaches_all.
+#[test]
+fn leaving_reaches_all_high_loss() {
+    reaches_all(18, 0.10, 30);
+}
+
+// See leaving_reaches_all.
+#[test]
+fn leaving_reaches_all_100_hosts() {
+    reaches_all(100, 0.02, 2);
+}
+
+fn reaches_all(n: usize, loss: f64, seeds: u64) {
+    let mut slowest = ms(10);
+    for seed in 0..seeds {
+        let mut fleet = Fleet::started(seed, n, 1);
+        fleet.loss = loss;
+        let mut leaving = Vec::new();
+        for k in 0..4 {
+            // Pauses around the 1 s limit of detection, and long ones.
+            for length in [ms(900), ms(1_100), ms(2_800), secs(5), secs(20)] {
+                let i = fleet.rng.random_range(0..n);
+                if fleet.is_running(i) {
+                    fleet.pause(i, length);
                 }
-                let reporter = (0..n).find(|i| fleet.is_running(*i)).unwrap();
-                leaving.push((fleet.now, target(k)));
-                fleet.report_leaving(reporter, target(k));
-                if k % 2 == 1 {
-                    fleet.run(ms(10));
-                    fleet.kill(reporter);
+            }
+            let reporter = (0..n).find(|i| fleet.is_running(*i)).unwrap();
+            leaving.push((fleet.now, target(k)));
+            fleet.report_leaving(reporter, target(k));
+            if k % 2 == 1 {
+                fleet.run(ms(10));
+                fleet.kill(reporter);
+            }
+            for step in 0..600 {
+                resume_checked(&mut fleet, ms(10), &leaving);
+                if step == 300 && fleet.hosts[reporter].process.is_none() {
+                    fleet.start(reporter);
                 }
-                for step in 0..600 {
-                    resume_checked(&mut fleet, ms(10), &leaving);
-                    if step == 300 && fleet.hosts[reporter].process.is_none() {
-                        fleet.start(reporter);
-                    }
-                    let all = (0..n).all(|i| {
-                        let h = &fleet.hosts[i];
-                        !fleet.is_running(i)
-                            || h.paused_until > leaving[usize::from(k)].0
-                            || h.process().drain.is_leaving(h.local(fleet.now), target(k))
-                    });
-                    if !all && step < 300 {
-                        slowest = slowest.max(fleet.now.since(leaving[usize::from(k)].0) + ms(10));
-                    }
+                let all = (0..n).all(|i| {
+                    let h = &fleet.hosts[i];
+                    !fleet.is_running(i)
+                        || h.paused_until > leaving[usize::from(k)].0
+                        || h.process().drain.is_leaving(h.local(fleet.now), target(k))
+                });
+                if !all && step < 300 {
+                    slowest = slowest.max(fleet.now.since(leaving[usize::from(k)].0) + ms(10));
                 }
             }
         }
-        println!(
-            "hosts {n:3}, loss {loss:.2}: all hosts that were not paused know within {slowest:?}"
-        );
     }
+    println!("hosts {n:3}, loss {loss:.2}: all hosts that were not paused know within {slowest:?}");
 }
 
 /// Runs for `step` and checks, also at the very moment in which a host resumes, before it has
--- a/crates/geraniummux-wire/tests/membership.rs
+++ b/crates/geraniummux-wire/tests/membership.rs
@@ -80,16 +80,24 @@
 // Guards against a live host that is declared dead because of lost packets or short pauses, and
 // against a paused host that stays dead after it resumed.
 #[test]
-fn false_suspicion_loss_and_pauses() {
-    for (regions, loss, pause) in [
-        (1, 0.02, 0),
-        (1, 0.05, 0),
-        (1, 0.10, 0),
-        (2, 0.05, 0),
-        (1, 0.02, 900),
-        (1, 0.02, 2_000),
-        (1, 0.02, 60_000),
-    ] {
+fn false_suspicion_loss() {
+    false_suspicion(&[(1, 0.02, 0), (1, 0.05, 0), (1, 0.10, 0), (2, 0.05, 0)]);
+}
+
+// See false_suspicion_loss.
+#[test]
+fn false_suspicion_pauses() {
+    false_suspicion(&[(1, 0.02, 900), (1, 0.02, 2_000)]);
+}
+
+// See false_suspicion_loss.
+#[test]
+fn false_suspicion_long_pauses() {
+    false_suspicion(&[(1, 0.02, 60_000)]);
+}
+
+fn false_suspicion(cases: &[(usize, f64, u64)]) {
+    for &(regions, loss, pause) in cases {
         let (mut suspicions, mut deaths, mut slowest) = (0, 0, Duration::ZERO);
         over_seeds_sum(0..6, |seed| {
             let mut fleet = Fleet::started(seed, 18, regions);
--- a/crates/geraniummux-wire/tests/usage.rs
+++ b/crates/geraniummux-wire/tests/usage.rs
@@ -54,8 +54,18 @@
 // both believe that they are the writer, and the month's end in between.
 #[test]
 fn counts_random_faults() {
+    random_faults(0..15);
+}
+
+// See counts_random_faults.
+#[test]
+fn counts_random_faults_more_seeds() {
+    random_faults(15..30);
+}
+
+fn random_faults(seeds: std::ops::Range<u64>) {
     let (mut all, mut lost, mut allowed, mut months) = (0, 0, 0, 0);
-    for seed in 0..30 {
+    for seed in seeds.clone() {
         let mut fleet = Fleet::started(seed, 18, 1);
         fleet.loss = 0.05;
         // The month ends 30 s after the start.
@@ -105,10 +115,10 @@
         months += n;
     }
     println!(
-        "18 hosts, 30 seeds: {all} counted, 0 twice, {lost} lost with kills ({allowed} were \
+        "18 hosts, seeds {seeds:?}: {all} counted, 0 twice, {lost} lost with kills ({allowed} were \
          counted in the last second of a killed host), {months} objects"
     );
-    assert_eq!(months, 60, "both months have an object");
+    assert_eq!(months, 30, "both months have an object");
 }
 
 // Guards against counts that are taken for written when the writer has them but dies before its
