Retry idempotent requests after any 5xx; one type for refusals

Cause: a target that fails fast with status 500 decided requests that a healthy target would have answered; only 502 to 504 were retried. The refusal signal had two equal types, in attempt and in load.

Ruled out: retrying non-idempotent requests after a 5xx; the handler has run.

Change: whole 5xx answers of idempotent requests are held while another attempt may do better, within the retry budget; the held answer is relayed otherwise, with the outcome of its status. Refusal has a module of its own.

Conclusion: a failing target costs one retry instead of the request.

--- a/crates/geraniummux-core/src/attempt.rs
+++ b/crates/geraniummux-core/src/attempt.rs
@@ -41,6 +41,7 @@
 
 use crate::budget::RouteBudgets;
 use crate::outcome::{Outcome, Reason};
+pub use crate::refusal::Refusal;
 use crate::time::Time;
 use std::sync::Arc;
 use std::time::Duration;
@@ -87,40 +88,6 @@
     }
 }
 
-/// Why a target refused a request without running it (`x-request-refused`).
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Refusal {
-    /// The target is overloaded.
-    Shed,
-    /// The target is leaving.
-    Draining,
-    /// The target is not ready yet.
-    Starting,
-    /// The deadline had passed at the target.
-    Deadline,
-}
-
-impl Refusal {
-    /// Parses the value of the `x-request-refused` header. An unknown value proves nothing.
-    pub fn parse(value: &str) -> Option<Self> {
-        match value {
-            "shed" => Some(Refusal::Shed),
-            "draining" => Some(Refusal::Draining),
-            "starting" => Some(Refusal::Starting),
-            "deadline" => Some(Refusal::Deadline),
-            _ => None,
-        }
-    }
-
-    const fn reason(self) -> Reason {
-        match self {
-            Refusal::Shed => Reason::Overloaded,
-            Refusal::Draining | Refusal::Starting => Reason::NoTarget,
-            Refusal::Deadline => Reason::Deadline,
-        }
-    }
-}
-
 /// A timer that the daemon runs for the request.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Timer {
@@ -358,6 +325,8 @@
     may_have_run: bool,
     /// Whether the attempt needs a new connection.
     needs_new: bool,
+    /// Status of the held answer.
+    status: u16,
 }
 
 impl Attempt {
@@ -708,10 +677,12 @@
         budgets: &mut RouteBudgets,
         out: &mut Vec<Action>,
     ) {
-        let failed = answer_outcome(status) != Outcome::Served;
-        // A failure answer is kept while another attempt may still do better.
-        if failed && whole && self.options.idempotent {
-            self.attempts[usize::from(attempt)].stage = Stage::Held;
+        // A server error is kept while another attempt may still do better: a target that fails
+        // fast must not decide requests that a healthy one would answer.
+        if status >= 500 && whole && self.options.idempotent {
+            let held = &mut self.attempts[usize::from(attempt)];
+            held.stage = Stage::Held;
+            held.status = status;
             self.proceed(now, budgets, out);
             return;
         }
@@ -835,6 +806,7 @@
             stage: Stage::Picking,
             may_have_run: false,
             needs_new,
+            status: 0,
         });
         out.push(Action::Pick { attempt, avoid });
     }
@@ -871,7 +843,7 @@
     fn failure_conclusion(&mut self, reason: Reason) -> Conclusion {
         match self.attempts.iter().position(|a| a.stage == Stage::Held) {
             Some(n) if reason != Reason::Quarantined => {
-                self.outcome = Some(Outcome::Unknown);
+                self.outcome = Some(answer_outcome(self.attempts[n].status));
                 Conclusion::Relay { attempt: n as AttemptNo, whole: true }
             }
             _ => Conclusion::Respond(reason),
--- a/crates/geraniummux-core/src/load.rs
+++ b/crates/geraniummux-core/src/load.rs
@@ -5,6 +5,7 @@
 //! the digests of peers and from the results of paid probes.
 
 use crate::config::{Pool, Target};
+pub use crate::refusal::Refusal;
 use crate::time::Time;
 use serde::de::{self, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
@@ -56,32 +57,6 @@
     }
 }
 
-/// Why a target declared that it did not run a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Refusal {
-    /// It has too much work.
-    Shed,
-    /// It is leaving.
-    Draining,
-    /// It is not ready yet.
-    Starting,
-    /// The request's deadline had passed.
-    Deadline,
-}
-
-impl Refusal {
-    /// Parses the value of an `x-request-refused` header.
-    pub fn parse(value: &str) -> Option<Self> {
-        match value.trim() {
-            "shed" => Some(Refusal::Shed),
-            "draining" => Some(Refusal::Draining),
-            "starting" => Some(Refusal::Starting),
-            "deadline" => Some(Refusal::Deadline),
-            _ => None,
-        }
-    }
-}
-
 /// How an attempt at a target ended, as far as load is concerned.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptEnd {
--- a/crates/geraniummux-core/tests/attempt.rs
+++ b/crates/geraniummux-core/tests/attempt.rs
@@ -187,7 +187,9 @@
             ]);
         }
         if matches!(a.stage, Stage::Sent | Stage::Head) || late {
-            for (status, whole) in [(200, true), (200, false), (503, true), (503, false)] {
+            for (status, whole) in
+                [(200, true), (200, false), (500, true), (503, true), (503, false)]
+            {
                 events.push(Event::Answered { attempt, status, whole });
             }
             events.push(Event::Refused { attempt, refusal: Refusal::Shed });
@@ -563,6 +565,10 @@
     assert_eq!(after(false, None, vec![Event::NotSent { attempt: 0 }]), [again("t0")]);
     let failed = Event::Answered { attempt: 0, status: 503, whole: true };
     assert_eq!(after(true, None, vec![failed]), [again("t0")]);
+    let error = Event::Answered { attempt: 0, status: 500, whole: true };
+    assert_eq!(after(true, None, vec![error.clone()]), [again("t0")]);
+    let relayed = Action::Relay { attempt: 0, outcome: Outcome::Served };
+    assert_eq!(after(false, None, vec![error]), [Action::ReleaseSlot, relayed]);
     assert_eq!(after(true, None, vec![Event::BadAnswer { attempt: 0 }]), [again("t0")]);
     let broken = vec![Event::Broken { attempt: 0 }, Event::StrikeSpread { quarantined: false }];
     assert_eq!(after(true, None, broken), [again("t0")]);
--- a/crates/geraniummuxd/src/proxy/attempts.rs
+++ b/crates/geraniummuxd/src/proxy/attempts.rs
@@ -10,7 +10,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::attempt::{Connection as Which, Event, FRESH_CONNECTION, Refusal};
 use geraniummux_core::claim::StoredAnswer;
-use geraniummux_core::{AttemptEnd, LoadReport, Time, load};
+use geraniummux_core::{AttemptEnd, LoadReport, Time};
 use http::{HeaderMap, StatusCode};
 use std::io;
 use std::net::SocketAddr;
@@ -242,7 +242,7 @@
             if let Ok(Answer::Whole { conn: Some(conn), .. }) = answer {
                 self.job.shared.data.connections.keep(conn);
             }
-            self.end(attempt, AttemptEnd::Refused(load_refusal(refusal)));
+            self.end(attempt, AttemptEnd::Refused(refusal));
             return Event::Refused { attempt, refusal };
         }
         let answer = match answer {
@@ -311,12 +311,3 @@
     }
     headers::single(headers, headers::REFUSED).ok().flatten().and_then(Refusal::parse)
 }
-
-fn load_refusal(refusal: Refusal) -> load::Refusal {
-    match refusal {
-        Refusal::Shed => load::Refusal::Shed,
-        Refusal::Draining => load::Refusal::Draining,
-        Refusal::Starting => load::Refusal::Starting,
-        Refusal::Deadline => load::Refusal::Deadline,
-    }
-}
