--- a/crates/geraniummux-core/src/config.rs
+++ b/crates/geraniummux-core/src/config.rs
@@ -190,6 +190,7 @@
         for pool in &self.pools {
             validate_pool(pool)?;
         }
+        check_probed_once(&self.pools)?;
         for route in &self.routes {
             validate_route(route)?;
             if self.pool(&route.pool).is_none() {
@@ -285,6 +286,25 @@
     check_range("routes", row, "max_body_bytes", route.max_body_bytes as f64, 0.0..=67_108_864.0)
 }
 
+/// Rejects a target that two pools probe, since each would spend its own budget at the target.
+fn check_probed_once(pools: &[Pool]) -> Result<()> {
+    let mut probed: Vec<(SocketAddr, &str)> = Vec::new();
+    for pool in pools.iter().filter(|p| p.probe_budget_per_s * p.probe_share > 0.0) {
+        probed.extend(pool.targets.iter().map(|t| (t.addr, &*pool.name)));
+    }
+    probed.sort_unstable();
+    match probed.windows(2).find(|w| w[0].0 == w[1].0) {
+        Some(w) => {
+            let cause = format!(
+                "{} is also probed by pool {:?}; set probe_share to 0 in one of them",
+                w[1].0, w[0].1
+            );
+            Err(invalid("pools", w[1].1, "targets.addr", cause))
+        }
+        None => Ok(()),
+    }
+}
+
 /// Rejects two routes that match exactly the same requests, since neither could win.
 fn check_unique_matches(routes: &[Route]) -> Result<()> {
     for (i, a) in routes.iter().enumerate() {
--- a/crates/geraniummux-core/tests/config.rs
+++ b/crates/geraniummux-core/tests/config.rs
@@ -74,6 +74,23 @@
     .assert_eq(&out);
 }
 
+// Guards against a target that gets the probe budgets of two pools.
+#[test]
+fn validate_probed_twice() {
+    let pools = |share: f64| {
+        let pool = |name: &str, share: f64| {
+            format!(
+                r#"{{"name":"{name}","probe_share":{share},"targets":[
+                {{"name":"t","addr":"127.0.0.1:1","failure_domain":"a"}}]}}"#
+            )
+        };
+        edit(TableKind::Pools, &format!(r#"{{"pools":[{},{}]}}"#, pool("p", 1.0), pool("q", share)))
+    };
+    assert!(sample().with_edit(pools(0.0), 1, "op", "w3").is_ok());
+    expect![[r#"pools table, row "q", field "targets.addr": 127.0.0.1:1 is also probed by pool "p"; set probe_share to 0 in one of them"#]]
+        .assert_eq(&sample().with_edit(pools(0.5), 1, "op", "w3").unwrap_err().to_string());
+}
+
 // Guards against a delayed old configuration replacing a newer one.
 #[test]
 fn offer_older_generation() {
