Hedge after the quantile that the hedge budget leaves

Cause: hedges always started after the p95, so that a route with a larger hedge budget could not use it.

Ruled out: a further field of the route for the quantile; with any other value the budget is either not used or spent on requests that are not slow.

Change: RequestOptions has hedge_after; the daemon takes the quantile 1 - hedge_budget, at least the median. The silence bound stays at twice the p95.

Conclusion: the budget alone sets the pace of hedging.

--- a/crates/geraniummux-core/src/attempt.rs
+++ b/crates/geraniummux-core/src/attempt.rs
@@ -68,6 +68,9 @@
     pub depth: u32,
     /// The route's observed p95; `None` before 20 answers were observed.
     pub p95: Option<Duration>,
+    /// Time after which an attempt is hedged: the quantile of the route's observed latency that
+    /// leaves the share of the hedge budget above it. `None` before 20 answers were observed.
+    pub hedge_after: Option<Duration>,
     /// Largest number of attempts, hedges and moves included.
     pub max_attempts: u8,
     /// Longest time to open a connection. An attempt without a connection is safe to repeat.
@@ -82,6 +85,7 @@
             deadline: Time::ZERO,
             depth: 0,
             p95: None,
+            hedge_after: None,
             max_attempts: 4,
             connect_timeout: Duration::from_millis(250),
         }
@@ -653,8 +657,8 @@
         if !self.options.idempotent {
             return;
         }
-        if let Some(p95) = self.options.p95.filter(|_| !self.hedged) {
-            out.push(Action::StartTimer { timer: Timer::Hedge(attempt), at: now + p95 });
+        if let Some(after) = self.options.hedge_after.filter(|_| !self.hedged) {
+            out.push(Action::StartTimer { timer: Timer::Hedge(attempt), at: now + after });
         }
         if reused {
             self.start_silence(now, attempt, out);
--- a/crates/geraniummuxd/src/proxy/driver.rs
+++ b/crates/geraniummuxd/src/proxy/driver.rs
@@ -58,6 +58,7 @@
             deadline: job.deadline,
             depth: job.depth,
             p95: job.route_state.p95(),
+            hedge_after: job.route_state.hedge_after(),
             ..RequestOptions::default()
         });
         let driver = Driver {
--- a/crates/geraniummuxd/src/routes.rs
+++ b/crates/geraniummuxd/src/routes.rs
@@ -11,12 +11,23 @@
 const SAMPLES: u64 = 20;
 /// Answers after which the histogram starts anew, so that the p95 follows the route's latency.
 const WINDOW: u64 = 1_000;
+/// Lowest quantile of the latency after which attempts are hedged.
+const MIN_HEDGE_QUANTILE: f64 = 0.5;
 /// Largest recorded latency, in microseconds; the longest route timeout.
 const MAX_LATENCY_MICROS: u64 = 600_000_000;
 
 struct Latency {
     window: Histogram<u32>,
     p95: Option<Duration>,
+    /// The quantile after which attempts are hedged. Hedging earlier than the budget allows would
+    /// spend it on requests that are not slow.
+    hedge_quantile: f64,
+    hedge_after: Option<Duration>,
+}
+
+/// Returns the quantile of the latency that leaves the share of the hedge budget above it.
+fn hedge_quantile(hedge_budget: f64) -> f64 {
+    (1.0 - hedge_budget).max(MIN_HEDGE_QUANTILE)
 }
 
 /// Budgets and observed latency of a route.
@@ -31,7 +42,12 @@
         let window = Histogram::new_with_max(MAX_LATENCY_MICROS, 2).expect("valid bounds");
         RouteState {
             budgets: Mutex::new(RouteBudgets::new(route.retry_budget, route.hedge_budget, now)),
-            latency: Mutex::new(Latency { window, p95: None }),
+            latency: Mutex::new(Latency {
+                window,
+                p95: None,
+                hedge_quantile: hedge_quantile(route.hedge_budget),
+                hedge_after: None,
+            }),
         }
     }
 
@@ -42,11 +58,13 @@
 
     /// Records the time from sending an attempt to its answer.
     pub fn observe(&self, took: Duration) {
-        let mut latency = self.latency.lock().unwrap_or_else(|e| e.into_inner());
-        let Latency { window, p95 } = &mut *latency;
+        let mut latency = self.latency();
+        let Latency { window, p95, hedge_quantile, hedge_after } = &mut *latency;
         window.saturating_record((took.as_micros() as u64).clamp(1, MAX_LATENCY_MICROS));
         if window.len() % SAMPLES == 0 {
-            *p95 = Some(Duration::from_micros(window.value_at_quantile(0.95)));
+            let at = |quantile| Duration::from_micros(window.value_at_quantile(quantile));
+            *p95 = Some(at(0.95));
+            *hedge_after = Some(at(*hedge_quantile));
         }
         if window.len() >= WINDOW {
             window.reset();
@@ -55,7 +73,16 @@
 
     /// Returns the 95th percentile of the observed latency, or `None` while it is not known.
     pub fn p95(&self) -> Option<Duration> {
-        self.latency.lock().unwrap_or_else(|e| e.into_inner()).p95
+        self.latency().p95
+    }
+
+    /// Returns the time after which an attempt is hedged, or `None` while it is not known.
+    pub fn hedge_after(&self) -> Option<Duration> {
+        self.latency().hedge_after
+    }
+
+    fn latency(&self) -> MutexGuard<'_, Latency> {
+        self.latency.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
 
@@ -77,6 +104,7 @@
                     let mut budgets = states[i].1.budgets();
                     budgets.retry.set_ratio(route.retry_budget);
                     budgets.hedge.set_ratio(route.hedge_budget);
+                    states[i].1.latency().hedge_quantile = hedge_quantile(route.hedge_budget);
                 }
                 Err(i) => {
                     let state = Arc::new(RouteState::new(route, now));
