--- a/crates/geraniummuxd/tests/connections.rs
+++ b/crates/geraniummuxd/tests/connections.rs
@@ -118,17 +118,29 @@
     }
     let names: Vec<String> = (1..=TARGETS).map(|n| format!("t-{n}")).collect();
     let rows: Vec<(&str, _)> = names.iter().zip(&targets).map(|(n, t)| (&**n, t.addr)).collect();
-    let fleet = Fleet::start(1).await;
+    let fleet = Fleet::start(3).await;
     fleet.apply(&pools(&rows), &routes(json!({ "retry_budget": 1.0 }))).await;
-    for n in 0..20 {
-        let answer = fleet.hosts[0].get("/poison").await.expect("an answer");
+    // Strikes reach the peers that a host knows.
+    for host in &fleet.hosts {
+        common::eventually("the full membership", || async {
+            let status = host.status().await?;
+            let members = status["members"].as_array()?;
+            let alive = members.iter().filter(|m| m["state"] == "alive").count();
+            (alive == fleet.hosts.len()).then_some(())
+        })
+        .await;
+    }
+    for n in 0..21 {
+        // The caller repeats its request through another entry host each time.
+        let host = &fleet.hosts[n % fleet.hosts.len()];
+        let answer = host.get("/poison").await.expect("an answer");
         assert_ne!(answer.header("geraniummux-outcome"), "served");
         if n > 1 {
             assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
             assert_eq!(answer.header("geraniummux-reason"), "quarantined");
             assert_eq!(answer.header("geraniummux-outcome"), "not-run");
         }
-        let answer = fleet.hosts[0].get(&format!("/good/{n}")).await.expect("an answer");
+        let answer = host.get(&format!("/good/{n}")).await.expect("an answer");
         assert_eq!(answer.header("geraniummux-outcome"), "served");
     }
     let ran: usize = targets.iter().map(|t| t.seen.requests.load(Ordering::SeqCst).min(1)).sum();
