--- a/crates/geraniummuxd/src/proxy/mod.rs
+++ b/crates/geraniummuxd/src/proxy/mod.rs
@@ -165,6 +165,7 @@
     let mut interval = tokio::time::interval(Duration::from_secs(5));
     loop {
         interval.tick().await;
-        shared.data.connections.sweep();
+        let hosts = shared.control.lock().members.live_peers().count() + 1;
+        shared.data.connections.sweep(hosts);
     }
 }
--- a/crates/geraniummuxd/src/upstream/pool.rs
+++ b/crates/geraniummuxd/src/upstream/pool.rs
@@ -5,12 +5,15 @@
 use geraniummux_core::Time;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-/// Idle connections kept per target. A target has about 300 connections for up to 100 hosts, so
-/// this bounds what one host holds without need.
+/// Most idle connections that a host keeps per target.
 const MAX_IDLE: usize = 8;
+/// Idle connections that a target has room for, of all hosts together. It has about 300
+/// connections; the rest is for requests in flight and new connections.
+const FLEET_IDLE: usize = 240;
 /// Idle connections are closed after this time, since targets close theirs at some time as well.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(10);
 
@@ -25,6 +28,8 @@
 #[derive(Debug)]
 pub struct Connections {
     clock: Clock,
+    /// Idle connections kept per target, this host's share of [`FLEET_IDLE`].
+    max_idle: AtomicUsize,
     /// Sorted by address.
     idle: Mutex<Vec<Idle>>,
 }
@@ -32,7 +37,7 @@
 impl Connections {
     /// Returns an empty pool.
     pub fn new(clock: Clock) -> Self {
-        Connections { clock, idle: Mutex::default() }
+        Connections { clock, max_idle: AtomicUsize::new(1), idle: Mutex::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
@@ -79,6 +84,7 @@
         if conn.tx.is_closed() {
             return;
         }
+        let max_idle = self.max_idle.load(Ordering::Relaxed);
         let mut closing = Vec::new();
         let mut idle = self.lock();
         let i = idle.binary_search_by_key(&conn.addr(), |e| e.addr).unwrap_or_else(|i| {
@@ -88,7 +94,7 @@
         let connections = &mut idle[i].connections;
         connections.push(conn);
         let expired = |c: &Connection| c.answered.is_none_or(|t| now.since(t) > MAX_IDLE_TIME);
-        while connections.len() > MAX_IDLE || connections.first().is_some_and(expired) {
+        while connections.len() > max_idle || connections.first().is_some_and(expired) {
             closing.push(connections.remove(0));
         }
         // Closing a socket takes longer than the lock should be held.
@@ -96,12 +102,17 @@
         drop(closing);
     }
 
-    /// Closes connections that were idle for too long, also those to targets that are gone.
-    pub fn sweep(&self) {
+    /// Closes connections that were idle for too long, also those to targets that are gone, and
+    /// adapts the number of those that are kept to the number of entry hosts.
+    pub fn sweep(&self, hosts: usize) {
         let now = self.clock.now();
+        let max_idle = (FLEET_IDLE / hosts.max(1)).clamp(1, MAX_IDLE);
+        self.max_idle.store(max_idle, Ordering::Relaxed);
         let mut idle = self.lock();
         for entry in idle.iter_mut() {
             entry.connections.retain(|c| c.answered.is_some_and(|t| in_time(now, t)));
+            let excess = entry.connections.len().saturating_sub(max_idle);
+            entry.connections.drain(..excess);
         }
         idle.retain(|e| !e.connections.is_empty());
     }
