--- a/crates/geraniummux-core/src/lib.rs
+++ b/crates/geraniummux-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod config_edit;
 pub mod config_sync;
+pub mod digest;
 pub mod drain;
 pub mod entry;
 pub mod errors;
--- a/crates/geraniummuxd/tests/leaving.rs
+++ b/crates/geraniummuxd/tests/leaving.rs
@@ -207,7 +207,8 @@
     }
 }
 
-/// Guards against a graceful stop that cuts off or refuses a request.
+/// Guards against a graceful stop that cuts off or refuses a request. `GRACEFUL_STOPS` sets the
+/// number of stops, each of which takes about 4 s.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn graceful_stops() {
     let fast = Target::start("fast", Behaviour::default()).await;
@@ -237,7 +238,7 @@
             })
         })
         .collect();
-    let stops = 8;
+    let stops = std::env::var("GRACEFUL_STOPS").map_or(8, |n| n.parse().expect("a number"));
     for i in 0..stops {
         let host = &mut fleet.hosts[i % 3];
         host.terminate();
