Test bad input at every listener of the daemon

Change: tests/bad_input.rs sends seeded garbage to the listeners for callers, operators and peers, oversize requests, and 100 heads that are never finished.

They were not seen red, since no naive version was at hand.

--- /dev/null
+++ b/crates/geraniummuxd/tests/bad_input.rs
@@ -0,0 +1,114 @@
+//! Bad input at every listener of the daemon, over real sockets.
+
+mod common;
+
+use common::{Fleet, Target, pools, routes};
+use geraniummux_standin::target::Behaviour;
+use http::Method;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+
+const SEED: u64 = 7;
+const ROUNDS: usize = 60;
+/// Ends a hung test; the daemon answers in milliseconds.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Returns random bytes, half of the time behind the start of something valid.
+fn garbage(rng: &mut SmallRng) -> Vec<u8> {
+    let starts: [&[u8]; 5] = [
+        b"",
+        b"GET / HTTP/1.1\r\nhost: a\r\n",
+        b"POST /v1/tables/routes?base=0&write_id=1 HTTP/1.1\r\nhost: a\r\ncontent-length: 40\r\n\r\n",
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        b"\x00\x00\x00\x40gm\x01",
+    ];
+    let mut bytes = starts[rng.random_range(0..starts.len())].to_vec();
+    let len = rng.random_range(1..2_000);
+    bytes.extend((0..len).map(|_| rng.random::<u8>()));
+    bytes
+}
+
+/// Sends bytes over a new connection and reads what comes back until the peer closes or is silent.
+async fn throw(addr: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(addr).await.expect("the listener is open");
+    // The daemon may close before it has read everything.
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown().await;
+    let mut answer = Vec::new();
+    let _ = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+    answer
+}
+
+async fn fleet() -> (Fleet, Target) {
+    let target = Target::start("t-1", Behaviour::default()).await;
+    let fleet = Fleet::start(2).await;
+    fleet.apply(&pools(&[("t-1", target.addr)]), &routes(json!({ "max_body_bytes": 1_000 }))).await;
+    (fleet, target)
+}
+
+/// Guards against a listener that random bytes stop, and against bytes that change the tables or
+/// the membership.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_input_random_bytes() {
+    let (fleet, target) = fleet().await;
+    let host = &fleet.hosts[0];
+    let before = host.status().await.expect("a status");
+    let udp = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    for _ in 0..ROUNDS {
+        for addr in [host.listen, host.admin, host.peer] {
+            throw(addr, &garbage(&mut rng)).await;
+        }
+        let mut datagram = garbage(&mut rng);
+        datagram.truncate(1_400);
+        udp.send_to(&datagram, host.peer).await.expect("sent");
+    }
+    let after = host.status().await.expect("a status after garbage");
+    assert_eq!(after["generation"], before["generation"], "seed {SEED}");
+    assert_eq!(after["serving"], "yes", "seed {SEED}");
+    assert_eq!(after["members"].as_array().map(Vec::len), Some(2), "seed {SEED}");
+    assert_eq!(host.get("/").await.expect("an answer").status, 200, "seed {SEED}");
+    // Garbage that happens to be a request may have run; nothing else may.
+    assert!(target.record().await.runs >= 1);
+}
+
+/// Guards against a body or head without bound, and against an answer that doesn't say that the
+/// request did not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_input_oversize() {
+    let (fleet, target) = fleet().await;
+    let host = &fleet.hosts[0];
+    let answer = host.send(Method::POST, "/", &[], &"x".repeat(1_001)).await.expect("an answer");
+    assert_eq!(answer.status, 413);
+    assert_eq!(answer.header("geraniummux-outcome"), "not-run");
+    let mut head = b"GET / HTTP/1.1\r\nhost: a\r\nx-long: ".to_vec();
+    head.extend(std::iter::repeat_n(b'a', 1 << 20));
+    head.extend(b"\r\n\r\n");
+    let answer = throw(host.listen, &head).await;
+    assert!(!answer.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&answer));
+    assert_eq!(target.record().await.runs, 0);
+}
+
+/// Guards against slow senders that keep others from being served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_input_slow_senders() {
+    let (fleet, _target) = fleet().await;
+    let host = &fleet.hosts[0];
+    let mut slow = Vec::new();
+    for n in 0..100 {
+        let addr = [host.listen, host.admin, host.peer][n % 3];
+        let mut stream = TcpStream::connect(addr).await.expect("the listener is open");
+        stream.write_all(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-").await.expect("written");
+        slow.push(stream);
+    }
+    for _ in 0..20 {
+        let answer = tokio::time::timeout(PATIENCE, host.get("/")).await;
+        assert_eq!(answer.expect("in time").expect("an answer").status, 200);
+    }
+    assert!(host.status().await.is_some());
+}
