Bound the HTTP/2 handshake, so that it can't hold up a stop

Cause: a caller that sent the first line of HTTP/2 and nothing more was waited for without bound, and a graceful stop never ended while such a connection was open. A caller that sent part of that line was looked at every millisecond.

Ruled out: ending the process after the abort whatever is open; the cause would stay.

Change: the handshake is bounded by the head timeout and ends when the host drains; the pause between two looks doubles up to 100 ms.

Conclusion: only requests that have begun to arrive hold up a stop.

--- a/crates/geraniummuxd/src/proxy/accept.rs
+++ b/crates/geraniummuxd/src/proxy/accept.rs
@@ -19,9 +19,10 @@
 /// A caller that doesn't acknowledge or accept data for this long is cut off.
 const USER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest time for the head of a request to arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause before the rest of the first line of HTTP/2 is looked for.
-const PREFACE_PAUSE: Duration = Duration::from_millis(1);
+pub(super) const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// First and longest pause before the rest of the first line of HTTP/2 is looked for. It doubles,
+/// so that a caller that never sends the rest costs little.
+const PREFACE_PAUSE: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(100));
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -68,6 +69,7 @@
 async fn is_http2(stream: &TcpStream) -> io::Result<bool> {
     const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n";
     let mut begin = [0; PREFACE.len()];
+    let (mut pause, longest) = PREFACE_PAUSE;
     loop {
         let n = stream.peek(&mut begin).await?;
         if n == 0 || !PREFACE.starts_with(&begin[..n]) {
@@ -76,7 +78,8 @@
         if n == PREFACE.len() {
             return Ok(true);
         }
-        tokio::time::sleep(PREFACE_PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(longest);
     }
 }
 
--- a/crates/geraniummuxd/src/proxy/http2.rs
+++ b/crates/geraniummuxd/src/proxy/http2.rs
@@ -3,6 +3,7 @@
 //! The streams are served through the h2 crate itself, because the position of a response's last
 //! byte in the connection is found by the id of its stream, which hyper doesn't tell.
 
+use super::accept::HEAD_TIMEOUT;
 use super::body::Transfer;
 use super::handle;
 use crate::control::Phase;
@@ -61,9 +62,13 @@
     let mut aborting = shared.control.phase();
     let mut builder = h2::server::Builder::new();
     builder.max_concurrent_streams(MAX_STREAMS).max_header_list_size(MAX_HEADERS_LEN);
-    let Ok(mut conn): Result<Connection<_, Bytes>, _> = builder.handshake(io).await else {
-        return;
+    let handshake = tokio::select! {
+        handshake = tokio::time::timeout(HEAD_TIMEOUT, builder.handshake(io)) => handshake,
+        // No stream was opened yet.
+        _ = draining.wait_for(|p| *p >= Phase::Draining) => return,
     };
+    let Ok(Ok(conn)) = handshake else { return };
+    let mut conn: Connection<_, Bytes> = conn;
     let mut graceful = false;
     loop {
         tokio::select! {
--- a/crates/geraniummuxd/tests/bad_input.rs
+++ b/crates/geraniummuxd/tests/bad_input.rs
@@ -46,8 +46,9 @@
 
 async fn fleet() -> (Fleet, Target) {
     let target = Target::start("t-1", Behaviour::default()).await;
-    let fleet = Fleet::start(2).await;
-    fleet.apply(&pools(&[("t-1", target.addr)]), &routes(json!({ "max_body_bytes": 1_000 }))).await;
+    let fleet = Fleet::with_settings(2, |_, s| s["entry_ttl_ms"] = json!(300)).await;
+    let limits = json!({ "max_body_bytes": 1_000, "timeout_ms": 2_000 });
+    fleet.apply(&pools(&[("t-1", target.addr)]), &routes(limits)).await;
     (fleet, target)
 }
 
@@ -94,16 +95,23 @@
     assert_eq!(target.record().await.runs, 0);
 }
 
-/// Guards against slow senders that keep others from being served.
+/// Guards against slow senders that keep others from being served, or a stop from ending.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_input_slow_senders() {
-    let (fleet, _target) = fleet().await;
-    let host = &fleet.hosts[0];
+    let (mut fleet, _target) = fleet().await;
+    let host = &mut fleet.hosts[0];
     let mut slow = Vec::new();
+    let mut half_heads = 0;
     for n in 0..100 {
         let addr = [host.listen, host.admin, host.peer][n % 3];
         let mut stream = TcpStream::connect(addr).await.expect("the listener is open");
-        stream.write_all(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-").await.expect("written");
+        half_heads += usize::from(addr == host.listen && n % 4 >= 2);
+        let begin: &[u8] = match n % 4 {
+            0 => b"PRI * HT",
+            1 => b"PRI * HTTP/2.0\r\n",
+            _ => b"POST / HTTP/1.1\r\nhost: a\r\ncontent-",
+        };
+        stream.write_all(begin).await.expect("written");
         slow.push(stream);
     }
     for _ in 0..20 {
@@ -111,4 +119,13 @@
         assert_eq!(answer.expect("in time").expect("an answer").status, 200);
     }
     assert!(host.status().await.is_some());
+    host.terminate();
+    let ended = tokio::time::timeout(PATIENCE, host.wait()).await;
+    assert!(ended.expect("the stop ends").success(), "{}", host.log());
+    // A request whose head is half there is in flight until the longest route timeout; a connection
+    // that has asked nothing is not.
+    let log = host.log();
+    let aborted = log.lines().find(|l| l.contains("event=aborting_requests")).unwrap_or("");
+    let left = aborted.split("connections=").nth(1).map_or(0, |n| n.parse().expect("a number"));
+    assert!(left <= half_heads, "{left} connections held up the stop, {half_heads} half heads");
 }
