Bound a stop whose requests ignore the abort

Cause: after the longest route timeout a stop aborted what was left and waited again for the same time, for ever if something did not end. An open HTTP/2 handshake was such a case.

Ruled out: relying on each connection alone; a stop must be bounded whatever is open.

Change: aborted requests are waited for at most 1 s, then the usage is written and the process ends.

Measured: shutdown_request_that_never_ends was red before (an abort every 30 s) and passes now; the other phases are as before.

Conclusion: a stop ends within notice, longest route timeout and 6 s.

--- a/crates/geraniummux-core/src/drain.rs
+++ b/crates/geraniummux-core/src/drain.rs
@@ -346,6 +346,10 @@
 /// Longest time for writing the usage at the end.
 pub const USAGE_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest time for aborted requests to end. Without this bound one request that ignored the abort
+/// would keep the process from ending.
+pub const ABORT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What the daemon has to do during a shutdown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ShutdownAction {
@@ -366,6 +370,7 @@
     Serving,
     Announced { until: Time },
     Draining { until: Time },
+    Aborting { until: Time },
     WritingUsage { until: Time },
     Done,
 }
@@ -421,20 +426,24 @@
                 self.phase = Phase::Draining { until: now + longest_timeout };
                 Some(ShutdownAction::StopAccepting)
             }
-            Phase::Draining { .. } if in_flight == 0 => {
-                self.phase = Phase::WritingUsage { until: now + USAGE_WRITE_TIMEOUT };
-                Some(ShutdownAction::WriteUsage)
+            Phase::Draining { .. } | Phase::Aborting { .. } if in_flight == 0 => {
+                Some(self.write_usage(now))
             }
             Phase::Draining { until } if now >= until => {
-                // The requests left end as soon as they are aborted, so this does not repeat.
-                self.phase = Phase::Draining { until: now + longest_timeout };
+                self.phase = Phase::Aborting { until: now + ABORT_TIMEOUT };
                 Some(ShutdownAction::AbortRequests)
             }
+            Phase::Aborting { until } if now >= until => Some(self.write_usage(now)),
             Phase::WritingUsage { until } if now >= until => self.usage_written(),
             _ => None,
         }
     }
 
+    fn write_usage(&mut self, now: Time) -> ShutdownAction {
+        self.phase = Phase::WritingUsage { until: now + USAGE_WRITE_TIMEOUT };
+        ShutdownAction::WriteUsage
+    }
+
     /// Ends the shutdown after the usage was written.
     pub fn usage_written(&mut self) -> Option<ShutdownAction> {
         if !matches!(self.phase, Phase::WritingUsage { .. }) {
--- a/crates/geraniummux-core/tests/drain.rs
+++ b/crates/geraniummux-core/tests/drain.rs
@@ -172,3 +172,19 @@
         assert_eq!(seen, expected);
     }
 }
+
+// Guards against a stop that never ends because a request ignores that it was aborted.
+#[test]
+fn shutdown_request_that_never_ends() {
+    let mut s = ShutdownState::default();
+    s.begin(Time::ZERO);
+    let mut seen = Vec::new();
+    for ms in (0..200_000).step_by(100) {
+        let action = s.tick(Time::from_millis(ms), 1, Duration::from_secs(30));
+        seen.extend(action.map(|a| (ms, a)));
+    }
+    use ShutdownAction::{AbortRequests, Exit, StopAccepting, WriteUsage};
+    let expected =
+        [(7_000, StopAccepting), (37_000, AbortRequests), (38_000, WriteUsage), (43_000, Exit)];
+    assert_eq!(seen, expected);
+}
