--- a/crates/geraniummux-standin/src/platform.rs
+++ b/crates/geraniummux-standin/src/platform.rs
@@ -4,7 +4,7 @@
 //! /hosts` replaces the host list, `POST /backup` keeps a copy of all objects and `POST /restore`
 //! puts it back.
 
-use crate::server::{Reply, read_body, serve};
+use crate::server::{Reply, read_body, serve, store_json};
 use bytes::Bytes;
 use geraniummux_platform::http::{ListEntry, parse_etag};
 use geraniummux_platform::{Condition, Error, HostEntry, Key, MemoryStore, Object, Version};
@@ -110,9 +110,13 @@
         let path = req.uri().path().to_owned();
         let segments: Vec<&str> = path.split('/').skip(1).collect();
         match (req.method(), segments.as_slice()) {
-            (&Method::POST, ["faults"]) => return self.set_faults(req).await,
+            (&Method::POST, ["faults"]) => {
+                return store_json(req, |faults| self.lock().faults = faults).await;
+            }
             (&Method::GET, ["stats"]) => return Reply::json(&self.lock().calls),
-            (&Method::PUT, ["hosts"]) => return self.set_hosts(req).await,
+            (&Method::PUT, ["hosts"]) => {
+                return store_json(req, |hosts| self.lock().hosts = hosts).await;
+            }
             (&Method::POST, ["backup"]) => return self.back_up(),
             (&Method::POST, ["restore"]) => return self.restore(),
             _ => {}
@@ -137,26 +141,6 @@
         }
     }
 
-    async fn set_faults(&self, req: Request<Incoming>) -> Reply {
-        match serde_json::from_slice(&read_body(req.into_body()).await) {
-            Ok(faults) => {
-                self.lock().faults = faults;
-                Reply::text(StatusCode::NO_CONTENT, "")
-            }
-            Err(e) => Reply::text(StatusCode::BAD_REQUEST, e.to_string()),
-        }
-    }
-
-    async fn set_hosts(&self, req: Request<Incoming>) -> Reply {
-        match serde_json::from_slice(&read_body(req.into_body()).await) {
-            Ok(hosts) => {
-                self.lock().hosts = hosts;
-                Reply::text(StatusCode::NO_CONTENT, "")
-            }
-            Err(e) => Reply::text(StatusCode::BAD_REQUEST, e.to_string()),
-        }
-    }
-
     fn back_up(&self) -> Reply {
         let mut state = self.lock();
         state.backup = state.store.clone();
--- a/crates/geraniummux-standin/src/server.rs
+++ b/crates/geraniummux-standin/src/server.rs
@@ -49,6 +49,21 @@
     body.collect().await.map(|b| b.to_bytes()).unwrap_or_default()
 }
 
+/// Passes the JSON body of a request to `store`; a body that can't be parsed is refused.
+pub async fn store_json<T, F>(req: Request<Incoming>, store: F) -> Reply
+where
+    T: serde::de::DeserializeOwned,
+    F: FnOnce(T),
+{
+    match serde_json::from_slice(&read_body(req.into_body()).await) {
+        Ok(value) => {
+            store(value);
+            Reply::text(StatusCode::NO_CONTENT, "")
+        }
+        Err(e) => Reply::text(StatusCode::BAD_REQUEST, e.to_string()),
+    }
+}
+
 /// Accepts HTTP/1.1 connections and passes each request to `handler` until the task is dropped.
 pub async fn serve<H, F>(listener: TcpListener, handler: H)
 where
--- a/crates/geraniummux-standin/src/target.rs
+++ b/crates/geraniummux-standin/src/target.rs
@@ -3,7 +3,7 @@
 //! `POST /control` replaces the [`Behaviour`], `GET /control` returns the [`Record`] of what was
 //! run.
 
-use crate::server::{Reply, read_body, serve};
+use crate::server::{Reply, read_body, serve, store_json};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -154,7 +154,9 @@
 
     async fn handle(&self, req: Request<Incoming>) -> Reply {
         match (req.method(), req.uri().path()) {
-            (&Method::POST, "/control") => return self.set_behaviour(req).await,
+            (&Method::POST, "/control") => {
+                return store_json(req, |behaviour| self.lock().behaviour = behaviour).await;
+            }
             (&Method::GET, "/control") => return Reply::json(&self.lock().record),
             (&Method::GET, "/health") => return self.health(),
             _ => {}
@@ -172,16 +174,6 @@
         reply
     }
 
-    async fn set_behaviour(&self, req: Request<Incoming>) -> Reply {
-        match serde_json::from_slice(&read_body(req.into_body()).await) {
-            Ok(behaviour) => {
-                self.lock().behaviour = behaviour;
-                Reply::text(StatusCode::NO_CONTENT, "")
-            }
-            Err(e) => Reply::text(StatusCode::BAD_REQUEST, e.to_string()),
-        }
-    }
-
     fn health(&self) -> Reply {
         let mut inner = self.lock();
         inner.record.probes += 1;
