Read-through: one rule for names, one query parser, less work per attempt

The settings file and the tables checked names by two copies of one rule; the admin listener and the entry-host answer parsed queries separately; each attempt walked all targets of all pools to find those that a table marks as leaving; a failed connect copied the end of an attempt, without telling peers.

Ruled out: leaving the leaving flag to the balancer alone; a target that one pool marks would then get requests of another pool at its address.

--- a/crates/geraniummux-core/src/config.rs
+++ b/crates/geraniummux-core/src/config.rs
@@ -202,11 +202,15 @@
     }
 }
 
+/// Returns whether a text may name a host, failure domain, route, pool, target, tenant or class.
+pub fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= MAX_NAME_LEN
+        && text.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'))
+}
+
 fn check_name(table: &'static str, row: &str, field: &'static str, name: &str) -> Result<()> {
-    let valid = !name.is_empty()
-        && name.len() <= MAX_NAME_LEN
-        && name.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'));
-    if valid {
+    if is_name(name) {
         return Ok(());
     }
     let cause =
--- a/crates/geraniummuxd/src/admin.rs
+++ b/crates/geraniummuxd/src/admin.rs
@@ -1,6 +1,7 @@
 //! The admin listener: tables, status and usage as JSON, and a status page.
 
 use crate::config_sync::{self, EditRequest};
+use crate::query;
 use crate::reply::{self, Body};
 use crate::shared::Shared;
 use crate::{status, usage};
@@ -86,20 +87,13 @@
     reply::json(StatusCode::OK, &answer)
 }
 
-fn query<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
-    req.uri().query()?.split('&').find_map(|pair| {
-        let (key, value) = pair.split_once('=')?;
-        (key == name).then_some(value)
-    })
-}
-
 async fn edit_table(shared: &Arc<Shared>, name: &str, req: Request<Incoming>) -> Response<Body> {
     let Some(kind) = TableKind::from_name(name) else {
         return unknown_table(name);
     };
-    let base = query(&req, "base").and_then(|v| v.parse::<u64>().ok());
-    let write_id = query(&req, "write_id").map(str::to_owned);
-    let writer = query(&req, "writer").unwrap_or("unknown").to_owned();
+    let base = query::value(req.uri(), "base").and_then(|v| v.parse::<u64>().ok());
+    let write_id = query::value(req.uri(), "write_id").map(str::to_owned);
+    let writer = query::value(req.uri(), "writer").unwrap_or("unknown").to_owned();
     let (Some(base), Some(write_id)) = (base, write_id) else {
         return error(StatusCode::BAD_REQUEST, "bad-request", "base and write_id are required");
     };
@@ -137,7 +131,7 @@
 
 async fn get_usage(shared: &Shared, req: &Request<Incoming>) -> Response<Body> {
     let present = Month::of(shared.clock.wall()).to_string();
-    let month = query(req, "month").unwrap_or(&present);
+    let month = query::value(req.uri(), "month").unwrap_or(&present);
     let digits = |s: &str, len| s.len() == len && s.bytes().all(|b| b.is_ascii_digit());
     if !month.split_once('-').is_some_and(|(y, m)| digits(y, 4) && digits(m, 2)) {
         let message = format!("{month:?} is not a month: use YYYY-MM");
--- a/crates/geraniummuxd/src/balancing.rs
+++ b/crates/geraniummuxd/src/balancing.rs
@@ -116,10 +116,8 @@
 
     /// Notes the end of an attempt that could not even connect.
     pub fn on_connect_failed(&self, id: TargetId, now: Time) {
-        let mut state = self.lock();
-        state.load.on_sent(id, now);
-        state.load.on_end(id, now, AttemptEnd::Failed, None, now);
-        state.balancers.iter_mut().for_each(|b| b.on_end(id, AttemptEnd::Failed, now));
+        self.on_sent(id, now);
+        self.on_end(id, now, AttemptEnd::Failed, None, now);
     }
 
     /// Notes the result of a paid probe; `None` if the target did not answer in time.
@@ -153,12 +151,7 @@
     /// Takes in the digest of a peer; one that can't be decoded is ignored.
     pub fn merge_digest(&self, bytes: &[u8], now: Time) {
         if let Ok(digest) = postcard::from_bytes::<LoadDigest>(bytes) {
-            self.on_digest(&digest, now);
+            self.lock().load.on_digest(&digest, now);
         }
     }
-
-    /// Takes in the decoded digest of a peer.
-    pub fn on_digest(&self, digest: &LoadDigest, now: Time) {
-        self.lock().load.on_digest(digest, now);
-    }
 }
--- a/crates/geraniummuxd/src/control.rs
+++ b/crates/geraniummuxd/src/control.rs
@@ -22,7 +22,7 @@
 use tokio::sync::watch;
 
 /// Pause between two looks at a gate that holds requests.
-pub const HOLD_POLL: Duration = Duration::from_millis(10);
+const HOLD_POLL: Duration = Duration::from_millis(10);
 /// Time for which a stopping host goes on serving beyond the ttl of answers that name it.
 const NOTICE_MARGIN: Duration = Duration::from_secs(2);
 
--- a/crates/geraniummuxd/src/data_path.rs
+++ b/crates/geraniummuxd/src/data_path.rs
@@ -163,11 +163,6 @@
     pub fn merge_blocks(&self, blocks: &[Block]) {
         self.quarantine().merge_snapshot(self.clock.now(), blocks);
     }
-
-    /// Returns how many fingerprints are blocked.
-    pub fn blocked_len(&self) -> usize {
-        self.quarantine().blocked(self.clock.now()).len()
-    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/geraniummuxd/src/entry.rs
+++ b/crates/geraniummuxd/src/entry.rs
@@ -1,18 +1,15 @@
 //! Tells callers which entry hosts to use.
 
+use crate::query;
 use crate::reply::{self, Body};
 use crate::shared::Shared;
 use geraniummux_core::EntryAnswer;
 use geraniummux_core::config_sync::Permit;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, Uri};
 
-/// Returns the answer for a caller; `query` is the query of its request.
-pub fn answer(shared: &Shared, query: Option<&str>) -> Response<Body> {
-    let domain = query
-        .unwrap_or("")
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("domain="))
-        .filter(|d| !d.is_empty());
+/// Returns the answer for a caller; `uri` is that of its request.
+pub fn answer(shared: &Shared, uri: &Uri) -> Response<Body> {
+    let domain = query::value(uri, "domain").filter(|d| !d.is_empty());
     let now = shared.clock.now();
     let mut answer = {
         let state = shared.control.lock();
--- a/crates/geraniummuxd/src/lib.rs
+++ b/crates/geraniummuxd/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod platform_calls;
 pub mod probes;
 pub mod proxy;
+pub mod query;
 pub mod reply;
 pub mod routes;
 pub mod settings;
--- a/crates/geraniummuxd/src/proxy/mod.rs
+++ b/crates/geraniummuxd/src/proxy/mod.rs
@@ -39,7 +39,7 @@
     B::Error: Into<BoxError>,
 {
     if req.uri().path() == ENTRY_HOSTS_PATH {
-        return entry::answer(&shared, req.uri().query());
+        return entry::answer(&shared, req.uri());
     }
     let http1 = req.version() <= Version::HTTP_11;
     let phase = shared.control.phase();
--- a/crates/geraniummuxd/src/settings.rs
+++ b/crates/geraniummuxd/src/settings.rs
@@ -1,7 +1,7 @@
 //! The JSON settings file of an entry host, checked as a whole before anything starts.
 
 use anyhow::{Context, bail};
-use geraniummux_core::config::MAX_NAME_LEN;
+use geraniummux_core::config::{MAX_NAME_LEN, is_name};
 use serde::Deserialize;
 use std::fs;
 use std::net::SocketAddr;
@@ -136,10 +136,7 @@
 }
 
 fn check_name(field: &str, name: &str) -> anyhow::Result<()> {
-    let valid = !name.is_empty()
-        && name.len() <= MAX_NAME_LEN
-        && name.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'));
-    if !valid {
+    if !is_name(name) {
         bail!(
             "{field}: {name:?} is not a name: 1 to {MAX_NAME_LEN} letters, digits, '-', '_', '.'"
         );
--- a/crates/geraniummuxd/src/shared.rs
+++ b/crates/geraniummuxd/src/shared.rs
@@ -24,6 +24,8 @@
     pub config: Arc<Config>,
     /// Its routes.
     pub router: Router,
+    /// Addresses of the targets that a table marks as leaving.
+    pub leaving: Vec<SocketAddr>,
 }
 
 /// State shared by the tasks of the daemon.
@@ -83,19 +85,17 @@
                 "pools_revision" => config.pools_revision.number);
             let router = Router::new(&config.tables);
             self.data.update(&config.tables);
-            self.in_force.store(Arc::new(InForce { config, router }));
+            let targets = config.tables.pools.iter().flat_map(|p| &p.targets);
+            let leaving = targets.filter(|t| t.leaving).map(|t| t.addr).collect();
+            self.in_force.store(Arc::new(InForce { config, router, leaving }));
         }
         offer
     }
 
     /// Returns the addresses of targets that are known to be leaving.
     pub fn leaving_targets(&self) -> Vec<SocketAddr> {
-        let now = self.clock.now();
-        let in_force = self.in_force();
-        let tables = &in_force.config.tables;
-        let mut leaving = self.control.lock().drain.leaving(now);
-        let edited = tables.pools.iter().flat_map(|p| &p.targets).filter(|t| t.leaving);
-        leaving.extend(edited.map(|t| t.addr));
+        let mut leaving = self.control.lock().drain.leaving(self.clock.now());
+        leaving.extend(&self.in_force().leaving);
         leaving
     }
 
