--- /dev/null
+++ b/crates/geraniummux-core/src/fleet/admission.rs
@@ -0,0 +1,116 @@
+//! Who is sent, who waits and who is refused when the best target at hand is full.
+//!
+//! A free slot is always taken. Without one, urgent requests wait in the target's queue as long as
+//! they are answered in time there; others wait on the host, so that queues stay short for urgent
+//! ones, and take a place in a queue only after that. What can't be answered before its deadline is
+//! refused at once.
+
+use super::forecast::TargetReport;
+use std::time::Duration;
+
+/// A request that wants a place at a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// Whether no kind of request to the same pool is more urgent.
+    pub urgent: bool,
+    /// Usual time to run the request.
+    pub usual: Duration,
+    /// Time until its deadline.
+    pub time_left: Duration,
+    /// Time within which its answer has its full value, from its arrival.
+    pub latency_target: Duration,
+    /// Time since its arrival.
+    pub held: Duration,
+}
+
+/// Limits of admission.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionRules {
+    /// Places in a target's queue, as a part of its slots, that urgent requests may take.
+    pub urgent_queue: f64,
+    /// Places in a target's queue, as a part of its slots, that other requests may take.
+    pub other_queue: f64,
+    /// How long a request waits on the host for a free slot, as a part of its latency target.
+    pub hold: f64,
+    /// Pause between two looks for a free slot.
+    pub look_again: Duration,
+    /// Largest part of the time left after which a refused caller is asked to return.
+    pub return_part: f64,
+}
+
+impl Default for AdmissionRules {
+    fn default() -> Self {
+        AdmissionRules {
+            urgent_queue: 1.0,
+            other_queue: 0.5,
+            hold: 0.25,
+            look_again: Duration::from_millis(20),
+            return_part: 0.33,
+        }
+    }
+}
+
+/// Why a request is refused before it is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// It would not be answered before its deadline.
+    TooLate,
+    /// All targets that were asked are full.
+    Full,
+}
+
+impl Refusal {
+    /// Returns the name of the reason in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Refusal::TooLate => "too_late",
+            Refusal::Full => "full",
+        }
+    }
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// It is sent to the target.
+    Send,
+    /// It waits on the host for this long and looks again.
+    Hold(Duration),
+    /// It is refused; the caller is asked to come back after the given time.
+    Refuse {
+        /// Why.
+        why: Refusal,
+        /// When to return.
+        retry_after: Duration,
+    },
+}
+
+/// Decides what becomes of a request whose best target reported `best` and is expected to answer in
+/// `stretch` x the usual time. `random` in 0..1 spreads the returns of refused callers.
+pub fn judge(
+    demand: &Demand,
+    best: &TargetReport,
+    stretch: f64,
+    random: f64,
+    rules: &AdmissionRules,
+) -> Verdict {
+    if best.free() > 0 {
+        return Verdict::Send;
+    }
+    let refuse = |why| {
+        let part = rules.return_part * (0.5 + 0.5 * random);
+        Verdict::Refuse { why, retry_after: demand.time_left.mul_f64(part) }
+    };
+    if demand.usual.mul_f64(stretch) > demand.time_left {
+        return refuse(Refusal::TooLate);
+    }
+    let places = if demand.urgent { rules.urgent_queue } else { rules.other_queue };
+    let has_place = f64::from(best.waiting) < places * f64::from(best.slots);
+    if demand.urgent && has_place {
+        return Verdict::Send;
+    }
+    if demand.held < demand.latency_target.mul_f64(rules.hold) {
+        return Verdict::Hold(rules.look_again);
+    }
+    if has_place { Verdict::Send } else { refuse(Refusal::Full) }
+}
--- /dev/null
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -0,0 +1,25 @@
+//! Decisions of a host that serves a fleet of targets registered with the platform.
+//!
+//! The modules share one picture: a [`FleetConfig`] says which requests go to which pools, a
+//! [`TargetRegistry`] says which targets the pools have, a [`TargetTable`] what is known of each
+//! target's load and faults. All of them take the present time as an argument and do no I/O.
+
+mod admission;
+mod faults;
+mod forecast;
+mod readers;
+mod registry;
+mod repeats;
+mod routes;
+mod split;
+mod table;
+
+pub use admission::{AdmissionRules, Demand, Refusal, Verdict, judge};
+pub use faults::{Fault, FaultOptions, FaultScore};
+pub use forecast::{ForecastOptions, TargetReport, stretch};
+pub use readers::{Position, ReaderOptions, Source, leaders, source};
+pub use registry::{Change, Delta, RegisteredTarget, TargetRegistry};
+pub use repeats::{RepeatBudget, RepeatOptions};
+pub use routes::{CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex};
+pub use split::SplitState;
+pub use table::{Candidate, TableOptions, TargetTable};
--- a/crates/geraniummux-core/src/lib.rs
+++ b/crates/geraniummux-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod drain;
 pub mod entry;
 pub mod errors;
+pub mod fleet;
 pub mod lease;
 pub mod load;
 pub mod measure;
--- a/crates/geraniummux-core/src/membership.rs
+++ b/crates/geraniummux-core/src/membership.rs
@@ -365,13 +365,18 @@
     /// Returns this host's rank for a task among all hosts that are alive; 0 is the first. Every
     /// host with the same view computes the same ranks.
     pub fn rank(&self, task: &str) -> usize {
-        let key = |name: &str| xxhash_rust::xxh3::xxh3_64(format!("{task}/{name}").as_bytes());
+        let key = |name: &str| self.order_key(task, name);
         let own = (key(&self.me.name), &self.me.name);
         self.peers()
             .filter(|m| m.state == MemberState::Alive && (key(&m.name), &m.name) < own)
             .count()
     }
 
+    /// Returns the key by which all hosts order the members for a task.
+    pub fn order_key(&self, task: &str, name: &str) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(format!("{task}/{name}").as_bytes())
+    }
+
     /// Announces that this host is leaving.
     pub fn leave(&mut self) {
         if self.me.state != MemberState::Leaving {
--- /dev/null
+++ b/crates/geraniummux-host/src/directory.rs
@@ -0,0 +1,79 @@
+//! Tells callers which hosts to use, whether this host is ready, and its metrics.
+
+use crate::host::Host;
+use bytes::Bytes;
+use geraniummux_core::{Member, MemberState, Membership};
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use rand::seq::SliceRandom;
+use slog::error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Most hosts that an answer names.
+const MAX_HOSTS: usize = 64;
+/// Hosts of the caller's failure domain below which hosts of other domains are named as well.
+const MIN_NEAR_HOSTS: usize = 2;
+
+/// Answers a caller that asks for hosts.
+pub fn hosts<B>(host: &Arc<Host>, req: &Request<B>) -> Response<Full<Bytes>> {
+    let Some(place) = host.protocol.asks_hosts(req.uri()) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let addrs = select(&host.members(), place.failure_domain.as_deref(), &mut rand::rng());
+    if addrs.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let (content_type, body) = host.protocol.hosts_answer(&addrs, host.settings.load().ttl());
+    let mut rsp = Response::new(Full::new(body));
+    rsp.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    rsp
+}
+
+/// Returns the addresses of hosts for a caller in `domain`: those of its failure domain, or all if
+/// these are too few.
+fn select<R>(members: &Membership, domain: Option<&str>, rng: &mut R) -> Vec<SocketAddr>
+where
+    R: rand::Rng + ?Sized,
+{
+    let all = std::iter::once(members.me()).chain(members.peers());
+    let (mut near, mut far): (Vec<&Member>, Vec<&Member>) = all
+        .filter(|m| m.state == MemberState::Alive)
+        .partition(|m| domain.is_none_or(|d| *d == *m.failure_domain));
+    near.shuffle(rng);
+    far.shuffle(rng);
+    if near.len() < MIN_NEAR_HOSTS {
+        near.extend(far);
+    }
+    near.iter().take(MAX_HOSTS).map(|m| m.http_addr).collect()
+}
+
+/// Answers the platform's question whether this host is ready.
+pub fn readiness<B>(host: &Arc<Host>, req: &Request<B>) -> Response<Full<Bytes>> {
+    if !host.protocol.asks_readiness(req.uri()) {
+        return status(StatusCode::NOT_FOUND);
+    }
+    status(if host.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+/// Answers with the metrics as text.
+pub fn metrics(host: &Arc<Host>) -> Response<Full<Bytes>> {
+    match host.metrics.text() {
+        Ok(text) => {
+            let mut rsp = Response::new(Full::from(text));
+            let text = HeaderValue::from_static("text/plain; version=0.0.4");
+            rsp.headers_mut().insert(header::CONTENT_TYPE, text);
+            rsp
+        }
+        Err(e) => {
+            error!(host.log, "metrics_failed"; "error" => e.to_string());
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut rsp = Response::new(Full::default());
+    *rsp.status_mut() = status;
+    rsp
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/feed.rs
@@ -0,0 +1,197 @@
+//! Passes configuration and registered targets from host to host.
+//!
+//! A host follows one of those that precede it in the order of members. It gets what it lacks at
+//! once, each change as it comes, and at regular intervals how current the other's knowledge is.
+
+use crate::host::Host;
+use crate::peers;
+use geraniummux_core::fleet::{Position, ReaderOptions, leaders};
+use geraniummux_core::{MemberState, Membership, Time};
+use geraniummux_wire::{Known, Message, News};
+use slog::{info, warn};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Interval at which a follower hears how current its leader's knowledge is.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Silence of a leader after which another one is followed: three missing heartbeats.
+const SILENCE: Duration = Duration::from_millis(900);
+/// Time for a leader to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a follower to take one message; the largest takes long on a narrow link.
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause before another leader is tried.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Interval between looks whether a leader is needed or a better one is there.
+const REVIEW: Duration = Duration::from_millis(1_000);
+/// Age of a leader's knowledge from which another leader is looked for.
+const STALE_LEADER: Duration = Duration::from_millis(1_200);
+
+/// Names all live members in the order in which they read and follow.
+fn order(members: &Membership) -> Vec<(u64, Arc<str>, SocketAddr)> {
+    let mut order: Vec<_> = std::iter::once(members.me())
+        .chain(members.peers())
+        .filter(|m| m.state < MemberState::Suspect)
+        .map(|m| (members.order_key("feed", &m.name), m.name.clone(), m.addr))
+        .collect();
+    order.sort_unstable();
+    order
+}
+
+/// Returns the place of this host among the live members, and all of these in order.
+pub fn place(members: &Membership) -> (Position, Vec<SocketAddr>) {
+    let order = order(members);
+    let me = &members.me().name;
+    let rank = order.iter().position(|(_, name, _)| name == me).unwrap_or(order.len());
+    let position = Position { rank, hosts: order.len() };
+    (position, order.into_iter().map(|(_, _, addr)| addr).collect())
+}
+
+/// Serves one follower until its connection ends.
+pub async fn serve(
+    host: &Arc<Host>,
+    mut stream: TcpStream,
+    from: &str,
+    known: Known,
+) -> io::Result<()> {
+    let mut news = host.news();
+    let mut known = known;
+    info!(host.log, "follower_joined"; "follower" => from,
+        "config_version" => known.config_version,
+        "targets_revision" => known.targets_revision.unwrap_or(0));
+    loop {
+        news.borrow_and_update();
+        let message = lacking(host, &mut known);
+        timeout(SEND_TIMEOUT, peers::write(host, &mut stream, message)).await??;
+        tokio::select! {
+            changed = news.changed() => changed.map_err(io::Error::other)?,
+            () = tokio::time::sleep(HEARTBEAT) => {}
+            // Followers send nothing more, so this is the end of the connection.
+            readable = stream.readable() => {
+                readable?;
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Returns what a follower lacks, and notes that it will know that.
+fn lacking(host: &Host, known: &mut Known) -> Message {
+    let now = host.now();
+    let (age, config_revision) = {
+        let knowledge = host.knowledge();
+        (knowledge.age(now), knowledge.config_revision.unwrap_or(0))
+    };
+    let config = host.config().filter(|c| c.version > known.config_version);
+    let targets = host.fleet().since(known.targets_revision);
+    if let Some(config) = &config {
+        known.config_version = config.version;
+    }
+    if let Some(targets) = &targets {
+        known.targets_revision = Some(targets.to);
+    }
+    Message::News(News {
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        config_revision,
+        config: config.map(|c| (*c).clone()),
+        targets,
+    })
+}
+
+/// Follows other hosts until the task is dropped.
+pub async fn follow(host: Arc<Host>) {
+    let opts = ReaderOptions::default();
+    let mut attempt = 0;
+    loop {
+        let (position, order) = place(&host.members());
+        let choices = leaders(position, &opts);
+        if choices.is_empty() || host.knowledge().age(host.now()).is_zero() {
+            attempt = 0;
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        let leader = order[choices[attempt % choices.len()]];
+        let preferred = attempt == 0;
+        match follow_one(&host, leader, preferred).await {
+            Ok(Left::ForBetter) => attempt = 0,
+            Ok(Left::Stale) => attempt += 1,
+            Err(e) => {
+                warn!(host.log, "leader_lost"; "leader" => leader.to_string(),
+                    "error" => e.to_string(),
+                    "age_ms" => host.knowledge().age(host.now()).as_millis() as u64);
+                attempt += 1;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Why a leader was left.
+enum Left {
+    /// Its knowledge is not current.
+    Stale,
+    /// The host reads the store again, or the preferred leader may be back.
+    ForBetter,
+}
+
+async fn follow_one(host: &Arc<Host>, leader: SocketAddr, preferred: bool) -> io::Result<Left> {
+    let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(leader)).await??;
+    let known = Known {
+        config_version: host.config_version(),
+        targets_revision: host.fleet().registry.revision(),
+    };
+    peers::write(host, &mut stream, Message::Follow(known)).await?;
+    info!(host.log, "leader_followed"; "leader" => leader.to_string(), "preferred" => preferred);
+    let started = host.now();
+    let mut reviewed = started;
+    loop {
+        let envelope = timeout(SILENCE, peers::read(host, &mut stream)).await??;
+        let Message::News(news) = envelope.message else {
+            return Err(io::Error::other("unexpected message"));
+        };
+        let age = Duration::from_millis(u64::from(news.age_ms));
+        if !take_in(host, news, &envelope.from) {
+            return Err(io::Error::other("changes start from a revision that is not known here"));
+        }
+        let now = host.now();
+        if age >= STALE_LEADER {
+            return Ok(Left::Stale);
+        }
+        if now.since(reviewed) >= REVIEW {
+            reviewed = now;
+            if !is_right(host, leader, preferred, now.since(started)) {
+                return Ok(Left::ForBetter);
+            }
+        }
+    }
+}
+
+/// Returns whether a leader is still the one to follow.
+fn is_right(host: &Host, leader: SocketAddr, preferred: bool, followed: Duration) -> bool {
+    let (position, order) = place(&host.members());
+    let choices = leaders(position, &ReaderOptions::default());
+    let first = choices.first().map(|i| order[*i]);
+    // Another leader than the first is kept for a while, so that one that comes and goes is not
+    // followed each time.
+    first == Some(leader) || (!preferred && followed < 5 * REVIEW)
+}
+
+/// Takes in news. Returns whether the changes of targets fitted to what is known.
+fn take_in(host: &Host, news: News, from: &str) -> bool {
+    if let Some(config) = news.config {
+        host.adopt(config, news.config_revision, from);
+    }
+    let fits = news.targets.is_none_or(|targets| host.apply(targets, from));
+    if fits {
+        let now: Time = host.now();
+        let mut knowledge = host.knowledge();
+        let as_of = now - Duration::from_millis(u64::from(news.age_ms));
+        knowledge.as_of = knowledge.as_of.max(as_of);
+        knowledge.config_revision = knowledge.config_revision.max(Some(news.config_revision));
+    }
+    fits
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/host.rs
@@ -0,0 +1,493 @@
+//! State of one entry host, shared by its tasks.
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::peers::PeerNet;
+use crate::protocol::Protocol;
+use crate::settings::Settings;
+use crate::upstream::Upstream;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use geraniummux_core::fleet::{
+    Delta, Fault, FleetConfig, RepeatBudget, RepeatOptions, RouteIndex, SplitState, TableOptions,
+    TargetRegistry, TargetTable,
+};
+use geraniummux_core::membership::MembershipOptions;
+use geraniummux_core::quarantine::QuarantineOptions;
+use geraniummux_core::{Member, MemberState, Membership, Quarantine, Time};
+use slog::{Logger, info, warn};
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Changes of the registry that are kept for followers; one that is further behind gets a full list.
+const KEPT_DELTAS: usize = 64;
+/// Age of the knowledge from which the platform's store counts as away.
+const AWAY_AFTER: Duration = Duration::from_millis(1_000);
+/// How long after the store is back lapsed entries may return: two seconds, and one for the news to
+/// arrive.
+const AWAY_ECHO: Duration = Duration::from_millis(3_000);
+/// Part of a new sample in the usual time of a route.
+const USUAL_WEIGHT: f64 = 0.05;
+/// Usual time of a route that has had no answers, as a part of its latency target.
+const USUAL_OF_TARGET: f64 = 0.4;
+
+/// How far the host is between start and stop.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// In service.
+    Serving,
+    /// In service, but not named to callers; answers ask callers to close their connections.
+    Leaving,
+    /// Idle connections are closed.
+    Draining,
+}
+
+/// What the host knows of the platform's store, and how current that is.
+#[derive(Clone, Debug)]
+pub struct Knowledge {
+    /// When the knowledge was last known to be current, unless the host is in touch with the store.
+    pub as_of: Time,
+    /// Whether the host's own watch of the targets is in place.
+    pub watches_targets: bool,
+    /// Whether the host's own watch of the configuration is in place.
+    pub watches_config: bool,
+    /// Revision of the store up to which the configuration is known.
+    pub config_revision: Option<u64>,
+    /// Since when a peer has been known to have a newer configuration.
+    pub behind_since: Option<Time>,
+    /// Until when removed entries may be ones that lapsed while the store was away.
+    pub lapses_until: Time,
+}
+
+impl Knowledge {
+    /// Returns how long ago the knowledge was known to be current.
+    pub fn age(&self, now: Time) -> Duration {
+        let behind = self.behind_since.map_or(Duration::ZERO, |t| now.since(t));
+        if self.watches_config && self.watches_targets {
+            behind
+        } else {
+            now.since(self.as_of).max(behind)
+        }
+    }
+
+    /// Returns how long ago the knowledge was known to be current from what peers told.
+    pub fn age_heard(&self, now: Time) -> Duration {
+        let behind = self.behind_since.map_or(Duration::ZERO, |t| now.since(t));
+        now.since(self.as_of).max(behind)
+    }
+
+    /// Records whether the host's own watch of the targets is in place.
+    pub fn set_watches_targets(&mut self, now: Time, watches: bool) {
+        self.leave_store(now, !watches);
+        self.watches_targets = watches;
+    }
+
+    /// Records whether the host's own watch of the configuration is in place.
+    pub fn set_watches_config(&mut self, now: Time, watches: bool) {
+        self.leave_store(now, !watches);
+        self.watches_config = watches;
+    }
+
+    /// Notes until when the knowledge was current if a watch that was in place has ended.
+    fn leave_store(&mut self, now: Time, ended: bool) {
+        if ended && self.watches_config && self.watches_targets {
+            self.as_of = now;
+        }
+    }
+}
+
+/// Decisions about targets and requests.
+pub struct Fleet {
+    /// Registered targets.
+    pub registry: TargetRegistry,
+    /// Load and faults of targets.
+    pub table: TargetTable,
+    /// Requests that crash targets.
+    pub quarantine: Quarantine,
+    /// Latest changes of the registry, oldest first.
+    deltas: VecDeque<Delta>,
+    /// Sorted by route.
+    splits: Vec<(Arc<str>, SplitState)>,
+    /// Sorted by pool.
+    repeats: Vec<(Arc<str>, RepeatBudget)>,
+    /// Usual time to run a request of each route in seconds, sorted by route.
+    usual: Vec<(Arc<str>, f64)>,
+    /// Faults seen here that the peers have not been told.
+    pub untold_faults: Vec<(Arc<str>, f64)>,
+}
+
+/// Returns the value under a name in a sorted list, which it is added to if it is missing.
+fn entry<'a, T, F>(list: &'a mut Vec<(Arc<str>, T)>, name: &Arc<str>, new: F) -> &'a mut T
+where
+    F: FnOnce() -> T,
+{
+    let i = list.binary_search_by(|(n, _)| n.cmp(name)).unwrap_or_else(|i| {
+        list.insert(i, (name.clone(), new()));
+        i
+    });
+    &mut list[i].1
+}
+
+impl Fleet {
+    /// Returns the requests of a route by pool.
+    pub fn split(&mut self, route: &Arc<str>) -> &mut SplitState {
+        entry(&mut self.splits, route, SplitState::default)
+    }
+
+    /// Returns the budget for second sends to a pool.
+    pub fn repeats(&mut self, pool: &Arc<str>) -> &mut RepeatBudget {
+        entry(&mut self.repeats, pool, RepeatBudget::default)
+    }
+
+    /// Returns the usual time to run a request of a route.
+    pub fn usual(&mut self, route: &Arc<str>, latency_target: Duration) -> Duration {
+        let start = || latency_target.as_secs_f64() * USUAL_OF_TARGET;
+        Duration::from_secs_f64(*entry(&mut self.usual, route, start))
+    }
+
+    /// Records that a request of a route took `took` at a target that was expected to take
+    /// `stretch` x the usual time.
+    pub fn observe(&mut self, route: &Arc<str>, took: Duration, stretch: f64) {
+        let sample = took.as_secs_f64() / stretch.max(1.0);
+        let usual = entry(&mut self.usual, route, || sample);
+        *usual += (sample - *usual) * USUAL_WEIGHT;
+    }
+
+    /// Returns what a follower lacks that knows the registry up to `revision`.
+    pub fn since(&self, revision: Option<u64>) -> Option<Delta> {
+        let to = self.registry.revision()?;
+        if revision.is_some_and(|r| r >= to) {
+            return None;
+        }
+        let start = self.deltas.iter().position(|d| revision.is_some_and(|r| d.from <= Some(r)));
+        let Some(start) = start.filter(|i| self.deltas[*i].from.is_some()) else {
+            return self.registry.snapshot();
+        };
+        let changes = self.deltas.iter().skip(start).flat_map(|d| d.changes.clone()).collect();
+        Some(Delta { from: self.deltas[start].from, to, changes })
+    }
+
+    fn keep(&mut self, delta: Delta) {
+        if delta.from.is_none() {
+            // Followers that are behind a full list need one as well.
+            self.deltas.clear();
+            return;
+        }
+        if self.deltas.len() >= KEPT_DELTAS {
+            self.deltas.pop_front();
+        }
+        self.deltas.push_back(delta);
+    }
+}
+
+/// State of one entry host.
+pub struct Host {
+    /// Settings.
+    pub settings: ArcSwap<Settings>,
+    /// The clocks.
+    pub clock: Clock,
+    /// The root logger.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// What is spoken to callers and targets.
+    pub protocol: Arc<dyn Protocol>,
+    /// Connections to targets.
+    pub upstream: Upstream,
+    net: PeerNet,
+    routes: ArcSwapOption<RouteIndex>,
+    config: Mutex<Option<Arc<FleetConfig>>>,
+    fleet: Mutex<Fleet>,
+    members: Mutex<Membership>,
+    knowledge: Mutex<Knowledge>,
+    phase: watch::Sender<Phase>,
+    /// Rises with each change that followers have to hear of.
+    news: watch::Sender<u64>,
+    callers: AtomicUsize,
+}
+
+/// Counts a caller's connection until it is dropped.
+pub struct CallerGuard(Arc<Host>);
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        self.0.callers.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Host {
+    /// Returns the state of a starting host.
+    pub fn new(
+        settings: Settings,
+        log: Logger,
+        metrics: Metrics,
+        protocol: Arc<dyn Protocol>,
+        net: PeerNet,
+    ) -> Self {
+        let clock = Clock::start();
+        let (now, wall) = (clock.now(), clock.wall());
+        let me = Member {
+            name: settings.host.clone(),
+            addr: settings.peer,
+            http_addr: settings.listen,
+            failure_domain: settings.failure_domain.clone(),
+            incarnation: wall.0,
+            state: MemberState::Leaving,
+        };
+        let seeds = settings.seed_peers();
+        let opts = membership_options();
+        let process = format!("{}/{}", settings.host, wall.0).into();
+        let domain = settings.failure_domain.clone();
+        Host {
+            clock,
+            log,
+            metrics,
+            protocol,
+            net,
+            upstream: Upstream::default(),
+            routes: ArcSwapOption::empty(),
+            config: Mutex::default(),
+            fleet: Mutex::new(Fleet {
+                registry: TargetRegistry::default(),
+                table: TargetTable::new(domain, TableOptions::default()),
+                quarantine: Quarantine::new(process, QuarantineOptions::default()),
+                deltas: VecDeque::new(),
+                splits: Vec::new(),
+                repeats: Vec::new(),
+                usual: Vec::new(),
+                untold_faults: Vec::new(),
+            }),
+            members: Mutex::new(Membership::new(now, me, seeds, opts, &mut rand::rng())),
+            knowledge: Mutex::new(Knowledge {
+                as_of: now,
+                watches_targets: false,
+                watches_config: false,
+                config_revision: None,
+                behind_since: None,
+                lapses_until: now,
+            }),
+            phase: watch::channel(Phase::Serving).0,
+            news: watch::channel(0).0,
+            callers: AtomicUsize::new(0),
+            settings: ArcSwap::from_pointee(settings),
+        }
+    }
+
+    /// Returns the monotonic time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Locks the decisions about targets and requests.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// Locks the membership.
+    pub fn members(&self) -> MutexGuard<'_, Membership> {
+        lock(&self.members)
+    }
+
+    /// Locks what is known of the store.
+    pub fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
+        lock(&self.knowledge)
+    }
+
+    /// Returns the sockets for messages between hosts.
+    pub fn net(&self) -> &PeerNet {
+        &self.net
+    }
+
+    /// Returns the routes in force; `None` before the first configuration.
+    pub fn routes(&self) -> Option<Arc<RouteIndex>> {
+        self.routes.load_full()
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<Arc<FleetConfig>> {
+        lock(&self.config).clone()
+    }
+
+    /// Returns the version of the configuration in force; 0 before the first.
+    pub fn config_version(&self) -> u64 {
+        self.routes.load().as_ref().map_or(0, |r| r.version)
+    }
+
+    /// Returns whether the host can serve requests.
+    pub fn is_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Serving
+            && self.routes.load().is_some()
+            && self.fleet().registry.revision().is_some()
+    }
+
+    /// Returns the phase.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Returns the phase as a channel.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Moves on to a later phase.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_if_modified(|p| {
+            let later = phase > *p;
+            *p = (*p).max(phase);
+            later
+        });
+    }
+
+    /// Returns a channel that changes with each change that followers have to hear of.
+    pub fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
+    /// Registers a caller's connection until the guard is dropped.
+    pub fn caller(self: &Arc<Self>) -> CallerGuard {
+        self.callers.fetch_add(1, Ordering::Relaxed);
+        CallerGuard(self.clone())
+    }
+
+    /// Returns the number of callers' connections.
+    pub fn callers(&self) -> usize {
+        self.callers.load(Ordering::Relaxed)
+    }
+
+    /// Puts a configuration in force if it is newer than the present one. `from` tells where it came
+    /// from.
+    pub fn adopt(&self, config: FleetConfig, revision: u64, from: &str) {
+        let mut current = lock(&self.config);
+        let version = current.as_ref().map_or(0, |c| c.version);
+        if config.version <= version {
+            return;
+        }
+        info!(self.log, "config_adopted"; "version" => config.version, "was" => version,
+            "revision" => revision, "from" => from, "routes" => config.routes.len(),
+            "pools" => config.pools.len());
+        self.routes.store(Some(Arc::new(RouteIndex::new(&config))));
+        *current = Some(Arc::new(config));
+        drop(current);
+        self.knowledge().behind_since = None;
+        self.note_news();
+    }
+
+    /// Records the version that a peer has in force. A newer one that doesn't arrive here shows that
+    /// what this host follows is not current.
+    pub fn note_peer_version(&self, version: u64) {
+        if version > self.config_version() {
+            let now = self.now();
+            self.knowledge().behind_since.get_or_insert(now);
+        }
+    }
+
+    /// Takes in changes of the registry of targets.
+    pub fn apply(&self, delta: Delta, from: &str) -> bool {
+        let now = self.now();
+        let lapse = if now < self.knowledge().lapses_until {
+            Duration::from_secs_f64(self.settings.load().promises.lapse_s)
+        } else {
+            Duration::ZERO
+        };
+        let mut fleet = self.fleet();
+        if fleet.registry.revision().is_some_and(|r| r >= delta.to) && delta.changes.is_empty() {
+            return true;
+        }
+        let (changes, to) = (delta.changes.len(), delta.to);
+        if !fleet.registry.apply(now, delta.clone(), lapse) {
+            return false;
+        }
+        fleet.keep(delta);
+        fleet.refresh(now);
+        if changes > 0 {
+            info!(self.log, "targets_changed"; "revision" => to, "changes" => changes,
+                "from" => from, "lapsed" => fleet.registry.lapsed(),
+                "lapse_ms" => lapse.as_millis() as u64);
+        }
+        drop(fleet);
+        self.note_news();
+        true
+    }
+
+    /// Records a fault of a target that this host saw.
+    pub fn on_fault(&self, id: &Arc<str>, fault: Fault) {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        fleet.untold_faults.push((id.clone(), fault.weight()));
+        if fleet.table.on_fault(now, id, fault.weight()) {
+            warn!(self.log, "target_left_out"; "target" => &**id, "fault" => fault.as_str());
+        }
+    }
+
+    /// Records faults of a target that a peer saw.
+    pub fn on_peer_fault(&self, from: &str, id: &str, weight: f64) {
+        let now = self.now();
+        if self.fleet().table.on_fault(now, id, weight) {
+            warn!(self.log, "target_left_out"; "target" => id, "peer" => from, "weight" => weight);
+        }
+    }
+
+    /// Takes one second send to a pool from the shared budget.
+    pub fn try_repeat(&self, pool: &Arc<str>) -> bool {
+        let hosts = self.members().peers().count() + 1;
+        let opts = self.repeat_options();
+        let now = self.now();
+        self.fleet().repeats(pool).try_repeat(now, hosts, &opts)
+    }
+
+    /// Returns the limits of second sends.
+    pub fn repeat_options(&self) -> RepeatOptions {
+        let settings = self.settings.load();
+        RepeatOptions {
+            ratio: settings.promises.repeat_ratio,
+            slack: settings.promises.repeat_slack,
+            window: Duration::from_secs_f64(settings.promises.repeat_window_s),
+            ..RepeatOptions::default()
+        }
+    }
+
+    /// Forgets lapsed targets and notices whether the store is away. To be called a few times a
+    /// second.
+    pub fn tick(&self, now: Time) {
+        let mut knowledge = self.knowledge();
+        if knowledge.age(now) >= AWAY_AFTER {
+            knowledge.lapses_until = now + AWAY_ECHO;
+        }
+        drop(knowledge);
+        let mut fleet = self.fleet();
+        fleet.registry.expire(now);
+        fleet.refresh(now);
+    }
+
+    fn note_news(&self) {
+        self.news.send_modify(|n| *n += 1);
+    }
+}
+
+impl Fleet {
+    fn refresh(&mut self, now: Time) {
+        let Fleet { registry, table, .. } = self;
+        table.update(registry.targets(now));
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Returns intervals of the gossip for hosts with a small part of a core.
+fn membership_options() -> MembershipOptions {
+    MembershipOptions {
+        probe_interval: Duration::from_millis(400),
+        direct_timeout: Duration::from_millis(200),
+        probe_timeout: Duration::from_millis(500),
+        suspicion: Duration::from_millis(1_500),
+        retry_interval: Duration::from_secs(2),
+        sync_interval: Duration::from_secs(15),
+        forget_after: Duration::from_secs(60),
+        ..MembershipOptions::default()
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/logs.rs
@@ -0,0 +1,185 @@
+//! Structured logs on standard output: one line of key=value pairs for each event.
+//!
+//! Lines are collected in memory and written by a thread of their own, so that a slow reader of
+//! standard output delays no request. What exceeds the rate or the memory is left out and counted.
+
+use slog::{Drain, KV, Key, Level, Logger, Never, OwnedKVList, Record, Serializer, o};
+use std::fmt::{self, Write as _};
+use std::io::Write as _;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Bytes that may wait to be written.
+const MAX_PENDING: usize = 128 << 10;
+/// Time for which lines are collected before they are written together.
+const COLLECT: Duration = Duration::from_millis(250);
+/// Lines a second that are written in the long run; a line costs about 10 us of processor time.
+const LINES_PER_S: f64 = 60.0;
+/// Lines that may be written at once after a calm time.
+const BURST: f64 = 200.0;
+/// Lines above the rate that warnings and errors may still use.
+const RESERVE: f64 = 100.0;
+
+#[derive(Debug)]
+struct Pending {
+    text: String,
+    tokens: f64,
+    filled: Instant,
+    left_out: u64,
+    closed: bool,
+}
+
+/// Collects lines until they are written.
+#[derive(Debug)]
+struct Buffer {
+    pending: Mutex<Pending>,
+    changed: Condvar,
+}
+
+/// Writes the remaining lines when it is dropped.
+pub struct Guard {
+    buffer: Arc<Buffer>,
+    writer: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        lock(&self.buffer.pending).closed = true;
+        self.buffer.changed.notify_one();
+        if let Some(writer) = self.writer.take()
+            && writer.join().is_err()
+        {
+            eprintln!("geraniummux-host: the thread that writes logs ended early");
+        }
+    }
+}
+
+/// Starts the writer. Returns the root logger, and a guard that flushes it.
+///
+/// # Errors
+///
+/// Fails if the thread can't be started.
+pub fn start(host: &str) -> std::io::Result<(Logger, Guard)> {
+    let buffer = Arc::new(Buffer {
+        pending: Mutex::new(Pending {
+            text: String::new(),
+            tokens: BURST,
+            filled: Instant::now(),
+            left_out: 0,
+            closed: false,
+        }),
+        changed: Condvar::new(),
+    });
+    let shared = buffer.clone();
+    let writer =
+        std::thread::Builder::new().stack_size(64 << 10).spawn(move || write_lines(&shared))?;
+    let drain = LineDrain(buffer.clone()).filter_level(Level::Info).fuse();
+    let log = Logger::root(drain, o!("host" => host.to_owned()));
+    Ok((log, Guard { buffer, writer: Some(writer) }))
+}
+
+fn lock(pending: &Mutex<Pending>) -> MutexGuard<'_, Pending> {
+    pending.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+fn write_lines(buffer: &Buffer) {
+    loop {
+        let mut pending = lock(&buffer.pending);
+        while pending.text.is_empty() && !pending.closed {
+            pending = buffer.changed.wait(pending).unwrap_or_else(|e| e.into_inner());
+        }
+        if !pending.closed {
+            drop(pending);
+            std::thread::sleep(COLLECT);
+            pending = lock(&buffer.pending);
+        }
+        let mut text = std::mem::take(&mut pending.text);
+        let left_out = std::mem::take(&mut pending.left_out);
+        let closed = pending.closed;
+        drop(pending);
+        if left_out > 0 {
+            let _ = writeln!(text, "time={} level=WARN event=lines_left_out count={left_out}", unix_ms());
+        }
+        // Without standard output there is nowhere to report to.
+        let _ = std::io::stdout().write_all(text.as_bytes());
+        if closed {
+            return;
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Adds each record to the buffer as one line.
+struct LineDrain(Arc<Buffer>);
+
+impl LineDrain {
+    /// Takes one line from the rate. Returns whether the line may be written.
+    fn admit(pending: &mut Pending, level: Level) -> bool {
+        let now = Instant::now();
+        let passed = now.duration_since(pending.filled).as_secs_f64();
+        pending.filled = now;
+        pending.tokens = (pending.tokens + passed * LINES_PER_S).min(BURST);
+        let floor = if level.is_at_least(Level::Warning) { -RESERVE } else { 0.0 };
+        if pending.tokens < floor + 1.0 || pending.text.len() > MAX_PENDING {
+            pending.left_out += 1;
+            return false;
+        }
+        pending.tokens -= 1.0;
+        true
+    }
+}
+
+impl Drain for LineDrain {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        let mut pending = lock(&self.0.pending);
+        if !Self::admit(&mut pending, record.level()) {
+            return Ok(());
+        }
+        let first = pending.text.is_empty();
+        let mut line = Line(&mut pending.text);
+        // Writing to a String can't fail.
+        let _ = write!(line.0, "time={} level={}", unix_ms(), record.level().as_short_str());
+        line.push("event", record.msg());
+        let _ = values.serialize(record, &mut line);
+        let _ = record.kv().serialize(record, &mut line);
+        line.0.push('\n');
+        drop(pending);
+        if first {
+            self.0.changed.notify_one();
+        }
+        Ok(())
+    }
+}
+
+struct Line<'a>(&'a mut String);
+
+impl Line<'_> {
+    /// Appends a pair; a value with spaces, quotes or control characters is quoted and escaped.
+    fn push(&mut self, key: &str, value: &fmt::Arguments<'_>) {
+        let start = self.0.len();
+        let _ = write!(self.0, " {key}=");
+        let from = self.0.len();
+        let _ = self.0.write_fmt(*value);
+        let text = &self.0[from..];
+        let plain = !text.is_empty()
+            && text.chars().all(|c| !c.is_whitespace() && !c.is_control() && c != '"' && c != '=');
+        if !plain {
+            let quoted = format!(" {key}={text:?}");
+            self.0.truncate(start);
+            self.0.push_str(&quoted);
+        }
+    }
+}
+
+impl Serializer for Line<'_> {
+    fn emit_arguments(&mut self, key: Key, value: &fmt::Arguments<'_>) -> slog::Result {
+        self.push(key, value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Counters and latency histograms, served as text.
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.9, 1.5, 2.5, 5.0];
+
+/// All metrics of a host.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    sends: IntCounterVec,
+    probes: IntCounterVec,
+    connections: IntCounterVec,
+    store_calls: IntCounterVec,
+    peer_messages: IntCounterVec,
+    state: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Returns metrics that are all zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have the same name.
+    pub fn new() -> anyhow::Result<Self> {
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(format!("geraniummux_{name}"), help), labels)
+        };
+        let buckets = LATENCY_BUCKETS.to_vec();
+        let latency = HistogramOpts::new("geraniummux_request_seconds", "Time to the answer");
+        let metrics = Metrics {
+            registry: Registry::new(),
+            requests: counter("requests_total", "Requests by route and outcome", &["route", "outcome"])?,
+            latency: HistogramVec::new(latency.buckets(buckets), &["route"])?,
+            sends: counter("sends_total", "Sends to targets by pool and result", &["pool", "result"])?,
+            probes: counter("probes_total", "Health checks by pool and result", &["pool", "result"])?,
+            connections: counter("connections_total", "New connections by peer", &["kind"])?,
+            store_calls: counter("store_calls_total", "Calls to the store", &["call", "result"])?,
+            peer_messages: counter("peer_messages_total", "Messages to and from peers", &["kind"])?,
+            state: IntGaugeVec::new(Opts::new("geraniummux_state", "State of the host"), &["of"])?,
+        };
+        let all: [Box<dyn prometheus::core::Collector>; 8] = [
+            Box::new(metrics.requests.clone()),
+            Box::new(metrics.latency.clone()),
+            Box::new(metrics.sends.clone()),
+            Box::new(metrics.probes.clone()),
+            Box::new(metrics.connections.clone()),
+            Box::new(metrics.store_calls.clone()),
+            Box::new(metrics.peer_messages.clone()),
+            Box::new(metrics.state.clone()),
+        ];
+        for metric in all {
+            metrics.registry.register(metric)?;
+        }
+        Ok(metrics)
+    }
+
+    /// Records a request that has ended.
+    pub fn request(&self, route: &str, outcome: &str, took: Duration) {
+        self.requests.with_label_values(&[route, outcome]).inc();
+        self.latency.with_label_values(&[route]).observe(took.as_secs_f64());
+    }
+
+    /// Records the end of a send to a target.
+    pub fn send(&self, pool: &str, result: &str) {
+        self.sends.with_label_values(&[pool, result]).inc();
+    }
+
+    /// Records the end of a health check.
+    pub fn probe(&self, pool: &str, result: &str) {
+        self.probes.with_label_values(&[pool, result]).inc();
+    }
+
+    /// Records a new connection.
+    pub fn connection(&self, kind: &str) {
+        self.connections.with_label_values(&[kind]).inc();
+    }
+
+    /// Records a call to the store.
+    pub fn store_call(&self, call: &str, result: &str) {
+        self.store_calls.with_label_values(&[call, result]).inc();
+    }
+
+    /// Records a message to or from a peer.
+    pub fn peer_message(&self, kind: &str) {
+        self.peer_messages.with_label_values(&[kind]).inc();
+    }
+
+    /// Sets a figure that describes the present state.
+    pub fn set_state(&self, of: &str, value: i64) {
+        self.state.with_label_values(&[of]).set(value);
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be encoded.
+    pub fn text(&self) -> anyhow::Result<String> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/peers.rs
@@ -0,0 +1,333 @@
+//! Messages between entry hosts: membership, faults of targets and requests that crash targets.
+
+use crate::feed;
+use crate::host::Host;
+use anyhow::Context;
+use geraniummux_core::membership::{Gossip, MembershipAction};
+use geraniummux_core::quarantine;
+use geraniummux_core::{Fingerprint, MemberState, Time};
+use geraniummux_wire::codec::STREAM_PREFIX_LEN;
+use geraniummux_wire::{
+    Codec, Envelope, MAX_DATAGRAM_LEN, Message, State, Strike, TargetFaults, stream_frame_len,
+};
+use rand::seq::SliceRandom;
+use slog::{info, warn};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::timeout;
+
+/// Interval of the timer for membership; the core asks for at most 100 ms.
+const TICK: Duration = Duration::from_millis(100);
+/// Peers that are told of each fault; in a larger fleet a random choice of that many.
+const FAULT_FANOUT: usize = 24;
+/// Faults that fit into one datagram with room to spare.
+const MAX_FAULTS: usize = 16;
+/// Longest time for one exchange over TCP.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Socket and key for messages between entry hosts.
+pub struct PeerNet {
+    codec: Codec,
+    socket: UdpSocket,
+    next_strike: AtomicU64,
+}
+
+impl PeerNet {
+    /// Opens the socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn open(addr: SocketAddr, key: &str) -> anyhow::Result<Self> {
+        let socket = UdpSocket::bind(addr).await;
+        let socket = socket.with_context(|| format!("peer: can't bind {addr}"))?;
+        let codec = Codec::new(key.as_bytes());
+        Ok(PeerNet { codec, socket, next_strike: AtomicU64::new(0) })
+    }
+}
+
+fn envelope(host: &Host, message: Message) -> Envelope {
+    let members = host.members();
+    let me = members.me();
+    Envelope {
+        from: me.name.clone(),
+        incarnation: me.incarnation,
+        generation: host.config_version(),
+        message,
+    }
+}
+
+/// Sends a datagram to some peers. One that can't be sent at once is lost, as on the way.
+fn send(host: &Host, to: &[SocketAddr], message: Message) {
+    let datagram = match host.net().codec.encode_datagram(&envelope(host, message)) {
+        Ok(datagram) => datagram,
+        Err(e) => {
+            warn!(host.log, "datagram_not_encoded"; "error" => e.to_string());
+            return;
+        }
+    };
+    for to in to {
+        let sent = host.net().socket.try_send_to(&datagram, *to).is_ok();
+        host.metrics.peer_message(if sent { "sent" } else { "unsent" });
+    }
+}
+
+/// Receives datagrams until the task is dropped.
+pub async fn receive(host: Arc<Host>) {
+    let mut buf = [0; MAX_DATAGRAM_LEN];
+    loop {
+        let (len, addr) = match host.net().socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                // Reports of unreachable peers arrive here; the membership finds these by itself.
+                warn!(host.log, "datagram_not_received"; "error" => e.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        match host.net().codec.decode_datagram(&buf[..len]) {
+            Ok(envelope) => {
+                host.metrics.peer_message("received");
+                on_datagram(&host, addr, envelope);
+            }
+            Err(e) => {
+                host.metrics.peer_message("refused");
+                warn!(host.log, "datagram_refused"; "from" => addr.to_string(),
+                    "error" => e.to_string());
+            }
+        }
+    }
+}
+
+fn on_datagram(host: &Arc<Host>, addr: SocketAddr, envelope: Envelope) {
+    let Envelope { from, incarnation, generation, message } = envelope;
+    host.note_peer_version(generation);
+    match message {
+        Message::Gossip(gossip) => on_gossip(host, &from, incarnation, addr, gossip),
+        Message::Faults(faults) => {
+            for f in faults.iter().take(MAX_FAULTS) {
+                host.on_peer_fault(&from, &f.target, f64::from(f.weight));
+            }
+        }
+        Message::Strike(strike) => on_strike(host, &format!("{from}/{incarnation}"), &strike),
+        other => {
+            warn!(host.log, "datagram_unexpected"; "from" => &*from,
+                "message" => format!("{:?}", std::mem::discriminant(&other)));
+        }
+    }
+}
+
+fn on_gossip(host: &Arc<Host>, from: &str, incarnation: u64, addr: SocketAddr, gossip: Gossip) {
+    let now = host.now();
+    let actions =
+        host.members().receive(now, from, incarnation, addr, gossip, &mut rand::rng());
+    perform(host, actions);
+}
+
+fn perform(host: &Arc<Host>, actions: Vec<MembershipAction>) {
+    for action in actions {
+        match action {
+            MembershipAction::Send { to, gossip } => send(host, &[to], Message::Gossip(gossip)),
+            MembershipAction::Sync { peer } => {
+                let host = host.clone();
+                tokio::spawn(async move {
+                    if let Err(e) = sync(&host, peer).await {
+                        warn!(host.log, "sync_failed"; "peer" => peer.to_string(),
+                            "error" => e.to_string());
+                    }
+                });
+            }
+            MembershipAction::Changed { member, was } => {
+                info!(host.log, "member_changed"; "member" => &*member.name,
+                    "state" => format!("{:?}", member.state), "was" => format!("{was:?}"),
+                    "incarnation" => member.incarnation);
+            }
+            MembershipAction::Resumed { pause } => {
+                warn!(host.log, "resumed"; "paused_ms" => pause.as_millis() as u64);
+            }
+            MembershipAction::Replaced { by } => {
+                warn!(host.log, "replaced"; "by" => by.to_string());
+            }
+        }
+    }
+}
+
+/// Drives the membership and sends what peers have to hear of, until the task is dropped.
+pub async fn run(host: Arc<Host>) {
+    let mut timer = tokio::time::interval(TICK);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        let now = host.now();
+        let actions = {
+            let mut members = host.members();
+            if host.is_ready() {
+                members.enter_service();
+            }
+            members.tick(now, &mut rand::rng())
+        };
+        perform(&host, actions);
+        tell_faults(&host);
+    }
+}
+
+/// Tells the peers that this host is leaving.
+pub fn leave(host: &Arc<Host>) {
+    let now = host.now();
+    let actions = {
+        let mut members = host.members();
+        members.leave();
+        members.announce(now)
+    };
+    perform(host, actions);
+}
+
+fn live_peers(host: &Host) -> Vec<SocketAddr> {
+    host.members().peers().filter(|m| m.state < MemberState::Suspect).map(|m| m.addr).collect()
+}
+
+fn tell_faults(host: &Host) {
+    let untold = std::mem::take(&mut host.fleet().untold_faults);
+    if untold.is_empty() {
+        return;
+    }
+    let mut sums: Vec<TargetFaults> = Vec::new();
+    for (target, weight) in untold {
+        match sums.iter_mut().find(|f| f.target == target) {
+            Some(f) => f.weight += weight as f32,
+            None => sums.push(TargetFaults { target, weight: weight as f32 }),
+        }
+    }
+    let mut to = live_peers(host);
+    to.shuffle(&mut rand::rng());
+    to.truncate(FAULT_FANOUT);
+    for faults in sums.chunks(MAX_FAULTS) {
+        send(host, &to, Message::Faults(faults.to_vec()));
+    }
+}
+
+/// Tells the peers that a target broke while it ran a request, or that a target answered it.
+pub fn tell_strike(host: &Host, fingerprint: Fingerprint, target: SocketAddr, retracted: bool) {
+    let id = host.net().next_strike.fetch_add(1, Ordering::Relaxed) + 1;
+    let fingerprint = fingerprint.into();
+    let strike = Strike { id, fingerprint, target, age_ms: 0, retracted };
+    let from = {
+        let members = host.members();
+        format!("{}/{}", members.me().name, members.me().incarnation)
+    };
+    on_strike(host, &from, &strike);
+    send(host, &live_peers(host), Message::Strike(strike));
+}
+
+fn on_strike(host: &Host, origin: &str, strike: &Strike) {
+    let now = host.now();
+    let fingerprint = Fingerprint::from(strike.fingerprint);
+    let mut fleet = host.fleet();
+    if strike.retracted {
+        fleet.quarantine.answered(now, fingerprint);
+        return;
+    }
+    let was = fleet.quarantine.is_blocked(now, fingerprint);
+    let strike = quarantine::Strike {
+        origin: origin.into(),
+        seq: strike.id,
+        fingerprint,
+        target: strike.target.to_string().into(),
+    };
+    fleet.quarantine.merge(now, &strike);
+    if !was && fleet.quarantine.is_blocked(now, fingerprint) {
+        warn!(host.log, "request_blocked"; "fingerprint" => format!("{fingerprint:?}"),
+            "target" => &*strike.target, "origin" => origin);
+    }
+}
+
+/// Accepts connections of peers until the task is dropped.
+pub async fn serve(host: Arc<Host>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, addr)) => {
+                let host = host.clone();
+                tokio::spawn(async move {
+                    if let Err(e) = serve_peer(&host, stream).await {
+                        info!(host.log, "peer_connection_ended"; "peer" => addr.to_string(),
+                            "error" => e.to_string());
+                    }
+                });
+            }
+            Err(e) => {
+                warn!(host.log, "accept_failed"; "service" => "peers", "error" => e.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer(host: &Arc<Host>, mut stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let envelope = timeout(EXCHANGE_TIMEOUT, read(host, &mut stream)).await??;
+    match envelope.message {
+        Message::SyncState(state) => {
+            merge(host, state);
+            write(host, &mut stream, Message::State(state_of(host))).await
+        }
+        Message::Follow(known) => feed::serve(host, stream, &envelope.from, known).await,
+        _ => Err(io::Error::other("unexpected message")),
+    }
+}
+
+async fn sync(host: &Arc<Host>, peer: SocketAddr) -> io::Result<()> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(peer).await?;
+        write(host, &mut stream, Message::SyncState(state_of(host))).await?;
+        read(host, &mut stream).await
+    };
+    match timeout(EXCHANGE_TIMEOUT, exchange).await??.message {
+        Message::State(state) => {
+            merge(host, state);
+            Ok(())
+        }
+        _ => Err(io::Error::other("unexpected message")),
+    }
+}
+
+fn state_of(host: &Host) -> State {
+    let blocks = host.fleet().quarantine.snapshot(host.now());
+    let quarantine = serde_json::to_vec(&blocks).unwrap_or_else(|e| {
+        warn!(host.log, "blocks_not_encoded"; "error" => e.to_string());
+        Vec::new()
+    });
+    State { members: host.members().snapshot(), leaving: Vec::new(), quarantine }
+}
+
+fn merge(host: &Arc<Host>, state: State) {
+    let now: Time = host.now();
+    let actions = host.members().merge(now, state.members);
+    perform(host, actions);
+    match serde_json::from_slice::<Vec<quarantine::Block>>(&state.quarantine) {
+        Ok(blocks) => host.fleet().quarantine.merge_snapshot(now, &blocks),
+        Err(e) => warn!(host.log, "blocks_not_read"; "error" => e.to_string()),
+    }
+}
+
+/// Reads one message from a stream.
+pub async fn read(host: &Host, stream: &mut TcpStream) -> io::Result<Envelope> {
+    let mut prefix = [0; STREAM_PREFIX_LEN];
+    stream.read_exact(&mut prefix).await?;
+    let len = stream_frame_len(prefix).map_err(io::Error::other)?;
+    let mut frame = vec![0; len];
+    stream.read_exact(&mut frame).await?;
+    host.net().codec.decode_stream(&frame).map_err(io::Error::other)
+}
+
+/// Writes one message to a stream.
+pub async fn write(host: &Host, stream: &mut TcpStream, message: Message) -> io::Result<()> {
+    let frame = host.net().codec.encode_stream(&envelope(host, message));
+    stream.write_all(&frame.map_err(io::Error::other)?).await
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/proxy/headers.rs
@@ -0,0 +1,68 @@
+//! Headers of forwarded requests and relayed answers.
+
+use super::job::Job;
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use std::time::Duration;
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1), and the length, which is set
+/// anew.
+const HOP_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const EXPECT: HeaderName = HeaderName::from_static("expect");
+
+/// Returns a header that holds whole milliseconds.
+pub fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    let text = headers.get(name)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_millis)
+}
+
+/// Returns the headers of a request as they are sent to a target.
+pub fn for_target(job: &Job, target: &str, time_left: Duration) -> HeaderMap {
+    let names = job.host.protocol.headers();
+    let mut out = end_to_end(&job.parts.headers);
+    if !out.contains_key(HOST)
+        && let Some(value) = job.parts.uri.host().and_then(|h| HeaderValue::from_str(h).ok())
+    {
+        out.insert(HOST, value);
+    }
+    out.insert(names.time_left_ms.clone(), HeaderValue::from(time_left.as_millis() as u64));
+    if let Ok(value) = HeaderValue::from_str(target) {
+        out.insert(names.expected_target.clone(), value);
+    }
+    out
+}
+
+/// Returns the headers that concern more than one connection.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<&str> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .map(str::trim)
+        .collect();
+    let mut out = HeaderMap::with_capacity(headers.len() + 2);
+    for (name, value) in headers {
+        let hop = HOP_HEADERS.contains(name)
+            || *name == KEEP_ALIVE
+            || *name == EXPECT
+            || named.iter().any(|n| n.eq_ignore_ascii_case(name.as_str()));
+        if !hop {
+            out.append(name.clone(), value.clone());
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -0,0 +1,120 @@
+//! Takes callers' requests, routes them and answers them.
+
+mod attempt;
+mod headers;
+mod job;
+mod place;
+mod reply;
+mod request;
+
+use crate::host::{Host, Phase};
+use bytes::Bytes;
+use geraniummux_core::Fingerprint;
+use geraniummux_core::fleet::{FleetRoute, RouteIndex};
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use job::Job;
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// When a caller is asked to return to a host that has no configuration yet.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(200);
+
+/// Answers one request.
+pub async fn handle(host: Arc<Host>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut rsp = respond(&host, req).await;
+    if host.phase() > Phase::Serving {
+        rsp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    rsp
+}
+
+async fn respond(host: &Arc<Host>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (parts, body) = req.into_parts();
+    let Some(index) = host.routes() else {
+        warn!(host.log, "refused"; "reason" => "no_config", "path" => parts.uri.path());
+        return reply::retry_later(NO_CONFIG_RETRY);
+    };
+    let name = host_name(&parts);
+    let Some(route) = index.find(name, parts.uri.path()) else {
+        info!(host.log, "refused"; "reason" => "no_route", "name" => name,
+            "path" => parts.uri.path(), "version" => index.version);
+        return reply::own(StatusCode::NOT_FOUND);
+    };
+    match prepare(host, &index, route, parts, body).await {
+        Ok(job) => request::run(Arc::new(job)).await,
+        Err((status, reason)) => {
+            info!(host.log, "refused"; "reason" => reason, "route" => &*route.name);
+            host.metrics.request(&route.name, reason, Duration::ZERO);
+            reply::own(status)
+        }
+    }
+}
+
+/// Returns the name of the host that a request is meant for.
+fn host_name(parts: &Parts) -> &str {
+    let header = parts.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    header.or(parts.uri.host()).unwrap_or("")
+}
+
+/// Reads the body and gathers all that is needed to serve the request.
+async fn prepare(
+    host: &Arc<Host>,
+    index: &RouteIndex,
+    route: &Arc<FleetRoute>,
+    parts: Parts,
+    body: Incoming,
+) -> Result<Job, (StatusCode, &'static str)> {
+    let started = host.now();
+    let names = host.protocol.headers();
+    let id = parts.headers.get(&names.request_id).cloned();
+    let id = id.ok_or((StatusCode::BAD_REQUEST, "no_request_id"))?;
+    let time_left = headers::millis(&parts.headers, &names.time_left_ms);
+    let limit = started + time_left.unwrap_or(route.timeout).min(route.timeout);
+    let body = if body.is_end_stream() {
+        Bytes::new()
+    } else {
+        let whole = Limited::new(body, index.limits.max_body_bytes).collect();
+        match tokio::time::timeout(limit.since(started), whole).await {
+            Ok(Ok(whole)) => whole.to_bytes(),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+            }
+            Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "body_broken")),
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
+        }
+    };
+    let mut fleet = host.fleet();
+    let pool = fleet.split(&route.name).next(route, rand::random::<f64>());
+    let pool = pool.and_then(|name| index.pool(name)).cloned();
+    let pool = pool.ok_or((StatusCode::SERVICE_UNAVAILABLE, "no_pool"))?;
+    let usual = fleet.usual(&route.name, route.latency_target);
+    let opts = host.repeat_options();
+    fleet.repeats(&pool.name).on_first(started, &opts);
+    drop(fleet);
+    let target = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let fingerprint = Fingerprint::new(&route.host, parts.method.as_str(), target, &body);
+    Ok(Job {
+        host: host.clone(),
+        id,
+        urgent: is_urgent(index, route),
+        route: route.clone(),
+        pool,
+        version: index.version,
+        parts,
+        body,
+        started,
+        limit,
+        usual,
+        fingerprint,
+    })
+}
+
+/// Returns whether no route to the same pools is more urgent.
+fn is_urgent(index: &RouteIndex, route: &FleetRoute) -> bool {
+    let shares = |r: &FleetRoute| r.shares.iter().any(|s| route.shares.iter().any(|o| o.pool == s.pool));
+    !index.routes().iter().any(|r| r.priority < route.priority && shares(r))
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/proxy/place.rs
@@ -0,0 +1,246 @@
+//! Finds a target for a request: asks some for their load and decides with their answers.
+//!
+//! The request is sent on the connection on which the chosen target has just answered, so that a
+//! connection that went silent or was closed is found out before anything is sent on it.
+
+use super::job::Job;
+use crate::host::Host;
+use crate::upstream::{self, Connection, ExchangeError};
+use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use geraniummux_core::fleet::{
+    AdmissionRules, Candidate, Demand, Fault, FleetPool, TargetReport, Verdict, judge,
+};
+use http::{Request, StatusCode, header};
+use http_body_util::Full;
+use slog::info;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Targets that are asked first.
+const FIRST_ASKED: usize = 3;
+/// Targets that are asked if all of the first are full or don't answer.
+const MORE_ASKED: usize = 6;
+/// How long further answers are awaited after the first.
+const FURTHER_ANSWERS: Duration = Duration::from_millis(4);
+/// How long a first answer is awaited before other targets are asked.
+const FIRST_ANSWER: Duration = Duration::from_millis(30);
+/// How long an answer on an idle connection is awaited before a new one is opened.
+const IDLE_ANSWER: Duration = Duration::from_millis(60);
+/// How long a target may take to open a connection and answer before that counts as a fault.
+const UNREACHABLE: Duration = Duration::from_millis(250);
+/// Rounds of asking without any answer after which the request is refused.
+const MAX_EMPTY_ROUNDS: u32 = 4;
+
+/// A target that a request is to be sent to.
+pub struct Placed {
+    /// Identity of the target.
+    pub target: Arc<str>,
+    /// The connection on which it has just answered.
+    pub conn: Connection,
+    /// Expected time to its answer, as a multiple of the usual time.
+    pub stretch: f64,
+}
+
+/// What came of looking for a target.
+pub enum Placement {
+    /// The request is to be sent.
+    Placed(Placed),
+    /// It is not sent.
+    Refused {
+        /// Why, for logs.
+        reason: &'static str,
+        /// When the caller may return.
+        retry_after: Duration,
+    },
+}
+
+struct Offer {
+    candidate: Candidate,
+    conn: Connection,
+    report: TargetReport,
+    healthy: bool,
+}
+
+/// Finds a target that is not among `tried`.
+pub async fn find(job: Arc<Job>, tried: Vec<Arc<str>>) -> Placement {
+    let host = &job.host;
+    let rules = AdmissionRules::default();
+    let mut asked = FIRST_ASKED;
+    let mut empty_rounds = 0;
+    loop {
+        let now = host.now();
+        let candidates = {
+            let fleet = host.fleet();
+            fleet.table.candidates(now, &job.pool.name, &tried, asked, &mut rand::rng())
+        };
+        if candidates.is_empty() {
+            return refused("no_target", &job);
+        }
+        let mut offers = ask(host, &job.pool, candidates).await;
+        let now = host.now();
+        let Some((best, stretch)) = best_offer(&job, &offers) else {
+            empty_rounds += 1;
+            asked = MORE_ASKED;
+            if empty_rounds >= MAX_EMPTY_ROUNDS || job.time_left(now) < job.usual / 2 {
+                return refused("no_answer", &job);
+            }
+            continue;
+        };
+        let best = offers.swap_remove(best);
+        for offer in offers {
+            host.upstream.keep(now, offer.conn);
+        }
+        if best.report.free() == 0 && asked == FIRST_ASKED {
+            host.upstream.keep(now, best.conn);
+            asked = MORE_ASKED;
+            continue;
+        }
+        let demand = Demand {
+            urgent: job.urgent,
+            usual: job.usual,
+            time_left: job.time_left(now),
+            latency_target: job.route.latency_target,
+            held: now.since(job.started),
+        };
+        match judge(&demand, &best.report, stretch, rand::random(), &rules) {
+            Verdict::Send => {
+                let id = best.candidate.id;
+                let mut fleet = host.fleet();
+                // It may have begun to leave while it was asked.
+                if !fleet.table.contains(&job.pool.name, &id) {
+                    continue;
+                }
+                fleet.table.on_sent(&id);
+                return Placement::Placed(Placed { target: id, conn: best.conn, stretch });
+            }
+            Verdict::Hold(pause) => {
+                host.upstream.keep(now, best.conn);
+                tokio::time::sleep(pause).await;
+            }
+            Verdict::Refuse { why, retry_after } => {
+                host.upstream.keep(now, best.conn);
+                info!(host.log, "admission_refused"; "id" => job.id(), "why" => why.as_str(),
+                    "target" => &*best.candidate.id, "running" => best.report.running,
+                    "waiting" => best.report.waiting, "slots" => best.report.slots,
+                    "slowdown" => best.report.slowdown, "stretch" => stretch,
+                    "held_ms" => demand.held.as_millis() as u64,
+                    "time_left_ms" => demand.time_left.as_millis() as u64);
+                return Placement::Refused { reason: why.as_str(), retry_after };
+            }
+        }
+    }
+}
+
+fn refused(reason: &'static str, job: &Job) -> Placement {
+    let left = job.time_left(job.host.now());
+    let part = AdmissionRules::default().return_part;
+    Placement::Refused { reason, retry_after: left.mul_f64(part) }
+}
+
+/// Returns the offer with the smallest expected time to an answer, and that time as a multiple of
+/// the usual time. Targets that call themselves unhealthy count only if there are no others.
+fn best_offer(job: &Job, offers: &[Offer]) -> Option<(usize, f64)> {
+    let now = job.host.now();
+    let fleet = job.host.fleet();
+    let rate = |o: &Offer| fleet.table.rate(now, &job.pool.name, &o.candidate.id, &o.report);
+    let rated = offers.iter().enumerate().map(|(i, o)| (i, o.healthy, rate(o)));
+    let best = rated.min_by(|a, b| b.1.cmp(&a.1).then(a.2.total_cmp(&b.2)));
+    best.map(|(i, _, stretch)| (i, stretch))
+}
+
+/// Asks targets for their load. Returns those that answered shortly after the first; the answers of
+/// the others are still taken in later.
+async fn ask(host: &Arc<Host>, pool: &Arc<FleetPool>, candidates: Vec<Candidate>) -> Vec<Offer> {
+    let mut asked: FuturesUnordered<_> =
+        candidates.into_iter().map(|c| ask_one(host.clone(), pool.clone(), c)).collect();
+    let mut offers = Vec::new();
+    let mut timer = pin!(tokio::time::sleep(FIRST_ANSWER));
+    loop {
+        tokio::select! {
+            biased;
+            answer = asked.next() => match answer {
+                Some(Some(offer)) => {
+                    if offers.is_empty() {
+                        timer.as_mut().reset(tokio::time::Instant::now() + FURTHER_ANSWERS);
+                    }
+                    offers.push(offer);
+                }
+                Some(None) => {}
+                None => return offers,
+            },
+            () = &mut timer => break,
+        }
+    }
+    let host = host.clone();
+    tokio::spawn(async move {
+        while let Some(late) = asked.next().await {
+            if let Some(offer) = late {
+                host.upstream.keep(host.now(), offer.conn);
+            }
+        }
+    });
+    offers
+}
+
+/// Asks one target, on an idle connection or, if that fails, on a new one.
+async fn ask_one(host: Arc<Host>, pool: Arc<FleetPool>, candidate: Candidate) -> Option<Offer> {
+    let now = host.now();
+    if let Some(conn) = host.upstream.take(now, candidate.addr) {
+        let probe = health_check(&host, &pool, &candidate, conn);
+        if let Ok(Ok(offer)) = tokio::time::timeout(IDLE_ANSWER, probe).await {
+            return offer;
+        }
+    }
+    let fresh = async {
+        host.metrics.connection("target");
+        let conn = Connection::open(candidate.addr).await.map_err(|_| ())?;
+        health_check(&host, &pool, &candidate, conn).await
+    };
+    match tokio::time::timeout(UNREACHABLE, fresh).await {
+        Ok(Ok(offer)) => offer,
+        _ => {
+            host.metrics.probe(&pool.name, "failed");
+            host.on_fault(&candidate.id, Fault::Unreachable);
+            None
+        }
+    }
+}
+
+/// Makes one health check. `Err` means that the connection is of no use; `Ok(None)` that the target
+/// answered but can't be used.
+async fn health_check(
+    host: &Host,
+    pool: &FleetPool,
+    candidate: &Candidate,
+    conn: Connection,
+) -> Result<Option<Offer>, ()> {
+    let req = Request::get(&*pool.health_path)
+        .header(header::HOST, candidate.addr.to_string())
+        .body(Full::<Bytes>::default());
+    let req = req.map_err(|_| ())?;
+    let (answer, conn) = upstream::exchange(conn, req).await.map_err(|_: ExchangeError| ())?;
+    let names = host.protocol.headers();
+    // An answer to an earlier request that arrives late carries that request's id.
+    let Some(answering) = answer.headers.get(&names.answering_target) else { return Err(()) };
+    let now = host.now();
+    if answering.as_bytes() != candidate.id.as_bytes() {
+        host.metrics.probe(&pool.name, "other_target");
+        host.fleet().table.on_mismatch(now, &candidate.id);
+        info!(host.log, "address_reused"; "target" => &*candidate.id,
+            "addr" => candidate.addr.to_string(), "answering" => format!("{answering:?}"));
+        return Ok(None);
+    }
+    host.metrics.probe(&pool.name, answer.status.as_str());
+    let report = host.protocol.target_report(&answer.headers);
+    if let Some(report) = report {
+        host.fleet().table.on_report(now, &candidate.id, report);
+    }
+    let healthy = answer.status == StatusCode::OK;
+    // A target that tells no load is taken for one with room.
+    let unknown = TargetReport { running: 0, waiting: 0, slots: 1, slowdown: 1.0 };
+    let report = report.unwrap_or(unknown);
+    let candidate = candidate.clone();
+    Ok(conn.map(|conn| Offer { candidate, conn, report, healthy }))
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/reader.rs
@@ -0,0 +1,202 @@
+//! Reads the platform's store while that is this host's task.
+
+use crate::feed;
+use crate::host::Host;
+use crate::store::{ConfigNews, Currency, Store, StoreError};
+use geraniummux_core::fleet::{ReaderOptions, Source, source};
+use rand::RngExt;
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a watch waits for changes. It bounds how long a store that has lost track of a watch
+/// goes unnoticed.
+const WATCH_WAIT: Duration = Duration::from_secs(12);
+/// Pause after a first failed call; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after a failed call.
+const MAX_PAUSE: Duration = Duration::from_millis(1_200);
+/// Interval between decisions whether to read.
+const REVIEW: Duration = Duration::from_millis(100);
+/// Time after the start in which the members get to know each other before any of them reads.
+const SETTLE: Duration = Duration::from_millis(600);
+
+/// Reads the store once, so that the host can serve before it has heard of any peer.
+pub async fn start<S>(host: Arc<Host>, store: Arc<S>)
+where
+    S: Store,
+{
+    let (config, targets) =
+        tokio::join!(read_config(&host, &*store, Currency::Outdated), list(&host, &*store, Currency::Outdated));
+    info!(host.log, "first_read"; "config" => config.is_ok(), "targets" => targets.is_ok(),
+        "version" => host.config_version());
+}
+
+/// Reads the store whenever that is this host's task, until the task is dropped.
+pub async fn run<S>(host: Arc<Host>, store: Arc<S>)
+where
+    S: Store,
+{
+    let opts = ReaderOptions::default();
+    let started = host.now();
+    let mut tasks: Vec<tokio::task::JoinHandle<()>> = Vec::new();
+    loop {
+        tokio::time::sleep(REVIEW).await;
+        let now = host.now();
+        if now.since(started) < SETTLE {
+            continue;
+        }
+        let (position, _) = feed::place(&host.members());
+        let age = host.knowledge().age_heard(now);
+        let reads = !tasks.is_empty();
+        match (source(position.rank, age, reads, &opts), reads) {
+            (Source::Store, false) => {
+                info!(host.log, "reading_store"; "rank" => position.rank,
+                    "hosts" => position.hosts, "age_ms" => age.as_millis() as u64);
+                tasks.push(tokio::spawn(watch_targets(host.clone(), store.clone())));
+                tasks.push(tokio::spawn(watch_config(host.clone(), store.clone())));
+            }
+            (Source::Peers, true) => {
+                info!(host.log, "reading_peers"; "rank" => position.rank,
+                    "hosts" => position.hosts, "age_ms" => age.as_millis() as u64);
+                for task in tasks.drain(..) {
+                    task.abort();
+                }
+                let mut knowledge = host.knowledge();
+                knowledge.set_watches_targets(now, false);
+                knowledge.set_watches_config(now, false);
+            }
+            (Source::Store, true) | (Source::Peers, false) => {}
+        }
+    }
+}
+
+/// Pauses between failed calls.
+struct Pauses(Duration);
+
+impl Pauses {
+    fn reset(&mut self) {
+        self.0 = FIRST_PAUSE;
+    }
+
+    async fn wait(&mut self) {
+        let jitter = rand::rng().random_range(0.75..1.25);
+        tokio::time::sleep(self.0.mul_f64(jitter)).await;
+        self.0 = (self.0 * 2).min(MAX_PAUSE);
+    }
+}
+
+async fn watch_targets<S>(host: Arc<Host>, store: Arc<S>)
+where
+    S: Store,
+{
+    let mut pauses = Pauses(FIRST_PAUSE);
+    let mut history_gone = false;
+    loop {
+        let revision = host.fleet().registry.revision().filter(|_| !history_gone);
+        let result = match revision {
+            Some(revision) => {
+                host.knowledge().set_watches_targets(host.now(), true);
+                let result = store.watch_targets(revision, WATCH_WAIT).await;
+                note(&host, "watch_targets", result.as_ref().err());
+                result.map(|delta| {
+                    host.apply(delta, "store");
+                })
+            }
+            None => list(&host, &*store, Currency::Latest).await,
+        };
+        match result {
+            Ok(()) => {
+                history_gone = false;
+                pauses.reset();
+            }
+            Err(e) => {
+                host.knowledge().set_watches_targets(host.now(), false);
+                history_gone = matches!(e, StoreError::HistoryGone);
+                if !history_gone {
+                    pauses.wait().await;
+                }
+            }
+        }
+    }
+}
+
+async fn watch_config<S>(host: Arc<Host>, store: Arc<S>)
+where
+    S: Store,
+{
+    let mut pauses = Pauses(FIRST_PAUSE);
+    let mut history_gone = false;
+    loop {
+        let revision = host.knowledge().config_revision.filter(|_| !history_gone);
+        let result = match revision {
+            Some(revision) => {
+                host.knowledge().set_watches_config(host.now(), true);
+                let result = store.watch_config(revision, WATCH_WAIT).await;
+                note(&host, "watch_config", result.as_ref().err());
+                result.map(|news| take_in(&host, news))
+            }
+            None => read_config(&host, &*store, Currency::Latest).await,
+        };
+        match result {
+            Ok(()) => {
+                history_gone = false;
+                pauses.reset();
+            }
+            Err(e) => {
+                host.knowledge().set_watches_config(host.now(), false);
+                history_gone = matches!(e, StoreError::HistoryGone);
+                if !history_gone {
+                    pauses.wait().await;
+                }
+            }
+        }
+    }
+}
+
+async fn list<S>(host: &Host, store: &S, currency: Currency) -> Result<(), StoreError>
+where
+    S: Store,
+{
+    let result = store.list_targets(currency).await;
+    note(host, "list_targets", result.as_ref().err());
+    host.apply(result?, "store");
+    Ok(())
+}
+
+async fn read_config<S>(host: &Host, store: &S, currency: Currency) -> Result<(), StoreError>
+where
+    S: Store,
+{
+    let result = store.read_config(currency).await;
+    note(host, "read_config", result.as_ref().err());
+    take_in(host, result?);
+    Ok(())
+}
+
+fn take_in(host: &Host, news: ConfigNews) {
+    if let Some(why) = news.invalid {
+        warn!(host.log, "config_invalid"; "revision" => news.revision, "error" => why,
+            "kept" => host.config_version());
+    }
+    if let Some(config) = news.config {
+        host.adopt(config, news.revision, "store");
+    }
+    let mut knowledge = host.knowledge();
+    knowledge.config_revision = knowledge.config_revision.max(Some(news.revision));
+}
+
+/// Records the end of a call, and logs when the store is lost or regained.
+fn note(host: &Host, call: &str, error: Option<&StoreError>) {
+    let result = match error {
+        None => "ok",
+        Some(StoreError::HistoryGone) => "history_gone",
+        Some(StoreError::Refused(_)) => "refused",
+        Some(StoreError::Unreachable(_)) => "unreachable",
+        Some(StoreError::Invalid(_)) => "invalid",
+    };
+    host.metrics.store_call(call, result);
+    if let Some(e) = error {
+        warn!(host.log, "store_call_failed"; "call" => call, "error" => e.to_string());
+    }
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/run.rs
@@ -0,0 +1,157 @@
+//! Starts the tasks of a host and ends it on SIGTERM.
+
+use crate::host::{Host, Phase};
+use crate::metrics::Metrics;
+use crate::peers::{self, PeerNet};
+use crate::protocol::Protocol;
+use crate::server::{self, Service};
+use crate::settings::Settings;
+use crate::store::Store;
+use crate::{feed, logs, reader};
+use anyhow::Context;
+use geraniummux_core::Time;
+use slog::{Logger, info, warn};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Interval of the timer for targets and connections.
+const TICK: Duration = Duration::from_millis(500);
+/// Interval between looks at the settings file, which may change without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(2);
+/// Time before the end of the grace period at which the process exits at the latest.
+const EXIT_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the exit at which idle connections are closed.
+const CLOSE_IDLE: Duration = Duration::from_millis(600);
+
+/// Runs a host until it is stopped.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound or a signal can't be handled.
+pub fn run<S, F>(path: PathBuf, settings: Settings, protocol: Arc<dyn Protocol>, store: F) -> anyhow::Result<()>
+where
+    S: Store,
+    F: FnOnce(&Settings, Logger) -> S,
+{
+    let (log, _guard) = logs::start(&settings.host).context("starting the log writer")?;
+    let metrics = Metrics::new()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("starting the runtime")?;
+    runtime.block_on(async {
+        let net = PeerNet::open(settings.peer, &settings.peer_key).await?;
+        let store = Arc::new(store(&settings, log.clone()));
+        let host = Arc::new(Host::new(settings, log, metrics, protocol, net));
+        serve(path, host, store).await
+    })
+}
+
+async fn serve<S>(path: PathBuf, host: Arc<Host>, store: Arc<S>) -> anyhow::Result<()>
+where
+    S: Store,
+{
+    let settings = host.settings.load_full();
+    let mut listeners = vec![
+        (Service::Requests, settings.listen),
+        (Service::Directory, settings.directory),
+        (Service::Readiness, settings.readiness),
+    ];
+    listeners.extend(settings.metrics.map(|addr| (Service::Metrics, addr)));
+    for (service, addr) in listeners {
+        let listener = server::listen(service, addr)?;
+        tokio::spawn(server::serve(host.clone(), service, listener));
+    }
+    let peers = tokio::net::TcpListener::bind(settings.peer).await;
+    let peers = peers.with_context(|| format!("peer: can't listen on {}", settings.peer))?;
+    let stop = signal(SignalKind::terminate())?;
+    let reload = signal(SignalKind::hangup())?;
+    info!(host.log, "started"; "listen" => settings.listen.to_string(),
+        "peer" => settings.peer.to_string(), "store" => settings.store.to_string(),
+        "failure_domain" => &*settings.failure_domain);
+    tokio::spawn(peers::serve(host.clone(), peers));
+    tokio::spawn(peers::receive(host.clone()));
+    tokio::spawn(peers::run(host.clone()));
+    tokio::spawn(feed::follow(host.clone()));
+    tokio::spawn(reader::start(host.clone(), store.clone()));
+    tokio::spawn(reader::run(host.clone(), store));
+    tokio::spawn(timer(host.clone()));
+    until_stopped(path, host, stop, reload).await;
+    Ok(())
+}
+
+async fn timer(host: Arc<Host>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = host.now();
+        host.tick(now);
+        let fleet = host.fleet();
+        host.upstream.sweep(now, |addr| fleet.table.knows_addr(addr));
+        host.metrics.set_state("config_version", host.config_version() as i64);
+        host.metrics.set_state("callers", host.callers() as i64);
+        host.metrics.set_state("knowledge_age_ms", host.knowledge().age(now).as_millis() as i64);
+    }
+}
+
+async fn until_stopped(path: PathBuf, host: Arc<Host>, mut stop: Signal, mut reload: Signal) {
+    let mut changed = modified(&path);
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            _ = reload.recv() => read_settings(&path, &host, "signal"),
+            () = tokio::time::sleep(SETTINGS_CHECK) => {
+                let now = modified(&path);
+                if now != changed {
+                    changed = now;
+                    read_settings(&path, &host, "file");
+                }
+            }
+        }
+    }
+    shut_down(&host, stop).await;
+}
+
+fn modified(path: &PathBuf) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
+/// Reads the settings again. Addresses and names count only at the start.
+fn read_settings(path: &PathBuf, host: &Arc<Host>, why: &str) {
+    match Settings::load(path) {
+        Ok(settings) => {
+            let changed = settings != **host.settings.load();
+            info!(host.log, "settings_read"; "why" => why, "changed" => changed);
+            host.members().set_seeds(settings.seed_peers());
+            host.settings.store(Arc::new(settings));
+        }
+        Err(e) => {
+            warn!(host.log, "settings_refused"; "why" => why, "error" => format!("{e:#}"));
+        }
+    }
+}
+
+/// Finishes requests and lets callers move to other hosts, until the grace period is nearly over.
+/// A second SIGTERM ends the process at once.
+async fn shut_down(host: &Arc<Host>, mut stop: Signal) {
+    let grace = Duration::from_secs_f64(host.settings.load().promises.grace_s);
+    let began: Time = host.now();
+    let end = grace.saturating_sub(EXIT_MARGIN);
+    info!(host.log, "stopping"; "callers" => host.callers(), "grace_ms" => grace.as_millis() as u64);
+    host.enter(Phase::Leaving);
+    peers::leave(host);
+    tokio::select! {
+        () = tokio::time::sleep(end.saturating_sub(CLOSE_IDLE)) => {}
+        _ = stop.recv() => {
+            warn!(host.log, "stopped_at_once"; "callers" => host.callers());
+            return;
+        }
+    }
+    host.enter(Phase::Draining);
+    while host.callers() > 0 && host.now().since(began) < end {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    info!(host.log, "stopped"; "callers" => host.callers(),
+        "took_ms" => host.now().since(began).as_millis() as u64);
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/server.rs
@@ -0,0 +1,140 @@
+//! Accepts connections of callers and of the platform.
+
+use crate::host::{Host, Phase};
+use crate::{directory, proxy};
+use anyhow::Context;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::warn;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Connections that may wait to be accepted; a burst of callers arrives within milliseconds.
+const BACKLOG: i32 = 1_024;
+/// Pause after a failed accept, for example without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time beyond the idle limit of callers after which an idle connection is closed, so that none is
+/// closed on which a caller may still send.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// Idle limit before the first configuration.
+const DEFAULT_IDLE: Duration = Duration::from_secs(60);
+/// Largest head of a request, in bytes, that is read; longer ones are refused with 431.
+const MIN_HEAD_BUFFER: usize = 16 << 10;
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Service {
+    /// Requests of callers.
+    Requests,
+    /// Callers' questions for hosts.
+    Directory,
+    /// The platform's question whether this host is ready.
+    Readiness,
+    /// Metrics.
+    Metrics,
+}
+
+impl Service {
+    fn as_str(self) -> &'static str {
+        match self {
+            Service::Requests => "requests",
+            Service::Directory => "directory",
+            Service::Readiness => "readiness",
+            Service::Metrics => "metrics",
+        }
+    }
+}
+
+/// Opens a listener.
+///
+/// # Errors
+///
+/// Names the service and the address that can't be bound.
+pub fn listen(service: Service, addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    let open = || {
+        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&addr.into())?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(socket.into())
+    };
+    open().with_context(|| format!("{}: can't listen on {addr}", service.as_str()))
+}
+
+/// Accepts connections until the task is dropped.
+pub async fn serve(host: Arc<Host>, service: Service, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                host.metrics.connection(service.as_str());
+                let host = host.clone();
+                tokio::spawn(async move { serve_connection(host, service, stream).await });
+            }
+            Err(e) => {
+                warn!(host.log, "accept_failed"; "service" => service.as_str(),
+                    "error" => e.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(host: Arc<Host>, service: Service, stream: TcpStream) {
+    // Without the option answers are only sent later.
+    let _ = SockRef::from(&stream).set_tcp_nodelay(true);
+    let limits = host.routes().map(|r| r.limits);
+    let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout) + IDLE_MARGIN;
+    let head = limits.map_or(0, |l| l.max_header_bytes).max(MIN_HEAD_BUFFER);
+    let guard = (service == Service::Requests).then(|| host.caller());
+    let mut phases = host.phases();
+    let answer = service_fn(|req| answer(host.clone(), service, req));
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head)
+        .serve_connection(TokioIo::new(stream), answer);
+    let mut conn = pin!(conn);
+    loop {
+        tokio::select! {
+            // An error means that the caller left or broke the protocol; hyper has answered it.
+            _ = conn.as_mut() => break,
+            () = draining(&mut phases) => {
+                conn.as_mut().graceful_shutdown();
+                let _ = conn.as_mut().await;
+                break;
+            }
+        }
+    }
+    drop(guard);
+}
+
+async fn draining(phases: &mut watch::Receiver<Phase>) {
+    if phases.wait_for(|p| *p == Phase::Draining).await.is_err() {
+        std::future::pending().await
+    }
+}
+
+async fn answer(
+    host: Arc<Host>,
+    service: Service,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    Ok(match service {
+        Service::Requests => proxy::handle(host, req).await,
+        Service::Directory => directory::hosts(&host, &req),
+        Service::Readiness => directory::readiness(&host, &req),
+        Service::Metrics => directory::metrics(&host),
+    })
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -0,0 +1,191 @@
+//! Connections to targets and single exchanges on them.
+
+use bytes::Bytes;
+use geraniummux_core::Time;
+use http::header::CONNECTION;
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Idle connections that are kept for one target.
+const MAX_IDLE: usize = 6;
+/// Time after which an idle connection is closed; targets close theirs after about ten seconds.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// One connection to a target. It is closed when it is dropped.
+pub struct Connection {
+    addr: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    reused: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target does not accept it.
+    pub async fn open(addr: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        let (sender, conn) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| io::Error::other(e.to_string()))?;
+        // How a connection ends is seen by the exchange on it.
+        let task = tokio::spawn(async move { drop(conn.await) }).abort_handle();
+        Ok(Connection { addr, sender, task, reused: false })
+    }
+
+    /// Returns the target's address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns whether the connection was idle before its present use.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Why an exchange gave no whole answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExchangeError {
+    /// The connection was closed before any part of the request was written.
+    NotSent,
+    /// The connection broke before the head of an answer arrived.
+    NoAnswer,
+    /// The answer is not valid HTTP, or ended early.
+    BadAnswer,
+}
+
+impl ExchangeError {
+    /// Returns the name of the error in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ExchangeError::NotSent => "not_sent",
+            ExchangeError::NoAnswer => "no_answer",
+            ExchangeError::BadAnswer => "bad_answer",
+        }
+    }
+}
+
+/// Sends a request and reads the whole answer. Returns the connection if it can be used again.
+///
+/// # Errors
+///
+/// Tells whether the target may have run the request.
+pub async fn exchange(
+    mut conn: Connection,
+    req: Request<Full<Bytes>>,
+) -> Result<(Answer, Option<Connection>), ExchangeError> {
+    if conn.sender.ready().await.is_err() {
+        return Err(ExchangeError::NotSent);
+    }
+    let rsp = match conn.sender.try_send_request(req).await {
+        Ok(rsp) => rsp,
+        Err(e) if e.message().is_some() => return Err(ExchangeError::NotSent),
+        Err(e) if e.error().is_parse() => return Err(ExchangeError::BadAnswer),
+        Err(_) => return Err(ExchangeError::NoAnswer),
+    };
+    let (parts, body) = rsp.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|_| ExchangeError::BadAnswer)?.to_bytes();
+    let answer = Answer { status: parts.status, headers: parts.headers, body };
+    let closes = has_token(answer.headers.get(CONNECTION), "close");
+    let conn = (!closes && conn.is_open()).then_some(conn);
+    Ok((answer, conn))
+}
+
+fn has_token(value: Option<&HeaderValue>, token: &str) -> bool {
+    let value = value.and_then(|v| v.to_str().ok()).unwrap_or("");
+    value.split(',').any(|t| t.trim().eq_ignore_ascii_case(token))
+}
+
+struct Idle {
+    conn: Connection,
+    since: Time,
+}
+
+/// Idle connections to all targets.
+#[derive(Default)]
+pub struct Upstream {
+    /// Sorted by address; the connections of one target in the order of their last use.
+    idle: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
+}
+
+impl Upstream {
+    /// Takes the idle connection of a target that was used last.
+    pub fn take(&self, now: Time, addr: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        let i = idle.binary_search_by_key(&addr, |(a, _)| *a).ok()?;
+        while let Some(mut last) = idle[i].1.pop() {
+            if last.conn.is_open() && now.since(last.since) < MAX_IDLE_TIME {
+                last.conn.reused = true;
+                return Some(last.conn);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for later use.
+    pub fn keep(&self, now: Time, conn: Connection) {
+        if !conn.is_open() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        let addr = conn.addr;
+        let i = idle.binary_search_by_key(&addr, |(a, _)| *a).unwrap_or_else(|i| {
+            idle.insert(i, (addr, Vec::new()));
+            i
+        });
+        let kept = &mut idle[i].1;
+        if kept.len() >= MAX_IDLE {
+            kept.remove(0);
+        }
+        kept.push(Idle { conn, since: now });
+    }
+
+    /// Closes connections that were idle for long or whose target `is_known` no more.
+    pub fn sweep<F>(&self, now: Time, is_known: F)
+    where
+        F: Fn(SocketAddr) -> bool,
+    {
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        for (_, kept) in idle.iter_mut() {
+            kept.retain(|i| i.conn.is_open() && now.since(i.since) < MAX_IDLE_TIME);
+        }
+        idle.retain(|(addr, kept)| !kept.is_empty() && is_known(*addr));
+    }
+}
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -1,6 +1,7 @@
 //! The messages.
 
 use geraniummux_core::drain::{LeavingAck, LeavingNotice};
+use geraniummux_core::fleet::{Delta, FleetConfig};
 use geraniummux_core::membership::{Gossip, Member};
 use geraniummux_core::usage::UsageReport;
 use serde::{Deserialize, Serialize};
@@ -73,6 +74,44 @@
     State(State),
     /// TCP or UDP: confirms a message that needs no other answer.
     Done,
+    /// TCP: asks to be sent each [`News`] from now on.
+    Follow(Known),
+    /// TCP: sent to a follower on each change and at regular intervals.
+    News(News),
+    /// UDP: faults of targets that the sender saw since its last such message.
+    Faults(Vec<TargetFaults>),
+}
+
+/// What a follower knows already.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Known {
+    /// Version of its configuration; 0 if it has none.
+    pub config_version: u64,
+    /// Revision of its registry of targets; `None` if it has none.
+    pub targets_revision: Option<u64>,
+}
+
+/// What changed at a host that others follow.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct News {
+    /// How long ago the sender's knowledge was known to be what the platform's store holds, in
+    /// milliseconds.
+    pub age_ms: u32,
+    /// Revision of the store up to which the sender knows the configuration.
+    pub config_revision: u64,
+    /// The configuration, if it is newer than the follower's.
+    pub config: Option<FleetConfig>,
+    /// Changes of the registry of targets, if there are any.
+    pub targets: Option<Delta>,
+}
+
+/// Faults of one target.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TargetFaults {
+    /// Identity of the target.
+    pub target: Arc<str>,
+    /// Sum of the weights of the faults.
+    pub weight: f32,
 }
 
 /// One strike, or its retraction.
