Relay only what a follower lacks; budget for health checks; queue places only in time

Cause: followers were dropped at once (readiness left from their first message ended the connection), and deltas were sent from the oldest kept one, 169 changes for one. Change: a follower's end is found by peeking; deltas start at the latest point that it knows; health checks take from a budget; a queue place is only taken if the answer is in time.

--- a/crates/geraniummux-core/src/fleet/admission.rs
+++ b/crates/geraniummux-core/src/fleet/admission.rs
@@ -1,9 +1,10 @@
 //! Who is sent, who waits and who is refused when the best target at hand is full.
 //!
-//! A free slot is always taken. Without one, urgent requests wait in the target's queue as long as
-//! they are answered in time there; others wait on the host, so that queues stay short for urgent
-//! ones, and take a place in a queue only after that. What can't be answered before its deadline is
-//! refused at once.
+//! A free slot is always taken. Without one, a request takes a place in a target's queue if it is
+//! answered within its latency target there; urgent ones may take more places than others. What
+//! would be late waits on the host for a free slot for a while, so that queues stay short for those
+//! that can still be in time, and then takes a place behind them. What can't be answered before its
+//! deadline is refused at once.
 
 use super::forecast::TargetReport;
 use std::time::Duration;
@@ -26,10 +27,12 @@
 /// Limits of admission.
 #[derive(Clone, Copy, Debug)]
 pub struct AdmissionRules {
-    /// Places in a target's queue, as a part of its slots, that urgent requests may take.
+    /// Places in a target's queue, as a part of its slots, for urgent requests that are in time.
     pub urgent_queue: f64,
-    /// Places in a target's queue, as a part of its slots, that other requests may take.
+    /// Places in a target's queue, as a part of its slots, for other requests that are in time.
     pub other_queue: f64,
+    /// Places in a target's queue, as a part of its slots, for requests that will be late.
+    pub late_queue: f64,
     /// How long a request waits on the host for a free slot, as a part of its latency target.
     pub hold: f64,
     /// Pause between two looks for a free slot.
@@ -41,9 +44,10 @@
 impl Default for AdmissionRules {
     fn default() -> Self {
         AdmissionRules {
-            urgent_queue: 1.0,
-            other_queue: 0.5,
-            hold: 0.25,
+            urgent_queue: 0.7,
+            other_queue: 0.35,
+            late_queue: 0.35,
+            hold: 0.3,
             look_again: Duration::from_millis(20),
             return_part: 0.33,
         }
@@ -101,16 +105,18 @@
         let part = rules.return_part * (0.5 + 0.5 * random);
         Verdict::Refuse { why, retry_after: demand.time_left.mul_f64(part) }
     };
-    if demand.usual.mul_f64(stretch) > demand.time_left {
+    let expected = demand.usual.mul_f64(stretch);
+    if expected > demand.time_left {
         return refuse(Refusal::TooLate);
     }
+    let has_place = |part: f64| f64::from(best.waiting) < part * f64::from(best.slots);
     let places = if demand.urgent { rules.urgent_queue } else { rules.other_queue };
-    let has_place = f64::from(best.waiting) < places * f64::from(best.slots);
-    if demand.urgent && has_place {
+    let target_left = demand.latency_target.saturating_sub(demand.held);
+    if expected <= target_left && has_place(places) {
         return Verdict::Send;
     }
     if demand.held < demand.latency_target.mul_f64(rules.hold) {
         return Verdict::Hold(rules.look_again);
     }
-    if has_place { Verdict::Send } else { refuse(Refusal::Full) }
+    if has_place(rules.late_queue) { Verdict::Send } else { refuse(Refusal::Full) }
 }
--- a/crates/geraniummux-core/src/fleet/faults.rs
+++ b/crates/geraniummux-core/src/fleet/faults.rs
@@ -27,7 +27,8 @@
             Fault::Broken | Fault::Silent => 1.0,
             // A few requests fail on sound targets.
             Fault::ServerError => 0.7,
-            Fault::Refused => 0.5,
+            // A refusal may only mean that the report was outdated.
+            Fault::Refused => 0.2,
         }
     }
 
--- a/crates/geraniummux-core/src/fleet/table.rs
+++ b/crates/geraniummux-core/src/fleet/table.rs
@@ -29,6 +29,9 @@
     pub remote_factor: f64,
     /// Largest random addition to a stretch from memory, as a part of it.
     pub jitter: f64,
+    /// Part of a pool's targets from which faults leave none of them out, since then the cause lies
+    /// elsewhere or the rest could not carry the load.
+    pub max_left_out: f64,
     /// How long a target is left out after it turned out to be another one.
     pub mismatch_pause: Duration,
 }
@@ -42,6 +45,7 @@
             unknown_stretch: 1.5,
             remote_factor: 1.1,
             jitter: 0.4,
+            max_left_out: 0.4,
             mismatch_pause: Duration::from_secs(2),
         }
     }
@@ -58,6 +62,15 @@
     pub remote: bool,
 }
 
+/// What to expect of a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rating {
+    /// Orders targets; the smallest is the best. It includes faults and distance.
+    pub order: f64,
+    /// Expected time to its answer as a multiple of the usual time.
+    pub stretch: f64,
+}
+
 #[derive(Clone, Debug)]
 struct Target {
     pool: Arc<str>,
@@ -145,13 +158,18 @@
     where
         R: Rng + ?Sized,
     {
-        let mut ranked: Vec<(bool, f64, &Target)> = self
-            .pool(pool)
+        let all = self.pool(pool);
+        let ejected = all.iter().filter(|t| t.faults.is_ejected(now, &self.opts.faults)).count();
+        let ejects = ejected as f64 <= self.opts.max_left_out * all.len() as f64;
+        let left_out = |t: &Target| {
+            now < t.left_out_until || ejects && t.faults.is_ejected(now, &self.opts.faults)
+        };
+        let mut ranked: Vec<(bool, f64, &Target)> = all
             .iter()
             .filter(|t| !avoid.contains(&t.id))
             .map(|t| {
                 let jitter = 1.0 + self.opts.jitter * rng.random::<f64>();
-                (self.is_left_out(t, now), self.remembered(t, now) * jitter, t)
+                (left_out(t), self.remembered(t, now) * jitter, t)
             })
             .collect();
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
@@ -161,12 +179,13 @@
         ranked.into_iter().take(count).map(|(_, _, t)| t.candidate()).collect()
     }
 
-    /// Returns the stretch of a target that has just reported, faults and distance included.
-    pub fn rate(&self, now: Time, pool: &str, id: &str, report: &TargetReport) -> f64 {
+    /// Rates a target that has just reported.
+    pub fn rate(&self, now: Time, pool: &str, id: &str, report: &TargetReport) -> Rating {
         let Some(t) = self.pool(pool).iter().find(|t| &*t.id == id) else {
-            return f64::INFINITY;
+            return Rating { order: f64::INFINITY, stretch: f64::INFINITY };
         };
-        self.weighted(t, now, stretch(report, t.cold, &self.opts.forecast))
+        let stretch = stretch(report, t.cold, &self.opts.forecast);
+        Rating { order: self.weighted(t, now, stretch), stretch }
     }
 
     /// Returns the last report of a target if it is no older than `max_age`.
@@ -247,10 +266,6 @@
         self.targets.iter_mut().find(|t| &*t.id == id)
     }
 
-    fn is_left_out(&self, t: &Target, now: Time) -> bool {
-        now < t.left_out_until || t.faults.is_ejected(now, &self.opts.faults)
-    }
-
     /// Returns the stretch that a target is expected to have from what is remembered of it.
     fn remembered(&self, t: &Target, now: Time) -> f64 {
         let unknown = self.opts.unknown_stretch;
--- a/crates/geraniummux-host/src/feed.rs
+++ b/crates/geraniummux-host/src/feed.rs
@@ -60,6 +60,7 @@
 ) -> io::Result<()> {
     let mut news = host.news();
     let mut known = known;
+    let mut byte = [0];
     info!(host.log, "follower_joined"; "follower" => from,
         "config_version" => known.config_version,
         "targets_revision" => known.targets_revision.unwrap_or(0));
@@ -70,9 +71,10 @@
         tokio::select! {
             changed = news.changed() => changed.map_err(io::Error::other)?,
             () = tokio::time::sleep(HEARTBEAT) => {}
-            // Followers send nothing more, so this is the end of the connection.
-            readable = stream.readable() => {
-                readable?;
+            // Followers send nothing more, so this is the end of the connection. Readiness alone
+            // would not tell, since it may be left from the first message.
+            end = stream.peek(&mut byte) => {
+                end?;
                 return Ok(());
             }
         }
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -8,7 +8,7 @@
 use crate::upstream::Upstream;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
-    Delta, Fault, FleetConfig, RepeatBudget, RepeatOptions, RouteIndex, SplitState, TableOptions,
+    Delta, Fault, FleetConfig, ProbeBudget, RepeatBudget, RepeatOptions, RouteIndex, SplitState, TableOptions,
     TargetRegistry, TargetTable,
 };
 use geraniummux_core::membership::MembershipOptions;
@@ -111,6 +111,8 @@
     /// Sorted by route.
     splits: Vec<(Arc<str>, SplitState)>,
     /// Sorted by pool.
+    probes: Vec<(Arc<str>, ProbeBudget)>,
+    /// Sorted by pool.
     repeats: Vec<(Arc<str>, RepeatBudget)>,
     /// Usual time to run a request of each route in seconds, sorted by route.
     usual: Vec<(Arc<str>, f64)>,
@@ -141,6 +143,11 @@
         entry(&mut self.repeats, pool, RepeatBudget::default)
     }
 
+    /// Returns the budget for health checks of a pool's targets.
+    pub fn probes(&mut self, pool: &Arc<str>) -> &mut ProbeBudget {
+        entry(&mut self.probes, pool, ProbeBudget::default)
+    }
+
     /// Returns the usual time to run a request of a route.
     pub fn usual(&mut self, route: &Arc<str>, latency_target: Duration) -> Duration {
         let start = || latency_target.as_secs_f64() * USUAL_OF_TARGET;
@@ -161,7 +168,7 @@
         if revision.is_some_and(|r| r >= to) {
             return None;
         }
-        let start = self.deltas.iter().position(|d| revision.is_some_and(|r| d.from <= Some(r)));
+        let start = self.deltas.iter().rposition(|d| revision.is_some_and(|r| d.from <= Some(r)));
         let Some(start) = start.filter(|i| self.deltas[*i].from.is_some()) else {
             return self.registry.snapshot();
         };
@@ -255,6 +262,7 @@
                 quarantine: Quarantine::new(process, QuarantineOptions::default()),
                 deltas: VecDeque::new(),
                 splits: Vec::new(),
+                probes: Vec::new(),
                 repeats: Vec::new(),
                 usual: Vec::new(),
                 untold_faults: Vec::new(),
@@ -438,6 +446,17 @@
         self.fleet().repeats(pool).try_repeat(now, hosts, &opts)
     }
 
+    /// Returns how many of `wanted` targets of a pool may be asked for their load, `least` at any
+    /// rate.
+    pub fn take_probes(&self, pool: &Arc<str>, wanted: usize, least: usize) -> usize {
+        let hosts = self.members().live_peers().count() + 1;
+        let per_target = self.settings.load().promises.probes_per_s;
+        let now = self.now();
+        let mut fleet = self.fleet();
+        let rate = per_target * fleet.table.len(pool) as f64 / hosts as f64;
+        fleet.probes(pool).take(now, wanted, least, rate)
+    }
+
     /// Returns the limits of second sends.
     pub fn repeat_options(&self) -> RepeatOptions {
         let settings = self.settings.load();
--- a/crates/geraniummux-host/src/proxy/job.rs
+++ b/crates/geraniummux-host/src/proxy/job.rs
@@ -43,6 +43,11 @@
         self.limit.since(now)
     }
 
+    /// Returns the time since the request arrived.
+    pub fn held_for(&self, now: Time) -> Duration {
+        now.since(self.started)
+    }
+
     /// Returns the request's identity for logs.
     pub fn id(&self) -> &str {
         self.id.to_str().unwrap_or("unreadable")
--- a/crates/geraniummux-host/src/proxy/place.rs
+++ b/crates/geraniummux-host/src/proxy/place.rs
@@ -69,11 +69,21 @@
     let rules = AdmissionRules::default();
     let mut asked = FIRST_ASKED;
     let mut empty_rounds = 0;
+    let mut least = 1;
     loop {
+        let granted = host.take_probes(&job.pool.name, asked, least);
+        if granted == 0 {
+            // Only a request that waits for a free slot comes here; it goes on waiting, since the
+            // budget for health checks is used up.
+            tokio::time::sleep(rules.look_again).await;
+            let hold = job.route.latency_target.mul_f64(rules.hold);
+            least = usize::from(job.held_for(host.now()) >= hold);
+            continue;
+        }
         let now = host.now();
         let candidates = {
             let fleet = host.fleet();
-            fleet.table.candidates(now, &job.pool.name, &tried, asked, &mut rand::rng())
+            fleet.table.candidates(now, &job.pool.name, &tried, granted, &mut rand::rng())
         };
         if candidates.is_empty() {
             return refused("no_target", &job);
@@ -102,7 +112,7 @@
             usual: job.usual,
             time_left: job.time_left(now),
             latency_target: job.route.latency_target,
-            held: now.since(job.started),
+            held: job.held_for(now),
         };
         match judge(&demand, &best.report, stretch, rand::random(), &rules) {
             Verdict::Send => {
@@ -117,6 +127,7 @@
             }
             Verdict::Hold(pause) => {
                 host.upstream.keep(now, best.conn);
+                least = 0;
                 tokio::time::sleep(pause).await;
             }
             Verdict::Refuse { why, retry_after } => {
@@ -139,15 +150,15 @@
     Placement::Refused { reason, retry_after: left.mul_f64(part) }
 }
 
-/// Returns the offer with the smallest expected time to an answer, and that time as a multiple of
-/// the usual time. Targets that call themselves unhealthy count only if there are no others.
+/// Returns the offer of the best target, and the expected time to its answer as a multiple of the
+/// usual time. Targets that call themselves unhealthy count only if there are no others.
 fn best_offer(job: &Job, offers: &[Offer]) -> Option<(usize, f64)> {
     let now = job.host.now();
     let fleet = job.host.fleet();
     let rate = |o: &Offer| fleet.table.rate(now, &job.pool.name, &o.candidate.id, &o.report);
     let rated = offers.iter().enumerate().map(|(i, o)| (i, o.healthy, rate(o)));
-    let best = rated.min_by(|a, b| b.1.cmp(&a.1).then(a.2.total_cmp(&b.2)));
-    best.map(|(i, _, stretch)| (i, stretch))
+    let best = rated.min_by(|a, b| b.1.cmp(&a.1).then(a.2.order.total_cmp(&b.2.order)));
+    best.map(|(i, _, rating)| (i, rating.stretch))
 }
 
 /// Asks targets for their load. Returns those that answered shortly after the first; the answers of
