Let one host a pool place the requests of all hosts

Change: the scheduler of a pool, first in an order of the live members, keeps what the fleet has out at each target, grants free slots in one order and measures targets that have not reported for 100 ms. Without an answer in 15 ms a host chooses by itself as before.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod registry;
 mod repeats;
 mod routes;
+mod scheduler;
 mod split;
 mod table;
 
@@ -23,5 +24,6 @@
 pub use registry::{Change, Delta, RegisteredTarget, TargetRegistry};
 pub use repeats::{RepeatBudget, RepeatOptions};
 pub use routes::{CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex};
+pub use scheduler::{Ask, Decision, Denial, Scheduler, SchedulerOptions, Ticket};
 pub use split::SplitState;
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
--- /dev/null
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -0,0 +1,398 @@
+//! Places the requests of one pool for all hosts.
+//!
+//! For each pool one host, the scheduler, knows what the whole fleet has out at each target. The
+//! others ask it where to send a request and tell it when the request has ended. It never has more
+//! out at a target than the target can run, but for one place that covers the way of the messages;
+//! what finds no slot waits here, in one order for the whole fleet, rather than in the targets'
+//! queues:
+//!
+//! * first requests that can still be answered within their latency target, urgent ones before
+//!   others, then those that will be late; the one whose target ends first comes first;
+//! * a request that would be late at the targets that are free, because these are slow at present,
+//!   waits for a better one as long as that can help;
+//! * one that will not be answered before its deadline is refused at once.
+//!
+//! The scheduler keeps nothing: another host can take over at any time and learns from the targets'
+//! reports what is out there.
+
+use super::forecast::{ForecastOptions, TargetReport, stretch};
+use super::faults::{FaultOptions, FaultScore};
+use super::registry::RegisteredTarget;
+use crate::time::Time;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Identifies a request of one host.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket {
+    /// The host that asks.
+    pub host: Arc<str>,
+    /// Number of the request at that host.
+    pub number: u64,
+}
+
+/// A request that wants a target.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ask {
+    /// Failure domain of the host that asks.
+    pub failure_domain: Arc<str>,
+    /// Whether no kind of request to the pool is more urgent.
+    pub urgent: bool,
+    /// Usual time to run the request.
+    pub usual: Duration,
+    /// Time until its deadline.
+    pub time_left: Duration,
+    /// Time until its latency target; zero once that is over.
+    pub target_left: Duration,
+    /// Targets that it must not be sent to.
+    pub avoid: Vec<Arc<str>>,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Denial {
+    /// It would not be answered before its deadline.
+    TooLate,
+    /// The pool has no target that it may be sent to.
+    NoTarget,
+}
+
+impl Denial {
+    /// Returns the name of the reason in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Denial::TooLate => "too_late",
+            Denial::NoTarget => "no_target",
+        }
+    }
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Decision {
+    /// It is to be sent to a target.
+    Grant {
+        /// The target.
+        target: Arc<str>,
+        /// Expected time to the answer as a multiple of the usual time.
+        stretch: f64,
+    },
+    /// It waits; another decision follows.
+    Wait,
+    /// It is refused.
+    Refuse {
+        /// Why.
+        why: Denial,
+        /// When the caller may return.
+        retry_after: Duration,
+    },
+}
+
+/// Weights and limits of the scheduler.
+#[derive(Clone, Debug)]
+pub struct SchedulerOptions {
+    /// Forecast of a target's time to answer.
+    pub forecast: ForecastOptions,
+    /// Score of faults.
+    pub faults: FaultOptions,
+    /// Factor on the expected time at targets in other failure domains than the host that asks.
+    pub remote_factor: f64,
+    /// Requests that a target may have beyond its slots while others wait.
+    pub overcommit: u32,
+    /// Time in which the trust in a reported slowdown falls to a third.
+    pub trust: Duration,
+    /// Slowdown assumed of a target without a recent report.
+    pub unknown_slowdown: f64,
+    /// Time in which requests of others that a report shows are forgotten to a third.
+    pub foreign_trust: Duration,
+    /// Part of a pool's targets from which faults leave none of them out, since then the cause lies
+    /// elsewhere or the rest could not carry the load.
+    pub max_left_out: f64,
+    /// Requests that may wait; more are refused.
+    pub max_waiting: usize,
+    /// Part of the time left after which a refused caller may return.
+    pub return_part: f64,
+}
+
+impl Default for SchedulerOptions {
+    fn default() -> Self {
+        SchedulerOptions {
+            forecast: ForecastOptions::default(),
+            faults: FaultOptions::default(),
+            remote_factor: 1.25,
+            overcommit: 1,
+            trust: Duration::from_millis(250),
+            unknown_slowdown: 1.5,
+            foreign_trust: Duration::from_millis(400),
+            max_left_out: 0.4,
+            max_waiting: 4_096,
+            return_part: 0.33,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Out {
+    ticket: Ticket,
+    /// When it has ended at the latest, should its host not tell.
+    until: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    id: Arc<str>,
+    failure_domain: Arc<str>,
+    slots: u32,
+    cold: bool,
+    /// Requests that were granted and have not ended.
+    out: Vec<Out>,
+    slowdown: f64,
+    /// When it last reported.
+    reported: Option<Time>,
+    /// Requests of others that the last report showed.
+    foreign: f64,
+    faults: FaultScore,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    ask: Ask,
+    since: Time,
+}
+
+impl Waiting {
+    fn deadline(&self) -> Time {
+        self.since + self.ask.time_left
+    }
+
+    /// Returns whether it can still be answered within its latency target, at a target that is as
+    /// fast as usual.
+    fn can_be_in_time(&self, now: Time) -> bool {
+        now + self.ask.usual <= self.since + self.ask.target_left
+    }
+}
+
+/// The scheduler of one pool.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    opts: SchedulerOptions,
+    /// Sorted by id.
+    targets: Vec<Target>,
+    /// In the order of arrival.
+    waiting: Vec<Waiting>,
+}
+
+impl Scheduler {
+    /// Returns a scheduler that knows no targets.
+    pub fn new(opts: SchedulerOptions) -> Self {
+        Scheduler { opts, targets: Vec::new(), waiting: Vec::new() }
+    }
+
+    /// Takes in the targets of the pool, with whether each is slow from its start.
+    pub fn update<'a, I>(&mut self, registered: I)
+    where
+        I: Iterator<Item = (&'a RegisteredTarget, bool)>,
+    {
+        let old = std::mem::take(&mut self.targets);
+        for (t, cold) in registered.filter(|(t, _)| !t.leaving) {
+            let known = old.binary_search_by(|o| o.id.cmp(&t.id)).ok().map(|i| &old[i]);
+            self.targets.push(Target {
+                id: t.id.clone(),
+                failure_domain: t.failure_domain.clone(),
+                slots: t.slots.max(1),
+                cold,
+                out: known.map(|k| k.out.clone()).unwrap_or_default(),
+                slowdown: known.map_or(self.opts.unknown_slowdown, |k| k.slowdown),
+                reported: known.and_then(|k| k.reported),
+                foreign: known.map_or(0.0, |k| k.foreign),
+                faults: known.map(|k| k.faults).unwrap_or_default(),
+            });
+        }
+        self.targets.sort_by(|a, b| a.id.cmp(&b.id));
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the targets that have not reported for `max_age`, the longest first.
+    pub fn unheard(&self, now: Time, max_age: Duration) -> Vec<Arc<str>> {
+        let mut unheard: Vec<(Option<Time>, &Arc<str>)> = self
+            .targets
+            .iter()
+            .filter(|t| t.reported.is_none_or(|at| now.since(at) >= max_age))
+            .map(|t| (t.reported, &t.id))
+            .collect();
+        unheard.sort();
+        unheard.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Decides on a request. Decisions on others that wait may come with it.
+    pub fn ask(&mut self, now: Time, ticket: Ticket, ask: Ask) -> Vec<(Ticket, Decision)> {
+        // A message that arrives twice must not take two places.
+        self.forget(&ticket);
+        let waiting = Waiting { ticket: ticket.clone(), ask, since: now };
+        if self.waiting.len() >= self.opts.max_waiting {
+            return vec![(ticket, self.refuse(now, &waiting, Denial::TooLate))];
+        }
+        self.waiting.push(waiting);
+        let mut out = self.advance(now);
+        if !out.iter().any(|(t, _)| *t == ticket) {
+            out.push((ticket, Decision::Wait));
+        }
+        out
+    }
+
+    /// Records that a request has ended, with what the target said of its load at that time.
+    pub fn done(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        report: Option<(Arc<str>, TargetReport)>,
+    ) -> Vec<(Ticket, Decision)> {
+        self.forget(ticket);
+        if let Some((target, report)) = report {
+            self.on_report(now, &target, &report);
+        }
+        self.advance(now)
+    }
+
+    /// Records what a target said of its load.
+    pub fn on_report(&mut self, now: Time, target: &str, report: &TargetReport) {
+        let Some(t) = self.targets.iter_mut().find(|t| &*t.id == target) else { return };
+        t.slowdown = report.slowdown;
+        t.slots = report.slots.max(1);
+        t.reported = Some(now);
+        let at_target = report.running + report.waiting;
+        t.foreign = f64::from(at_target.saturating_sub(t.out.len() as u32));
+    }
+
+    /// Adds to a target's faults.
+    pub fn on_fault(&mut self, now: Time, target: &str, weight: f64) {
+        let faults = self.opts.faults;
+        if let Some(t) = self.targets.iter_mut().find(|t| &*t.id == target) {
+            t.faults.add(now, weight, &faults);
+        }
+    }
+
+    /// Advances the time: requests that wait may now be refused or granted.
+    pub fn tick(&mut self, now: Time) -> Vec<(Ticket, Decision)> {
+        for t in &mut self.targets {
+            t.out.retain(|o| now < o.until);
+        }
+        self.advance(now)
+    }
+
+    fn forget(&mut self, ticket: &Ticket) {
+        for t in &mut self.targets {
+            t.out.retain(|o| o.ticket != *ticket);
+        }
+        self.waiting.retain(|w| w.ticket != *ticket);
+    }
+
+    /// Grants what can be granted and refuses what can't be answered any more.
+    fn advance(&mut self, now: Time) -> Vec<(Ticket, Decision)> {
+        let mut out = Vec::new();
+        for i in self.order(now) {
+            let has_room = self.targets.is_empty()
+                || self.targets.iter().any(|t| self.has_room(&self.expected_report(now, t)));
+            let decision = if has_room {
+                self.decide(now, &self.waiting[i])
+            } else {
+                self.refuse_late(now, &self.waiting[i])
+            };
+            if let Some(decision) = decision {
+                let waiting = &self.waiting[i];
+                if let Decision::Grant { target, .. } = &decision {
+                    let (ticket, until) = (waiting.ticket.clone(), waiting.deadline());
+                    if let Some(t) = self.targets.iter_mut().find(|t| t.id == *target) {
+                        t.out.push(Out { ticket, until });
+                    }
+                }
+                out.push((self.waiting[i].ticket.clone(), decision));
+            }
+        }
+        self.waiting.retain(|w| !out.iter().any(|(t, _)| *t == w.ticket));
+        out
+    }
+
+    /// Returns the indices of the requests that wait, the one to be served first in front.
+    fn order(&self, now: Time) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by_key(|i| {
+            let w = &self.waiting[*i];
+            (!w.can_be_in_time(now), !w.ask.urgent, w.since + w.ask.target_left)
+        });
+        order
+    }
+
+    /// Refuses a request that can't be answered before its deadline.
+    fn refuse_late(&self, now: Time, w: &Waiting) -> Option<Decision> {
+        let late = w.deadline().since(now) < w.ask.usual;
+        late.then(|| self.refuse(now, w, Denial::TooLate))
+    }
+
+    /// Decides on a request that is first in order; `None` lets it wait on.
+    fn decide(&self, now: Time, w: &Waiting) -> Option<Decision> {
+        let left = w.deadline().since(now);
+        if let Some(refusal) = self.refuse_late(now, w) {
+            return Some(refusal);
+        }
+        let Some((best, stretch, is_free)) = self.best(now, &w.ask) else {
+            return Some(self.refuse(now, w, Denial::NoTarget));
+        };
+        let expected = w.ask.usual.mul_f64(stretch);
+        let in_time = now + expected <= w.since + w.ask.target_left;
+        // A free target that is too slow at present is passed over while another may still do.
+        let grant = is_free && (in_time || !w.can_be_in_time(now) && expected <= left);
+        grant.then(|| Decision::Grant { target: best.id.clone(), stretch })
+    }
+
+    /// Returns the best target for a request, the stretch to expect there, and whether it has room.
+    /// Targets with room come first.
+    fn best(&self, now: Time, ask: &Ask) -> Option<(&Target, f64, bool)> {
+        let faults = &self.opts.faults;
+        let ejected = self.targets.iter().filter(|t| t.faults.is_ejected(now, faults)).count();
+        let ejects = ejected as f64 <= self.opts.max_left_out * self.targets.len() as f64;
+        let usable = self.targets.iter().filter(|t| !ask.avoid.contains(&t.id));
+        let rated = usable.map(|t| {
+            let report = self.expected_report(now, t);
+            let stretch = stretch(&report, t.cold, &self.opts.forecast);
+            let remote = if t.failure_domain == ask.failure_domain { 1.0 } else { self.opts.remote_factor };
+            let order = stretch * remote * (1.0 + t.faults.at(now, faults));
+            let left_out = ejects && t.faults.is_ejected(now, faults);
+            (t, stretch, !self.has_room(&report), left_out, order)
+        });
+        let best = rated.min_by(|a, b| (a.3, a.2).cmp(&(b.3, b.2)).then(a.4.total_cmp(&b.4)));
+        best.map(|(t, stretch, full, ..)| (t, stretch, !full))
+    }
+
+    fn has_room(&self, report: &TargetReport) -> bool {
+        let waiting = self.waiting.len() > 1;
+        let places = report.slots + if waiting { self.opts.overcommit } else { 0 };
+        report.running + report.waiting < places
+    }
+
+    /// Returns what a target would say of its load now.
+    fn expected_report(&self, now: Time, t: &Target) -> TargetReport {
+        let age = t.reported.map_or(f64::INFINITY, |at| now.since(at).as_secs_f64());
+        let unknown = self.opts.unknown_slowdown;
+        let trust = (-age / self.opts.trust.as_secs_f64()).exp();
+        let foreign = t.foreign * (-age / self.opts.foreign_trust.as_secs_f64()).exp();
+        let load = t.out.len() as u32 + foreign.round() as u32;
+        TargetReport {
+            running: load.min(t.slots),
+            waiting: load.saturating_sub(t.slots),
+            slots: t.slots,
+            slowdown: unknown + (t.slowdown - unknown) * trust,
+        }
+    }
+
+    fn refuse(&self, now: Time, w: &Waiting, why: Denial) -> Decision {
+        let left = w.deadline().since(now);
+        Decision::Refuse { why, retry_after: left.mul_f64(self.opts.return_part) }
+    }
+}
--- a/crates/geraniummux-core/src/fleet/table.rs
+++ b/crates/geraniummux-core/src/fleet/table.rs
@@ -137,7 +137,12 @@
 
     /// Returns whether the target may still be sent requests of the pool.
     pub fn contains(&self, pool: &str, id: &str) -> bool {
-        self.pool(pool).iter().any(|t| &*t.id == id)
+        self.candidate(pool, id).is_some()
+    }
+
+    /// Returns the target if it may be sent requests of the pool.
+    pub fn candidate(&self, pool: &str, id: &str) -> Option<Candidate> {
+        self.pool(pool).iter().find(|t| &*t.id == id).map(Target::candidate)
     }
 
     /// Returns whether an address belongs to any target in the table.
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Metrics;
 use crate::peers::PeerNet;
 use crate::protocol::Protocol;
+use crate::scheduling::Scheduling;
 use crate::settings::Settings;
 use crate::upstream::Upstream;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -204,6 +205,8 @@
     /// Connections to targets.
     pub upstream: Upstream,
     net: PeerNet,
+    /// Decisions where to send requests.
+    pub scheduling: Scheduling,
     routes: ArcSwapOption<RouteIndex>,
     config: Mutex<Option<Arc<FleetConfig>>>,
     fleet: Mutex<Fleet>,
@@ -254,6 +257,7 @@
             protocol,
             net,
             upstream: Upstream::default(),
+            scheduling: Scheduling::default(),
             routes: ArcSwapOption::empty(),
             config: Mutex::default(),
             fleet: Mutex::new(Fleet {
@@ -410,6 +414,7 @@
         }
         fleet.keep(delta);
         fleet.refresh(now);
+        self.scheduling.update(fleet.registry.targets(now));
         if changes > 0 {
             info!(self.log, "targets_changed"; "revision" => to, "changes" => changes,
                 "from" => from, "lapsed" => fleet.registry.lapsed(),
@@ -423,6 +428,7 @@
     /// Records a fault of a target that this host saw.
     pub fn on_fault(&self, id: &Arc<str>, fault: Fault) {
         let now = self.now();
+        self.scheduling.on_fault(now, id, fault.weight());
         let mut fleet = self.fleet();
         fleet.untold_faults.push((id.clone(), fault.weight()));
         if fleet.table.on_fault(now, id, fault.weight()) {
@@ -433,6 +439,7 @@
     /// Records faults of a target that a peer saw.
     pub fn on_peer_fault(&self, from: &str, id: &str, weight: f64) {
         let now = self.now();
+        self.scheduling.on_fault(now, id, weight);
         if self.fleet().table.on_fault(now, id, weight) {
             warn!(self.log, "target_left_out"; "target" => id, "peer" => from, "weight" => weight);
         }
@@ -479,6 +486,7 @@
         let mut fleet = self.fleet();
         fleet.registry.expire(now);
         fleet.refresh(now);
+        self.scheduling.update(fleet.registry.targets(now));
     }
 
     fn note_news(&self) {
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod proxy;
 pub mod reader;
 pub mod run;
+pub mod scheduling;
 pub mod server;
 pub mod settings;
 pub mod store;
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -1,7 +1,8 @@
 //! Messages between entry hosts: membership, faults of targets and requests that crash targets.
 
-use crate::feed;
 use crate::host::Host;
+use crate::scheduling::{self, Scheduling};
+use crate::feed;
 use anyhow::Context;
 use geraniummux_core::membership::{Gossip, MembershipAction};
 use geraniummux_core::quarantine;
@@ -65,7 +66,7 @@
 }
 
 /// Sends a datagram to some peers. One that can't be sent at once is lost, as on the way.
-fn send(host: &Host, to: &[SocketAddr], message: Message) {
+pub fn send(host: &Host, to: &[SocketAddr], message: Message) {
     let datagram = match host.net().codec.encode_datagram(&envelope(host, message)) {
         Ok(datagram) => datagram,
         Err(e) => {
@@ -117,6 +118,13 @@
             }
         }
         Message::Strike(strike) => on_strike(host, &format!("{from}/{incarnation}"), &strike),
+        Message::Ask { number, pool, ask } => {
+            scheduling::on_ask(host, &from, number, &pool, ask);
+        }
+        Message::Decided { number, decision } => scheduling::on_decided(host, number, decision),
+        Message::Ended { number, pool, report } => {
+            scheduling::on_ended(host, &from, number, &pool, report);
+        }
         other => {
             warn!(host.log, "datagram_unexpected"; "from" => &*from,
                 "message" => format!("{:?}", std::mem::discriminant(&other)));
@@ -175,6 +183,7 @@
         };
         perform(&host, actions);
         tell_faults(&host);
+        scheduling::tick(&host);
     }
 }
 
@@ -208,6 +217,11 @@
     let mut to = live_peers(host);
     to.shuffle(&mut rand::rng());
     to.truncate(FAULT_FANOUT);
+    // Those that decide with the faults hear of them at any rate.
+    let me = host.settings.load().peer;
+    to.extend(Scheduling::schedulers(host).into_iter().filter(|a| *a != me));
+    to.sort_unstable();
+    to.dedup();
     for faults in sums.chunks(MAX_FAULTS) {
         send(host, &to, Message::Faults(faults.to_vec()));
     }
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -21,7 +21,7 @@
 
 /// Sends a request to the target that it was placed at and waits for the answer.
 pub async fn send(job: Arc<Job>, placed: Placed) -> (Arc<str>, Sent) {
-    let Placed { target, conn, stretch } = placed;
+    let Placed { target, conn, stretch, mut grant } = placed;
     let host = &job.host;
     let sent_at = host.now();
     let Some(req) = request(&job, &target) else {
@@ -33,7 +33,11 @@
         Ok((answer, conn)) => {
             if let Some(report) = host.protocol.target_report(&answer.headers) {
                 host.fleet().table.on_report(now, &target, report);
+                if let Some(grant) = &mut grant {
+                    grant.set_report(&target, report);
+                }
             }
+            drop(grant);
             let end = judge(&job, answer);
             if !matches!(end, Sent::Lost(_))
                 && let Some(conn) = conn
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -3,7 +3,7 @@
 mod attempt;
 mod headers;
 mod job;
-mod place;
+pub(crate) mod place;
 mod reply;
 mod request;
 
--- a/crates/geraniummux-host/src/proxy/place.rs
+++ b/crates/geraniummux-host/src/proxy/place.rs
@@ -5,11 +5,13 @@
 
 use super::job::Job;
 use crate::host::Host;
+use crate::scheduling::{self, Answer, Grant};
 use crate::upstream::{self, Connection, ExchangeError};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use geraniummux_core::Time;
 use geraniummux_core::fleet::{
-    AdmissionRules, Candidate, Demand, Fault, FleetPool, TargetReport, Verdict, judge,
+    AdmissionRules, Ask, Candidate, Demand, Fault, FleetPool, TargetReport, Verdict, judge,
 };
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
@@ -17,6 +19,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// Targets that are asked first.
 const FIRST_ASKED: usize = 3;
@@ -30,6 +33,10 @@
 const IDLE_ANSWER: Duration = Duration::from_millis(60);
 /// How long a target may take to open a connection and answer before that counts as a fault.
 const UNREACHABLE: Duration = Duration::from_millis(250);
+/// Idle time up to which a connection is used for idempotent requests without a health check.
+const TRUSTED_IDLE: Duration = Duration::from_millis(1_000);
+/// Grants that may turn out to be of no use before the host chooses by itself.
+const MAX_GRANTS: u32 = 3;
 /// Rounds of asking without any answer after which the request is refused.
 const MAX_EMPTY_ROUNDS: u32 = 4;
 
@@ -41,6 +48,8 @@
     pub conn: Connection,
     /// Expected time to its answer, as a multiple of the usual time.
     pub stretch: f64,
+    /// The place that the scheduler gave, unless the host chose by itself.
+    pub grant: Option<Grant>,
 }
 
 /// What came of looking for a target.
@@ -63,8 +72,79 @@
     healthy: bool,
 }
 
-/// Finds a target that is not among `tried`.
+/// Finds a target that is not among `tried`: the one that the pool's scheduler names or, if no
+/// scheduler answers, one that this host chooses by itself.
 pub async fn find(job: Arc<Job>, tried: Vec<Arc<str>>) -> Placement {
+    let host = &job.host;
+    let mut avoid = tried.clone();
+    for _ in 0..MAX_GRANTS {
+        let ask = |now: Time| Ask {
+            failure_domain: host.settings.load().failure_domain.clone(),
+            urgent: job.urgent,
+            usual: job.usual,
+            time_left: job.time_left(now),
+            target_left: job.route.latency_target.saturating_sub(job.held_for(now)),
+            avoid: avoid.clone(),
+        };
+        match scheduling::place(host, &job.pool.name, job.limit, ask).await {
+            Answer::Granted { grant, target, stretch } => {
+                if let Some(conn) = connect(&job, &target).await {
+                    let grant = Some(grant);
+                    return Placement::Placed(Placed { target, conn, stretch, grant });
+                }
+                avoid.push(target);
+            }
+            Answer::Refused { why, retry_after } => {
+                info!(host.log, "admission_refused"; "id" => job.id(), "why" => why,
+                    "by" => "scheduler", "held_ms" => job.held_for(host.now()).as_millis() as u64,
+                    "retry_after_ms" => retry_after.as_millis() as u64);
+                return Placement::Refused { reason: why, retry_after };
+            }
+            Answer::Unavailable => break,
+        }
+    }
+    search(job, tried).await
+}
+
+/// Gets a connection to a target on which a request can be sent.
+async fn connect(job: &Job, target: &Arc<str>) -> Option<Connection> {
+    let host = &job.host;
+    // The scheduler may not know yet that the target leaves, or this host not yet that it came.
+    let candidate = host.fleet().table.candidate(&job.pool.name, target)?;
+    let now = host.now();
+    if let Some((conn, idle)) = host.upstream.take(now, candidate.addr) {
+        if job.route.idempotent && idle <= TRUSTED_IDLE {
+            return Some(conn);
+        }
+        let probe = health_check(host, &job.pool, &candidate, conn);
+        match timeout(IDLE_ANSWER, probe).await {
+            Ok(Ok(Some(offer))) => return Some(offer.conn),
+            // It answered, but can't be used.
+            Ok(Ok(None)) => return None,
+            Ok(Err(())) | Err(_) => {}
+        }
+    }
+    host.metrics.connection("target");
+    match timeout(UNREACHABLE, Connection::open(candidate.addr)).await {
+        Ok(Ok(conn)) => Some(conn),
+        _ => {
+            host.on_fault(target, Fault::Unreachable);
+            None
+        }
+    }
+}
+
+/// Asks a target for its load.
+pub async fn measure(host: &Arc<Host>, pool: &Arc<str>, target: &Arc<str>) -> Option<TargetReport> {
+    let pool = host.routes()?.pool(pool)?.clone();
+    let candidate = host.fleet().table.candidate(&pool.name, target)?;
+    let offer = ask_one(host.clone(), pool, candidate).await?;
+    host.upstream.keep(host.now(), offer.conn);
+    Some(offer.report)
+}
+
+/// Finds a target that is not among `tried` by asking some for their load.
+async fn search(job: Arc<Job>, tried: Vec<Arc<str>>) -> Placement {
     let host = &job.host;
     let rules = AdmissionRules::default();
     let mut asked = FIRST_ASKED;
@@ -123,7 +203,8 @@
                     continue;
                 }
                 fleet.table.on_sent(&id);
-                return Placement::Placed(Placed { target: id, conn: best.conn, stretch });
+                let conn = best.conn;
+                return Placement::Placed(Placed { target: id, conn, stretch, grant: None });
             }
             Verdict::Hold(pause) => {
                 host.upstream.keep(now, best.conn);
@@ -198,9 +279,9 @@
 /// Asks one target, on an idle connection or, if that fails, on a new one.
 async fn ask_one(host: Arc<Host>, pool: Arc<FleetPool>, candidate: Candidate) -> Option<Offer> {
     let now = host.now();
-    if let Some(conn) = host.upstream.take(now, candidate.addr) {
+    if let Some((conn, _)) = host.upstream.take(now, candidate.addr) {
         let probe = health_check(&host, &pool, &candidate, conn);
-        if let Ok(Ok(offer)) = tokio::time::timeout(IDLE_ANSWER, probe).await {
+        if let Ok(Ok(offer)) = timeout(IDLE_ANSWER, probe).await {
             return offer;
         }
     }
@@ -209,7 +290,7 @@
         let conn = Connection::open(candidate.addr).await.map_err(|_| ())?;
         health_check(&host, &pool, &candidate, conn).await
     };
-    match tokio::time::timeout(UNREACHABLE, fresh).await {
+    match timeout(UNREACHABLE, fresh).await {
         Ok(Ok(offer)) => offer,
         _ => {
             host.metrics.probe(&pool.name, "failed");
--- /dev/null
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -0,0 +1,328 @@
+//! Asks the scheduler of a pool where to send requests, and is one for some pools.
+
+use crate::host::Host;
+use crate::peers;
+use crate::proxy::place;
+use geraniummux_core::fleet::{
+    Ask, Decision, RegisteredTarget, Scheduler, SchedulerOptions, TargetReport, Ticket,
+};
+use geraniummux_core::{MemberState, Time};
+use geraniummux_wire::Message;
+use slog::info;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Time for a first decision. It covers the way to the scheduler and back and a few turns of other
+/// processes on a small part of a core.
+const FIRST_DECISION: Duration = Duration::from_millis(15);
+/// Time after which a request that waits is asked about again, in case that a message was lost.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+/// How long a scheduler that did not answer is not asked.
+const DISTRUST: Duration = Duration::from_millis(700);
+/// A pool without requests for this long is not measured.
+const ACTIVE: Duration = Duration::from_secs(2);
+/// Age of a target's last report from which the scheduler asks it for its load.
+const REPORT_AGE: Duration = Duration::from_millis(100);
+
+struct Duty {
+    pool: Arc<str>,
+    scheduler: Scheduler,
+    asked: Time,
+}
+
+/// Requests of this host that wait for decisions, and the pools that this host schedules.
+#[derive(Default)]
+pub struct Scheduling {
+    /// Sorted by pool.
+    duties: Mutex<Vec<Duty>>,
+    /// Sorted by number.
+    pending: Mutex<Vec<(u64, mpsc::UnboundedSender<Decision>)>>,
+    next: AtomicU64,
+    /// Schedulers that did not answer, with the end of the time in which they are not asked.
+    distrusted: Mutex<Vec<(SocketAddr, Time)>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Scheduling {
+    fn duty<R, F>(&self, host: &Host, pool: &Arc<str>, f: F) -> R
+    where
+        F: FnOnce(&mut Scheduler) -> R,
+    {
+        let now = host.now();
+        // The order of these locks is the same everywhere.
+        let fleet = host.fleet();
+        let mut duties = lock(&self.duties);
+        let i = duties.binary_search_by(|d| d.pool.cmp(pool)).unwrap_or_else(|i| {
+            info!(host.log, "scheduling_pool"; "pool" => &**pool);
+            let mut scheduler = Scheduler::new(SchedulerOptions::default());
+            scheduler.update(targets_of(fleet.registry.targets(now), pool));
+            duties.insert(i, Duty { pool: pool.clone(), scheduler, asked: now });
+            i
+        });
+        drop(fleet);
+        duties[i].asked = now;
+        f(&mut duties[i].scheduler)
+    }
+
+    /// Takes in changed targets.
+    pub fn update<'a, I>(&self, targets: I)
+    where
+        I: Iterator<Item = (&'a RegisteredTarget, bool)> + Clone,
+    {
+        for duty in lock(&self.duties).iter_mut() {
+            duty.scheduler.update(targets_of(targets.clone(), &duty.pool));
+        }
+    }
+
+    /// Records faults of a target.
+    pub fn on_fault(&self, now: Time, target: &str, weight: f64) {
+        for duty in lock(&self.duties).iter_mut() {
+            duty.scheduler.on_fault(now, target, weight);
+        }
+    }
+}
+
+fn targets_of<'a, I>(targets: I, pool: &str) -> impl Iterator<Item = (&'a RegisteredTarget, bool)>
+where
+    I: Iterator<Item = (&'a RegisteredTarget, bool)>,
+{
+    targets.filter(move |(t, _)| *t.pool == *pool)
+}
+
+/// A place at a target. The scheduler is told that the request has ended when it is dropped.
+pub struct Grant {
+    host: Arc<Host>,
+    pool: Arc<str>,
+    number: u64,
+    scheduler: SocketAddr,
+    report: Option<(Arc<str>, TargetReport)>,
+}
+
+impl Grant {
+    /// Notes what a target said of its load when the request ended.
+    pub fn set_report(&mut self, target: &Arc<str>, report: TargetReport) {
+        self.report = Some((target.clone(), report));
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let host = &self.host;
+        lock(&host.scheduling.pending).retain(|(n, _)| *n != self.number);
+        let report = self.report.take();
+        if self.scheduler == host.settings.load().peer {
+            let me = host.settings.load().host.clone();
+            on_ended(host, &me, self.number, &self.pool, report);
+        } else {
+            let message = Message::Ended { number: self.number, pool: self.pool.clone(), report };
+            peers::send(host, &[self.scheduler], message);
+        }
+    }
+}
+
+/// What came of asking a scheduler.
+pub enum Answer {
+    /// The request is to be sent to a target.
+    Granted {
+        /// The place.
+        grant: Grant,
+        /// The target.
+        target: Arc<str>,
+        /// Expected time to the answer as a multiple of the usual time.
+        stretch: f64,
+    },
+    /// The request is refused.
+    Refused {
+        /// Why, for logs.
+        why: &'static str,
+        /// When the caller may return.
+        retry_after: Duration,
+    },
+    /// No scheduler answers.
+    Unavailable,
+}
+
+/// Returns the host that schedules a pool: the first of all hosts in service in an order that
+/// differs between pools.
+fn scheduler_of(host: &Host, pool: &str) -> Option<SocketAddr> {
+    let members = host.members();
+    std::iter::once(members.me())
+        .chain(members.peers())
+        .filter(|m| m.state == MemberState::Alive)
+        .min_by_key(|m| (members.order_key(pool, &m.name), m.name.clone()))
+        .map(|m| m.addr)
+}
+
+/// Asks where to send a request. `ask` is called for the request as it is at that time.
+pub async fn place<F>(host: &Arc<Host>, pool: &Arc<str>, deadline: Time, ask: F) -> Answer
+where
+    F: Fn(Time) -> Ask,
+{
+    let Some(scheduler) = scheduler_of(host, pool) else { return Answer::Unavailable };
+    let now = host.now();
+    if lock(&host.scheduling.distrusted).iter().any(|(a, until)| *a == scheduler && now < *until) {
+        return Answer::Unavailable;
+    }
+    let number = host.scheduling.next.fetch_add(1, Ordering::Relaxed);
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    lock(&host.scheduling.pending).push((number, tx));
+    // From here on the scheduler is told if the request ends without having been sent.
+    let grant =
+        Grant { host: host.clone(), pool: pool.clone(), number, scheduler, report: None };
+    let mut patience = FIRST_DECISION;
+    loop {
+        let now = host.now();
+        if now >= deadline {
+            return Answer::Unavailable;
+        }
+        send_ask(host, scheduler, number, pool, ask(now));
+        loop {
+            match timeout(patience, rx.recv()).await {
+                Ok(Some(Decision::Wait)) => patience = ASK_AGAIN,
+                Ok(Some(Decision::Grant { target, stretch })) => {
+                    return Answer::Granted { grant, target, stretch };
+                }
+                Ok(Some(Decision::Refuse { why, retry_after })) => {
+                    return Answer::Refused { why: why.as_str(), retry_after };
+                }
+                Ok(None) => return Answer::Unavailable,
+                Err(_) if patience == FIRST_DECISION => {
+                    distrust(host, scheduler);
+                    return Answer::Unavailable;
+                }
+                Err(_) => break,
+            }
+        }
+        patience = FIRST_DECISION;
+    }
+}
+
+fn distrust(host: &Host, scheduler: SocketAddr) {
+    let now = host.now();
+    info!(host.log, "scheduler_silent"; "scheduler" => scheduler.to_string());
+    let mut distrusted = lock(&host.scheduling.distrusted);
+    distrusted.retain(|(_, until)| now < *until);
+    distrusted.push((scheduler, now + DISTRUST));
+}
+
+fn send_ask(host: &Arc<Host>, scheduler: SocketAddr, number: u64, pool: &Arc<str>, ask: Ask) {
+    if scheduler == host.settings.load().peer {
+        let me = host.settings.load().host.clone();
+        on_ask(host, &me, number, pool, ask);
+    } else {
+        peers::send(host, &[scheduler], Message::Ask { number, pool: pool.clone(), ask });
+    }
+}
+
+/// Takes a question of a host.
+pub fn on_ask(
+    host: &Arc<Host>,
+    from: &Arc<str>,
+    number: u64,
+    pool: &Arc<str>,
+    ask: Ask,
+) {
+    let now = host.now();
+    let ticket = Ticket { host: from.clone(), number };
+    let decisions = host.scheduling.duty(host, pool, |s| s.ask(now, ticket, ask));
+    tell(host, decisions);
+}
+
+/// Takes the news that a request has ended.
+pub fn on_ended(
+    host: &Arc<Host>,
+    from: &Arc<str>,
+    number: u64,
+    pool: &Arc<str>,
+    report: Option<(Arc<str>, TargetReport)>,
+) {
+    let now = host.now();
+    let ticket = Ticket { host: from.clone(), number };
+    let decisions = host.scheduling.duty(host, pool, |s| s.done(now, &ticket, report));
+    tell(host, decisions);
+}
+
+/// Takes a decision of a scheduler.
+pub fn on_decided(host: &Host, number: u64, decision: Decision) {
+    let pending = lock(&host.scheduling.pending);
+    if let Ok(i) = pending.binary_search_by_key(&number, |(n, _)| *n) {
+        // A request that has ended meanwhile needs no decision; its end was told.
+        let _ = pending[i].1.send(decision);
+    }
+}
+
+fn tell(host: &Arc<Host>, decisions: Vec<(Ticket, Decision)>) {
+    for (ticket, decision) in decisions {
+        if ticket.host == host.settings.load().host {
+            on_decided(host, ticket.number, decision);
+            continue;
+        }
+        let addr = host.members().peer(&ticket.host).map(|m| m.addr);
+        if let Some(addr) = addr {
+            let message = Message::Decided { number: ticket.number, decision };
+            peers::send(host, &[addr], message);
+        }
+    }
+}
+
+/// Advances the time for all pools that this host schedules, and asks targets that have not reported
+/// lately for their load. To be called about ten times a second.
+pub fn tick(host: &Arc<Host>) {
+    let now = host.now();
+    let mut decisions = Vec::new();
+    let mut unheard = Vec::new();
+    {
+        let mut duties = lock(&host.scheduling.duties);
+        duties.retain(|d| now.since(d.asked) < ACTIVE);
+        for duty in duties.iter_mut() {
+            decisions.extend(duty.scheduler.tick(now));
+            unheard.push((duty.pool.clone(), duty.scheduler.unheard(now, REPORT_AGE)));
+        }
+    }
+    tell(host, decisions);
+    for (pool, targets) in unheard {
+        let granted = host.take_probes(&pool, targets.len(), 0);
+        for target in targets.into_iter().take(granted) {
+            let (host, pool) = (host.clone(), pool.clone());
+            tokio::spawn(async move {
+                if let Some(report) = place::measure(&host, &pool, &target).await {
+                    let now = host.now();
+                    let decisions = host.scheduling.duty_report(now, &pool, &target, &report);
+                    tell(&host, decisions);
+                }
+            });
+        }
+    }
+}
+
+impl Scheduling {
+    fn duty_report(
+        &self,
+        now: Time,
+        pool: &Arc<str>,
+        target: &str,
+        report: &TargetReport,
+    ) -> Vec<(Ticket, Decision)> {
+        let mut duties = lock(&self.duties);
+        let Ok(i) = duties.binary_search_by(|d| d.pool.cmp(pool)) else { return Vec::new() };
+        duties[i].scheduler.on_report(now, target, report);
+        duties[i].scheduler.tick(now)
+    }
+
+    /// Returns the addresses of the hosts that schedule the pools of a configuration.
+    pub fn schedulers(host: &Host) -> Vec<SocketAddr> {
+        let Some(config) = host.config() else { return Vec::new() };
+        let mut out: Vec<SocketAddr> =
+            config.pools.iter().filter_map(|p| scheduler_of(host, &p.name)).collect();
+        out.sort_unstable();
+        out.dedup();
+        out
+    }
+}
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -146,14 +146,15 @@
 }
 
 impl Upstream {
-    /// Takes the idle connection of a target that was used last.
-    pub fn take(&self, now: Time, addr: SocketAddr) -> Option<Connection> {
+    /// Takes the idle connection of a target that was used last, with the time since then.
+    pub fn take(&self, now: Time, addr: SocketAddr) -> Option<(Connection, Duration)> {
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
         let i = idle.binary_search_by_key(&addr, |(a, _)| *a).ok()?;
         while let Some(mut last) = idle[i].1.pop() {
-            if last.conn.is_open() && now.since(last.since) < MAX_IDLE_TIME {
+            let idle_time = now.since(last.since);
+            if last.conn.is_open() && idle_time < MAX_IDLE_TIME {
                 last.conn.reused = true;
-                return Some(last.conn);
+                return Some((last.conn, idle_time));
             }
         }
         None
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -1,7 +1,7 @@
 //! The messages.
 
 use geraniummux_core::drain::{LeavingAck, LeavingNotice};
-use geraniummux_core::fleet::{Delta, FleetConfig};
+use geraniummux_core::fleet::{Ask, Decision, Delta, FleetConfig, TargetReport};
 use geraniummux_core::membership::{Gossip, Member};
 use geraniummux_core::usage::UsageReport;
 use serde::{Deserialize, Serialize};
@@ -80,6 +80,31 @@
     News(News),
     /// UDP: faults of targets that the sender saw since its last such message.
     Faults(Vec<TargetFaults>),
+    /// UDP: asks the scheduler of a pool where to send a request.
+    Ask {
+        /// Number of the request at the sender.
+        number: u64,
+        /// The pool.
+        pool: Arc<str>,
+        /// The request.
+        ask: Ask,
+    },
+    /// UDP: answers [`Message::Ask`], more than once if the request has to wait.
+    Decided {
+        /// Number of the request at the receiver.
+        number: u64,
+        /// What becomes of it.
+        decision: Decision,
+    },
+    /// UDP: a request that a scheduler was asked about has ended.
+    Ended {
+        /// Number of the request at the sender.
+        number: u64,
+        /// The pool.
+        pool: Arc<str>,
+        /// What a target said of its load at that time.
+        report: Option<(Arc<str>, TargetReport)>,
+    },
 }
 
 /// What a follower knows already.
