Measure targets from their scheduler; prefer near targets by size; stop accepting in time

Change: the scheduler has 60% of the checks and asks every 60 ms; remote targets cost by the size of a route's bodies and are used when near ones would be late; callers are accepted for 45% of the grace period; a list proves contact before a watch counts.

--- a/crates/geraniummux-core/src/fleet/registry.rs
+++ b/crates/geraniummux-core/src/fleet/registry.rs
@@ -131,10 +131,7 @@
     }
 
     /// Returns all targets that may still be used, with whether each is still slow from its start.
-    pub fn targets(
-        &self,
-        now: Time,
-    ) -> impl Iterator<Item = (&RegisteredTarget, bool)> + Clone {
+    pub fn targets(&self, now: Time) -> impl Iterator<Item = (&RegisteredTarget, bool)> + Clone {
         self.entries
             .iter()
             .filter(move |e| e.lapses_at.is_none_or(|at| now < at))
--- a/crates/geraniummux-core/src/fleet/repeats.rs
+++ b/crates/geraniummux-core/src/fleet/repeats.rs
@@ -24,12 +24,7 @@
 
 impl Default for RepeatOptions {
     fn default() -> Self {
-        RepeatOptions {
-            ratio: 0.2,
-            slack: 75.0,
-            window: Duration::from_secs(10),
-            use_share: 0.85,
-        }
+        RepeatOptions { ratio: 0.2, slack: 75.0, window: Duration::from_secs(10), use_share: 0.85 }
     }
 }
 
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -15,8 +15,8 @@
 //! The scheduler keeps nothing: another host can take over at any time and learns from the targets'
 //! reports what is out there.
 
-use super::forecast::{ForecastOptions, TargetReport, stretch};
 use super::faults::{FaultOptions, FaultScore};
+use super::forecast::{ForecastOptions, TargetReport, stretch};
 use super::registry::RegisteredTarget;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -41,6 +41,8 @@
     pub urgent: bool,
     /// Usual time to run the request.
     pub usual: Duration,
+    /// Usual size of its bodies, in bytes.
+    pub bytes: u32,
     /// Time until its deadline.
     pub time_left: Duration,
     /// Time until its latency target; zero once that is over.
@@ -96,8 +98,16 @@
     pub forecast: ForecastOptions,
     /// Score of faults.
     pub faults: FaultOptions,
-    /// Factor on the expected time at targets in other failure domains than the host that asks.
-    pub remote_factor: f64,
+    /// Addition to the factor on the expected time at targets in other failure domains than the
+    /// host that asks, for any request.
+    pub remote: f64,
+    /// The same for each kilobyte of a request's bodies, as transfers between domains are paid for.
+    pub remote_per_kb: f64,
+    /// Largest addition to that factor.
+    pub max_remote: f64,
+    /// Factor on the expected time that leaves room for slower requests, when it is decided whether
+    /// a request will be in time.
+    pub time_margin: f64,
     /// Requests that a target may have beyond its slots while others wait.
     pub overcommit: u32,
     /// Time in which the trust in a reported slowdown falls to a third.
@@ -120,7 +130,10 @@
         SchedulerOptions {
             forecast: ForecastOptions::default(),
             faults: FaultOptions::default(),
-            remote_factor: 1.25,
+            remote: 0.1,
+            remote_per_kb: 0.25,
+            max_remote: 1.5,
+            time_margin: 1.2,
             overcommit: 1,
             trust: Duration::from_millis(250),
             unknown_slowdown: 1.5,
@@ -132,6 +145,14 @@
     }
 }
 
+/// What counts more than the expected time when targets are compared.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Class {
+    left_out: bool,
+    full: bool,
+    late: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Out {
     ticket: Ticket,
@@ -341,7 +362,7 @@
         if let Some(refusal) = self.refuse_late(now, w) {
             return Some(refusal);
         }
-        let Some((best, stretch, is_free)) = self.best(now, &w.ask) else {
+        let Some((best, stretch, is_free)) = self.best(now, w) else {
             return Some(self.refuse(now, w, Denial::NoTarget));
         };
         let expected = w.ask.usual.mul_f64(stretch);
@@ -352,8 +373,10 @@
     }
 
     /// Returns the best target for a request, the stretch to expect there, and whether it has room.
-    /// Targets with room come first.
-    fn best(&self, now: Time, ask: &Ask) -> Option<(&Target, f64, bool)> {
+    /// The class of a target counts first.
+    fn best(&self, now: Time, w: &Waiting) -> Option<(&Target, f64, bool)> {
+        let ask = &w.ask;
+        let target_left = (w.since + ask.target_left).since(now);
         let faults = &self.opts.faults;
         let ejected = self.targets.iter().filter(|t| t.faults.is_ejected(now, faults)).count();
         let ejects = ejected as f64 <= self.opts.max_left_out * self.targets.len() as f64;
@@ -361,13 +384,23 @@
         let rated = usable.map(|t| {
             let report = self.expected_report(now, t);
             let stretch = stretch(&report, t.cold, &self.opts.forecast);
-            let remote = if t.failure_domain == ask.failure_domain { 1.0 } else { self.opts.remote_factor };
-            let order = stretch * remote * (1.0 + t.faults.at(now, faults));
-            let left_out = ejects && t.faults.is_ejected(now, faults);
-            (t, stretch, !self.has_room(&report), left_out, order)
+            let remote =
+                if t.failure_domain == ask.failure_domain { 0.0 } else { self.remote(ask) };
+            let class = Class {
+                left_out: ejects && t.faults.is_ejected(now, faults),
+                full: !self.has_room(&report),
+                late: ask.usual.mul_f64(stretch * self.opts.time_margin) > target_left,
+            };
+            (t, stretch, class, stretch * (1.0 + remote) * (1.0 + t.faults.at(now, faults)))
         });
-        let best = rated.min_by(|a, b| (a.3, a.2).cmp(&(b.3, b.2)).then(a.4.total_cmp(&b.4)));
-        best.map(|(t, stretch, full, ..)| (t, stretch, !full))
+        let best = rated.min_by(|a, b| a.2.cmp(&b.2).then(a.3.total_cmp(&b.3)));
+        best.map(|(t, stretch, class, _)| (t, stretch, !class.full))
+    }
+
+    /// Returns the addition to the factor on the expected time at remote targets.
+    fn remote(&self, ask: &Ask) -> f64 {
+        let per_size = self.opts.remote_per_kb * f64::from(ask.bytes) / 1_024.0;
+        (self.opts.remote + per_size).min(self.opts.max_remote)
     }
 
     fn has_room(&self, report: &TargetReport) -> bool {
--- a/crates/geraniummux-core/src/fleet/split.rs
+++ b/crates/geraniummux-core/src/fleet/split.rs
@@ -31,9 +31,8 @@
         for (credit, share) in self.credits.iter_mut().zip(&route.shares) {
             *credit += share.weight / total;
         }
-        let best = (0..self.credits.len()).max_by(|a, b| {
-            self.credits[*a].total_cmp(&self.credits[*b])
-        })?;
+        let best =
+            (0..self.credits.len()).max_by(|a, b| self.credits[*a].total_cmp(&self.credits[*b]))?;
         self.credits[best] -= 1.0;
         Some(&route.shares[best].pool)
     }
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -9,8 +9,8 @@
 use crate::upstream::Upstream;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
-    Delta, Fault, FleetConfig, ProbeBudget, RepeatBudget, RepeatOptions, RouteIndex, SplitState, TableOptions,
-    TargetRegistry, TargetTable,
+    Delta, Fault, FleetConfig, FleetRoute, ProbeBudget, RepeatBudget, RepeatOptions, RouteIndex,
+    SplitState, TableOptions, TargetRegistry, TargetTable,
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::quarantine::QuarantineOptions;
@@ -34,6 +34,18 @@
 /// Usual time of a route that has had no answers, as a part of its latency target.
 const USUAL_OF_TARGET: f64 = 0.4;
 
+/// Part of the health checks allowed at a target that the scheduler of its pool makes.
+const SCHEDULER_PROBES: f64 = 0.6;
+
+/// Who makes a health check.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Prober {
+    /// The scheduler of the pool.
+    Scheduler,
+    /// A host for a request of its own.
+    Host,
+}
+
 /// How far the host is between start and stop.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -99,6 +111,15 @@
     }
 }
 
+/// What is usual for a request of a route.
+#[derive(Clone, Copy, Debug)]
+pub struct Usual {
+    /// Time to run it, in seconds.
+    pub seconds: f64,
+    /// Size of its bodies, in bytes.
+    pub bytes: f64,
+}
+
 /// Decisions about targets and requests.
 pub struct Fleet {
     /// Registered targets.
@@ -112,11 +133,11 @@
     /// Sorted by route.
     splits: Vec<(Arc<str>, SplitState)>,
     /// Sorted by pool.
-    probes: Vec<(Arc<str>, ProbeBudget)>,
+    probes: Vec<(Arc<str>, [ProbeBudget; 2])>,
     /// Sorted by pool.
     repeats: Vec<(Arc<str>, RepeatBudget)>,
-    /// Usual time to run a request of each route in seconds, sorted by route.
-    usual: Vec<(Arc<str>, f64)>,
+    /// Sorted by route.
+    usual: Vec<(Arc<str>, Usual)>,
     /// Faults seen here that the peers have not been told.
     pub untold_faults: Vec<(Arc<str>, f64)>,
 }
@@ -145,22 +166,26 @@
     }
 
     /// Returns the budget for health checks of a pool's targets.
-    pub fn probes(&mut self, pool: &Arc<str>) -> &mut ProbeBudget {
-        entry(&mut self.probes, pool, ProbeBudget::default)
+    pub fn probes(&mut self, pool: &Arc<str>, by: Prober) -> &mut ProbeBudget {
+        let [scheduler, host] = entry(&mut self.probes, pool, Default::default);
+        match by {
+            Prober::Scheduler => scheduler,
+            Prober::Host => host,
+        }
     }
 
-    /// Returns the usual time to run a request of a route.
-    pub fn usual(&mut self, route: &Arc<str>, latency_target: Duration) -> Duration {
-        let start = || latency_target.as_secs_f64() * USUAL_OF_TARGET;
-        Duration::from_secs_f64(*entry(&mut self.usual, route, start))
+    /// Returns what is usual for a request of a route.
+    pub fn usual(&mut self, route: &Arc<str>, latency_target: Duration) -> &mut Usual {
+        let seconds = latency_target.as_secs_f64() * USUAL_OF_TARGET;
+        entry(&mut self.usual, route, || Usual { seconds, bytes: 0.0 })
     }
 
     /// Records that a request of a route took `took` at a target that was expected to take
-    /// `stretch` x the usual time.
-    pub fn observe(&mut self, route: &Arc<str>, took: Duration, stretch: f64) {
-        let sample = took.as_secs_f64() / stretch.max(1.0);
-        let usual = entry(&mut self.usual, route, || sample);
-        *usual += (sample - *usual) * USUAL_WEIGHT;
+    /// `stretch` x the usual time, and how large its bodies were.
+    pub fn observe(&mut self, route: &FleetRoute, took: Duration, stretch: f64, bytes: usize) {
+        let usual = self.usual(&route.name, route.latency_target);
+        usual.seconds += (took.as_secs_f64() / stretch.max(1.0) - usual.seconds) * USUAL_WEIGHT;
+        usual.bytes += (bytes as f64 - usual.bytes) * USUAL_WEIGHT;
     }
 
     /// Returns what a follower lacks that knows the registry up to `revision`.
@@ -453,15 +478,19 @@
         self.fleet().repeats(pool).try_repeat(now, hosts, &opts)
     }
 
-    /// Returns how many of `wanted` targets of a pool may be asked for their load, `least` at any
-    /// rate.
-    pub fn take_probes(&self, pool: &Arc<str>, wanted: usize, least: usize) -> usize {
+    /// Returns how many of `wanted` targets of a pool this host may ask for their load, `least` at
+    /// any rate. The scheduler of the pool has most of the budget, the other hosts share the rest.
+    pub fn take_probes(&self, pool: &Arc<str>, wanted: usize, least: usize, by: Prober) -> usize {
         let hosts = self.members().live_peers().count() + 1;
+        let part = match by {
+            Prober::Scheduler => SCHEDULER_PROBES,
+            Prober::Host => (1.0 - SCHEDULER_PROBES) / hosts as f64,
+        };
         let per_target = self.settings.load().promises.probes_per_s;
         let now = self.now();
         let mut fleet = self.fleet();
-        let rate = per_target * fleet.table.len(pool) as f64 / hosts as f64;
-        fleet.probes(pool).take(now, wanted, least, rate)
+        let rate = per_target * fleet.table.len(pool) as f64 * part;
+        fleet.probes(pool, by).take(now, wanted, least, rate)
     }
 
     /// Returns the limits of second sends.
--- a/crates/geraniummux-host/src/logs.rs
+++ b/crates/geraniummux-host/src/logs.rs
@@ -98,7 +98,11 @@
         let closed = pending.closed;
         drop(pending);
         if left_out > 0 {
-            let _ = writeln!(text, "time={} level=WARN event=lines_left_out count={left_out}", unix_ms());
+            let _ = writeln!(
+                text,
+                "time={} level=WARN event=lines_left_out count={left_out}",
+                unix_ms()
+            );
         }
         // Without standard output there is nowhere to report to.
         let _ = std::io::stdout().write_all(text.as_bytes());
--- a/crates/geraniummux-host/src/metrics.rs
+++ b/crates/geraniummux-host/src/metrics.rs
@@ -37,10 +37,22 @@
         let latency = HistogramOpts::new("geraniummux_request_seconds", "Time to the answer");
         let metrics = Metrics {
             registry: Registry::new(),
-            requests: counter("requests_total", "Requests by route and outcome", &["route", "outcome"])?,
+            requests: counter(
+                "requests_total",
+                "Requests by route and outcome",
+                &["route", "outcome"],
+            )?,
             latency: HistogramVec::new(latency.buckets(buckets), &["route"])?,
-            sends: counter("sends_total", "Sends to targets by pool and result", &["pool", "result"])?,
-            probes: counter("probes_total", "Health checks by pool and result", &["pool", "result"])?,
+            sends: counter(
+                "sends_total",
+                "Sends to targets by pool and result",
+                &["pool", "result"],
+            )?,
+            probes: counter(
+                "probes_total",
+                "Health checks by pool and result",
+                &["pool", "result"],
+            )?,
             connections: counter("connections_total", "New connections by peer", &["kind"])?,
             store_calls: counter("store_calls_total", "Calls to the store", &["call", "result"])?,
             peer_messages: counter("peer_messages_total", "Messages to and from peers", &["kind"])?,
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -1,8 +1,8 @@
 //! Messages between entry hosts: membership, faults of targets and requests that crash targets.
 
+use crate::feed;
 use crate::host::Host;
 use crate::scheduling::{self, Scheduling};
-use crate::feed;
 use anyhow::Context;
 use geraniummux_core::membership::{Gossip, MembershipAction};
 use geraniummux_core::quarantine;
@@ -134,8 +134,7 @@
 
 fn on_gossip(host: &Arc<Host>, from: &str, incarnation: u64, addr: SocketAddr, gossip: Gossip) {
     let now = host.now();
-    let actions =
-        host.members().receive(now, from, incarnation, addr, gossip, &mut rand::rng());
+    let actions = host.members().receive(now, from, incarnation, addr, gossip, &mut rand::rng());
     perform(host, actions);
 }
 
@@ -183,7 +182,6 @@
         };
         perform(&host, actions);
         tell_faults(&host);
-        scheduling::tick(&host);
     }
 }
 
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -7,6 +7,7 @@
 use geraniummux_core::fleet::Fault;
 use http::{Request, StatusCode, Version};
 use http_body_util::Full;
+use slog::info;
 use std::sync::Arc;
 
 /// How a send ended.
@@ -23,6 +24,8 @@
 pub async fn send(job: Arc<Job>, placed: Placed) -> (Arc<str>, Sent) {
     let Placed { target, conn, stretch, mut grant } = placed;
     let host = &job.host;
+    let scheduled = grant.is_some();
+    let mut slowdown = 0.0;
     let sent_at = host.now();
     let Some(req) = request(&job, &target) else {
         return (target, Sent::NotRun("unsendable"));
@@ -32,6 +35,7 @@
     let end = match result {
         Ok((answer, conn)) => {
             if let Some(report) = host.protocol.target_report(&answer.headers) {
+                slowdown = report.slowdown;
                 host.fleet().table.on_report(now, &target, report);
                 if let Some(grant) = &mut grant {
                     grant.set_report(&target, report);
@@ -54,10 +58,11 @@
             host.on_fault(&target, Fault::ServerError);
             "server_error"
         }
-        Sent::Answered(_) => {
+        Sent::Answered(answer) => {
             let mut fleet = host.fleet();
             fleet.table.on_success(now, &target);
-            fleet.observe(&job.route.name, now.since(sent_at), stretch);
+            let bytes = job.body.len() + answer.body.len();
+            fleet.observe(&job.route, now.since(sent_at), stretch, bytes);
             "answered"
         }
         Sent::NotRun("other_target") => {
@@ -74,6 +79,10 @@
         }
     };
     host.metrics.send(&job.pool.name, result);
+    info!(host.log, "send"; "id" => job.id(), "target" => &*target, "result" => result,
+        "by" => if scheduled { "scheduler" } else { "host" }, "stretch" => stretch,
+        "expected_ms" => job.usual.mul_f64(stretch).as_millis() as u64,
+        "took_ms" => now.since(sent_at).as_millis() as u64, "slowdown" => slowdown);
     (target, end)
 }
 
--- a/crates/geraniummux-host/src/proxy/job.rs
+++ b/crates/geraniummux-host/src/proxy/job.rs
@@ -33,6 +33,8 @@
     pub limit: Time,
     /// Usual time to run it.
     pub usual: Duration,
+    /// Usual size of its bodies, in bytes.
+    pub usual_bytes: u32,
     /// Recognizes the request when it comes again.
     pub fingerprint: Fingerprint,
 }
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -91,7 +91,7 @@
     let pool = fleet.split(&route.name).next(route, rand::random::<f64>());
     let pool = pool.and_then(|name| index.pool(name)).cloned();
     let pool = pool.ok_or((StatusCode::SERVICE_UNAVAILABLE, "no_pool"))?;
-    let usual = fleet.usual(&route.name, route.latency_target);
+    let usual = *fleet.usual(&route.name, route.latency_target);
     let opts = host.repeat_options();
     fleet.repeats(&pool.name).on_first(started, &opts);
     drop(fleet);
@@ -108,13 +108,15 @@
         body,
         started,
         limit,
-        usual,
+        usual: Duration::from_secs_f64(usual.seconds),
+        usual_bytes: usual.bytes as u32,
         fingerprint,
     })
 }
 
 /// Returns whether no route to the same pools is more urgent.
 fn is_urgent(index: &RouteIndex, route: &FleetRoute) -> bool {
-    let shares = |r: &FleetRoute| r.shares.iter().any(|s| route.shares.iter().any(|o| o.pool == s.pool));
+    let shares =
+        |r: &FleetRoute| r.shares.iter().any(|s| route.shares.iter().any(|o| o.pool == s.pool));
     !index.routes().iter().any(|r| r.priority < route.priority && shares(r))
 }
--- a/crates/geraniummux-host/src/proxy/place.rs
+++ b/crates/geraniummux-host/src/proxy/place.rs
@@ -4,7 +4,7 @@
 //! connection that went silent or was closed is found out before anything is sent on it.
 
 use super::job::Job;
-use crate::host::Host;
+use crate::host::{Host, Prober};
 use crate::scheduling::{self, Answer, Grant};
 use crate::upstream::{self, Connection, ExchangeError};
 use bytes::Bytes;
@@ -82,6 +82,7 @@
             failure_domain: host.settings.load().failure_domain.clone(),
             urgent: job.urgent,
             usual: job.usual,
+            bytes: job.usual_bytes,
             time_left: job.time_left(now),
             target_left: job.route.latency_target.saturating_sub(job.held_for(now)),
             avoid: avoid.clone(),
@@ -151,7 +152,7 @@
     let mut empty_rounds = 0;
     let mut least = 1;
     loop {
-        let granted = host.take_probes(&job.pool.name, asked, least);
+        let granted = host.take_probes(&job.pool.name, asked, least, Prober::Host);
         if granted == 0 {
             // Only a request that waits for a free slot comes here; it goes on waiting, since the
             // budget for health checks is used up.
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -26,8 +26,10 @@
 where
     S: Store,
 {
-    let (config, targets) =
-        tokio::join!(read_config(&host, &*store, Currency::Outdated), list(&host, &*store, Currency::Outdated));
+    let (config, targets) = tokio::join!(
+        read_config(&host, &*store, Currency::Outdated),
+        list(&host, &*store, Currency::Outdated)
+    );
     info!(host.log, "first_read"; "config" => config.is_ok(), "targets" => targets.is_ok(),
         "version" => host.config_version());
 }
@@ -79,7 +81,11 @@
         self.0 = FIRST_PAUSE;
     }
 
-    async fn wait(&mut self) {
+    /// Waits before the next call. History that is gone is no failure of the store.
+    async fn wait_after(&mut self, error: &StoreError) {
+        if matches!(error, StoreError::HistoryGone) {
+            return;
+        }
         let jitter = rand::rng().random_range(0.75..1.25);
         tokio::time::sleep(self.0.mul_f64(jitter)).await;
         self.0 = (self.0 * 2).min(MAX_PAUSE);
@@ -91,33 +97,24 @@
     S: Store,
 {
     let mut pauses = Pauses(FIRST_PAUSE);
-    let mut history_gone = false;
     loop {
-        let revision = host.fleet().registry.revision().filter(|_| !history_gone);
-        let result = match revision {
-            Some(revision) => {
-                host.knowledge().set_watches_targets(host.now(), true);
-                let result = store.watch_targets(revision, WATCH_WAIT).await;
-                note(&host, "watch_targets", result.as_ref().err());
-                result.map(|delta| {
-                    host.apply(delta, "store");
-                })
-            }
-            None => list(&host, &*store, Currency::Latest).await,
-        };
-        match result {
-            Ok(()) => {
-                history_gone = false;
-                pauses.reset();
-            }
-            Err(e) => {
-                host.knowledge().set_watches_targets(host.now(), false);
-                history_gone = matches!(e, StoreError::HistoryGone);
-                if !history_gone {
-                    pauses.wait().await;
-                }
-            }
+        // A list proves that the store is reached. A watch alone doesn't, as long as it waits.
+        while let Err(e) = list(&host, &*store, Currency::Latest).await {
+            pauses.wait_after(&e).await;
         }
+        pauses.reset();
+        host.knowledge().set_watches_targets(host.now(), true);
+        let error = loop {
+            let revision = host.fleet().registry.revision().unwrap_or(0);
+            let result = store.watch_targets(revision, WATCH_WAIT).await;
+            note(&host, "watch_targets", result.as_ref().err());
+            match result {
+                Ok(delta) => host.apply(delta, "store"),
+                Err(e) => break e,
+            };
+        };
+        host.knowledge().set_watches_targets(host.now(), false);
+        pauses.wait_after(&error).await;
     }
 }
 
@@ -126,31 +123,23 @@
     S: Store,
 {
     let mut pauses = Pauses(FIRST_PAUSE);
-    let mut history_gone = false;
     loop {
-        let revision = host.knowledge().config_revision.filter(|_| !history_gone);
-        let result = match revision {
-            Some(revision) => {
-                host.knowledge().set_watches_config(host.now(), true);
-                let result = store.watch_config(revision, WATCH_WAIT).await;
-                note(&host, "watch_config", result.as_ref().err());
-                result.map(|news| take_in(&host, news))
+        while let Err(e) = read_config(&host, &*store, Currency::Latest).await {
+            pauses.wait_after(&e).await;
+        }
+        pauses.reset();
+        host.knowledge().set_watches_config(host.now(), true);
+        let error = loop {
+            let revision = host.knowledge().config_revision.unwrap_or(0);
+            let result = store.watch_config(revision, WATCH_WAIT).await;
+            note(&host, "watch_config", result.as_ref().err());
+            match result {
+                Ok(news) => take_in(&host, news),
+                Err(e) => break e,
             }
-            None => read_config(&host, &*store, Currency::Latest).await,
         };
-        match result {
-            Ok(()) => {
-                history_gone = false;
-                pauses.reset();
-            }
-            Err(e) => {
-                host.knowledge().set_watches_config(host.now(), false);
-                history_gone = matches!(e, StoreError::HistoryGone);
-                if !history_gone {
-                    pauses.wait().await;
-                }
-            }
-        }
+        host.knowledge().set_watches_config(host.now(), false);
+        pauses.wait_after(&error).await;
     }
 }
 
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -7,7 +7,7 @@
 use crate::server::{self, Service};
 use crate::settings::Settings;
 use crate::store::Store;
-use crate::{feed, logs, reader};
+use crate::{feed, logs, reader, scheduling};
 use anyhow::Context;
 use geraniummux_core::Time;
 use slog::{Logger, info, warn};
@@ -21,16 +21,22 @@
 /// Interval between looks at the settings file, which may change without a signal.
 const SETTINGS_CHECK: Duration = Duration::from_secs(2);
 /// Time before the end of the grace period at which the process exits at the latest.
-const EXIT_MARGIN: Duration = Duration::from_millis(700);
-/// Time before the exit at which idle connections are closed.
-const CLOSE_IDLE: Duration = Duration::from_millis(600);
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Part of the grace period in which callers are still served while they move to other hosts. What
+/// is taken until then can be finished in the rest.
+const SERVED_PART: f64 = 0.45;
 
 /// Runs a host until it is stopped.
 ///
 /// # Errors
 ///
 /// Fails if an address can't be bound or a signal can't be handled.
-pub fn run<S, F>(path: PathBuf, settings: Settings, protocol: Arc<dyn Protocol>, store: F) -> anyhow::Result<()>
+pub fn run<S, F>(
+    path: PathBuf,
+    settings: Settings,
+    protocol: Arc<dyn Protocol>,
+    store: F,
+) -> anyhow::Result<()>
 where
     S: Store,
     F: FnOnce(&Settings, Logger) -> S,
@@ -75,6 +81,7 @@
     tokio::spawn(peers::receive(host.clone()));
     tokio::spawn(peers::run(host.clone()));
     tokio::spawn(feed::follow(host.clone()));
+    tokio::spawn(scheduling::run(host.clone()));
     tokio::spawn(reader::start(host.clone(), store.clone()));
     tokio::spawn(reader::run(host.clone(), store));
     tokio::spawn(timer(host.clone()));
@@ -132,24 +139,23 @@
     }
 }
 
-/// Finishes requests and lets callers move to other hosts, until the grace period is nearly over.
-/// A second SIGTERM ends the process at once.
+/// Serves callers while they move to other hosts, then finishes what is in flight. A second SIGTERM
+/// ends the process at once.
 async fn shut_down(host: &Arc<Host>, mut stop: Signal) {
     let grace = Duration::from_secs_f64(host.settings.load().promises.grace_s);
     let began: Time = host.now();
-    let end = grace.saturating_sub(EXIT_MARGIN);
     info!(host.log, "stopping"; "callers" => host.callers(), "grace_ms" => grace.as_millis() as u64);
     host.enter(Phase::Leaving);
     peers::leave(host);
     tokio::select! {
-        () = tokio::time::sleep(end.saturating_sub(CLOSE_IDLE)) => {}
+        () = tokio::time::sleep(grace.mul_f64(SERVED_PART)) => {}
         _ = stop.recv() => {
             warn!(host.log, "stopped_at_once"; "callers" => host.callers());
             return;
         }
     }
     host.enter(Phase::Draining);
-    while host.callers() > 0 && host.now().since(began) < end {
+    while host.callers() > 0 && host.now().since(began) + EXIT_MARGIN < grace {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     info!(host.log, "stopped"; "callers" => host.callers(),
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -1,6 +1,6 @@
 //! Asks the scheduler of a pool where to send requests, and is one for some pools.
 
-use crate::host::Host;
+use crate::host::{Host, Prober};
 use crate::peers;
 use crate::proxy::place;
 use geraniummux_core::fleet::{
@@ -26,7 +26,11 @@
 /// A pool without requests for this long is not measured.
 const ACTIVE: Duration = Duration::from_secs(2);
 /// Age of a target's last report from which the scheduler asks it for its load.
-const REPORT_AGE: Duration = Duration::from_millis(100);
+const REPORT_AGE: Duration = Duration::from_millis(60);
+/// Interval of the timer of a scheduler.
+const TICK: Duration = Duration::from_millis(30);
+/// Interval of the timer of a host that schedules no pool.
+const IDLE_TICK: Duration = Duration::from_millis(250);
 
 struct Duty {
     pool: Arc<str>,
@@ -174,8 +178,7 @@
     let (tx, mut rx) = mpsc::unbounded_channel();
     lock(&host.scheduling.pending).push((number, tx));
     // From here on the scheduler is told if the request ends without having been sent.
-    let grant =
-        Grant { host: host.clone(), pool: pool.clone(), number, scheduler, report: None };
+    let grant = Grant { host: host.clone(), pool: pool.clone(), number, scheduler, report: None };
     let mut patience = FIRST_DECISION;
     loop {
         let now = host.now();
@@ -222,13 +225,7 @@
 }
 
 /// Takes a question of a host.
-pub fn on_ask(
-    host: &Arc<Host>,
-    from: &Arc<str>,
-    number: u64,
-    pool: &Arc<str>,
-    ask: Ask,
-) {
+pub fn on_ask(host: &Arc<Host>, from: &Arc<str>, number: u64, pool: &Arc<str>, ask: Ask) {
     let now = host.now();
     let ticket = Ticket { host: from.clone(), number };
     let decisions = host.scheduling.duty(host, pool, |s| s.ask(now, ticket, ask));
@@ -272,9 +269,18 @@
     }
 }
 
+/// Drives the schedulers of this host until the task is dropped.
+pub async fn run(host: Arc<Host>) {
+    loop {
+        let idle = lock(&host.scheduling.duties).is_empty();
+        tokio::time::sleep(if idle { IDLE_TICK } else { TICK }).await;
+        tick(&host);
+    }
+}
+
 /// Advances the time for all pools that this host schedules, and asks targets that have not reported
-/// lately for their load. To be called about ten times a second.
-pub fn tick(host: &Arc<Host>) {
+/// lately for their load.
+fn tick(host: &Arc<Host>) {
     let now = host.now();
     let mut decisions = Vec::new();
     let mut unheard = Vec::new();
@@ -288,7 +294,7 @@
     }
     tell(host, decisions);
     for (pool, targets) in unheard {
-        let granted = host.take_probes(&pool, targets.len(), 0);
+        let granted = host.take_probes(&pool, targets.len(), 0, Prober::Scheduler);
         for target in targets.into_iter().take(granted) {
             let (host, pool) = (host.clone(), pool.clone());
             tokio::spawn(async move {
--- a/crates/geraniummux-host/src/server.rs
+++ b/crates/geraniummux-host/src/server.rs
@@ -73,10 +73,16 @@
     open().with_context(|| format!("{}: can't listen on {addr}", service.as_str()))
 }
 
-/// Accepts connections until the task is dropped.
+/// Accepts connections until the task is dropped; those of callers until requests in flight are
+/// finished.
 pub async fn serve(host: Arc<Host>, service: Service, listener: TcpListener) {
+    let mut phases = host.phases();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = draining(&mut phases), if service == Service::Requests => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 host.metrics.connection(service.as_str());
                 let host = host.clone();
--- a/crates/geraniummux-host/src/settings.rs
+++ b/crates/geraniummux-host/src/settings.rs
@@ -147,7 +147,7 @@
 
 /// How long callers use an answer that names hosts, unless the platform allows less. A host that
 /// starts gets callers after this time.
-const HOSTS_TTL: Duration = Duration::from_secs(4);
+const HOSTS_TTL: Duration = Duration::from_millis(2_500);
 
 fn is_unspecified(ip: IpAddr) -> bool {
     ip.is_unspecified()
