Give second places to requests whose target became slow meanwhile

Change: the scheduler, which hears of the change within 60 ms, holds a place at another target for idempotent requests that would be late, while a quarter of the slots is free; such second sends use at most 60% of the budget for repeats.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -22,7 +22,7 @@
 pub use probes::ProbeBudget;
 pub use readers::{Position, ReaderOptions, Source, leaders, source};
 pub use registry::{Change, Delta, RegisteredTarget, TargetRegistry};
-pub use repeats::{RepeatBudget, RepeatOptions};
+pub use repeats::{Repeat, RepeatBudget, RepeatOptions};
 pub use routes::{CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex};
 pub use scheduler::{Ask, Decision, Denial, Scheduler, SchedulerOptions, Ticket};
 pub use split::SplitState;
--- a/crates/geraniummux-core/src/fleet/repeats.rs
+++ b/crates/geraniummux-core/src/fleet/repeats.rs
@@ -20,11 +20,28 @@
     pub window: Duration,
     /// Part of the budget that is used, 0 to 1; the rest covers views of the fleet that differ.
     pub use_share: f64,
+    /// Part of that from which on second sends are only made after failures.
+    pub hedge_share: f64,
+}
+
+/// Why a request is sent a second time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeat {
+    /// The first send failed.
+    Failure,
+    /// The first send has not been answered.
+    Hedge,
 }
 
 impl Default for RepeatOptions {
     fn default() -> Self {
-        RepeatOptions { ratio: 0.2, slack: 75.0, window: Duration::from_secs(10), use_share: 0.85 }
+        RepeatOptions {
+            ratio: 0.2,
+            slack: 75.0,
+            window: Duration::from_secs(10),
+            use_share: 0.85,
+            hedge_share: 0.6,
+        }
     }
 }
 
@@ -44,12 +61,22 @@
 
     /// Takes one second send from the budget if there is one. `hosts` is the number of hosts that
     /// share the budget.
-    pub fn try_repeat(&mut self, now: Time, hosts: usize, opts: &RepeatOptions) -> bool {
+    pub fn try_repeat(
+        &mut self,
+        now: Time,
+        why: Repeat,
+        hosts: usize,
+        opts: &RepeatOptions,
+    ) -> bool {
         expire(&mut self.firsts, now, opts.window);
         expire(&mut self.repeats, now, opts.window);
         let share = opts.slack / hosts.max(1) as f64;
         let allowed = opts.use_share * (opts.ratio * self.firsts.len() as f64 + share);
-        if (self.repeats.len() + 1) as f64 > allowed {
+        let part = match why {
+            Repeat::Failure => 1.0,
+            Repeat::Hedge => opts.hedge_share,
+        };
+        if (self.repeats.len() + 1) as f64 > allowed * part {
             return false;
         }
         self.repeats.push_back(now);
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -10,7 +10,9 @@
 //!   others, then those that will be late; the one whose target ends first comes first;
 //! * a request that would be late at the targets that are free, because these are slow at present,
 //!   waits for a better one as long as that can help;
-//! * one that will not be answered before its deadline is refused at once.
+//! * one that will not be answered before its deadline is refused at once;
+//! * a request that runs at a target that has become slow meanwhile is given a place at a second one
+//!   if it may run twice, would be late otherwise, and there is room to spare.
 //!
 //! The scheduler keeps nothing: another host can take over at any time and learns from the targets'
 //! reports what is out there.
@@ -47,6 +49,8 @@
     pub time_left: Duration,
     /// Time until its latency target; zero once that is over.
     pub target_left: Duration,
+    /// Whether it may run at a second target while the first has not answered.
+    pub repeatable: bool,
     /// Targets that it must not be sent to.
     pub avoid: Vec<Arc<str>>,
 }
@@ -82,6 +86,13 @@
     },
     /// It waits; another decision follows.
     Wait,
+    /// It was granted a target that has become slow; a place at another one is held for it.
+    Hedge {
+        /// The other target.
+        target: Arc<str>,
+        /// Expected time to the answer as a multiple of the usual time.
+        stretch: f64,
+    },
     /// It is refused.
     Refuse {
         /// Why.
@@ -119,6 +130,10 @@
     /// Part of a pool's targets from which faults leave none of them out, since then the cause lies
     /// elsewhere or the rest could not carry the load.
     pub max_left_out: f64,
+    /// Rise of a target's slowdown from which requests that run there are looked at.
+    pub slowed: f64,
+    /// Part of the pool's slots that has to be free for second places.
+    pub spare: f64,
     /// Requests that may wait; more are refused.
     pub max_waiting: usize,
     /// Part of the time left after which a refused caller may return.
@@ -139,6 +154,8 @@
             unknown_slowdown: 1.5,
             foreign_trust: Duration::from_millis(400),
             max_left_out: 0.4,
+            slowed: 1.5,
+            spare: 0.25,
             max_waiting: 4_096,
             return_part: 0.33,
         }
@@ -158,6 +175,38 @@
     ticket: Ticket,
     /// When it has ended at the latest, should its host not tell.
     until: Time,
+    ask: Ask,
+    granted: Time,
+    /// End of its latency target.
+    due: Time,
+    /// Slowdown of the target when it was granted.
+    slowdown: f64,
+    /// Whether it has, or is, a second place.
+    hedged: bool,
+}
+
+impl Out {
+    fn new(now: Time, w: &Waiting, slowdown: f64, hedged: bool) -> Self {
+        Out {
+            ticket: w.ticket.clone(),
+            until: w.deadline(),
+            ask: w.ask.clone(),
+            granted: now,
+            due: w.since + w.ask.target_left,
+            slowdown,
+            hedged,
+        }
+    }
+
+    /// Returns whether the request may run twice and will be late at its target, which now works
+    /// `slowdown` times as long as usual.
+    fn is_late(&self, now: Time, slowdown: f64) -> bool {
+        let usual = self.ask.usual.as_secs_f64();
+        let worked = now.since(self.granted).as_secs_f64() / self.slowdown.max(1.0);
+        let left = (usual - worked).max(usual * MIN_WORK_LEFT) * slowdown;
+        let may = self.ask.repeatable && !self.hedged && now < self.due;
+        may && now + Duration::from_secs_f64(left) > self.due
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -176,6 +225,10 @@
     faults: FaultScore,
 }
 
+/// Least part of its usual time that a request is assumed to need yet, since some take longer than
+/// usual.
+const MIN_WORK_LEFT: f64 = 0.2;
+
 #[derive(Clone, Debug)]
 struct Waiting {
     ticket: Ticket,
@@ -203,12 +256,14 @@
     targets: Vec<Target>,
     /// In the order of arrival.
     waiting: Vec<Waiting>,
+    /// Targets whose slowdown has risen since they were last looked at.
+    slowed: Vec<Arc<str>>,
 }
 
 impl Scheduler {
     /// Returns a scheduler that knows no targets.
     pub fn new(opts: SchedulerOptions) -> Self {
-        Scheduler { opts, targets: Vec::new(), waiting: Vec::new() }
+        Scheduler { opts, targets: Vec::new(), waiting: Vec::new(), slowed: Vec::new() }
     }
 
     /// Takes in the targets of the pool, with whether each is slow from its start.
@@ -284,6 +339,9 @@
     /// Records what a target said of its load.
     pub fn on_report(&mut self, now: Time, target: &str, report: &TargetReport) {
         let Some(t) = self.targets.iter_mut().find(|t| &*t.id == target) else { return };
+        if report.slowdown >= t.slowdown * self.opts.slowed && !t.out.is_empty() {
+            self.slowed.push(t.id.clone());
+        }
         t.slowdown = report.slowdown;
         t.slots = report.slots.max(1);
         t.reported = Some(now);
@@ -307,6 +365,14 @@
         self.advance(now)
     }
 
+    /// Gives back a second place that a host does not use.
+    pub fn release(&mut self, now: Time, ticket: &Ticket, target: &str) -> Vec<(Ticket, Decision)> {
+        if let Some(t) = self.targets.iter_mut().find(|t| &*t.id == target) {
+            t.out.retain(|o| o.ticket != *ticket);
+        }
+        self.advance(now)
+    }
+
     fn forget(&mut self, ticket: &Ticket) {
         for t in &mut self.targets {
             t.out.retain(|o| o.ticket != *ticket);
@@ -328,18 +394,64 @@
             if let Some(decision) = decision {
                 let waiting = &self.waiting[i];
                 if let Decision::Grant { target, .. } = &decision {
-                    let (ticket, until) = (waiting.ticket.clone(), waiting.deadline());
                     if let Some(t) = self.targets.iter_mut().find(|t| t.id == *target) {
-                        t.out.push(Out { ticket, until });
+                        let out = Out::new(now, waiting, t.slowdown, false);
+                        t.out.push(out);
                     }
                 }
                 out.push((self.waiting[i].ticket.clone(), decision));
             }
         }
         self.waiting.retain(|w| !out.iter().any(|(t, _)| *t == w.ticket));
+        out.extend(self.hedge(now));
+        out
+    }
+
+    /// Gives second places to requests that run at targets that have become slow.
+    fn hedge(&mut self, now: Time) -> Vec<(Ticket, Decision)> {
+        let mut out = Vec::new();
+        for id in std::mem::take(&mut self.slowed) {
+            let Ok(i) = self.targets.binary_search_by(|t| t.id.cmp(&id)) else { continue };
+            let slow = &self.targets[i];
+            let late: Vec<Out> =
+                slow.out.iter().filter(|o| o.is_late(now, slow.slowdown)).cloned().collect();
+            for o in late {
+                let mut avoid = o.ask.avoid.clone();
+                avoid.push(id.clone());
+                let ask = Ask {
+                    avoid,
+                    time_left: o.until.since(now),
+                    target_left: o.due.since(now),
+                    ..o.ask.clone()
+                };
+                let w = Waiting { ticket: o.ticket.clone(), ask, since: now };
+                let Some((target, stretch)) = self.spare_place(now, &w) else { continue };
+                if let Some(first) = self.targets[i].out.iter_mut().find(|f| f.ticket == o.ticket) {
+                    first.hedged = true;
+                }
+                if let Some(t) = self.targets.iter_mut().find(|t| t.id == target) {
+                    let second = Out::new(now, &w, t.slowdown, true);
+                    t.out.push(second);
+                }
+                out.push((o.ticket, Decision::Hedge { target, stretch }));
+            }
+        }
         out
     }
 
+    /// Returns a target at which a request is in time, if there is room to spare in the pool.
+    fn spare_place(&self, now: Time, w: &Waiting) -> Option<(Arc<str>, f64)> {
+        let (out, slots) = self.targets.iter().fold((0.0, 0.0), |(out, slots), t| {
+            (out + t.out.len() as f64 + t.foreign, slots + f64::from(t.slots))
+        });
+        if !self.waiting.is_empty() || out > (1.0 - self.opts.spare) * slots {
+            return None;
+        }
+        let (best, stretch, is_free) = self.best(now, w)?;
+        let in_time = w.ask.usual.mul_f64(stretch) <= w.ask.target_left;
+        (is_free && in_time).then(|| (best.id.clone(), stretch))
+    }
+
     /// Returns the indices of the requests that wait, the one to be served first in front.
     fn order(&self, now: Time) -> Vec<usize> {
         let mut order: Vec<usize> = (0..self.waiting.len()).collect();
--- /dev/null
+++ b/crates/geraniummux-core/tests/fleet_scheduler.rs
@@ -0,0 +1,252 @@
+//! The scheduler of a pool: single decisions, and load patterns in virtual time.
+
+mod fleet_sim;
+
+use fleet_sim::{Kind, Load, Sim};
+use geraniummux_core::Time;
+use geraniummux_core::fleet::{
+    Ask, Decision, Denial, RegisteredTarget, Scheduler, SchedulerOptions, TargetReport, Ticket,
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+const START: Time = Time::from_millis(1_000_000);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn target(id: &str, domain: &str, leaving: bool) -> RegisteredTarget {
+    RegisteredTarget {
+        id: id.into(),
+        pool: "ledger".into(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: domain.into(),
+        slots: 2,
+        leaving,
+        warm_up: Duration::ZERO,
+        started_unix_ms: 0,
+    }
+}
+
+fn scheduler(targets: &[RegisteredTarget]) -> Scheduler {
+    let mut s = Scheduler::new(SchedulerOptions::default());
+    s.update(targets.iter().map(|t| (t, false)));
+    s
+}
+
+fn ticket(number: u64) -> Ticket {
+    Ticket { host: "host-1".into(), number }
+}
+
+fn ask(urgent: bool) -> Ask {
+    Ask {
+        failure_domain: "a".into(),
+        urgent,
+        usual: ms(100),
+        bytes: 0,
+        time_left: ms(1_000),
+        target_left: ms(300),
+        avoid: Vec::new(),
+    }
+}
+
+fn report(running: u32, slowdown: f64) -> TargetReport {
+    TargetReport { running, waiting: 0, slots: 2, slowdown }
+}
+
+fn granted(decisions: &[(Ticket, Decision)], number: u64) -> Option<Arc<str>> {
+    decisions.iter().find_map(|(t, d)| match d {
+        Decision::Grant { target, .. } if t.number == number => Some(target.clone()),
+        _ => None,
+    })
+}
+
+#[test]
+fn ask_idle_pool_is_granted() {
+    let mut s = scheduler(&[target("t1", "a", false)]);
+    assert_eq!(granted(&s.ask(START, ticket(1), ask(false)), 1).as_deref(), Some("t1"));
+}
+
+/// Guards against targets in other failure domains being used while near ones are free.
+#[test]
+fn ask_near_and_remote_prefers_near() {
+    let mut s = scheduler(&[target("t1", "b", false), target("t2", "a", false)]);
+    assert_eq!(granted(&s.ask(START, ticket(1), ask(false)), 1).as_deref(), Some("t2"));
+}
+
+/// Guards against a near but slow target making a request late that a remote one answers in time.
+#[test]
+fn ask_near_slow_uses_remote() {
+    let mut s = scheduler(&[target("t1", "b", false), target("t2", "a", false)]);
+    s.on_report(START, "t1", &report(0, 1.0));
+    s.on_report(START, "t2", &report(0, 4.0));
+    assert_eq!(granted(&s.ask(START, ticket(1), ask(false)), 1).as_deref(), Some("t1"));
+}
+
+/// Guards against requests at a target that is leaving.
+#[test]
+fn update_leaving_target_gets_nothing() {
+    let mut s = scheduler(&[target("t1", "a", false), target("t2", "a", false)]);
+    s.update([(&target("t1", "a", true), false), (&target("t2", "a", false), false)].into_iter());
+    for n in 0..2 {
+        assert_eq!(granted(&s.ask(START, ticket(n), ask(false)), n).as_deref(), Some("t2"));
+    }
+    assert_eq!(s.ask(START, ticket(9), ask(false)), [(ticket(9), Decision::Wait)]);
+}
+
+/// Guards against more requests at a target than it can run.
+#[test]
+fn ask_full_pool_waits_for_end() {
+    let mut s = scheduler(&[target("t1", "a", false)]);
+    for n in 0..2 {
+        assert!(granted(&s.ask(START, ticket(n), ask(false)), n).is_some());
+    }
+    assert_eq!(s.ask(START, ticket(2), ask(false)), [(ticket(2), Decision::Wait)]);
+    let decisions = s.done(START + ms(50), &ticket(0), None);
+    assert_eq!(granted(&decisions, 2).as_deref(), Some("t1"));
+}
+
+/// Guards against urgent requests that wait behind others.
+#[test]
+fn done_urgent_goes_first() {
+    let mut s = scheduler(&[target("t1", "a", false)]);
+    for n in 0..3 {
+        s.ask(START, ticket(n), ask(false));
+    }
+    s.ask(START + ms(10), ticket(7), ask(true));
+    let decisions = s.done(START + ms(50), &ticket(0), None);
+    assert!(granted(&decisions, 7).is_some(), "{decisions:?}");
+}
+
+/// Guards against a lost message that leaves a place taken for good.
+#[test]
+fn tick_unreported_end_frees_place_at_deadline() {
+    let mut s = scheduler(&[target("t1", "a", false)]);
+    for n in 0..2 {
+        s.ask(START, ticket(n), ask(false));
+    }
+    let late = Ask { time_left: ms(5_000), target_left: ms(5_000), ..ask(false) };
+    s.ask(START + ms(10), ticket(2), late);
+    assert_eq!(s.tick(START + ms(900)), []);
+    assert!(granted(&s.tick(START + ms(1_001)), 2).is_some());
+}
+
+/// Guards against a message that arrives twice taking two places.
+#[test]
+fn ask_twice_takes_one_place() {
+    let mut s = scheduler(&[target("t1", "a", false)]);
+    for _ in 0..3 {
+        assert!(granted(&s.ask(START, ticket(1), ask(false)), 1).is_some());
+    }
+    assert!(granted(&s.ask(START, ticket(2), ask(false)), 2).is_some());
+}
+
+/// Guards against holding a request until its deadline that can't be answered any more.
+#[test]
+fn tick_too_late_is_refused() {
+    let mut s = scheduler(&[target("t1", "a", false)]);
+    let long = Ask { time_left: ms(9_000), ..ask(false) };
+    for n in 0..3 {
+        s.ask(START, ticket(n), long.clone());
+    }
+    s.ask(START, ticket(5), ask(false));
+    let decisions = s.tick(START + ms(950));
+    let refused = decisions.iter().find(|(t, _)| t.number == 5).map(|(_, d)| d);
+    assert!(
+        matches!(refused, Some(Decision::Refuse { why: Denial::TooLate, .. })),
+        "{decisions:?}"
+    );
+}
+
+#[test]
+fn ask_no_target_is_refused() {
+    let mut s = scheduler(&[]);
+    let decisions = s.ask(START, ticket(1), ask(false));
+    assert!(matches!(decisions[0].1, Decision::Refuse { why: Denial::NoTarget, .. }));
+}
+
+/// Guards against a request being granted a target that is too slow to answer in time while another
+/// one is about to be free.
+#[test]
+fn ask_only_slow_target_free_waits() {
+    let mut s = scheduler(&[target("t1", "a", false), target("t2", "a", false)]);
+    s.on_report(START, "t1", &report(0, 1.0));
+    s.on_report(START, "t2", &report(0, 9.0));
+    for n in 0..2 {
+        assert_eq!(granted(&s.ask(START, ticket(n), ask(false)), n).as_deref(), Some("t1"));
+    }
+    assert_eq!(s.ask(START, ticket(2), ask(false)), [(ticket(2), Decision::Wait)]);
+    let decisions = s.done(START + ms(20), &ticket(0), Some(("t1".into(), report(1, 1.0))));
+    assert_eq!(granted(&decisions, 2).as_deref(), Some("t1"));
+}
+
+/// Guards against an overfull target after another host took over as scheduler and knows nothing of
+/// what is out there.
+#[test]
+fn on_report_takeover_sees_requests_of_others() {
+    let mut s = scheduler(&[target("t1", "a", false), target("t2", "a", false)]);
+    s.on_report(START, "t1", &report(2, 1.0));
+    for n in 0..2 {
+        assert_eq!(granted(&s.ask(START, ticket(n), ask(false)), n).as_deref(), Some("t2"));
+    }
+    assert_eq!(s.ask(START, ticket(2), ask(false)), [(ticket(2), Decision::Wait)]);
+}
+
+/// Guards against a pool whose targets all fail now and then being reduced to a few of them.
+#[test]
+fn on_fault_most_targets_leaves_none_out() {
+    let mut s = scheduler(&[target("t1", "a", false), target("t2", "a", false)]);
+    for id in ["t1", "t2"] {
+        s.on_fault(START, id, 5.0);
+    }
+    let used: Vec<_> =
+        (0..4).filter_map(|n| granted(&s.ask(START, ticket(n), ask(false)), n)).collect();
+    assert_eq!(used.len(), 4);
+}
+
+/// Pattern: a burst above capacity for some seconds. Guards against urgent requests served less
+/// often than others, and against capacity spent on answers that come too late.
+#[test]
+fn load_burst_keeps_urgent_in_time() {
+    let urgent =
+        Kind { urgent: true, per_s: 120.0, usual: ms(160), target: ms(400), limit: ms(1_200) };
+    let other =
+        Kind { urgent: false, per_s: 260.0, usual: ms(120), target: ms(300), limit: ms(1_000) };
+    // 17 targets x 6 slots can run about 102 requests at once; this offers about 1.4 times that
+    // with a quarter of the targets slow.
+    let load = Load { kinds: vec![urgent, other], slow_share: 0.25, slow_x: 4.0, span: ms(8_000) };
+    for seed in 1..=4 {
+        let result = Sim::new(17, 6, seed).run(&load);
+        let [urgent, other] = [result.kind(0), result.kind(1)];
+        assert!(urgent.in_time >= 0.95, "seed {seed}: {urgent:?}");
+        assert!(urgent.served >= other.served, "seed {seed}: {urgent:?} {other:?}");
+        assert_eq!(result.overfilled, 0, "seed {seed}");
+    }
+}
+
+/// Pattern: noisy neighbours; a quarter of the targets work at a quarter of their speed at any
+/// time, others each 300 ms. Guards against requests sent to targets that are slow at present.
+#[test]
+fn load_noisy_neighbours_stay_in_time() {
+    let kind =
+        Kind { urgent: true, per_s: 170.0, usual: ms(130), target: ms(350), limit: ms(1_000) };
+    let load = Load { kinds: vec![kind], slow_share: 0.25, slow_x: 4.0, span: ms(10_000) };
+    for seed in 1..=4 {
+        let result = Sim::new(17, 6, seed).run(&load);
+        assert!(result.kind(0).in_time >= 0.95, "seed {seed}: {:?}", result.kind(0));
+    }
+}
+
+/// Pattern: far more than can be served, for long. Guards against goodput that falls under overload:
+/// what is served must still use the slots, and what is refused must be refused early.
+#[test]
+fn load_overload_keeps_goodput() {
+    let kind =
+        Kind { urgent: true, per_s: 2_000.0, usual: ms(100), target: ms(300), limit: ms(1_000) };
+    let load = Load { kinds: vec![kind], slow_share: 0.0, slow_x: 1.0, span: ms(6_000) };
+    let result = Sim::new(17, 6, 1).run(&load);
+    // 102 slots and 100 ms at 1.5 times the usual above the knee.
+    let capacity = 102.0 / 0.15;
+    assert!(result.goodput >= 0.9 * capacity, "{result:?}");
+}
--- /dev/null
+++ b/crates/geraniummux-core/tests/fleet_sim/mod.rs
@@ -0,0 +1,195 @@
+//! A pool of targets and its callers in virtual time.
+
+use geraniummux_core::Time;
+use geraniummux_core::fleet::{
+    Ask, Decision, RegisteredTarget, Scheduler, SchedulerOptions, TargetReport, Ticket,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+
+const STEP: Duration = Duration::from_millis(1);
+const NOISE_EVERY: u64 = 300;
+const REPORT_EVERY: u64 = 60;
+/// Part of the slots in use above which a target slows down, and how much.
+const KNEE: f64 = 0.8;
+const KNEE_X: f64 = 1.5;
+
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub urgent: bool,
+    pub per_s: f64,
+    pub usual: Duration,
+    pub target: Duration,
+    pub limit: Duration,
+}
+
+pub struct Load {
+    pub kinds: Vec<Kind>,
+    pub slow_share: f64,
+    pub slow_x: f64,
+    pub span: Duration,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct KindResult {
+    pub asked: u32,
+    /// Part that was answered in time.
+    pub in_time: f64,
+    /// Part that was answered at all.
+    pub served: f64,
+}
+
+#[derive(Debug, Default)]
+pub struct Outcome {
+    kinds: Vec<KindResult>,
+    /// Grants to targets that had no slot and more than one request waiting.
+    pub overfilled: u32,
+    /// Answers a second.
+    pub goodput: f64,
+}
+
+impl Outcome {
+    pub fn kind(&self, i: usize) -> &KindResult {
+        &self.kinds[i]
+    }
+}
+
+struct Run {
+    ticket: u64,
+    kind: usize,
+    /// Work left, in milliseconds at usual speed.
+    work: f64,
+    started: Time,
+}
+
+struct Target {
+    runs: Vec<Run>,
+    slowdown: f64,
+}
+
+pub struct Sim {
+    slots: u32,
+    targets: Vec<Target>,
+    rng: StdRng,
+    scheduler: Scheduler,
+}
+
+impl Sim {
+    pub fn new(targets: usize, slots: u32, seed: u64) -> Self {
+        let registered: Vec<RegisteredTarget> = (0..targets)
+            .map(|i| RegisteredTarget {
+                id: format!("{i}").into(),
+                pool: "pool".into(),
+                addr: "127.0.0.1:1".parse().unwrap(),
+                failure_domain: "a".into(),
+                slots,
+                leaving: false,
+                warm_up: Duration::ZERO,
+                started_unix_ms: 0,
+            })
+            .collect();
+        let mut scheduler = Scheduler::new(SchedulerOptions::default());
+        scheduler.update(registered.iter().map(|t| (t, false)));
+        let targets = (0..targets).map(|_| Target { runs: Vec::new(), slowdown: 1.0 }).collect();
+        Sim { slots, targets, rng: StdRng::seed_from_u64(seed), scheduler }
+    }
+
+    fn report(&self, i: usize) -> TargetReport {
+        let t = &self.targets[i];
+        let load = t.runs.len() as u32;
+        let running = load.min(self.slots);
+        TargetReport { running, waiting: load - running, slots: self.slots, slowdown: t.slowdown }
+    }
+
+    pub fn run(mut self, load: &Load) -> Outcome {
+        let start = Time::from_millis(1_000_000);
+        let mut out =
+            Outcome { kinds: vec![KindResult::default(); load.kinds.len()], ..Outcome::default() };
+        let mut arrivals: Vec<(u64, usize, Time)> = Vec::new();
+        let mut served = 0;
+        for step in 0..load.span.as_millis() as u64 {
+            let now = start + STEP * step as u32;
+            if step % NOISE_EVERY == 0 {
+                for t in &mut self.targets {
+                    let slow = self.rng.random::<f64>() < load.slow_share;
+                    t.slowdown = if slow { load.slow_x } else { 1.0 };
+                }
+            }
+            let mut decisions = Vec::new();
+            if step % REPORT_EVERY == 0 {
+                for i in 0..self.targets.len() {
+                    let report = self.report(i);
+                    self.scheduler.on_report(now, &i.to_string(), &report);
+                }
+                decisions.extend(self.scheduler.tick(now));
+            }
+            for (k, kind) in load.kinds.iter().enumerate() {
+                let mut expected = kind.per_s / 1_000.0;
+                while self.rng.random::<f64>() < expected {
+                    expected -= 1.0;
+                    let number = arrivals.len() as u64;
+                    arrivals.push((number, k, now));
+                    out.kinds[k].asked += 1;
+                    let ask = Ask {
+                        failure_domain: "a".into(),
+                        urgent: kind.urgent,
+                        usual: kind.usual,
+                        bytes: 0,
+                        time_left: kind.limit,
+                        target_left: kind.target,
+                        avoid: Vec::new(),
+                    };
+                    let ticket = Ticket { host: "host".into(), number };
+                    decisions.extend(self.scheduler.ask(now, ticket, ask));
+                }
+            }
+            for (number, kind, began) in self.advance(now) {
+                let took = now.since(began.2);
+                served += 1;
+                out.kinds[kind].served += 1.0;
+                out.kinds[kind].in_time += f64::from(u8::from(took <= load.kinds[kind].target));
+                let report = (began.1.to_string().into(), self.report(began.1));
+                let ticket = Ticket { host: "host".into(), number };
+                decisions.extend(self.scheduler.done(now, &ticket, Some(report)));
+            }
+            for (ticket, decision) in decisions {
+                if let Decision::Grant { target, .. } = decision {
+                    let (_, kind, arrived) = arrivals[ticket.number as usize];
+                    let i: usize = target.parse().unwrap();
+                    let spread = self.rng.random_range(0.6..1.4);
+                    let work = load.kinds[kind].usual.as_secs_f64() * 1_000.0 * spread;
+                    let runs = &mut self.targets[i].runs;
+                    out.overfilled += u32::from(runs.len() as u32 > self.slots);
+                    runs.push(Run { ticket: ticket.number, kind, work, started: arrived });
+                }
+            }
+        }
+        for k in &mut out.kinds {
+            k.in_time /= f64::from(k.asked);
+            k.served /= f64::from(k.asked);
+        }
+        out.goodput = f64::from(served) / load.span.as_secs_f64();
+        out
+    }
+
+    /// Runs all targets for one step. Returns what ended: number, kind, and target with arrival.
+    fn advance(&mut self, _now: Time) -> Vec<(u64, usize, (u64, usize, Time))> {
+        let slots = self.slots as usize;
+        let mut ended = Vec::new();
+        for (i, t) in self.targets.iter_mut().enumerate() {
+            let running = t.runs.len().min(slots);
+            let knee = if running as f64 / slots as f64 > KNEE { KNEE_X } else { 1.0 };
+            for run in t.runs.iter_mut().take(slots) {
+                run.work -= 1.0 / (t.slowdown * knee);
+            }
+            t.runs.retain(|r| {
+                if r.work <= 0.0 {
+                    ended.push((r.ticket, r.kind, (r.ticket, i, r.started)));
+                }
+                r.work > 0.0
+            });
+        }
+        ended
+    }
+}
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -9,8 +9,8 @@
 use crate::upstream::Upstream;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
-    Delta, Fault, FleetConfig, FleetRoute, ProbeBudget, RepeatBudget, RepeatOptions, RouteIndex,
-    SplitState, TableOptions, TargetRegistry, TargetTable,
+    Delta, Fault, FleetConfig, FleetRoute, ProbeBudget, Repeat, RepeatBudget, RepeatOptions,
+    RouteIndex, SplitState, TableOptions, TargetRegistry, TargetTable,
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::quarantine::QuarantineOptions;
@@ -471,11 +471,11 @@
     }
 
     /// Takes one second send to a pool from the shared budget.
-    pub fn try_repeat(&self, pool: &Arc<str>) -> bool {
+    pub fn try_repeat(&self, pool: &Arc<str>, why: Repeat) -> bool {
         let hosts = self.members().peers().count() + 1;
         let opts = self.repeat_options();
         let now = self.now();
-        self.fleet().repeats(pool).try_repeat(now, hosts, &opts)
+        self.fleet().repeats(pool).try_repeat(now, why, hosts, &opts)
     }
 
     /// Returns how many of `wanted` targets of a pool this host may ask for their load, `least` at
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -122,6 +122,9 @@
             scheduling::on_ask(host, &from, number, &pool, ask);
         }
         Message::Decided { number, decision } => scheduling::on_decided(host, number, decision),
+        Message::Declined { number, pool, target } => {
+            scheduling::on_declined(host, &from, number, &pool, &target);
+        }
         Message::Ended { number, pool, report } => {
             scheduling::on_ended(host, &from, number, &pool, report);
         }
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -4,7 +4,7 @@
 use super::job::Job;
 use super::place::Placed;
 use crate::upstream::{self, Answer, ExchangeError};
-use geraniummux_core::fleet::Fault;
+use geraniummux_core::fleet::{Fault, TargetReport};
 use http::{Request, StatusCode, Version};
 use http_body_util::Full;
 use slog::info;
@@ -20,28 +20,33 @@
     Lost(&'static str),
 }
 
+/// The end of a send.
+pub struct Ended {
+    /// The target.
+    pub target: Arc<str>,
+    /// How it ended.
+    pub sent: Sent,
+    /// What the target said of its load.
+    pub report: Option<TargetReport>,
+}
+
 /// Sends a request to the target that it was placed at and waits for the answer.
-pub async fn send(job: Arc<Job>, placed: Placed) -> (Arc<str>, Sent) {
-    let Placed { target, conn, stretch, mut grant } = placed;
+pub async fn send(job: Arc<Job>, placed: Placed) -> Ended {
+    let Placed { target, conn, stretch, .. } = placed;
     let host = &job.host;
-    let scheduled = grant.is_some();
-    let mut slowdown = 0.0;
+    let mut report = None;
     let sent_at = host.now();
     let Some(req) = request(&job, &target) else {
-        return (target, Sent::NotRun("unsendable"));
+        return Ended { target, sent: Sent::NotRun("unsendable"), report };
     };
     let result = upstream::exchange(conn, req).await;
     let now = host.now();
     let end = match result {
         Ok((answer, conn)) => {
-            if let Some(report) = host.protocol.target_report(&answer.headers) {
-                slowdown = report.slowdown;
+            report = host.protocol.target_report(&answer.headers);
+            if let Some(report) = report {
                 host.fleet().table.on_report(now, &target, report);
-                if let Some(grant) = &mut grant {
-                    grant.set_report(&target, report);
-                }
             }
-            drop(grant);
             let end = judge(&job, answer);
             if !matches!(end, Sent::Lost(_))
                 && let Some(conn) = conn
@@ -80,10 +85,10 @@
     };
     host.metrics.send(&job.pool.name, result);
     info!(host.log, "send"; "id" => job.id(), "target" => &*target, "result" => result,
-        "by" => if scheduled { "scheduler" } else { "host" }, "stretch" => stretch,
-        "expected_ms" => job.usual.mul_f64(stretch).as_millis() as u64,
-        "took_ms" => now.since(sent_at).as_millis() as u64, "slowdown" => slowdown);
-    (target, end)
+        "stretch" => stretch, "expected_ms" => job.usual.mul_f64(stretch).as_millis() as u64,
+        "took_ms" => now.since(sent_at).as_millis() as u64,
+        "slowdown" => report.map_or(0.0, |r| r.slowdown));
+    Ended { target, sent: end, report }
 }
 
 fn request(job: &Job, target: &str) -> Option<Request<Full<bytes::Bytes>>> {
--- a/crates/geraniummux-host/src/proxy/place.rs
+++ b/crates/geraniummux-host/src/proxy/place.rs
@@ -85,6 +85,7 @@
             bytes: job.usual_bytes,
             time_left: job.time_left(now),
             target_left: job.route.latency_target.saturating_sub(job.held_for(now)),
+            repeatable: job.route.idempotent && job.route.max_attempts > 1,
             avoid: avoid.clone(),
         };
         match scheduling::place(host, &job.pool.name, job.limit, ask).await {
@@ -108,7 +109,7 @@
 }
 
 /// Gets a connection to a target on which a request can be sent.
-async fn connect(job: &Job, target: &Arc<str>) -> Option<Connection> {
+pub async fn connect(job: &Job, target: &Arc<str>) -> Option<Connection> {
     let host = &job.host;
     // The scheduler may not know yet that the target leaves, or this host not yet that it came.
     let candidate = host.fleet().table.candidate(&job.pool.name, target)?;
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -1,21 +1,23 @@
 //! The course of one request: sends, repeats, hedges, its deadline and its answer.
 
-use super::attempt::{self, Sent};
+use super::attempt::{self, Ended, Sent};
 use super::job::Job;
-use super::place::{self, Placement};
+use super::place::{self, Placed, Placement};
 use super::reply;
 use crate::peers;
+use crate::scheduling::Grant;
 use crate::upstream::Answer;
 use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::Time;
-use geraniummux_core::fleet::Fault;
+use geraniummux_core::fleet::{Fault, Repeat};
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use slog::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 /// Sends of one request that targets may refuse without having run it.
@@ -29,7 +31,9 @@
 
 enum Step {
     Looked(Placement),
-    Ended(Arc<str>, Sent),
+    /// A second place was connected to, or can't be used.
+    Hedged(Arc<str>, Option<Placed>),
+    Ended(Ended),
 }
 
 /// A send without an answer so far.
@@ -47,6 +51,8 @@
     flights: Vec<Flight>,
     tried: Vec<Arc<str>>,
     looking: bool,
+    /// Places that a scheduler gave.
+    grants: Vec<Grant>,
     hedge_at: Option<Time>,
     /// Sends that may have run.
     sends: u32,
@@ -86,6 +92,7 @@
                 course.reason = "deadline";
                 break course.give_up();
             }
+            (target, stretch) = next_hedge(&mut course.grants) => course.use_place(target, stretch),
             () = sleep(hedge) => course.hedge(),
         }
     };
@@ -100,6 +107,19 @@
     }
 }
 
+/// Waits for a second place.
+async fn next_hedge(grants: &mut [Grant]) -> (Arc<str>, f64) {
+    std::future::poll_fn(|cx| {
+        for grant in grants.iter_mut() {
+            if let Poll::Ready(hedge) = grant.poll_hedge(cx) {
+                return Poll::Ready(hedge);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
 impl Course {
     fn new(job: Arc<Job>) -> Self {
         Course {
@@ -108,6 +128,7 @@
             flights: Vec::new(),
             tried: Vec::new(),
             looking: false,
+            grants: Vec::new(),
             hedge_at: None,
             sends: 0,
             refused_sends: 0,
@@ -139,15 +160,60 @@
                 self.reason = reason;
                 self.end_if_idle()
             }
-            Step::Ended(target, sent) => {
+            Step::Hedged(target, placed) => {
+                self.looking = false;
+                match placed {
+                    Some(placed) => self.send(placed),
+                    None => self.decline(&target),
+                }
+                self.end_if_idle()
+            }
+            Step::Ended(Ended { target, sent, report }) => {
+                if let (Some(report), Some(grant)) = (report, self.grants.last_mut()) {
+                    grant.set_report(&target, report);
+                }
                 let flight = self.flights.iter().position(|f| f.target == target);
                 let addr = flight.map(|i| self.flights.swap_remove(i).addr);
+                if self.flights.is_empty() && !self.looking {
+                    // Tells the schedulers that the places are free.
+                    self.grants.clear();
+                }
                 self.on_sent(addr, sent)
             }
         }
     }
 
-    fn send(&mut self, placed: place::Placed) {
+    /// Connects to a second place that a scheduler gave, if another send is allowed.
+    fn use_place(&mut self, target: Arc<str>, stretch: f64) {
+        let job = self.job.clone();
+        let wanted = !self.looking && self.sends < job.route.max_attempts;
+        let granted = wanted && job.host.try_repeat(&job.pool.name, Repeat::Hedge);
+        info!(job.host.log, "hedge"; "id" => job.id(), "granted" => granted,
+            "by" => "scheduler", "target" => &*target,
+            "waited_ms" => job.held_for(job.host.now()).as_millis() as u64);
+        if !granted {
+            self.decline(&target);
+            return;
+        }
+        self.looking = true;
+        self.hedge_at = None;
+        let connect = async move {
+            let conn = place::connect(&job, &target).await;
+            let placed =
+                conn.map(|conn| Placed { target: target.clone(), conn, stretch, grant: None });
+            Step::Hedged(target, placed)
+        };
+        self.steps.push(connect.boxed());
+    }
+
+    fn decline(&self, target: &Arc<str>) {
+        for grant in &self.grants {
+            grant.decline(target);
+        }
+    }
+
+    fn send(&mut self, mut placed: Placed) {
+        self.grants.extend(placed.grant.take());
         let now = self.job.host.now();
         let expected = self.job.usual.mul_f64(placed.stretch);
         let addr = placed.conn.addr();
@@ -160,13 +226,7 @@
             now + expected.mul_f64(HEDGE_STRETCH).max(earliest)
         });
         let job = self.job.clone();
-        self.steps.push(
-            async move {
-                let (target, sent) = attempt::send(job, placed).await;
-                Step::Ended(target, sent)
-            }
-            .boxed(),
-        );
+        self.steps.push(async move { Step::Ended(attempt::send(job, placed).await) }.boxed());
     }
 
     fn on_sent(&mut self, addr: Option<SocketAddr>, sent: Sent) -> Option<Response<Full<Bytes>>> {
@@ -226,7 +286,7 @@
         if !allowed {
             return;
         }
-        let granted = job.host.try_repeat(&job.pool.name);
+        let granted = job.host.try_repeat(&job.pool.name, Repeat::Failure);
         info!(job.host.log, "repeat"; "id" => job.id(), "after" => self.reason,
             "granted" => granted, "time_left_ms" => job.time_left(now).as_millis() as u64);
         if granted {
@@ -242,8 +302,8 @@
         if self.looking || job.time_left(now) < job.usual {
             return;
         }
-        let granted = job.host.try_repeat(&job.pool.name);
-        info!(job.host.log, "hedge"; "id" => job.id(), "granted" => granted,
+        let granted = job.host.try_repeat(&job.pool.name, Repeat::Hedge);
+        info!(job.host.log, "hedge"; "id" => job.id(), "granted" => granted, "by" => "time",
             "waited_ms" => now.since(job.started).as_millis() as u64);
         if granted {
             self.look();
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -107,9 +108,32 @@
     number: u64,
     scheduler: SocketAddr,
     report: Option<(Arc<str>, TargetReport)>,
+    decisions: mpsc::UnboundedReceiver<Decision>,
 }
 
 impl Grant {
+    /// Polls for a second place: the target and the expected stretch there.
+    pub fn poll_hedge(&mut self, cx: &mut Context<'_>) -> Poll<(Arc<str>, f64)> {
+        while let Poll::Ready(Some(decision)) = self.decisions.poll_recv(cx) {
+            if let Decision::Hedge { target, stretch } = decision {
+                return Poll::Ready((target, stretch));
+            }
+        }
+        Poll::Pending
+    }
+
+    /// Gives back a second place.
+    pub fn decline(&self, target: &Arc<str>) {
+        let (host, number) = (&self.host, self.number);
+        if self.scheduler == host.settings.load().peer {
+            let me = host.settings.load().host.clone();
+            on_declined(host, &me, number, &self.pool, target);
+        } else {
+            let (pool, target) = (self.pool.clone(), target.clone());
+            peers::send(host, &[self.scheduler], Message::Declined { number, pool, target });
+        }
+    }
+
     /// Notes what a target said of its load when the request ended.
     pub fn set_report(&mut self, target: &Arc<str>, report: TargetReport) {
         self.report = Some((target.clone(), report));
@@ -175,10 +199,17 @@
         return Answer::Unavailable;
     }
     let number = host.scheduling.next.fetch_add(1, Ordering::Relaxed);
-    let (tx, mut rx) = mpsc::unbounded_channel();
+    let (tx, decisions) = mpsc::unbounded_channel();
     lock(&host.scheduling.pending).push((number, tx));
     // From here on the scheduler is told if the request ends without having been sent.
-    let grant = Grant { host: host.clone(), pool: pool.clone(), number, scheduler, report: None };
+    let mut grant = Grant {
+        host: host.clone(),
+        pool: pool.clone(),
+        number,
+        scheduler,
+        report: None,
+        decisions,
+    };
     let mut patience = FIRST_DECISION;
     loop {
         let now = host.now();
@@ -187,8 +218,9 @@
         }
         send_ask(host, scheduler, number, pool, ask(now));
         loop {
-            match timeout(patience, rx.recv()).await {
-                Ok(Some(Decision::Wait)) => patience = ASK_AGAIN,
+            match timeout(patience, grant.decisions.recv()).await {
+                // A second place can't come before the first.
+                Ok(Some(Decision::Wait | Decision::Hedge { .. })) => patience = ASK_AGAIN,
                 Ok(Some(Decision::Grant { target, stretch })) => {
                     return Answer::Granted { grant, target, stretch };
                 }
@@ -246,6 +278,20 @@
     tell(host, decisions);
 }
 
+/// Takes the news that a second place is not used.
+pub fn on_declined(
+    host: &Arc<Host>,
+    from: &Arc<str>,
+    number: u64,
+    pool: &Arc<str>,
+    target: &Arc<str>,
+) {
+    let now = host.now();
+    let ticket = Ticket { host: from.clone(), number };
+    let decisions = host.scheduling.duty(host, pool, |s| s.release(now, &ticket, target));
+    tell(host, decisions);
+}
+
 /// Takes a decision of a scheduler.
 pub fn on_decided(host: &Host, number: u64, decision: Decision) {
     let pending = lock(&host.scheduling.pending);
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -96,6 +96,15 @@
         /// What becomes of it.
         decision: Decision,
     },
+    /// UDP: a second place that a scheduler gave is not used.
+    Declined {
+        /// Number of the request at the sender.
+        number: u64,
+        /// The pool.
+        pool: Arc<str>,
+        /// The target at which the place is.
+        target: Arc<str>,
+    },
     /// UDP: a request that a scheduler was asked about has ended.
     Ended {
         /// Number of the request at the sender.
