--- a/crates/geraniummux-core/src/fleet/forecast.rs
+++ b/crates/geraniummux-core/src/fleet/forecast.rs
@@ -37,7 +37,7 @@
 
 impl Default for ForecastOptions {
     fn default() -> Self {
-        ForecastOptions { knee: 0.8, knee_slowdown: 1.5, cold_slowdown: 2.0, persistence: 0.8 }
+        ForecastOptions { knee: 0.8, knee_slowdown: 1.7, cold_slowdown: 2.0, persistence: 1.0 }
     }
 }
 
--- a/crates/geraniummux-core/src/membership.rs
+++ b/crates/geraniummux-core/src/membership.rs
@@ -45,6 +45,8 @@
     pub http_addr: SocketAddr,
     /// Failure domain that it runs in.
     pub failure_domain: Arc<str>,
+    /// Processor time that it has, in thousandths of a core; 0 if unknown.
+    pub capacity: u32,
     /// Raised by the host itself only; the record with the highest incarnation counts.
     pub incarnation: u64,
     /// Its state.
@@ -54,10 +56,10 @@
 impl Member {
     /// Returns an upper bound of the encoded length, in bytes.
     pub fn max_encoded_len(&self) -> usize {
-        // Two lengths, a state, an incarnation of up to 10 bytes and two addresses: a variant
-        // byte, 4 or 16 bytes of IP address and up to 3 bytes of port each.
+        // Two lengths, a state, a capacity of up to 5 bytes, an incarnation of up to 10 bytes and
+        // two addresses: a variant byte, 4 or 16 bytes of IP address and up to 3 bytes of port each.
         let addr_len = |a: &SocketAddr| if a.is_ipv4() { 8 } else { 20 };
-        13 + self.name.len()
+        18 + self.name.len()
             + self.failure_domain.len()
             + addr_len(&self.addr)
             + addr_len(&self.http_addr)
--- a/crates/geraniummux-core/tests/drain.rs
+++ b/crates/geraniummux-core/tests/drain.rs
@@ -12,6 +12,7 @@
 
 fn host(i: u16) -> Member {
     Member {
+        capacity: 0,
         name: format!("entry-{i}").into(),
         addr: SocketAddr::from(([127, 0, 0, 1], i + 1)),
         http_addr: SocketAddr::from(([127, 0, 0, 1], i + 1_001)),
--- a/crates/geraniummux-core/tests/entry.rs
+++ b/crates/geraniummux-core/tests/entry.rs
@@ -11,6 +11,7 @@
 
 fn host(i: u16, domain: &str) -> Member {
     Member {
+        capacity: 0,
         name: format!("entry-{i:02}").into(),
         addr: SocketAddr::from(([127, 0, 0, 1], i + 1)),
         http_addr: SocketAddr::from(([127, 0, 0, 1], i + 1_001)),
--- /dev/null
+++ b/crates/geraniummux-core/tests/fleet_budgets.rs
@@ -0,0 +1,123 @@
+//! Budgets that all hosts share: second sends and health checks. And who reads the store.
+
+use geraniummux_core::Time;
+use geraniummux_core::fleet::{
+    Position, ProbeBudget, ReaderOptions, Repeat, RepeatBudget, RepeatOptions, Source, leaders,
+    source,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+
+const START: Time = Time::from_millis(1_000_000);
+
+/// Guards against hosts that together send more second requests than the fleet may, in any window,
+/// while the load shifts between them: a window's first sends count, or those of the one before.
+#[test]
+fn try_repeat_all_hosts_stay_within_the_fleet_budget() {
+    let opts = RepeatOptions::default();
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let hosts = rng.random_range(1..30);
+        let mut budgets = vec![RepeatBudget::default(); hosts];
+        let (mut firsts, mut repeats) = (Vec::new(), Vec::new());
+        let mut now = START;
+        for _ in 0..4_000 {
+            now = now + Duration::from_millis(rng.random_range(0..20));
+            // Some seconds all load comes to one host.
+            let busy = (now.as_micros() / 5_000_000) as usize % hosts;
+            let i = if rng.random::<bool>() { busy } else { rng.random_range(0..hosts) };
+            budgets[i].on_first(now, &opts);
+            firsts.push(now);
+            if budgets[i].try_repeat(now, Repeat::Failure, hosts, &opts) {
+                repeats.push(now);
+            }
+        }
+        for (i, end) in repeats.iter().enumerate() {
+            let since = *end - opts.window;
+            let sent = repeats[..=i].iter().filter(|t| **t >= since).count() as f64;
+            let asked = |from: Time, to: Time| {
+                firsts.iter().filter(|t| **t >= from && **t <= to).count() as f64
+            };
+            let allowed = opts.ratio * asked(since, *end) + opts.slack;
+            assert!(sent <= allowed, "seed {seed}: {sent} of {allowed}");
+        }
+    }
+}
+
+/// Guards against hedges that leave nothing for requests that failed.
+#[test]
+fn try_repeat_hedges_leave_room_for_failures() {
+    let opts = RepeatOptions::default();
+    let mut budget = RepeatBudget::default();
+    for _ in 0..100 {
+        budget.on_first(START, &opts);
+    }
+    let hedges = (0..500).filter(|_| budget.try_repeat(START, Repeat::Hedge, 18, &opts)).count();
+    assert!(hedges > 0);
+    assert!(budget.try_repeat(START, Repeat::Failure, 18, &opts));
+}
+
+/// Guards against more health checks than the allowed rate over a long time, whatever is wanted.
+#[test]
+fn take_greedy_host_stays_within_rate() {
+    let mut budget = ProbeBudget::default();
+    let (rate, seconds) = (50.0, 60);
+    let mut taken = 0;
+    for ms in 0..seconds * 1_000 {
+        taken += budget.take(START + Duration::from_millis(ms), 6, 0, rate);
+    }
+    assert!((taken as f64) <= rate * (seconds as f64 + 2.0), "{taken}");
+}
+
+/// Guards against a request that can't be placed because the budget is used up.
+#[test]
+fn take_least_is_always_granted() {
+    let mut budget = ProbeBudget::default();
+    assert!((0..100).all(|_| budget.take(START, 3, 1, 1.0) >= 1));
+}
+
+/// Guards against store calls that grow with the fleet.
+#[test]
+fn source_fresh_news_only_roots_read() {
+    let opts = ReaderOptions::default();
+    let readers =
+        (0..500).filter(|r| source(*r, Duration::ZERO, false, &opts) == Source::Store).count();
+    assert_eq!(readers, opts.roots);
+}
+
+/// Guards against a fleet in which nobody reads because the readers are cut off, and against all of
+/// it reading at once.
+#[test]
+fn source_stale_news_scouts_begin_one_by_one() {
+    let opts = ReaderOptions::default();
+    let readers = |ms: u64| {
+        let age = Duration::from_millis(ms);
+        (0..500).filter(|r| source(*r, age, false, &opts) == Source::Store).count()
+    };
+    assert_eq!(readers(650), 2);
+    assert_eq!(readers(750), 3);
+    assert_eq!(readers(1_400), 6);
+    assert_eq!(readers(2_400), 6);
+    assert_eq!(readers(10_000), 500);
+}
+
+/// Guards against a host with more followers than it can serve, and against a host that follows none
+/// of those before it.
+#[test]
+fn leaders_tree_has_bounded_fanout() {
+    let opts = ReaderOptions::default();
+    let hosts = 300;
+    let mut followers = vec![0; hosts];
+    for rank in opts.roots..hosts {
+        let first = leaders(Position { rank, hosts }, &opts)[0];
+        assert!(first < rank);
+        followers[first] += 1;
+    }
+    assert!(followers.iter().all(|n| *n <= opts.fanout));
+}
+
+#[test]
+fn leaders_alone_has_none() {
+    assert!(leaders(Position { rank: 0, hosts: 1 }, &ReaderOptions::default()).is_empty());
+}
--- /dev/null
+++ b/crates/geraniummux-core/tests/fleet_routes.rs
@@ -0,0 +1,95 @@
+//! Routes of the platform's configuration and the division among pools.
+
+use geraniummux_core::fleet::{
+    FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex, SplitState,
+};
+use std::time::Duration;
+
+fn route(name: &str, host: &str, prefix: &str, shares: &[(&str, f64)]) -> FleetRoute {
+    FleetRoute {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        shares: shares.iter().map(|(p, w)| PoolShare { pool: (*p).into(), weight: *w }).collect(),
+        idempotent: true,
+        max_attempts: 2,
+        timeout: Duration::from_secs(1),
+        latency_target: Duration::from_millis(300),
+        priority: 1,
+    }
+}
+
+fn index() -> RouteIndex {
+    RouteIndex::new(&FleetConfig {
+        version: 3,
+        routes: vec![
+            route("short", "a.example", "/x/", &[("p", 1.0)]),
+            route("long", "a.example", "/x/y/", &[("p", 1.0)]),
+            route("other", "b.example", "/", &[("p", 1.0)]),
+        ],
+        pools: vec![FleetPool {
+            name: "p".into(),
+            health_path: "/health".into(),
+            max_connections: 9,
+        }],
+        ..FleetConfig::default()
+    })
+}
+
+fn found(host: &str, path: &str) -> Option<String> {
+    index().find(host, path).map(|r| r.name.to_string())
+}
+
+#[test]
+fn find_longest_prefix_wins() {
+    assert_eq!(found("a.example", "/x/y/z").as_deref(), Some("long"));
+    assert_eq!(found("a.example", "/x/z").as_deref(), Some("short"));
+}
+
+#[test]
+fn find_host_ignores_case_and_port() {
+    assert_eq!(found("A.Example:8080", "/x/1").as_deref(), Some("short"));
+}
+
+/// Guards against a prefix that matches the beginning of a longer path segment.
+#[test]
+fn find_partial_segment_does_not_match() {
+    assert_eq!(found("a.example", "/xy"), None);
+    assert_eq!(found("a.example", "/x"), None);
+}
+
+#[test]
+fn find_other_host_does_not_match() {
+    assert_eq!(found("c.example", "/x/"), None);
+    assert_eq!(found("b.example", "/anything").as_deref(), Some("other"));
+}
+
+/// Guards against a split that only holds in the long run: any 100 requests in a row are within one
+/// of their shares for two pools.
+#[test]
+fn next_shares_hold_over_short_spans() {
+    let route = route("r", "h", "/", &[("big", 90.0), ("small", 10.0)]);
+    for start in [0.0, 0.5, 0.95] {
+        let mut split = SplitState::default();
+        let small = (0..100).filter(|_| &**split.next(&route, start).unwrap() == "small").count();
+        assert!((9..=11).contains(&small), "start {start}: {small}");
+    }
+}
+
+/// Guards against hosts with a single request each that all choose the same pool.
+#[test]
+fn next_first_request_follows_the_shares() {
+    let route = route("r", "h", "/", &[("big", 90.0), ("small", 10.0)]);
+    let first = |random| SplitState::default().next(&route, random).unwrap().to_string();
+    assert_eq!(
+        (first(0.1), first(0.89), first(0.95)),
+        ("big".into(), "big".into(), "small".into())
+    );
+}
+
+#[test]
+fn next_zero_weight_gets_nothing() {
+    let route = route("r", "h", "/", &[("on", 1.0), ("off", 0.0)]);
+    let mut split = SplitState::default();
+    assert!((0..50).all(|i| &**split.next(&route, f64::from(i) / 50.0).unwrap() == "on"));
+}
--- a/crates/geraniummux-core/tests/membership.rs
+++ b/crates/geraniummux-core/tests/membership.rs
@@ -8,6 +8,7 @@
 
 fn member(name: &str, port: u16, incarnation: u64) -> Member {
     Member {
+        capacity: 0,
         name: name.into(),
         addr: SocketAddr::from(([127, 0, 0, 1], port)),
         http_addr: SocketAddr::from(([127, 0, 0, 1], port + 1)),
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -268,6 +268,7 @@
             addr: settings.peer,
             http_addr: settings.listen,
             failure_domain: settings.failure_domain.clone(),
+            capacity: (settings.cores * 1_000.0) as u32,
             incarnation: wall.0,
             state: MemberState::Leaving,
         };
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -9,6 +9,7 @@
 use geraniummux_core::{MemberState, Time};
 use geraniummux_wire::Message;
 use slog::info;
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -28,6 +29,11 @@
 const ACTIVE: Duration = Duration::from_secs(2);
 /// Age of a target's last report from which the scheduler asks it for its load.
 const REPORT_AGE: Duration = Duration::from_millis(60);
+/// Health checks that a request earns the scheduler that is asked about it. While hosts start and
+/// don't know each other, each of them schedules for itself and must not measure for the fleet.
+const PROBES_PER_ASK: f64 = 5.0;
+/// Most health checks that are earned ahead.
+const MAX_EARNED: f64 = 500.0;
 /// Interval of the timer of a scheduler.
 const TICK: Duration = Duration::from_millis(30);
 /// Interval of the timer of a host that schedules no pool.
@@ -37,6 +43,8 @@
     pool: Arc<str>,
     scheduler: Scheduler,
     asked: Time,
+    /// Health checks that the requests asked about since have earned.
+    probes: f64,
 }
 
 /// Requests of this host that wait for decisions, and the pools that this host schedules.
@@ -68,7 +76,7 @@
             info!(host.log, "scheduling_pool"; "pool" => &**pool);
             let mut scheduler = Scheduler::new(SchedulerOptions::default());
             scheduler.update(targets_of(fleet.registry.targets(now), pool));
-            duties.insert(i, Duty { pool: pool.clone(), scheduler, asked: now });
+            duties.insert(i, Duty { pool: pool.clone(), scheduler, asked: now, probes: 0.0 });
             i
         });
         drop(fleet);
@@ -76,6 +84,13 @@
         f(&mut duties[i].scheduler)
     }
 
+    fn earn_probes(&self, pool: &Arc<str>) {
+        let mut duties = lock(&self.duties);
+        if let Ok(i) = duties.binary_search_by(|d| d.pool.cmp(pool)) {
+            duties[i].probes = (duties[i].probes + PROBES_PER_ASK).min(MAX_EARNED);
+        }
+    }
+
     /// Takes in changed targets.
     pub fn update<'a, I>(&self, targets: I)
     where
@@ -177,14 +192,14 @@
     Unavailable,
 }
 
-/// Returns the host that schedules a pool: the first of all hosts in service in an order that
-/// differs between pools.
+/// Returns the host that schedules a pool: among the hosts in service with the most capacity the
+/// first in an order that differs between pools.
 fn scheduler_of(host: &Host, pool: &str) -> Option<SocketAddr> {
     let members = host.members();
     std::iter::once(members.me())
         .chain(members.peers())
         .filter(|m| m.state == MemberState::Alive)
-        .min_by_key(|m| (members.order_key(pool, &m.name), m.name.clone()))
+        .min_by_key(|m| (Reverse(m.capacity), members.order_key(pool, &m.name), m.name.clone()))
         .map(|m| m.addr)
 }
 
@@ -261,6 +276,7 @@
     let now = host.now();
     let ticket = Ticket { host: from.clone(), number };
     let decisions = host.scheduling.duty(host, pool, |s| s.ask(now, ticket, ask));
+    host.scheduling.earn_probes(pool);
     tell(host, decisions);
 }
 
@@ -335,7 +351,10 @@
         duties.retain(|d| now.since(d.asked) < ACTIVE);
         for duty in duties.iter_mut() {
             decisions.extend(duty.scheduler.tick(now));
-            unheard.push((duty.pool.clone(), duty.scheduler.unheard(now, REPORT_AGE)));
+            let mut targets = duty.scheduler.unheard(now, REPORT_AGE);
+            targets.truncate(duty.probes as usize);
+            duty.probes -= targets.len() as f64;
+            unheard.push((duty.pool.clone(), targets));
         }
     }
     tell(host, decisions);
--- a/crates/geraniummux-host/src/settings.rs
+++ b/crates/geraniummux-host/src/settings.rs
@@ -54,6 +54,9 @@
     pub host: Arc<str>,
     /// Failure domain that this host runs in.
     pub failure_domain: Arc<str>,
+    /// Processor time that this host has, in cores.
+    #[serde(default = "default_cores")]
+    pub cores: f64,
     /// Address on which callers' requests are accepted.
     pub listen: SocketAddr,
     /// Address on which readiness is asked.
@@ -126,6 +129,9 @@
         if is_unspecified(self.peer.ip()) || self.peer.port() == 0 {
             bail!("peer: {} is not an address that peers can reach", self.peer);
         }
+        if !(0.001..=1_024.0).contains(&self.cores) {
+            bail!("cores: {} is out of range: 0.001 to 1024", self.cores);
+        }
         let p = &self.promises;
         let ranges = [
             ("repeat_ratio", p.repeat_ratio, 0.0, 10.0),
@@ -149,6 +155,10 @@
 /// starts gets callers after this time.
 const HOSTS_TTL: Duration = Duration::from_millis(2_500);
 
+fn default_cores() -> f64 {
+    1.0
+}
+
 fn is_unspecified(ip: IpAddr) -> bool {
     ip.is_unspecified()
 }
--- a/crates/geraniummux-wire/tests/codec.rs
+++ b/crates/geraniummux-wire/tests/codec.rs
@@ -34,6 +34,7 @@
     ];
     (name(), addr(), addr(), name(), any::<u64>(), state).prop_map(
         |(name, addr, http_addr, failure_domain, incarnation, state)| Member {
+            capacity: 0,
             name,
             addr,
             http_addr,
@@ -250,6 +251,7 @@
 
     let mut rng = StdRng::seed_from_u64(1);
     let member = |i: u16| Member {
+        capacity: 0,
         name: format!("{i:0>64}").into(),
         addr: v6(65_535 - i),
         http_addr: v6(60_000 - i),
@@ -328,6 +330,7 @@
     let config = Message::Config { json: vec![b' '; 1 << 20] };
     assert!(codec().encode_stream(&Envelope { message: config, ..sample() }).is_ok());
     let member = Member {
+        capacity: 0,
         name: "n".repeat(64).into(),
         addr: SocketAddr::from(([0xffff; 8], 65_535)),
         http_addr: SocketAddr::from(([0xffff; 8], 65_535)),
--- a/crates/geraniummux-wire/tests/fleet/mod.rs
+++ b/crates/geraniummux-wire/tests/fleet/mod.rs
@@ -281,6 +281,7 @@
         let seeds = (0..3).map(addr).collect();
         let h = &mut self.hosts[i];
         let me = Member {
+            capacity: 0,
             name: h.name.clone(),
             addr: h.addr,
             http_addr: SocketAddr::new(h.addr.ip(), 8_080),
--- a/crates/geraniummuxd/src/control.rs
+++ b/crates/geraniummuxd/src/control.rs
@@ -76,6 +76,7 @@
         let (now, wall) = (clock.now(), clock.wall());
         let mut rng = rand::rng();
         let me = Member {
+            capacity: 0,
             name: settings.host.clone(),
             addr: settings.peer,
             http_addr: settings.advertised(),
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -66,7 +66,14 @@
         | Message::NotReady
         | Message::SyncState(_)
         | Message::State(_)
-        | Message::Done => control.net.refuse(),
+        | Message::Done
+        | Message::Follow(_)
+        | Message::News(_)
+        | Message::Faults(_)
+        | Message::Ask { .. }
+        | Message::Decided { .. }
+        | Message::Declined { .. }
+        | Message::Ended { .. } => control.net.refuse(),
     }
 }
 
