Fault soak over real processes; stand-ins of the store, of registered targets and of links

Change: geraniummux-soak starts the deployed program several times, disturbs it from outside as a seed decides, and checks answers, runs, promises of refusals, graceful stops, leaving targets and the newest configuration from what callers and targets see.

--- /dev/null
+++ b/crates/geraniummux-soak/src/main.rs
@@ -0,0 +1,66 @@
+//! Plays seeds of the soak and reports what they broke.
+
+use argh::FromArgs;
+use geraniummux_soak::{Options, run};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Run real entry hosts with random faults and check what callers and targets see.
+#[derive(FromArgs)]
+struct Args {
+    /// first seed (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds (default: 1)
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// seconds of faults for each seed (default: 15)
+    #[argh(option, default = "15")]
+    seconds: u64,
+    /// entry hosts (default: 5)
+    #[argh(option, default = "5")]
+    hosts: u8,
+    /// callers (default: 24)
+    #[argh(option, default = "24")]
+    callers: u64,
+    /// targets (default: 6)
+    #[argh(option, default = "6")]
+    targets: usize,
+    /// folder for settings and logs
+    #[argh(option)]
+    dir: Option<PathBuf>,
+    /// the program under test (default: geraniummux-host beside this program)
+    #[argh(option)]
+    program: Option<PathBuf>,
+    /// also check promises with a time; needs a machine that is not overloaded
+    #[argh(switch)]
+    timed: bool,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<ExitCode> {
+    let args: Args = argh::from_env();
+    let beside = std::env::current_exe()?.with_file_name("geraniummux-host");
+    let dir = args.dir.unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("geraniummux-soak-{}", std::process::id()))
+    });
+    let mut broken = 0;
+    for seed in args.seed..args.seed + args.seeds {
+        let report = run(Options {
+            seed,
+            span: Duration::from_secs(args.seconds),
+            hosts: args.hosts,
+            targets: args.targets,
+            callers: args.callers,
+            timed: args.timed,
+            program: args.program.clone().unwrap_or_else(|| beside.clone()),
+            dir: dir.join(seed.to_string()),
+        })
+        .await?;
+        print!("{report}");
+        broken += report.broken.len();
+    }
+    println!("{} seeds, {broken} promises broken, logs in {}", args.seeds, dir.display());
+    Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/crates/geraniummux-standin/src/object_store.rs
@@ -0,0 +1,188 @@
+//! A stand-in of the platform's store of objects: lists, watches and conditional writes.
+
+use crate::server::{self, Reply, read_body};
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Changes that are kept for watches.
+const HISTORY: usize = 1_000;
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Debug)]
+struct Event {
+    kind: String,
+    revision: u64,
+    object: Value,
+    deleted: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
+    history: VecDeque<Event>,
+    /// Status with which all calls are refused.
+    refusing: Option<u16>,
+}
+
+/// The store.
+#[derive(Debug)]
+pub struct ObjectStore {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for ObjectStore {
+    fn default() -> Self {
+        let state = Mutex::new(State { revision: 1, ..State::default() });
+        ObjectStore { state, changed: watch::channel(1).0 }
+    }
+}
+
+impl ObjectStore {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Creates or replaces an object.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.lock();
+        let key = (kind.to_owned(), name.to_owned());
+        if state.objects.get(&key).is_some_and(|o| o["spec"] == spec) {
+            return;
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        let metadata = json!({"name": name, "rev": revision, "finalizers": [], "deleting": false});
+        let object = json!({"metadata": metadata, "spec": spec, "status": null});
+        state.objects.insert(key, object.clone());
+        self.record(state, kind, object, false);
+    }
+
+    /// Removes an object.
+    pub fn delete(&self, kind: &str, name: &str) {
+        let mut state = self.lock();
+        if let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) {
+            state.revision += 1;
+            self.record(state, kind, object, true);
+        }
+    }
+
+    /// Refuses all calls with a status, or serves them again.
+    pub fn refuse(&self, status: Option<u16>) {
+        self.lock().refusing = status;
+    }
+
+    /// Forgets all earlier changes.
+    pub fn compact(&self) {
+        self.lock().history.clear();
+    }
+
+    fn record(&self, mut state: MutexGuard<'_, State>, kind: &str, object: Value, deleted: bool) {
+        let revision = state.revision;
+        if state.history.len() >= HISTORY {
+            state.history.pop_front();
+        }
+        state.history.push_back(Event { kind: kind.to_owned(), revision, object, deleted });
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Serves calls until the task is dropped.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        server::serve(listener, move |req| {
+            let store = self.clone();
+            async move { store.answer(req).await }
+        })
+        .await;
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Reply {
+        if let Some(status) = self.lock().refusing {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+            return Reply::text(status, "");
+        }
+        let path = req.uri().path().to_owned();
+        let query = req.uri().query().unwrap_or("").to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (req.method().clone(), &parts[..]) {
+            (Method::GET, ["objects", kind]) => match number(&query, "watch") {
+                Some(from) => self.watch(kind, from, number(&query, "wait-ms")).await,
+                None => self.list(kind),
+            },
+            (Method::GET, ["objects", kind, name]) => {
+                match self.lock().objects.get(&((*kind).to_owned(), (*name).to_owned())) {
+                    Some(object) => Reply::json(object),
+                    None => Reply::text(StatusCode::NOT_FOUND, ""),
+                }
+            }
+            (Method::PUT, ["objects", kind, name]) => {
+                let body = read_body(req.into_body()).await;
+                match serde_json::from_slice::<Value>(&body) {
+                    Ok(object) => {
+                        self.put(kind, name, object["spec"].clone());
+                        Reply::text(StatusCode::OK, body)
+                    }
+                    Err(e) => Reply::text(StatusCode::BAD_REQUEST, e.to_string()),
+                }
+            }
+            (Method::DELETE, ["objects", kind, name]) => {
+                self.delete(kind, name);
+                Reply::text(StatusCode::OK, "")
+            }
+            _ => Reply::text(StatusCode::NOT_FOUND, ""),
+        }
+    }
+
+    fn list(&self, kind: &str) -> Reply {
+        let state = self.lock();
+        let items: Vec<&Value> =
+            state.objects.iter().filter(|((k, _), _)| k == kind).map(|(_, o)| o).collect();
+        Reply::json(&json!({"items": items, "has-more": false, "store-revision": state.revision}))
+    }
+
+    async fn watch(&self, kind: &str, from: u64, wait_ms: Option<u64>) -> Reply {
+        let wait = Duration::from_millis(wait_ms.unwrap_or(0)).min(MAX_WAIT);
+        let mut changed = self.changed.subscribe();
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            changed.borrow_and_update();
+            if let Some(reply) = self.events(kind, from) {
+                return reply;
+            }
+            if tokio::time::timeout_at(end, changed.changed()).await.is_err() {
+                let revision = self.lock().revision;
+                return Reply::json(&json!({"events": [], "store-revision": revision}));
+            }
+        }
+    }
+
+    /// Returns the changes of a kind after a revision; `None` if there are none yet.
+    fn events(&self, kind: &str, from: u64) -> Option<Reply> {
+        let state = self.lock();
+        let oldest = state.history.front().map_or(state.revision + 1, |e| e.revision);
+        if from + 1 < oldest && from < state.revision {
+            return Some(Reply::text(StatusCode::GONE, ""));
+        }
+        let events: Vec<Value> = state
+            .history
+            .iter()
+            .filter(|e| e.kind == kind && e.revision > from)
+            .map(|e| json!({"object": e.object, "deleted": e.deleted}))
+            .collect();
+        let body = json!({"events": events, "store-revision": state.revision});
+        (!events.is_empty()).then(|| Reply::json(&body))
+    }
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    let pairs = query.split('&').filter_map(|p| p.split_once('='));
+    pairs.into_iter().find(|(n, _)| *n == name).and_then(|(_, v)| v.parse().ok())
+}
