Give free places to near requests; handle signals before anything else

Change: a request from the domain of a free place comes before one from elsewhere by a time that grows with the size of the route's bodies; signals are handled as the first act of the process.

--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -116,6 +116,9 @@
     pub remote_per_kb: f64,
     /// Largest addition to that factor.
     pub max_remote: f64,
+    /// Time by which a request from the domain of a free place is preferred, as a multiple of the
+    /// usual time and that addition.
+    pub remote_wait: f64,
     /// Factor on the expected time that leaves room for slower requests, when it is decided whether
     /// a request will be in time.
     pub time_margin: f64,
@@ -148,6 +151,7 @@
             remote: 0.1,
             remote_per_kb: 0.25,
             max_remote: 1.5,
+            remote_wait: 0.5,
             time_margin: 1.2,
             overcommit: 1,
             trust: Duration::from_millis(250),
@@ -393,11 +397,11 @@
             };
             if let Some(decision) = decision {
                 let waiting = &self.waiting[i];
-                if let Decision::Grant { target, .. } = &decision {
-                    if let Some(t) = self.targets.iter_mut().find(|t| t.id == *target) {
-                        let out = Out::new(now, waiting, t.slowdown, false);
-                        t.out.push(out);
-                    }
+                if let Decision::Grant { target, .. } = &decision
+                    && let Some(t) = self.targets.iter_mut().find(|t| t.id == *target)
+                {
+                    let out = Out::new(now, waiting, t.slowdown, false);
+                    t.out.push(out);
                 }
                 out.push((self.waiting[i].ticket.clone(), decision));
             }
@@ -454,10 +458,22 @@
 
     /// Returns the indices of the requests that wait, the one to be served first in front.
     fn order(&self, now: Time) -> Vec<usize> {
+        let mut with_room: Vec<&str> = self
+            .targets
+            .iter()
+            .filter(|t| self.has_room(&self.expected_report(now, t)))
+            .map(|t| &*t.failure_domain)
+            .collect();
+        with_room.sort_unstable();
         let mut order: Vec<usize> = (0..self.waiting.len()).collect();
-        order.sort_by_key(|i| {
+        order.sort_by_cached_key(|i| {
             let w = &self.waiting[*i];
-            (!w.can_be_in_time(now), !w.ask.urgent, w.since + w.ask.target_left)
+            let near = with_room.binary_search(&&*w.ask.failure_domain).is_ok();
+            // A free place goes to a request from its own domain, unless one from elsewhere has
+            // waited for longer by what the distance is worth.
+            let remote = if near { 0.0 } else { self.remote(&w.ask) * self.opts.remote_wait };
+            let turn = w.since + w.ask.target_left + w.ask.usual.mul_f64(remote);
+            (!w.can_be_in_time(now), !w.ask.urgent, turn)
         });
         order
     }
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -11,7 +11,7 @@
 use anyhow::Context;
 use geraniummux_core::Time;
 use slog::{Logger, info, warn};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -41,21 +41,42 @@
     S: Store,
     F: FnOnce(&Settings, Logger) -> S,
 {
-    let (log, _guard) = logs::start(&settings.host).context("starting the log writer")?;
-    let metrics = Metrics::new()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("starting the runtime")?;
     runtime.block_on(async {
+        // Before anything else: a signal that comes earlier ends the process.
+        let signals = Signals::handle()?;
+        let (log, _guard) = logs::start(&settings.host).context("starting the log writer")?;
+        let metrics = Metrics::new()?;
         let net = PeerNet::open(settings.peer, &settings.peer_key).await?;
         let store = Arc::new(store(&settings, log.clone()));
         let host = Arc::new(Host::new(settings, log, metrics, protocol, net));
-        serve(path, host, store).await
+        serve(path, host, store, signals).await
     })
 }
 
-async fn serve<S>(path: PathBuf, host: Arc<Host>, store: Arc<S>) -> anyhow::Result<()>
+/// The signals that a host handles.
+struct Signals {
+    stop: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    fn handle() -> anyhow::Result<Self> {
+        let stop = signal(SignalKind::terminate()).context("handling SIGTERM")?;
+        let reload = signal(SignalKind::hangup()).context("handling SIGHUP")?;
+        Ok(Signals { stop, reload })
+    }
+}
+
+async fn serve<S>(
+    path: PathBuf,
+    host: Arc<Host>,
+    store: Arc<S>,
+    signals: Signals,
+) -> anyhow::Result<()>
 where
     S: Store,
 {
@@ -72,8 +93,6 @@
     }
     let peers = tokio::net::TcpListener::bind(settings.peer).await;
     let peers = peers.with_context(|| format!("peer: can't listen on {}", settings.peer))?;
-    let stop = signal(SignalKind::terminate())?;
-    let reload = signal(SignalKind::hangup())?;
     info!(host.log, "started"; "listen" => settings.listen.to_string(),
         "peer" => settings.peer.to_string(), "store" => settings.store.to_string(),
         "failure_domain" => &*settings.failure_domain);
@@ -85,7 +104,7 @@
     tokio::spawn(reader::start(host.clone(), store.clone()));
     tokio::spawn(reader::run(host.clone(), store));
     tokio::spawn(timer(host.clone()));
-    until_stopped(path, host, stop, reload).await;
+    until_stopped(path, host, signals).await;
     Ok(())
 }
 
@@ -102,7 +121,8 @@
     }
 }
 
-async fn until_stopped(path: PathBuf, host: Arc<Host>, mut stop: Signal, mut reload: Signal) {
+async fn until_stopped(path: PathBuf, host: Arc<Host>, signals: Signals) {
+    let Signals { mut stop, mut reload } = signals;
     let mut changed = modified(&path);
     loop {
         tokio::select! {
@@ -120,12 +140,12 @@
     shut_down(&host, stop).await;
 }
 
-fn modified(path: &PathBuf) -> Option<SystemTime> {
+fn modified(path: &Path) -> Option<SystemTime> {
     std::fs::metadata(path).and_then(|m| m.modified()).ok()
 }
 
 /// Reads the settings again. Addresses and names count only at the start.
-fn read_settings(path: &PathBuf, host: &Arc<Host>, why: &str) {
+fn read_settings(path: &Path, host: &Arc<Host>, why: &str) {
     match Settings::load(path) {
         Ok(settings) => {
             let changed = settings != **host.settings.load();
--- a/crates/geraniummux-host/src/server.rs
+++ b/crates/geraniummux-host/src/server.rs
@@ -112,15 +112,12 @@
         .max_buf_size(head)
         .serve_connection(TokioIo::new(stream), answer);
     let mut conn = pin!(conn);
-    loop {
-        tokio::select! {
-            // An error means that the caller left or broke the protocol; hyper has answered it.
-            _ = conn.as_mut() => break,
-            () = draining(&mut phases) => {
-                conn.as_mut().graceful_shutdown();
-                let _ = conn.as_mut().await;
-                break;
-            }
+    // An error means that the caller left or broke the protocol; hyper has answered it.
+    tokio::select! {
+        _ = conn.as_mut() => {}
+        () = draining(&mut phases) => {
+            conn.as_mut().graceful_shutdown();
+            let _ = conn.as_mut().await;
         }
     }
     drop(guard);
--- a/crates/geraniummux-soak/tests/soak.rs
+++ b/crates/geraniummux-soak/tests/soak.rs
@@ -25,7 +25,8 @@
         // A machine that builds at the same time can't keep promises with a time.
         timed: false,
         program: program(),
-        dir: std::env::temp_dir().join(format!("geraniummux-soak-test-{}-{seed}", std::process::id())),
+        dir: std::env::temp_dir()
+            .join(format!("geraniummux-soak-test-{}-{seed}", std::process::id())),
     };
     let dir = opts.dir.clone();
     let report = run(opts).await.unwrap();
