--- a/crates/geraniummux-soak/src/callers.rs
+++ b/crates/geraniummux-soak/src/callers.rs
@@ -102,7 +102,8 @@
     Ok(sender)
 }
 
-async fn ask(
+/// Sends one request and waits for its end.
+pub async fn ask(
     world: &World,
     sender: &mut SendRequest<Full<Bytes>>,
     host: SocketAddr,
--- a/crates/geraniummux-soak/src/world.rs
+++ b/crates/geraniummux-soak/src/world.rs
@@ -100,6 +100,30 @@
 }
 
 impl World {
+    /// Starts all processes and stand-ins, with a configuration and all targets registered.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is in use or the program can't be started.
+    pub async fn start(opts: &Options) -> anyhow::Result<Self> {
+        std::fs::create_dir_all(&opts.dir).context("creating the folder for logs")?;
+        let world = World::build(opts).await?;
+        world.configure();
+        world.configure();
+        for i in 0..world.targets.len() {
+            world.register(i);
+        }
+        for host in &world.hosts {
+            lock(host).start()?;
+        }
+        Ok(world)
+    }
+
+    /// Returns the addresses for requests.
+    pub fn listens(&self) -> &[SocketAddr] {
+        &self.listens
+    }
+
     async fn build(opts: &Options) -> anyhow::Result<Self> {
         let store = Arc::new(ObjectStore::default());
         let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -196,7 +220,7 @@
     }
 
     /// Writes the entry of a target into the store.
-    fn register(&self, i: usize) {
+    pub fn register(&self, i: usize) {
         let target = &self.targets[i];
         let zone = ["zone-a", "zone-b"][i % 2];
         let entry = target.entry("pool", &self.target_links[i].addr.to_string(), zone);
@@ -230,8 +254,8 @@
         self.store.put("config", "main", spec);
     }
 
-    /// Returns what hosts have ended by themselves.
-    fn poll_hosts(&self) {
+    /// Notes hosts that have ended by themselves.
+    pub fn poll_hosts(&self) {
         for host in &self.hosts {
             if let (_, Some(why)) = lock(host).poll() {
                 lock(&self.ended).push(why);
@@ -239,8 +263,14 @@
         }
     }
 
+    /// Returns what went wrong with processes so far.
+    pub fn unexpected_ends(&self) -> Vec<String> {
+        self.poll_hosts();
+        lock(&self.ended).clone()
+    }
+
     /// Waits until a host has the newest configuration and not the one before.
-    async fn has_newest(&self, listen: SocketAddr) -> bool {
+    pub async fn has_newest(&self, listen: SocketAddr) -> bool {
         let version = self.version.load(Ordering::SeqCst);
         for _ in 0..SETTLE_LOOKS {
             let new = status(listen, &format!("/v{version}/x")).await;
@@ -272,16 +302,7 @@
 ///
 /// Fails if the run can't be set up.
 pub async fn run(opts: Options) -> anyhow::Result<Report> {
-    std::fs::create_dir_all(&opts.dir).context("creating the folder for logs")?;
-    let world = Arc::new(World::build(&opts).await?);
-    world.configure();
-    world.configure();
-    for i in 0..world.targets.len() {
-        world.register(i);
-    }
-    for host in &world.hosts {
-        lock(host).start()?;
-    }
+    let world = Arc::new(World::start(&opts).await?);
     let mut report = Report { seed: opts.seed, ..Report::default() };
     settle(&world, &mut report).await;
     let callers: Vec<_> = (0..opts.callers)
