Leave a store that is away to the scouts

Change: hosts beyond the scouts read only if they hear nothing from any peer, or one by one once the news are older than 6 s; a started host waits 1.2 s for its peers before it takes a role.

--- a/crates/geraniummux-core/src/fleet/readers.rs
+++ b/crates/geraniummux-core/src/fleet/readers.rs
@@ -3,7 +3,8 @@
 //! All hosts order the live members in the same way. The first few read the store; each other host
 //! follows one that precedes it, so that every host serves only a few followers. Store calls
 //! therefore don't grow with the fleet. If nothing fresh arrives, the next ones in the order begin
-//! to read as well, one after the other, and all others only much later.
+//! to read as well, one after the other; the others only if they hear nothing from any peer, or much
+//! later.
 
 use std::time::Duration;
 
@@ -20,8 +21,11 @@
     pub stale_after: Duration,
     /// Time between two scouts.
     pub scout_step: Duration,
-    /// Age of the news from which any host reads the store for itself.
+    /// Silence of all peers after which any host reads the store for itself.
     pub isolated_after: Duration,
+    /// Age of the news from which hosts beyond the scouts begin to read, although they hear from
+    /// their peers: all scouts may be refused.
+    pub all_stale_after: Duration,
 }
 
 impl Default for ReaderOptions {
@@ -33,6 +37,7 @@
             stale_after: Duration::from_millis(700),
             scout_step: Duration::from_millis(150),
             isolated_after: Duration::from_millis(2_500),
+            all_stale_after: Duration::from_secs(6),
         }
     }
 }
@@ -55,21 +60,36 @@
     Peers,
 }
 
-/// Decides whether a host reads the store, from the age of what it heard from its peers. A host that
-/// reads although it is not a root goes on until the news of its peers are fresh.
-pub fn source(rank: usize, age: Duration, reads: bool, opts: &ReaderOptions) -> Source {
+/// What a host heard from its peers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Heard {
+    /// How long ago their knowledge was known to be current.
+    pub age: Duration,
+    /// How long ago any of them told of its knowledge.
+    pub silence: Duration,
+}
+
+/// Decides whether a host reads the store, from what it heard from its peers. A host that reads
+/// although it is not a root goes on until the news of its peers are fresh.
+///
+/// While the store is away, the news of all hosts grow old. Only the scouts then try to reach it, and
+/// after a long time others, one after the other.
+pub fn source(rank: usize, heard: Heard, reads: bool, opts: &ReaderOptions) -> Source {
+    let Heard { age, silence } = heard;
     if rank < opts.roots {
         return Source::Store;
     }
-    let limit = if reads {
-        opts.stale_after / 2
+    let step = |n: usize| opts.scout_step * n as u32;
+    let stale = if reads {
+        age >= opts.stale_after / 2
     } else if rank < opts.scouts {
-        opts.stale_after + opts.scout_step * (rank - opts.roots) as u32
+        age >= opts.stale_after + step(rank - opts.roots)
     } else {
-        // Spreads the hosts that are cut off from their peers over some time.
-        opts.isolated_after + opts.scout_step * (rank % 8) as u32
+        // The steps spread hosts that are cut off from their peers at the same time.
+        silence >= opts.isolated_after + step(rank % 8)
+            || age >= opts.all_stale_after + step(rank - opts.scouts)
     };
-    if age >= limit { Source::Store } else { Source::Peers }
+    if stale { Source::Store } else { Source::Peers }
 }
 
 /// Returns the ranks of the hosts that a host may follow, the preferred one first.
--- a/crates/geraniummux-host/src/feed.rs
+++ b/crates/geraniummux-host/src/feed.rs
@@ -193,6 +193,7 @@
         let mut knowledge = host.knowledge();
         let as_of = now - Duration::from_millis(u64::from(news.age_ms));
         knowledge.as_of = knowledge.as_of.max(as_of);
+        knowledge.heard = now;
         knowledge.config_revision = knowledge.config_revision.max(Some(news.config_revision));
     }
     fits
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -9,7 +9,7 @@
 use crate::upstream::Upstream;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
-    Delta, Fault, FleetConfig, FleetRoute, ProbeBudget, Repeat, RepeatBudget, RepeatOptions,
+    Delta, Fault, FleetConfig, FleetRoute, Heard, ProbeBudget, Repeat, RepeatBudget, RepeatOptions,
     RouteIndex, SplitState, TableOptions, TargetRegistry, TargetTable,
 };
 use geraniummux_core::membership::MembershipOptions;
@@ -62,6 +62,8 @@
 pub struct Knowledge {
     /// When the knowledge was last known to be current, unless the host is in touch with the store.
     pub as_of: Time,
+    /// When a peer last told how current its knowledge is.
+    pub heard: Time,
     /// Whether the host's own watch of the targets is in place.
     pub watches_targets: bool,
     /// Whether the host's own watch of the configuration is in place.
@@ -85,10 +87,10 @@
         }
     }
 
-    /// Returns how long ago the knowledge was known to be current from what peers told.
-    pub fn age_heard(&self, now: Time) -> Duration {
+    /// Returns what was heard from peers.
+    pub fn from_peers(&self, now: Time) -> Heard {
         let behind = self.behind_since.map_or(Duration::ZERO, |t| now.since(t));
-        now.since(self.as_of).max(behind)
+        Heard { age: now.since(self.as_of).max(behind), silence: now.since(self.heard) }
     }
 
     /// Records whether the host's own watch of the targets is in place.
@@ -300,6 +302,7 @@
             members: Mutex::new(Membership::new(now, me, seeds, opts, &mut rand::rng())),
             knowledge: Mutex::new(Knowledge {
                 as_of: now,
+                heard: now,
                 watches_targets: false,
                 watches_config: false,
                 config_revision: None,
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -19,7 +19,7 @@
 /// Interval between decisions whether to read.
 const REVIEW: Duration = Duration::from_millis(100);
 /// Time after the start in which the members get to know each other before any of them reads.
-const SETTLE: Duration = Duration::from_millis(600);
+const SETTLE: Duration = Duration::from_millis(1_200);
 
 /// Reads the store once, so that the host can serve before it has heard of any peer.
 pub async fn start<S>(host: Arc<Host>, store: Arc<S>)
@@ -49,18 +49,18 @@
             continue;
         }
         let (position, _) = feed::place(&host.members());
-        let age = host.knowledge().age_heard(now);
+        let heard = host.knowledge().from_peers(now);
         let reads = !tasks.is_empty();
-        match (source(position.rank, age, reads, &opts), reads) {
+        match (source(position.rank, heard, reads, &opts), reads) {
             (Source::Store, false) => {
                 info!(host.log, "reading_store"; "rank" => position.rank,
-                    "hosts" => position.hosts, "age_ms" => age.as_millis() as u64);
+                    "hosts" => position.hosts, "age_ms" => heard.age.as_millis() as u64);
                 tasks.push(tokio::spawn(watch_targets(host.clone(), store.clone())));
                 tasks.push(tokio::spawn(watch_config(host.clone(), store.clone())));
             }
             (Source::Peers, true) => {
                 info!(host.log, "reading_peers"; "rank" => position.rank,
-                    "hosts" => position.hosts, "age_ms" => age.as_millis() as u64);
+                    "hosts" => position.hosts, "age_ms" => heard.age.as_millis() as u64);
                 for task in tasks.drain(..) {
                     task.abort();
                 }
