Measure remote targets through hosts near them; relay by failure domain; one clock and log format

Cause: health checks of a scheduler cross failure domains, about 400 bytes each, and so do relayed changes and reports of faults. Change: a host near the targets measures them and sends a batch of reports; followers follow hosts of their domain; faults go to eight near peers and all schedulers; idle connections are bounded by what a target accepts; urgency is computed once a configuration; geraniummuxd uses the clock and line format of geraniummux-host; unused parts of the target table removed.

--- a/crates/geraniummux-core/src/fleet/readers.rs
+++ b/crates/geraniummux-core/src/fleet/readers.rs
@@ -1,7 +1,8 @@
 //! Which hosts read the platform's store, and whom the others hear from.
 //!
-//! All hosts order the live members in the same way. The first few read the store; each other host
-//! follows one that precedes it, so that every host serves only a few followers. Store calls
+//! All hosts order the live members in the same way. The first few read the store; in each failure
+//! domain the first follows one of them and each other one a host of the domain that precedes it, so that
+//! every host serves only a few followers and little crosses domains. Store calls
 //! therefore don't grow with the fleet. If nothing fresh arrives, the next ones in the order begin
 //! to read as well, one after the other; the others only if they hear nothing from any peer, or much
 //! later.
@@ -92,19 +93,24 @@
     if stale { Source::Store } else { Source::Peers }
 }
 
-/// Returns the ranks of the hosts that a host may follow, the preferred one first.
-pub fn leaders(position: Position, opts: &ReaderOptions) -> Vec<usize> {
-    let Position { rank, hosts } = position;
-    let mut ranks = Vec::new();
-    if rank >= opts.roots {
-        ranks.push((rank - opts.roots) / opts.fanout.max(1));
-    }
-    ranks.extend(0..opts.scouts);
-    let mut out: Vec<usize> = Vec::new();
-    for r in ranks {
-        if r != rank && r < hosts && !out.contains(&r) {
-            out.push(r);
-        }
+/// A host to follow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Leader {
+    /// The one with this rank among all hosts.
+    Any(usize),
+    /// The one with this rank among the hosts of the own failure domain.
+    Near(usize),
+}
+
+/// Returns the hosts that a host may follow, the preferred one first: one of its failure domain that
+/// precedes it there, or the first root for the first of the domain. `near` is its place among the hosts
+/// of its domain.
+pub fn leaders(place: Position, near: Position, opts: &ReaderOptions) -> Vec<Leader> {
+    let mut out = Vec::new();
+    if place.rank >= opts.roots && near.rank > 0 {
+        out.push(Leader::Near((near.rank - 1) / opts.fanout.max(1)));
     }
+    let scouts = (0..opts.scouts).filter(|r| *r != place.rank && *r < place.hosts);
+    out.extend(scouts.map(Leader::Any));
     out
 }
--- a/crates/geraniummux-core/src/fleet/routes.rs
+++ b/crates/geraniummux-core/src/fleet/routes.rs
@@ -103,6 +103,8 @@
     routes: Vec<Arc<FleetRoute>>,
     /// Sorted by name.
     pools: Vec<Arc<FleetPool>>,
+    /// The most urgent priority of the routes to each pool, sorted by pool.
+    urgent: Vec<(Arc<str>, u32)>,
 }
 
 impl RouteIndex {
@@ -112,7 +114,8 @@
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         let mut pools: Vec<_> = config.pools.iter().cloned().map(Arc::new).collect();
         pools.sort_by(|a, b| a.name.cmp(&b.name));
-        RouteIndex { version: config.version, limits: config.limits, routes, pools }
+        let urgent = urgent_priorities(&routes);
+        RouteIndex { version: config.version, limits: config.limits, routes, pools, urgent }
     }
 
     /// Returns the route of a request: the one of this host with the longest matching prefix.
@@ -136,12 +139,29 @@
         Some(&self.pools[i])
     }
 
+    /// Returns whether no route to a pool of this route is more urgent.
+    pub fn is_urgent(&self, route: &FleetRoute) -> bool {
+        route.shares.iter().all(|s| {
+            let i = self.urgent.binary_search_by(|(pool, _)| pool.cmp(&s.pool));
+            i.is_ok_and(|i| self.urgent[i].1 >= route.priority)
+        })
+    }
+
     /// Returns all routes, sorted by host and prefix.
     pub fn routes(&self) -> &[Arc<FleetRoute>] {
         &self.routes
     }
 }
 
+fn urgent_priorities(routes: &[Arc<FleetRoute>]) -> Vec<(Arc<str>, u32)> {
+    let mut all: Vec<(Arc<str>, u32)> =
+        routes.iter().flat_map(|r| r.shares.iter().map(|s| (s.pool.clone(), r.priority))).collect();
+    all.sort_unstable();
+    // The smallest number of each pool comes first and is kept.
+    all.dedup_by(|later, first| later.0 == first.0);
+    all
+}
+
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -102,6 +102,17 @@
     },
 }
 
+/// A target that has not reported lately.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unheard {
+    /// Its identity.
+    pub target: Arc<str>,
+    /// Failure domain that it runs in.
+    pub failure_domain: Arc<str>,
+    /// Time since its last report; `None` if there was none.
+    pub age: Option<Duration>,
+}
+
 /// Weights and limits of the scheduler.
 #[derive(Clone, Debug)]
 pub struct SchedulerOptions {
@@ -299,15 +310,19 @@
     }
 
     /// Returns the targets that have not reported for `max_age`, the longest first.
-    pub fn unheard(&self, now: Time, max_age: Duration) -> Vec<Arc<str>> {
-        let mut unheard: Vec<(Option<Time>, &Arc<str>)> = self
+    pub fn unheard(&self, now: Time, max_age: Duration) -> Vec<Unheard> {
+        let mut unheard: Vec<Unheard> = self
             .targets
             .iter()
-            .filter(|t| t.reported.is_none_or(|at| now.since(at) >= max_age))
-            .map(|t| (t.reported, &t.id))
+            .map(|t| Unheard {
+                age: t.reported.map(|at| now.since(at)),
+                target: t.id.clone(),
+                failure_domain: t.failure_domain.clone(),
+            })
+            .filter(|u| u.age.is_none_or(|age| age >= max_age))
             .collect();
-        unheard.sort();
-        unheard.into_iter().map(|(_, id)| id.clone()).collect()
+        unheard.sort_by_key(|u| (u.age.is_some(), std::cmp::Reverse(u.age)));
+        unheard
     }
 
     /// Decides on a request. Decisions on others that wait may come with it.
--- a/crates/geraniummux-core/src/fleet/table.rs
+++ b/crates/geraniummux-core/src/fleet/table.rs
@@ -58,8 +58,6 @@
     pub id: Arc<str>,
     /// Its address.
     pub addr: SocketAddr,
-    /// Whether it runs in another failure domain than this host.
-    pub remote: bool,
 }
 
 /// What to expect of a target.
@@ -126,15 +124,10 @@
     }
 
     /// Returns the number of targets of a pool.
-    pub fn len(&self, pool: &str) -> usize {
+    pub fn count(&self, pool: &str) -> usize {
         self.pool(pool).len()
     }
 
-    /// Returns whether a pool has no targets.
-    pub fn is_empty(&self, pool: &str) -> bool {
-        self.pool(pool).is_empty()
-    }
-
     /// Returns whether the target may still be sent requests of the pool.
     pub fn contains(&self, pool: &str, id: &str) -> bool {
         self.candidate(pool, id).is_some()
@@ -193,29 +186,6 @@
         Rating { order: self.weighted(t, now, stretch), stretch }
     }
 
-    /// Returns the last report of a target if it is no older than `max_age`.
-    pub fn recent_report(
-        &self,
-        now: Time,
-        pool: &str,
-        id: &str,
-        max_age: Duration,
-    ) -> Option<TargetReport> {
-        let t = self.pool(pool).iter().find(|t| &*t.id == id)?;
-        t.report.filter(|(at, _)| now.since(*at) <= max_age).map(|(_, r)| r)
-    }
-
-    /// Returns the mean part of a pool's slots that is in use, from reports no older than
-    /// `max_age`; `None` without such reports.
-    pub fn utilization(&self, now: Time, pool: &str, max_age: Duration) -> Option<f64> {
-        let recent = self.pool(pool).iter().filter_map(|t| t.report);
-        let recent = recent.filter(|(at, _)| now.since(*at) <= max_age);
-        let (busy, slots) = recent.fold((0.0, 0.0), |(busy, slots), (_, r)| {
-            (busy + f64::from(r.running + r.waiting), slots + f64::from(r.slots))
-        });
-        (slots > 0.0).then(|| busy / slots)
-    }
-
     /// Records what a target said of its load.
     pub fn on_report(&mut self, now: Time, id: &str, report: TargetReport) {
         if let Some(t) = self.find(id) {
@@ -294,6 +264,6 @@
 
 impl Target {
     fn candidate(&self) -> Candidate {
-        Candidate { id: self.id.clone(), addr: self.addr, remote: self.remote }
+        Candidate { id: self.id.clone(), addr: self.addr }
     }
 }
--- a/crates/geraniummux-core/tests/fleet_routes.rs
+++ b/crates/geraniummux-core/tests/fleet_routes.rs
@@ -93,3 +93,19 @@
     let mut split = SplitState::default();
     assert!((0..50).all(|i| &**split.next(&route, f64::from(i) / 50.0).unwrap() == "on"));
 }
+
+/// Guards against a less urgent route being placed before a more urgent one of the same pool.
+#[test]
+fn is_urgent_compares_routes_of_the_same_pool() {
+    let with = |name, prefix, pool: &str, priority| FleetRoute {
+        priority,
+        ..route(name, "h", prefix, &[(pool, 1.0)])
+    };
+    let routes = vec![with("a", "/a/", "p", 1), with("b", "/b/", "p", 2), with("c", "/c/", "q", 2)];
+    let index = RouteIndex::new(&FleetConfig { routes, ..FleetConfig::default() });
+    let urgent: Vec<bool> = ["/a/", "/b/", "/c/"]
+        .iter()
+        .map(|p| index.is_urgent(index.find("h", p).unwrap()))
+        .collect();
+    assert_eq!(urgent, [true, false, true]);
+}
--- a/crates/geraniummux-host/src/feed.rs
+++ b/crates/geraniummux-host/src/feed.rs
@@ -5,8 +5,8 @@
 
 use crate::host::Host;
 use crate::peers;
-use geraniummux_core::fleet::{Position, ReaderOptions, leaders};
-use geraniummux_core::{MemberState, Membership, Time};
+use geraniummux_core::fleet::{Leader, Position, ReaderOptions, leaders};
+use geraniummux_core::{Member, MemberState, Membership, Time};
 use geraniummux_wire::{Known, Message, News};
 use slog::{info, warn};
 use std::io;
@@ -31,24 +31,52 @@
 /// Age of a leader's knowledge from which another leader is looked for.
 const STALE_LEADER: Duration = Duration::from_millis(1_200);
 
-/// Names all live members in the order in which they read and follow.
-fn order(members: &Membership) -> Vec<(u64, Arc<str>, SocketAddr)> {
-    let mut order: Vec<_> = std::iter::once(members.me())
-        .chain(members.peers())
-        .filter(|m| m.state < MemberState::Suspect)
-        .map(|m| (members.order_key("feed", &m.name), m.name.clone(), m.addr))
-        .collect();
-    order.sort_unstable();
-    order
+/// The live members in the order in which they read and follow.
+pub struct Order {
+    /// The place of this host among all.
+    pub place: Position,
+    all: Vec<SocketAddr>,
+    /// The place of this host in its failure domain.
+    near_place: Position,
+    near: Vec<SocketAddr>,
 }
 
-/// Returns the place of this host among the live members, and all of these in order.
-pub fn place(members: &Membership) -> (Position, Vec<SocketAddr>) {
-    let order = order(members);
-    let me = &members.me().name;
-    let rank = order.iter().position(|(_, name, _)| name == me).unwrap_or(order.len());
-    let position = Position { rank, hosts: order.len() };
-    (position, order.into_iter().map(|(_, _, addr)| addr).collect())
+impl Order {
+    /// Returns the order that a host sees.
+    pub fn of(members: &Membership) -> Self {
+        let me = members.me();
+        let mut order: Vec<(u64, &Member)> = std::iter::once(me)
+            .chain(members.peers())
+            .filter(|m| m.state < MemberState::Suspect)
+            .map(|m| (members.order_key("feed", &m.name), m))
+            .collect();
+        order.sort_unstable_by_key(|(key, m)| (*key, m.name.clone()));
+        let place_in = |hosts: &[&Member]| {
+            let rank = hosts.iter().position(|m| m.name == me.name).unwrap_or(hosts.len());
+            Position { rank, hosts: hosts.len() }
+        };
+        let all: Vec<&Member> = order.into_iter().map(|(_, m)| m).collect();
+        let in_domain = |m: &&&Member| m.failure_domain == me.failure_domain;
+        let near: Vec<&Member> = all.iter().filter(in_domain).copied().collect();
+        let addrs = |hosts: &[&Member]| hosts.iter().map(|m| m.addr).collect();
+        Order {
+            place: place_in(&all),
+            all: addrs(&all),
+            near_place: place_in(&near),
+            near: addrs(&near),
+        }
+    }
+
+    /// Returns the hosts to follow, the preferred one first.
+    fn leaders(&self) -> Vec<SocketAddr> {
+        leaders(self.place, self.near_place, &ReaderOptions::default())
+            .into_iter()
+            .map(|leader| match leader {
+                Leader::Any(rank) => self.all[rank],
+                Leader::Near(rank) => self.near[rank],
+            })
+            .collect()
+    }
 }
 
 /// Serves one follower until its connection ends.
@@ -106,17 +134,15 @@
 
 /// Follows other hosts until the task is dropped.
 pub async fn follow(host: Arc<Host>) {
-    let opts = ReaderOptions::default();
     let mut attempt = 0;
     loop {
-        let (position, order) = place(&host.members());
-        let choices = leaders(position, &opts);
+        let choices = Order::of(&host.members()).leaders();
         if choices.is_empty() || host.knowledge().age(host.now()).is_zero() {
             attempt = 0;
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         }
-        let leader = order[choices[attempt % choices.len()]];
+        let leader = choices[attempt % choices.len()];
         let preferred = attempt == 0;
         match follow_one(&host, leader, preferred).await {
             Ok(Left::ForBetter) => attempt = 0,
@@ -174,9 +200,7 @@
 
 /// Returns whether a leader is still the one to follow.
 fn is_right(host: &Host, leader: SocketAddr, preferred: bool, followed: Duration) -> bool {
-    let (position, order) = place(&host.members());
-    let choices = leaders(position, &ReaderOptions::default());
-    let first = choices.first().map(|i| order[*i]);
+    let first = Order::of(&host.members()).leaders().first().copied();
     // Another leader than the first is kept for a while, so that one that comes and goes is not
     // followed each time.
     first == Some(leader) || (!preferred && followed < 5 * REVIEW)
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -493,7 +493,7 @@
         let per_target = self.settings.load().promises.probes_per_s;
         let now = self.now();
         let mut fleet = self.fleet();
-        let rate = per_target * fleet.table.len(pool) as f64 * part;
+        let rate = per_target * fleet.table.count(pool) as f64 * part;
         fleet.probes(pool, by).take(now, wanted, least, rate)
     }
 
@@ -508,6 +508,15 @@
         }
     }
 
+    /// Returns how many idle connections this host may keep to one target: half of what the target
+    /// accepts from all hosts, so that the other half is there for new ones.
+    pub fn idle_limit(&self) -> usize {
+        let hosts = self.members().live_peers().count() + 1;
+        let config = self.config();
+        let most = config.iter().flat_map(|c| &c.pools).map(|p| p.max_connections).min();
+        (most.unwrap_or(u32::MAX) as usize / (2 * hosts)).max(1)
+    }
+
     /// Forgets lapsed targets and notices whether the store is away. To be called a few times a
     /// second.
     pub fn tick(&self, now: Time) {
--- a/crates/geraniummux-host/src/logs.rs
+++ b/crates/geraniummux-host/src/logs.rs
@@ -147,8 +147,7 @@
         }
         let first = pending.text.is_empty();
         let mut line = Line(&mut pending.text);
-        // Writing to a String can't fail.
-        let _ = write!(line.0, "time={} level={}", unix_ms(), record.level().as_short_str());
+        line.begin(record.level());
         line.push("event", record.msg());
         let _ = values.serialize(record, &mut line);
         let _ = record.kv().serialize(record, &mut line);
@@ -161,11 +160,18 @@
     }
 }
 
-struct Line<'a>(&'a mut String);
+/// A line of key=value pairs in the making.
+pub struct Line<'a>(pub &'a mut String);
 
 impl Line<'_> {
+    /// Begins a line with the time and the level.
+    pub fn begin(&mut self, level: Level) {
+        // Writing to a String can't fail.
+        let _ = write!(self.0, "time={} level={}", unix_ms(), level.as_short_str());
+    }
+
     /// Appends a pair; a value with spaces, quotes or control characters is quoted and escaped.
-    fn push(&mut self, key: &str, value: &fmt::Arguments<'_>) {
+    pub fn push(&mut self, key: &str, value: &fmt::Arguments<'_>) {
         let start = self.0.len();
         let _ = write!(self.0, " {key}=");
         let from = self.0.len();
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -24,8 +24,9 @@
 
 /// Interval of the timer for membership; the core asks for at most 100 ms.
 const TICK: Duration = Duration::from_millis(100);
-/// Peers that are told of each fault; in a larger fleet a random choice of that many.
-const FAULT_FANOUT: usize = 24;
+/// Peers of the same failure domain that are told of each fault, beside the schedulers; in a larger
+/// domain a random choice of that many.
+const FAULT_FANOUT: usize = 8;
 /// Faults that fit into one datagram with room to spare.
 const MAX_FAULTS: usize = 16;
 /// Longest time for one exchange over TCP.
@@ -125,6 +126,8 @@
         Message::Declined { number, pool, target } => {
             scheduling::on_declined(host, &from, number, &pool, &target);
         }
+        Message::Measure { pool, targets } => scheduling::on_measure(host, addr, pool, targets),
+        Message::Measured { pool, reports } => scheduling::on_measured(host, &pool, &reports),
         Message::Ended { number, pool, report } => {
             scheduling::on_ended(host, &from, number, &pool, report);
         }
@@ -203,6 +206,13 @@
     host.members().peers().filter(|m| m.state < MemberState::Suspect).map(|m| m.addr).collect()
 }
 
+fn near_peers(host: &Host) -> Vec<SocketAddr> {
+    let members = host.members();
+    let near = &members.me().failure_domain;
+    let alive = members.peers().filter(|m| m.state < MemberState::Suspect);
+    alive.filter(|m| m.failure_domain == *near).map(|m| m.addr).collect()
+}
+
 fn tell_faults(host: &Host) {
     let untold = std::mem::take(&mut host.fleet().untold_faults);
     if untold.is_empty() {
@@ -215,7 +225,7 @@
             None => sums.push(TargetFaults { target, weight: weight as f32 }),
         }
     }
-    let mut to = live_peers(host);
+    let mut to = near_peers(host);
     to.shuffle(&mut rand::rng());
     to.truncate(FAULT_FANOUT);
     // Those that decide with the faults hear of them at any rate.
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -100,7 +100,7 @@
     Ok(Job {
         host: host.clone(),
         id,
-        urgent: is_urgent(index, route),
+        urgent: index.is_urgent(route),
         route: route.clone(),
         pool,
         version: index.version,
@@ -113,10 +113,3 @@
         fingerprint,
     })
 }
-
-/// Returns whether no route to the same pools is more urgent.
-fn is_urgent(index: &RouteIndex, route: &FleetRoute) -> bool {
-    let shares =
-        |r: &FleetRoute| r.shares.iter().any(|s| route.shares.iter().any(|o| o.pool == s.pool));
-    !index.routes().iter().any(|r| r.priority < route.priority && shares(r))
-}
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -48,7 +48,7 @@
         if now.since(started) < SETTLE {
             continue;
         }
-        let (position, _) = feed::place(&host.members());
+        let position = feed::Order::of(&host.members()).place;
         let heard = host.knowledge().from_peers(now);
         let reads = !tasks.is_empty();
         match (source(position.rank, heard, reads, &opts), reads) {
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -113,6 +113,7 @@
         tokio::time::sleep(TICK).await;
         let now = host.now();
         host.tick(now);
+        host.upstream.set_limit(host.idle_limit());
         let fleet = host.fleet();
         host.upstream.sweep(now, |addr| fleet.table.knows_addr(addr));
         host.metrics.set_state("config_version", host.config_version() as i64);
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -3,11 +3,12 @@
 use crate::host::{Host, Prober};
 use crate::peers;
 use crate::proxy::place;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::fleet::{
-    Ask, Decision, RegisteredTarget, Scheduler, SchedulerOptions, TargetReport, Ticket,
+    Ask, Decision, RegisteredTarget, Scheduler, SchedulerOptions, TargetReport, Ticket, Unheard,
 };
 use geraniummux_core::{MemberState, Time};
-use geraniummux_wire::Message;
+use geraniummux_wire::{MAX_MEASURED, Message};
 use slog::info;
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -29,6 +30,10 @@
 const ACTIVE: Duration = Duration::from_secs(2);
 /// Age of a target's last report from which the scheduler asks it for its load.
 const REPORT_AGE: Duration = Duration::from_millis(60);
+/// Age of a target's last report from which its scheduler doesn't rely on a helper.
+const UNHELPED: Duration = Duration::from_millis(250);
+/// Time that a helper waits for reports: a few turns of a small part of a core.
+const HELPER_TIME: Duration = Duration::from_millis(15);
 /// Health checks that a request earns the scheduler that is asked about it. While hosts start and
 /// don't know each other, each of them schedules for itself and must not measure for the fleet.
 const PROBES_PER_ASK: f64 = 5.0;
@@ -358,19 +363,89 @@
         }
     }
     tell(host, decisions);
-    for (pool, targets) in unheard {
+    for (pool, mut targets) in unheard {
         let granted = host.take_probes(&pool, targets.len(), 0, Prober::Scheduler);
-        for target in targets.into_iter().take(granted) {
-            let (host, pool) = (host.clone(), pool.clone());
-            tokio::spawn(async move {
-                if let Some(report) = place::measure(&host, &pool, &target).await {
-                    let now = host.now();
-                    let decisions = host.scheduling.duty_report(now, &pool, &target, &report);
-                    tell(&host, decisions);
-                }
-            });
+        targets.truncate(granted);
+        measure(host, &pool, targets);
+    }
+}
+
+/// Measures targets: near ones, and those that helpers don't reach, from here, others through a host in
+/// their failure domain, since a batch of reports is much smaller than the health checks.
+fn measure(host: &Arc<Host>, pool: &Arc<str>, mut targets: Vec<Unheard>) {
+    let own = host.settings.load().failure_domain.clone();
+    targets.sort_by(|a, b| a.failure_domain.cmp(&b.failure_domain));
+    for near in targets.chunk_by(|a, b| a.failure_domain == b.failure_domain) {
+        let domain = &near[0].failure_domain;
+        let helper = if *domain == own { None } else { helper_in(host, domain) };
+        let Some(helper) = helper else {
+            near.iter().for_each(|u| measure_here(host, pool, &u.target));
+            continue;
+        };
+        let (by_helper, here): (Vec<&Unheard>, Vec<&Unheard>) =
+            near.iter().partition(|u| u.age.is_some_and(|age| age < UNHELPED));
+        here.iter().for_each(|u| measure_here(host, pool, &u.target));
+        for part in by_helper.chunks(MAX_MEASURED) {
+            let targets = part.iter().map(|u| u.target.clone()).collect();
+            peers::send(host, &[helper], Message::Measure { pool: pool.clone(), targets });
+        }
+    }
+}
+
+/// Returns the most capable host of a failure domain.
+fn helper_in(host: &Host, domain: &str) -> Option<SocketAddr> {
+    let members = host.members();
+    members
+        .peers()
+        .filter(|m| m.state == MemberState::Alive && *m.failure_domain == *domain)
+        .min_by_key(|m| (Reverse(m.capacity), members.order_key("measure", &m.name)))
+        .map(|m| m.addr)
+}
+
+fn measure_here(host: &Arc<Host>, pool: &Arc<str>, target: &Arc<str>) {
+    let (host, pool, target) = (host.clone(), pool.clone(), target.clone());
+    tokio::spawn(async move {
+        if let Some(report) = place::measure(&host, &pool, &target).await {
+            on_measured(&host, &pool, &[(target, report)]);
+        }
+    });
+}
+
+/// Measures targets for the scheduler of their pool.
+pub fn on_measure(host: &Arc<Host>, scheduler: SocketAddr, pool: Arc<str>, targets: Vec<Arc<str>>) {
+    let host = host.clone();
+    tokio::spawn(async move {
+        let mut asked: FuturesUnordered<_> = targets
+            .into_iter()
+            .take(MAX_MEASURED)
+            .map(|target| {
+                let (host, pool) = (&host, &pool);
+                async move { Some((target.clone(), place::measure(host, pool, &target).await?)) }
+            })
+            .collect();
+        let mut reports = Vec::new();
+        let collect = async {
+            while let Some(report) = asked.next().await {
+                reports.extend(report);
+            }
+        };
+        // Late reports are left out; their targets are asked again.
+        let _ = timeout(HELPER_TIME, collect).await;
+        drop(asked);
+        if !reports.is_empty() {
+            peers::send(&host, &[scheduler], Message::Measured { pool, reports });
         }
+    });
+}
+
+/// Takes in what targets of a pool said of their load.
+pub fn on_measured(host: &Arc<Host>, pool: &Arc<str>, reports: &[(Arc<str>, TargetReport)]) {
+    let now = host.now();
+    let mut decisions = Vec::new();
+    for (target, report) in reports {
+        decisions.extend(host.scheduling.duty_report(now, pool, target, report));
     }
+    tell(host, decisions);
 }
 
 impl Scheduling {
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -10,11 +10,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// Idle connections that are kept for one target.
+/// Idle connections that are kept for one target at most; a host rarely has more requests there at once.
 const MAX_IDLE: usize = 6;
 /// Time after which an idle connection is closed; targets close theirs after about ten seconds.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
@@ -139,10 +140,17 @@
 }
 
 /// Idle connections to all targets.
-#[derive(Default)]
 pub struct Upstream {
     /// Sorted by address; the connections of one target in the order of their last use.
     idle: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
+    /// Idle connections that are kept for one target.
+    limit: AtomicUsize,
+}
+
+impl Default for Upstream {
+    fn default() -> Self {
+        Upstream { idle: Mutex::default(), limit: AtomicUsize::new(MAX_IDLE) }
+    }
 }
 
 impl Upstream {
@@ -160,6 +168,11 @@
         None
     }
 
+    /// Sets how many idle connections are kept for one target, at least one and at most the usual number.
+    pub fn set_limit(&self, limit: usize) {
+        self.limit.store(limit.clamp(1, MAX_IDLE), Ordering::Relaxed);
+    }
+
     /// Keeps a connection for later use.
     pub fn keep(&self, now: Time, conn: Connection) {
         if !conn.is_open() {
@@ -172,7 +185,7 @@
             i
         });
         let kept = &mut idle[i].1;
-        if kept.len() >= MAX_IDLE {
+        while kept.len() >= self.limit.load(Ordering::Relaxed) {
             kept.remove(0);
         }
         kept.push(Idle { conn, since: now });
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -105,6 +105,20 @@
         /// The target at which the place is.
         target: Arc<str>,
     },
+    /// UDP: asks a host to measure targets that are near it, for the scheduler of their pool.
+    Measure {
+        /// The pool.
+        pool: Arc<str>,
+        /// The targets. [`MAX_MEASURED`] at most.
+        targets: Vec<Arc<str>>,
+    },
+    /// UDP: what targets said of their load; answers [`Message::Measure`].
+    Measured {
+        /// The pool.
+        pool: Arc<str>,
+        /// The reports.
+        reports: Vec<(Arc<str>, TargetReport)>,
+    },
     /// UDP: a request that a scheduler was asked about has ended.
     Ended {
         /// Number of the request at the sender.
@@ -116,6 +130,10 @@
     },
 }
 
+/// Most targets in one [`Message::Measure`] or [`Message::Measured`], so that it fits into a datagram: a
+/// report has up to 24 bytes and an identity about 16.
+pub const MAX_MEASURED: usize = 24;
+
 /// What a follower knows already.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Known {
--- a/crates/geraniummuxd/src/clock.rs
+++ b/crates/geraniummuxd/src/clock.rs
@@ -1,29 +1,3 @@
 //! Reads the clocks, so that all other code receives the time as an argument.
 
-use geraniummux_core::{Time, UnixMs};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
-
-/// Both clocks of the process.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    origin: Instant,
-}
-
-impl Clock {
-    /// Starts the monotonic clock one hour after its origin, so that subtracting from an early
-    /// instant does not reach the origin.
-    pub fn start() -> Self {
-        Clock { origin: Instant::now() }
-    }
-
-    /// Returns the monotonic time.
-    pub fn now(&self) -> Time {
-        const OFFSET_MICROS: u64 = 3_600_000_000;
-        Time::from_micros(OFFSET_MICROS + self.origin.elapsed().as_micros() as u64)
-    }
-
-    /// Returns the wall-clock time.
-    pub fn wall(&self) -> UnixMs {
-        UnixMs(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64))
-    }
-}
+pub use geraniummux_host::Clock;
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -73,6 +73,8 @@
         | Message::Ask { .. }
         | Message::Decided { .. }
         | Message::Declined { .. }
+        | Message::Measure { .. }
+        | Message::Measured { .. }
         | Message::Ended { .. } => control.net.refuse(),
     }
 }
