Roots follow each other; collect changes of targets for 120 ms

Change: both roots follow each other at any time; after changes a root waits 120 ms before it watches on.

--- a/crates/geraniummux-host/src/feed.rs
+++ b/crates/geraniummux-host/src/feed.rs
@@ -136,8 +136,12 @@
 pub async fn follow(host: Arc<Host>) {
     let mut attempt = 0;
     loop {
-        let choices = Order::of(&host.members()).leaders();
-        if choices.is_empty() || host.knowledge().age(host.now()).is_zero() {
+        let order = Order::of(&host.members());
+        let choices = order.leaders();
+        // Roots follow each other at any time: one whose watch has gone silent does not know that yet.
+        let is_root = order.place.rank < ReaderOptions::default().roots;
+        let current = host.knowledge().age(host.now()).is_zero();
+        if choices.is_empty() || current && !is_root {
             attempt = 0;
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -12,6 +12,9 @@
 /// How long a watch waits for changes. It bounds how long a store that has lost track of a watch
 /// goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(12);
+/// Time after changes of targets in which further ones are collected, so that a release costs fewer calls.
+/// It is short against the two seconds in which a leaving target has to be known.
+const COLLECT: Duration = Duration::from_millis(120);
 /// Pause after a first failed call; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after a failed call.
@@ -109,9 +112,15 @@
             let result = store.watch_targets(revision, WATCH_WAIT).await;
             note(&host, "watch_targets", result.as_ref().err());
             match result {
-                Ok(delta) => host.apply(delta, "store"),
+                Ok(delta) => {
+                    let changed = !delta.changes.is_empty();
+                    host.apply(delta, "store");
+                    if changed {
+                        tokio::time::sleep(COLLECT).await;
+                    }
+                }
                 Err(e) => break e,
-            };
+            }
         };
         host.knowledge().set_watches_targets(host.now(), false);
         pauses.wait_after(&error).await;
