Test that a request that breaks targets is blocked on all hosts

Cause: the proof was missing for geraniummux-host. Change: the stand-in target breaks on a path, the test sends such a request 60 times over two hosts.

--- a/crates/geraniummux-soak/tests/process.rs
+++ b/crates/geraniummux-soak/tests/process.rs
@@ -226,6 +226,28 @@
     assert_eq!(world.ledger.runs("bad"), 0);
 }
 
+/// Guards against a request that breaks each target that runs it reaching targets again and again, and
+/// against other requests being blocked with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_breaks_targets_is_blocked_on_all_hosts() {
+    let world = world(11).await;
+    let mut statuses = Vec::new();
+    for n in 0..60 {
+        let req = Request::get("/read/poison")
+            .header("host", "soak.example")
+            .header("request-id", format!("poison-{n}"))
+            .header("request-deadline-ms", 900)
+            .body(Full::default())
+            .unwrap();
+        let mut sender = callers::connect(world.listens()[n % 2]).await.unwrap();
+        statuses.push(sender.send_request(req).await.unwrap().status());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let reached: Vec<u32> = (0..60).map(|n| world.ledger.runs(&format!("poison-{n}"))).collect();
+    assert!(reached[50..].iter().all(|runs| *runs == 0), "{reached:?} {statuses:?}");
+    assert_eq!(ask(&world, 0, "not-poison", true).await, SERVED);
+}
+
 /// Guards against metrics or the directory that can't be read.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn directory_names_both_hosts() {
--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -17,6 +17,8 @@
 const SLOTS: u32 = 6;
 /// Requests that may wait at a target; further ones are refused.
 const QUEUE: u32 = 12;
+/// End of a path on which a target breaks the connection as soon as it runs the request.
+pub const POISON: &str = "/poison";
 /// Time that a request may run without a deadline.
 const NO_DEADLINE_MS: u64 = 10_000;
 
@@ -107,6 +109,10 @@
         if !expected.is_empty() && expected != self.id {
             return Reply::Send(self.response(StatusCode::MISDIRECTED_REQUEST, &id, Bytes::new()));
         }
+        if parts.uri.path().ends_with(POISON) {
+            self.note_run(&id);
+            return Reply::Close;
+        }
         let limit = header(&parts.headers, "request-deadline-ms").parse().unwrap_or(NO_DEADLINE_MS);
         let body = read_body(body).await;
         if self.waiting.load(Ordering::Relaxed) >= QUEUE {
