--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -1,6 +1,8 @@
 //! State of one entry host, shared by its tasks.
 
 use crate::clock::Clock;
+use crate::fleet::{Fleet, Prober};
+use crate::knowledge::Knowledge;
 use crate::metrics::Metrics;
 use crate::peers::PeerNet;
 use crate::protocol::Protocol;
@@ -8,44 +10,24 @@
 use crate::settings::Settings;
 use crate::upstream::Upstream;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use geraniummux_core::fleet::{
-    Delta, Fault, FleetConfig, FleetRoute, Heard, ProbeBudget, Repeat, RepeatBudget, RepeatOptions,
-    RouteIndex, SplitState, TableOptions, TargetRegistry, TargetTable,
-};
+use geraniummux_core::fleet::{Delta, Fault, FleetConfig, Repeat, RepeatOptions, RouteIndex};
 use geraniummux_core::membership::MembershipOptions;
-use geraniummux_core::quarantine::QuarantineOptions;
-use geraniummux_core::{Member, MemberState, Membership, Quarantine, Time};
+use geraniummux_core::{Member, MemberState, Membership, Time};
 use slog::{Logger, info, warn};
-use std::collections::VecDeque;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// Changes of the registry that are kept for followers; one that is further behind gets a full list.
-const KEPT_DELTAS: usize = 64;
 /// Age of the knowledge from which the platform's store counts as away.
 const AWAY_AFTER: Duration = Duration::from_millis(1_000);
 /// How long after the store is back lapsed entries may return: two seconds, and one for the news to
 /// arrive.
 const AWAY_ECHO: Duration = Duration::from_millis(3_000);
-/// Part of a new sample in the usual time of a route.
-const USUAL_WEIGHT: f64 = 0.05;
-/// Usual time of a route that has had no answers, as a part of its latency target.
-const USUAL_OF_TARGET: f64 = 0.4;
 
 /// Part of the health checks allowed at a target that the scheduler of its pool makes.
 const SCHEDULER_PROBES: f64 = 0.6;
 
-/// Who makes a health check.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Prober {
-    /// The scheduler of the pool.
-    Scheduler,
-    /// A host for a request of its own.
-    Host,
-}
-
 /// How far the host is between start and stop.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -57,166 +39,6 @@
     Draining,
 }
 
-/// What the host knows of the platform's store, and how current that is.
-#[derive(Clone, Debug)]
-pub struct Knowledge {
-    /// When the knowledge was last known to be current, unless the host is in touch with the store.
-    pub as_of: Time,
-    /// When a peer last told how current its knowledge is.
-    pub heard: Time,
-    /// Whether the host's own watch of the targets is in place.
-    pub watches_targets: bool,
-    /// Whether the host's own watch of the configuration is in place.
-    pub watches_config: bool,
-    /// Revision of the store up to which the configuration is known.
-    pub config_revision: Option<u64>,
-    /// Since when a peer has been known to have a newer configuration.
-    pub behind_since: Option<Time>,
-    /// Until when removed entries may be ones that lapsed while the store was away.
-    pub lapses_until: Time,
-}
-
-impl Knowledge {
-    /// Returns how long ago the knowledge was known to be current.
-    pub fn age(&self, now: Time) -> Duration {
-        let behind = self.behind_since.map_or(Duration::ZERO, |t| now.since(t));
-        if self.watches_config && self.watches_targets {
-            behind
-        } else {
-            now.since(self.as_of).max(behind)
-        }
-    }
-
-    /// Returns what was heard from peers.
-    pub fn from_peers(&self, now: Time) -> Heard {
-        let behind = self.behind_since.map_or(Duration::ZERO, |t| now.since(t));
-        Heard { age: now.since(self.as_of).max(behind), silence: now.since(self.heard) }
-    }
-
-    /// Records whether the host's own watch of the targets is in place.
-    pub fn set_watches_targets(&mut self, now: Time, watches: bool) {
-        self.leave_store(now, !watches);
-        self.watches_targets = watches;
-    }
-
-    /// Records whether the host's own watch of the configuration is in place.
-    pub fn set_watches_config(&mut self, now: Time, watches: bool) {
-        self.leave_store(now, !watches);
-        self.watches_config = watches;
-    }
-
-    /// Notes until when the knowledge was current if a watch that was in place has ended.
-    fn leave_store(&mut self, now: Time, ended: bool) {
-        if ended && self.watches_config && self.watches_targets {
-            self.as_of = now;
-        }
-    }
-}
-
-/// What is usual for a request of a route.
-#[derive(Clone, Copy, Debug)]
-pub struct Usual {
-    /// Time to run it, in seconds.
-    pub seconds: f64,
-    /// Size of its bodies, in bytes.
-    pub bytes: f64,
-}
-
-/// Decisions about targets and requests.
-pub struct Fleet {
-    /// Registered targets.
-    pub registry: TargetRegistry,
-    /// Load and faults of targets.
-    pub table: TargetTable,
-    /// Requests that crash targets.
-    pub quarantine: Quarantine,
-    /// Latest changes of the registry, oldest first.
-    deltas: VecDeque<Delta>,
-    /// Sorted by route.
-    splits: Vec<(Arc<str>, SplitState)>,
-    /// Sorted by pool.
-    probes: Vec<(Arc<str>, [ProbeBudget; 2])>,
-    /// Sorted by pool.
-    repeats: Vec<(Arc<str>, RepeatBudget)>,
-    /// Sorted by route.
-    usual: Vec<(Arc<str>, Usual)>,
-    /// Faults seen here that the peers have not been told.
-    pub untold_faults: Vec<(Arc<str>, f64)>,
-}
-
-/// Returns the value under a name in a sorted list, which it is added to if it is missing.
-fn entry<'a, T, F>(list: &'a mut Vec<(Arc<str>, T)>, name: &Arc<str>, new: F) -> &'a mut T
-where
-    F: FnOnce() -> T,
-{
-    let i = list.binary_search_by(|(n, _)| n.cmp(name)).unwrap_or_else(|i| {
-        list.insert(i, (name.clone(), new()));
-        i
-    });
-    &mut list[i].1
-}
-
-impl Fleet {
-    /// Returns the requests of a route by pool.
-    pub fn split(&mut self, route: &Arc<str>) -> &mut SplitState {
-        entry(&mut self.splits, route, SplitState::default)
-    }
-
-    /// Returns the budget for second sends to a pool.
-    pub fn repeats(&mut self, pool: &Arc<str>) -> &mut RepeatBudget {
-        entry(&mut self.repeats, pool, RepeatBudget::default)
-    }
-
-    /// Returns the budget for health checks of a pool's targets.
-    pub fn probes(&mut self, pool: &Arc<str>, by: Prober) -> &mut ProbeBudget {
-        let [scheduler, host] = entry(&mut self.probes, pool, Default::default);
-        match by {
-            Prober::Scheduler => scheduler,
-            Prober::Host => host,
-        }
-    }
-
-    /// Returns what is usual for a request of a route.
-    pub fn usual(&mut self, route: &Arc<str>, latency_target: Duration) -> &mut Usual {
-        let seconds = latency_target.as_secs_f64() * USUAL_OF_TARGET;
-        entry(&mut self.usual, route, || Usual { seconds, bytes: 0.0 })
-    }
-
-    /// Records that a request of a route took `took` at a target that was expected to take
-    /// `stretch` x the usual time, and how large its bodies were.
-    pub fn observe(&mut self, route: &FleetRoute, took: Duration, stretch: f64, bytes: usize) {
-        let usual = self.usual(&route.name, route.latency_target);
-        usual.seconds += (took.as_secs_f64() / stretch.max(1.0) - usual.seconds) * USUAL_WEIGHT;
-        usual.bytes += (bytes as f64 - usual.bytes) * USUAL_WEIGHT;
-    }
-
-    /// Returns what a follower lacks that knows the registry up to `revision`.
-    pub fn since(&self, revision: Option<u64>) -> Option<Delta> {
-        let to = self.registry.revision()?;
-        if revision.is_some_and(|r| r >= to) {
-            return None;
-        }
-        let start = self.deltas.iter().rposition(|d| revision.is_some_and(|r| d.from <= Some(r)));
-        let Some(start) = start.filter(|i| self.deltas[*i].from.is_some()) else {
-            return self.registry.snapshot();
-        };
-        let changes = self.deltas.iter().skip(start).flat_map(|d| d.changes.clone()).collect();
-        Some(Delta { from: self.deltas[start].from, to, changes })
-    }
-
-    fn keep(&mut self, delta: Delta) {
-        if delta.from.is_none() {
-            // Followers that are behind a full list need one as well.
-            self.deltas.clear();
-            return;
-        }
-        if self.deltas.len() >= KEPT_DELTAS {
-            self.deltas.pop_front();
-        }
-        self.deltas.push_back(delta);
-    }
-}
-
 /// State of one entry host.
 pub struct Host {
     /// Settings.
@@ -288,17 +110,7 @@
             scheduling: Scheduling::default(),
             routes: ArcSwapOption::empty(),
             config: Mutex::default(),
-            fleet: Mutex::new(Fleet {
-                registry: TargetRegistry::default(),
-                table: TargetTable::new(domain, TableOptions::default()),
-                quarantine: Quarantine::new(process, QuarantineOptions::default()),
-                deltas: VecDeque::new(),
-                splits: Vec::new(),
-                probes: Vec::new(),
-                repeats: Vec::new(),
-                usual: Vec::new(),
-                untold_faults: Vec::new(),
-            }),
+            fleet: Mutex::new(Fleet::new(domain, process)),
             members: Mutex::new(Membership::new(now, me, seeds, opts, &mut rand::rng())),
             knowledge: Mutex::new(Knowledge {
                 as_of: now,
@@ -536,13 +348,6 @@
     }
 }
 
-impl Fleet {
-    fn refresh(&mut self, now: Time) {
-        let Fleet { registry, table, .. } = self;
-        table.update(registry.targets(now));
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod clock;
 pub mod directory;
 pub mod feed;
+pub mod fleet;
 pub mod host;
+pub mod knowledge;
 pub mod logs;
 pub mod metrics;
 pub mod peers;
--- a/crates/geraniummux-host/src/proxy/place.rs
+++ b/crates/geraniummux-host/src/proxy/place.rs
@@ -4,7 +4,8 @@
 //! connection that went silent or was closed is found out before anything is sent on it.
 
 use super::job::Job;
-use crate::host::{Host, Prober};
+use crate::fleet::Prober;
+use crate::host::Host;
 use crate::scheduling::{self, Answer, Grant};
 use crate::upstream::{self, Connection, ExchangeError};
 use bytes::Bytes;
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -1,6 +1,7 @@
 //! Asks the scheduler of a pool where to send requests, and is one for some pools.
 
-use crate::host::{Host, Prober};
+use crate::fleet::Prober;
+use crate::host::Host;
 use crate::peers;
 use crate::proxy::place;
 use futures_util::stream::{FuturesUnordered, StreamExt};
