soak: except late runs sent by hosts that were harmed

Trace: host-2 was paused for 1.8 s right after the target began to leave (resumed paused_ms=1784), learned of it 2 ms after it resumed, and had sent what it held; the promise excepts frozen hosts. The check only asked whether a fault was active when the target left. Change: each late run is held against the spans of faults from 3 s before the target left to the run.

--- a/crates/geraniummux-soak/src/callers.rs
+++ b/crates/geraniummux-soak/src/callers.rs
@@ -12,7 +12,6 @@
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -170,7 +169,8 @@
             report.broken.push(format!("{}: cut off by a graceful stop", asked.id));
         }
     }
-    let late: u32 = world.targets.iter().map(|t| t.late_runs.load(Ordering::Relaxed)).sum();
+    let late =
+        world.targets.iter().flat_map(|t| t.late_runs()).filter(|l| world.is_broken(l)).count();
     report.checks += 1;
     if late > 0 {
         report.broken.push(format!("{late} requests reached targets that had left"));
--- a/crates/geraniummux-soak/src/world.rs
+++ b/crates/geraniummux-soak/src/world.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use geraniummux_standin::link::Link;
 use geraniummux_standin::object_store::ObjectStore;
-use geraniummux_standin::registered_target::{Ledger, RegisteredTarget};
+use geraniummux_standin::registered_target::{LateRun, Ledger, RegisteredTarget};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use nix::sys::signal::Signal;
@@ -18,15 +18,15 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
 /// Time that a target works on a request, in milliseconds.
 pub const WORK_MS: u64 = 30;
 /// Time after a change at the store after which a leaving target gets no more requests.
 const DRAIN: Duration = Duration::from_secs(2);
-/// Time that is allowed instead while hosts or the store are harmed, which the promise excepts.
-const DRAIN_HARMED: Duration = Duration::from_secs(30);
+/// Time without harm before a moment at which promises with a time bind the hosts.
+const IN_TOUCH: Duration = Duration::from_secs(3);
 /// Looks for the last configuration on all hosts before that counts as broken.
 const SETTLE_LOOKS: u32 = 300;
 const SETTLE_PAUSE: Duration = Duration::from_millis(100);
@@ -71,6 +71,8 @@
     asked: Mutex<Vec<Asked>>,
     ended: Mutex<Vec<String>>,
     harms: AtomicUsize,
+    /// Start and end of each fault that excuses late news.
+    harm_spans: Mutex<Vec<(Instant, Option<Instant>)>>,
     stopping: Vec<AtomicBool>,
     version: AtomicU64,
     over: AtomicBool,
@@ -78,11 +80,15 @@
 }
 
 /// Counts a fault until it is dropped.
-pub struct Harm<'a>(&'a World);
+pub struct Harm<'a> {
+    world: &'a World,
+    number: usize,
+}
 
 impl Drop for Harm<'_> {
     fn drop(&mut self) {
-        self.0.harms.fetch_sub(1, Ordering::SeqCst);
+        self.world.harms.fetch_sub(1, Ordering::SeqCst);
+        lock(&self.world.harm_spans)[self.number].1 = Some(Instant::now());
     }
 }
 
@@ -159,6 +165,7 @@
             asked: Mutex::default(),
             ended: Mutex::default(),
             harms: AtomicUsize::new(0),
+            harm_spans: Mutex::default(),
             version: AtomicU64::new(0),
             over: AtomicBool::new(false),
             timed: opts.timed,
@@ -173,7 +180,19 @@
     /// Counts a fault that excuses late news until the guard is dropped.
     pub fn harm(&self) -> Harm<'_> {
         self.harms.fetch_add(1, Ordering::SeqCst);
-        Harm(self)
+        let mut spans = lock(&self.harm_spans);
+        spans.push((Instant::now(), None));
+        Harm { world: self, number: spans.len() - 1 }
+    }
+
+    /// Returns whether a late run breaks the promise about leaving targets: hosts that were paused, cut off
+    /// or killed, or whose store was away, from shortly before the target left, are excepted.
+    pub fn is_broken(&self, late: &LateRun) -> bool {
+        let spans = lock(&self.harm_spans);
+        let harmed = spans.iter().any(|(start, end)| {
+            *start <= late.ran && end.is_none_or(|end| end + IN_TOUCH >= late.left)
+        });
+        self.timed && !harmed
     }
 
     /// Marks a host as being stopped until the guard is dropped.
@@ -229,8 +248,7 @@
 
     /// Lets a target leave and come back.
     pub async fn leave(&self, i: usize, span: Duration) {
-        let calm = self.timed && self.harms.load(Ordering::SeqCst) == 0;
-        self.targets[i].set_leaving(true, if calm { DRAIN } else { DRAIN_HARMED });
+        self.targets[i].set_leaving(true, DRAIN);
         self.register(i);
         tokio::time::sleep(span).await;
         self.targets[i].set_leaving(false, Duration::ZERO);
--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -50,9 +50,18 @@
     waiting: AtomicU32,
     work_ms: AtomicU64,
     draining: AtomicBool,
-    left: Mutex<Option<Instant>>,
-    /// Requests that began to run later than allowed after it had left.
-    pub late_runs: AtomicU32,
+    /// When it began to leave, and how long it may still get requests.
+    left: Mutex<Option<(Instant, Duration)>>,
+    late_runs: Mutex<Vec<LateRun>>,
+}
+
+/// A request that began to run later than allowed after its target had begun to leave.
+#[derive(Clone, Copy, Debug)]
+pub struct LateRun {
+    /// When the target began to leave.
+    pub left: Instant,
+    /// When the request began to run.
+    pub ran: Instant,
 }
 
 impl RegisteredTarget {
@@ -67,7 +76,7 @@
             work_ms: AtomicU64::new(work_ms),
             draining: AtomicBool::new(false),
             left: Mutex::default(),
-            late_runs: AtomicU32::new(0),
+            late_runs: Mutex::default(),
         })
     }
 
@@ -87,7 +96,7 @@
     pub fn set_leaving(&self, leaving: bool, allowed: Duration) {
         self.draining.store(leaving, Ordering::Relaxed);
         *self.left.lock().unwrap_or_else(|e| e.into_inner()) =
-            leaving.then(|| Instant::now() + allowed);
+            leaving.then(|| (Instant::now(), allowed));
     }
 
     /// Serves requests until the task is dropped.
@@ -136,11 +145,17 @@
     fn note_run(&self, id: &str) {
         self.ledger.record(id);
         let left = *self.left.lock().unwrap_or_else(|e| e.into_inner());
-        if left.is_some_and(|at| Instant::now() > at) {
-            self.late_runs.fetch_add(1, Ordering::Relaxed);
+        let ran = Instant::now();
+        if let Some((left, _)) = left.filter(|(at, allowed)| ran > *at + *allowed) {
+            self.late_runs.lock().unwrap_or_else(|e| e.into_inner()).push(LateRun { left, ran });
         }
     }
 
+    /// Returns the requests that began to run later than allowed after it had begun to leave.
+    pub fn late_runs(&self) -> Vec<LateRun> {
+        self.late_runs.lock().unwrap_or_else(|e| e.into_inner()).clone()
+    }
+
     fn refusal(&self, id: &str) -> Reply {
         let mut rsp = self.response(StatusCode::SERVICE_UNAVAILABLE, id, Bytes::new());
         rsp.headers_mut().remove("response-signature");
