A reader that is cut off is no outage of the store

Ruled out: late relay alone (the list arrived 0.5 s after the removal). Change: only a host whose own calls failed while its peers had no fresh news lets entries lapse, and passes that on with the news.

--- a/crates/geraniummux-host/src/feed.rs
+++ b/crates/geraniummux-host/src/feed.rs
@@ -112,9 +112,9 @@
 /// Returns what a follower lacks, and notes that it will know that.
 fn lacking(host: &Host, known: &mut Known) -> Message {
     let now = host.now();
-    let (age, config_revision) = {
+    let (age, lapses, config_revision) = {
         let knowledge = host.knowledge();
-        (knowledge.age(now), knowledge.config_revision.unwrap_or(0))
+        (knowledge.age(now), knowledge.may_lapse(now), knowledge.config_revision.unwrap_or(0))
     };
     let config = host.config().filter(|c| c.version > known.config_version);
     let targets = host.fleet().since(known.targets_revision);
@@ -126,6 +126,7 @@
     }
     Message::News(News {
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        lapses,
         config_revision,
         config: config.map(|c| (*c).clone()),
         targets,
@@ -215,6 +216,9 @@
     if let Some(config) = news.config {
         host.adopt(config, news.config_revision, from);
     }
+    if news.lapses {
+        host.knowledge().on_lapsing_news(host.now());
+    }
     let fits = news.targets.is_none_or(|targets| host.apply(targets, from));
     if fits {
         let now: Time = host.now();
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -19,12 +19,6 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// Age of the knowledge from which the platform's store counts as away.
-const AWAY_AFTER: Duration = Duration::from_millis(1_000);
-/// How long after the store is back lapsed entries may return: two seconds, and one for the news to
-/// arrive.
-const AWAY_ECHO: Duration = Duration::from_millis(3_000);
-
 /// Part of the health checks allowed at a target that the scheduler of its pool makes.
 const SCHEDULER_PROBES: f64 = 0.6;
 
@@ -112,15 +106,7 @@
             config: Mutex::default(),
             fleet: Mutex::new(Fleet::new(domain, process)),
             members: Mutex::new(Membership::new(now, me, seeds, opts, &mut rand::rng())),
-            knowledge: Mutex::new(Knowledge {
-                as_of: now,
-                heard: now,
-                watches_targets: false,
-                watches_config: false,
-                config_revision: None,
-                behind_since: None,
-                lapses_until: now,
-            }),
+            knowledge: Mutex::new(Knowledge::new(now)),
             phase: watch::channel(Phase::Serving).0,
             news: watch::channel(0).0,
             callers: AtomicUsize::new(0),
@@ -240,7 +226,7 @@
     /// Takes in changes of the registry of targets.
     pub fn apply(&self, delta: Delta, from: &str) -> bool {
         let now = self.now();
-        let lapse = if now < self.knowledge().lapses_until {
+        let lapse = if self.knowledge().may_lapse(now) {
             Duration::from_secs_f64(self.settings.load().promises.lapse_s)
         } else {
             Duration::ZERO
@@ -329,14 +315,8 @@
         (most.unwrap_or(u32::MAX) as usize / (2 * hosts)).max(1)
     }
 
-    /// Forgets lapsed targets and notices whether the store is away. To be called a few times a
-    /// second.
+    /// Forgets lapsed targets. To be called a few times a second.
     pub fn tick(&self, now: Time) {
-        let mut knowledge = self.knowledge();
-        if knowledge.age(now) >= AWAY_AFTER {
-            knowledge.lapses_until = now + AWAY_ECHO;
-        }
-        drop(knowledge);
         let mut fleet = self.fleet();
         fleet.registry.expire(now);
         fleet.refresh(now);
--- a/crates/geraniummux-host/src/knowledge.rs
+++ b/crates/geraniummux-host/src/knowledge.rs
@@ -4,6 +4,15 @@
 use geraniummux_core::fleet::Heard;
 use std::time::Duration;
 
+/// How long calls must have failed, and no news arrived, for the platform's store to count as away. Entries
+/// lapse only in longer outages.
+const AWAY_AFTER: Duration = Duration::from_millis(1_000);
+/// How long after the store is back lapsed entries may return: two seconds, and one for the news to
+/// arrive.
+const AWAY_ECHO: Duration = Duration::from_millis(3_000);
+/// How long changes that a peer passed on from such a time are passed on in the same way.
+const RELAY_ECHO: Duration = Duration::from_millis(300);
+
 /// What the host knows of the platform's store, and how current that is.
 #[derive(Clone, Debug)]
 pub struct Knowledge {
@@ -19,11 +28,52 @@
     pub config_revision: Option<u64>,
     /// Since when a peer has been known to have a newer configuration.
     pub behind_since: Option<Time>,
+    /// Since when all calls of this host to the store have failed.
+    pub failing_since: Option<Time>,
     /// Until when removed entries may be ones that lapsed while the store was away.
     pub lapses_until: Time,
 }
 
 impl Knowledge {
+    /// Returns the knowledge of a host that starts.
+    pub fn new(now: Time) -> Self {
+        Knowledge {
+            as_of: now,
+            heard: now,
+            watches_targets: false,
+            watches_config: false,
+            config_revision: None,
+            behind_since: None,
+            failing_since: None,
+            lapses_until: now,
+        }
+    }
+
+    /// Records the end of a call to the store.
+    ///
+    /// The store was away if the calls failed for a while and the peers had no fresh news either. A host
+    /// that alone was cut off must not take entries that were removed meanwhile for lapsed ones.
+    pub fn on_store_call(&mut self, now: Time, answered: bool) {
+        if !answered {
+            self.failing_since.get_or_insert(now);
+            return;
+        }
+        let failed = self.failing_since.take().is_some_and(|t| now.since(t) >= AWAY_AFTER);
+        if failed && self.from_peers(now).age >= AWAY_AFTER {
+            self.lapses_until = now + AWAY_ECHO;
+        }
+    }
+
+    /// Records that a peer passes on changes from a time in which removed entries may have lapsed.
+    pub fn on_lapsing_news(&mut self, now: Time) {
+        self.lapses_until = self.lapses_until.max(now + RELAY_ECHO);
+    }
+
+    /// Returns whether entries that are removed now may be ones that lapsed while the store was away.
+    pub fn may_lapse(&self, now: Time) -> bool {
+        now < self.lapses_until
+    }
+
     /// Returns how long ago the knowledge was known to be current.
     pub fn age(&self, now: Time) -> Duration {
         let behind = self.behind_since.map_or(Duration::ZERO, |t| now.since(t));
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -194,6 +194,8 @@
         Some(StoreError::Invalid(_)) => "invalid",
     };
     host.metrics.store_call(call, result);
+    let answered = matches!(error, None | Some(StoreError::HistoryGone | StoreError::Invalid(_)));
+    host.knowledge().on_store_call(host.now(), answered);
     if let Some(e) = error {
         warn!(host.log, "store_call_failed"; "call" => call, "error" => e.to_string());
     }
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -149,6 +149,8 @@
     /// How long ago the sender's knowledge was known to be what the platform's store holds, in
     /// milliseconds.
     pub age_ms: u32,
+    /// Whether removed entries may be ones that lapsed while the store was away.
+    pub lapses: bool,
     /// Revision of the store up to which the sender knows the configuration.
     pub config_revision: u64,
     /// The configuration, if it is newer than the follower's.
