--- a/crates/geraniummux-host/src/directory.rs
+++ b/crates/geraniummux-host/src/directory.rs
@@ -20,6 +20,10 @@
     let Some(place) = host.protocol.asks_hosts(req.uri()) else {
         return status(StatusCode::NOT_FOUND);
     };
+    // A host that has just become ready names itself at once, not only with the next tick of the membership.
+    if host.is_ready() {
+        host.members().enter_service();
+    }
     let addrs = select(&host.members(), place.failure_domain.as_deref(), &mut rand::rng());
     if addrs.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
