soak: callers wait until their connection takes the next request

Trace: the host's log has no sign of the third request; hyper's client refuses a request while the connection is still ending the exchange before. Ruled out: SIGHUP closing the connection (the host logged settings_read and went on). Change: the caller of the soak awaits readiness before each request. The check stays as it was.

--- a/crates/geraniummux-soak/src/callers.rs
+++ b/crates/geraniummux-soak/src/callers.rs
@@ -120,6 +120,8 @@
         .body(Full::new(body.clone()));
     let stopping_before = world.only_stopping(host);
     let exchange = async {
+        // Right after an answer the connection may need a moment before it takes the next request.
+        sender.ready().await?;
         let rsp = sender.send_request(req?).await?;
         let (parts, body) = rsp.into_parts();
         anyhow::Ok((parts, body.collect().await?.to_bytes()))
