Rank waiting requests by the priority of their routes

Cause: the scheduler knew only whether a route is the most urgent one of its pool. Ruled out: order within the class of requests that can be in time (EDF kept); split of places by kind.

--- a/crates/geraniummux-core/src/fleet/admission.rs
+++ b/crates/geraniummux-core/src/fleet/admission.rs
@@ -12,7 +12,7 @@
 /// A request that wants a place at a target.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
-    /// Whether no kind of request to the same pool is more urgent.
+    /// Whether a kind of request to the same pool is less urgent, or all are equal.
     pub urgent: bool,
     /// Usual time to run the request.
     pub usual: Duration,
--- a/crates/geraniummux-core/src/fleet/routes.rs
+++ b/crates/geraniummux-core/src/fleet/routes.rs
@@ -103,8 +103,8 @@
     routes: Vec<Arc<FleetRoute>>,
     /// Sorted by name.
     pools: Vec<Arc<FleetPool>>,
-    /// The most urgent priority of the routes to each pool, sorted by pool.
-    urgent: Vec<(Arc<str>, u32)>,
+    /// The most and the least urgent priority of the routes to each pool, sorted by pool.
+    priorities: Vec<(Arc<str>, (u32, u32))>,
 }
 
 impl RouteIndex {
@@ -114,8 +114,8 @@
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         let mut pools: Vec<_> = config.pools.iter().cloned().map(Arc::new).collect();
         pools.sort_by(|a, b| a.name.cmp(&b.name));
-        let urgent = urgent_priorities(&routes);
-        RouteIndex { version: config.version, limits: config.limits, routes, pools, urgent }
+        let priorities = priorities(&routes);
+        RouteIndex { version: config.version, limits: config.limits, routes, pools, priorities }
     }
 
     /// Returns the route of a request: the one of this host with the longest matching prefix.
@@ -139,11 +139,15 @@
         Some(&self.pools[i])
     }
 
-    /// Returns whether no route to a pool of this route is more urgent.
+    /// Returns whether this route goes before others to the same pools: one of them is less urgent,
+    /// or all are equal. Routes that are more urgent don't matter, since they may be hardly used.
     pub fn is_urgent(&self, route: &FleetRoute) -> bool {
         route.shares.iter().all(|s| {
-            let i = self.urgent.binary_search_by(|(pool, _)| pool.cmp(&s.pool));
-            i.is_ok_and(|i| self.urgent[i].1 >= route.priority)
+            let i = self.priorities.binary_search_by(|(pool, _)| pool.cmp(&s.pool));
+            i.is_ok_and(|i| {
+                let (most, least) = self.priorities[i].1;
+                route.priority < least || most == least
+            })
         })
     }
 
@@ -153,12 +157,20 @@
     }
 }
 
-fn urgent_priorities(routes: &[Arc<FleetRoute>]) -> Vec<(Arc<str>, u32)> {
-    let mut all: Vec<(Arc<str>, u32)> =
-        routes.iter().flat_map(|r| r.shares.iter().map(|s| (s.pool.clone(), r.priority))).collect();
+fn priorities(routes: &[Arc<FleetRoute>]) -> Vec<(Arc<str>, (u32, u32))> {
+    let mut all: Vec<(Arc<str>, (u32, u32))> = routes
+        .iter()
+        .flat_map(|r| r.shares.iter().map(|s| (s.pool.clone(), (r.priority, r.priority))))
+        .collect();
     all.sort_unstable();
-    // The smallest number of each pool comes first and is kept.
-    all.dedup_by(|later, first| later.0 == first.0);
+    // The smallest number of each pool comes first, the largest last.
+    all.dedup_by(|later, first| {
+        let same = later.0 == first.0;
+        if same {
+            first.1.1 = later.1.1;
+        }
+        same
+    });
     all
 }
 
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -6,8 +6,8 @@
 //! what finds no slot waits here, in one order for the whole fleet, rather than in the targets'
 //! queues:
 //!
-//! * first requests that can still be answered within their latency target, urgent ones before
-//!   others, then those that will be late; the one whose target ends first comes first;
+//! * first requests that can still be answered within their latency target, by the priority of
+//!   their routes, then those that will be late; the one whose target ends first comes first;
 //! * a request that would be late at the targets that are free, because these are slow at present,
 //!   waits for a better one as long as that can help;
 //! * one that will not be answered before its deadline is refused at once;
@@ -39,8 +39,8 @@
 pub struct Ask {
     /// Failure domain of the host that asks.
     pub failure_domain: Arc<str>,
-    /// Whether no kind of request to the pool is more urgent.
-    pub urgent: bool,
+    /// Rank of its route; 0 is the most urgent.
+    pub priority: u32,
     /// Usual time to run the request.
     pub usual: Duration,
     /// Usual size of its bodies, in bytes.
@@ -488,7 +488,7 @@
             // waited for longer by what the distance is worth.
             let remote = if near { 0.0 } else { self.remote(&w.ask) * self.opts.remote_wait };
             let turn = w.since + w.ask.target_left + w.ask.usual.mul_f64(remote);
-            (!w.can_be_in_time(now), !w.ask.urgent, turn)
+            (!w.can_be_in_time(now), w.ask.priority, turn)
         });
         order
     }
--- a/crates/geraniummux-core/tests/fleet_scheduler.rs
+++ b/crates/geraniummux-core/tests/fleet_scheduler.rs
@@ -11,6 +11,9 @@
 use std::time::Duration;
 
 const START: Time = Time::from_millis(1_000_000);
+/// Priorities of routes. There is a more urgent one, as pools often have routes without load.
+const URGENT: u32 = 1;
+const LESS_URGENT: u32 = 2;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -42,7 +45,7 @@
 fn ask(urgent: bool) -> Ask {
     Ask {
         failure_domain: "a".into(),
-        urgent,
+        priority: if urgent { URGENT } else { LESS_URGENT },
         usual: ms(100),
         bytes: 0,
         repeatable: false,
@@ -121,6 +124,24 @@
     assert!(granted(&decisions, 7).is_some(), "{decisions:?}");
 }
 
+/// Guards against routes of different priority that are told apart only from the most urgent one.
+#[test]
+fn done_waiting_of_three_priorities_go_in_their_order() {
+    let mut s = scheduler(&[target("t1", "a", false)]);
+    let with = |priority| Ask { priority, ..ask(false) };
+    for n in 0..2 {
+        s.ask(START, ticket(n), with(0));
+    }
+    for (n, priority) in [(3, 3), (2, 2), (1, 1)] {
+        s.ask(START + ms(5), ticket(10 + n), with(priority));
+    }
+    for n in 1..=3 {
+        let ended = if n == 3 { 11 } else { n - 1 };
+        let decisions = s.done(START + ms(10 * n), &ticket(ended), None);
+        assert!(granted(&decisions, 10 + n).is_some(), "{n}: {decisions:?}");
+    }
+}
+
 /// Guards against a lost message that leaves a place taken for good.
 #[test]
 fn tick_unreported_end_frees_place_at_deadline() {
@@ -208,7 +229,8 @@
 }
 
 fn kind(urgent: bool, per_s: f64, usual: u64, target: u64, limit: u64) -> Kind {
-    Kind { urgent, per_s, usual: ms(usual), target: ms(target), limit: ms(limit) }
+    let priority = if urgent { URGENT } else { LESS_URGENT };
+    Kind { priority, per_s, usual: ms(usual), target: ms(target), limit: ms(limit) }
 }
 
 /// Pattern: a burst above capacity for some seconds, with noisy neighbours. Guards against urgent
--- a/crates/geraniummux-core/tests/fleet_sim/mod.rs
+++ b/crates/geraniummux-core/tests/fleet_sim/mod.rs
@@ -17,7 +17,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Kind {
-    pub urgent: bool,
+    pub priority: u32,
     pub per_s: f64,
     pub usual: Duration,
     pub target: Duration,
@@ -136,7 +136,7 @@
                     out.kinds[k].asked += 1;
                     let ask = Ask {
                         failure_domain: "a".into(),
-                        urgent: kind.urgent,
+                        priority: kind.priority,
                         usual: kind.usual,
                         bytes: 0,
                         repeatable: false,
--- a/crates/geraniummux-host/src/proxy/job.rs
+++ b/crates/geraniummux-host/src/proxy/job.rs
@@ -21,7 +21,7 @@
     pub pool: Arc<FleetPool>,
     /// Version of the configuration that it is routed by.
     pub version: u64,
-    /// Whether no route to the same pools is more urgent.
+    /// Whether a route to the same pools is less urgent, or all are equal.
     pub urgent: bool,
     /// Head of the request.
     pub parts: Parts,
--- a/crates/geraniummux-host/src/proxy/place.rs
+++ b/crates/geraniummux-host/src/proxy/place.rs
@@ -81,7 +81,7 @@
     for _ in 0..MAX_GRANTS {
         let ask = |now: Time| Ask {
             failure_domain: host.settings.load().failure_domain.clone(),
-            urgent: job.urgent,
+            priority: job.route.priority,
             usual: job.usual,
             bytes: job.usual_bytes,
             time_left: job.time_left(now),
