Work out what a pass of the scheduler needs once, not for each waiting request

Each message made the scheduler forecast every target for every waiting request. Ruled out: lost messages (silence came only at times of overload, and not without processor time). Change: a pass forecasts each target once and again after it got a request; without room it doesn't sort; full targets are not compared. A request whose targets are all to be avoided is refused without waiting for room. Measured: the tests of the scheduler take 2.2 s instead of 26 s.

--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -29,10 +29,10 @@
 /// Identifies a request of one host.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Ticket {
+    /// Number of the request at its host; it stands first because it differs more often.
+    pub number: u64,
     /// The host that asks.
     pub host: Arc<str>,
-    /// Number of the request at that host.
-    pub number: u64,
 }
 
 /// A request that wants a target.
@@ -185,12 +185,33 @@
     }
 }
 
-/// What counts more than the expected time when targets are compared.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Class {
+/// What is expected of a target for one more request.
+#[derive(Clone, Copy, Debug)]
+struct Outlook {
+    has_room: bool,
     left_out: bool,
-    full: bool,
-    late: bool,
+    /// Expected time to the answer as a multiple of the usual time.
+    stretch: f64,
+    /// Factor on that time for the target's faults.
+    faults: f64,
+}
+
+/// What the decisions of one pass over the waiting requests have in common. It is worked out once, as
+/// many requests may wait.
+#[derive(Debug)]
+struct Pass {
+    now: Time,
+    /// In the order of the targets.
+    outlooks: Vec<Outlook>,
+    /// Indices of the targets that have room.
+    open: Vec<usize>,
+    /// Requests that a target may have beyond its slots.
+    overcommit: u32,
+    /// Whether faults leave targets out.
+    ejects: bool,
+    /// Factor on the time that a request must have left to be placed, or to wait on, once it can't be
+    /// answered within its latency target.
+    late_margin: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -410,30 +431,70 @@
     /// Grants what can be granted and refuses what can't be answered any more.
     fn advance(&mut self, now: Time) -> Vec<(Ticket, Decision)> {
         let mut out = Vec::new();
-        for i in self.order(now) {
-            let has_room = self.targets.is_empty()
-                || self.targets.iter().any(|t| self.has_room(&self.expected_report(now, t)));
-            let decision = if has_room {
-                self.decide(now, &self.waiting[i])
-            } else {
-                self.refuse_late(now, &self.waiting[i])
-            };
-            if let Some(decision) = decision {
+        if !self.waiting.is_empty() {
+            let mut pass = self.pass(now);
+            for i in self.order(&pass) {
+                let Some(decision) = self.decide(&pass, &self.waiting[i]) else { continue };
                 let waiting = &self.waiting[i];
                 if let Decision::Grant { target, .. } = &decision
-                    && let Some(t) = self.targets.iter_mut().find(|t| t.id == *target)
+                    && let Ok(t) = self.targets.binary_search_by(|t| t.id.cmp(target))
                 {
-                    let out = Out::new(now, waiting, t.slowdown, false);
-                    t.out.push(out);
+                    let granted = Out::new(now, waiting, self.targets[t].slowdown, false);
+                    self.targets[t].out.push(granted);
+                    self.look_again(&mut pass, t);
                 }
                 out.push((self.waiting[i].ticket.clone(), decision));
             }
+            self.waiting.retain(|w| !out.iter().any(|(t, _)| *t == w.ticket));
         }
-        self.waiting.retain(|w| !out.iter().any(|(t, _)| *t == w.ticket));
         out.extend(self.hedge(now));
         out
     }
 
+    /// Returns what the decisions of this time have in common.
+    fn pass(&self, now: Time) -> Pass {
+        let faults = &self.opts.faults;
+        let ejected = self.targets.iter().filter(|t| t.faults.is_ejected(now, faults)).count();
+        let slots: u32 = self.targets.iter().map(|t| t.slots).sum();
+        let crowd = (self.opts.crowd * f64::from(slots)).max(1.0);
+        let is_crowded = self.waiting.len() as f64 > crowd;
+        let mut pass = Pass {
+            now,
+            outlooks: Vec::with_capacity(self.targets.len()),
+            open: Vec::new(),
+            overcommit: if self.waiting.len() > 1 { self.opts.overcommit } else { 0 },
+            ejects: ejected as f64 <= self.opts.max_left_out * self.targets.len() as f64,
+            late_margin: if is_crowded { self.opts.late_margin } else { 1.0 },
+        };
+        for (i, t) in self.targets.iter().enumerate() {
+            let outlook = self.outlook(&pass, t);
+            pass.outlooks.push(outlook);
+            if outlook.has_room {
+                pass.open.push(i);
+            }
+        }
+        pass
+    }
+
+    fn outlook(&self, pass: &Pass, t: &Target) -> Outlook {
+        let report = self.expected_report(pass.now, t);
+        let faults = &self.opts.faults;
+        Outlook {
+            has_room: report.running + report.waiting < report.slots + pass.overcommit,
+            left_out: pass.ejects && t.faults.is_ejected(pass.now, faults),
+            stretch: stretch(&report, t.cold, &self.opts.forecast),
+            faults: 1.0 + t.faults.at(pass.now, faults),
+        }
+    }
+
+    /// Takes in that the target with index `i` has got a request.
+    fn look_again(&self, pass: &mut Pass, i: usize) {
+        pass.outlooks[i] = self.outlook(pass, &self.targets[i]);
+        if !pass.outlooks[i].has_room {
+            pass.open.retain(|o| *o != i);
+        }
+    }
+
     /// Gives second places to requests that run at targets that have become slow.
     fn hedge(&mut self, now: Time) -> Vec<(Ticket, Decision)> {
         let mut out = Vec::new();
@@ -474,21 +535,22 @@
         if !self.waiting.is_empty() || out > (1.0 - self.opts.spare) * slots {
             return None;
         }
-        let (best, stretch, is_free) = self.best(now, w)?;
+        let (best, stretch) = self.best(&self.pass(now), w)?;
         let in_time = w.ask.usual.mul_f64(stretch) <= w.ask.target_left;
-        (is_free && in_time).then(|| (best.id.clone(), stretch))
+        in_time.then(|| (best.id.clone(), stretch))
     }
 
     /// Returns the indices of the requests that wait, the one to be served first in front.
-    fn order(&self, now: Time) -> Vec<usize> {
-        let mut with_room: Vec<&str> = self
-            .targets
-            .iter()
-            .filter(|t| self.has_room(&self.expected_report(now, t)))
-            .map(|t| &*t.failure_domain)
-            .collect();
-        with_room.sort_unstable();
+    fn order(&self, pass: &Pass) -> Vec<usize> {
         let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        if pass.open.is_empty() {
+            // Nothing is placed, so that the order doesn't matter.
+            return order;
+        }
+        let mut with_room: Vec<&str> =
+            pass.open.iter().map(|i| &*self.targets[*i].failure_domain).collect();
+        with_room.sort_unstable();
+        with_room.dedup();
         order.sort_by_cached_key(|i| {
             let w = &self.waiting[*i];
             let near = with_room.binary_search(&&*w.ask.failure_domain).is_ok();
@@ -496,73 +558,53 @@
             // waited for longer by what the distance is worth.
             let remote = if near { 0.0 } else { self.remote(&w.ask) * self.opts.remote_wait };
             let turn = w.since + w.ask.target_left + w.ask.usual.mul_f64(remote);
-            (!w.can_be_in_time(now), w.ask.priority, turn)
+            (!w.can_be_in_time(pass.now), w.ask.priority, turn)
         });
         order
     }
 
-    /// Returns whether so many requests wait that a place for one takes it from another.
-    fn is_crowded(&self) -> bool {
-        let slots: u32 = self.targets.iter().map(|t| t.slots).sum();
-        self.waiting.len() as f64 > (self.opts.crowd * f64::from(slots)).max(1.0)
-    }
-
-    /// Returns the factor on the time that a request must have left to be placed, or to wait on,
-    /// once it can't be answered within its latency target.
-    fn late_margin(&self) -> f64 {
-        if self.is_crowded() { self.opts.late_margin } else { 1.0 }
-    }
-
-    /// Refuses a request that finds no place and is not likely to be answered before its deadline.
-    fn refuse_late(&self, now: Time, w: &Waiting) -> Option<Decision> {
-        let needed = w.ask.usual.mul_f64(self.late_margin());
-        let late = w.deadline().since(now) < needed;
-        late.then(|| self.refuse(now, w, Denial::TooLate))
-    }
-
     /// Decides on a request that is first in order; `None` lets it wait on.
-    fn decide(&self, now: Time, w: &Waiting) -> Option<Decision> {
+    fn decide(&self, pass: &Pass, w: &Waiting) -> Option<Decision> {
+        let now = pass.now;
         let left = w.deadline().since(now);
         if left < w.ask.usual {
             return Some(self.refuse(now, w, Denial::TooLate));
         }
-        let Some((best, stretch, is_free)) = self.best(now, w) else {
+        if self.targets.iter().all(|t| w.ask.avoid.contains(&t.id)) {
             return Some(self.refuse(now, w, Denial::NoTarget));
-        };
-        let expected = w.ask.usual.mul_f64(stretch);
-        // A free target that is too slow at present is passed over while another may still do.
-        let in_time = now + expected <= w.since + w.ask.target_left;
-        let late = !w.can_be_in_time(now) && expected.mul_f64(self.late_margin()) <= left;
-        if is_free && (in_time || late) {
-            Some(Decision::Grant { target: best.id.clone(), stretch })
-        } else {
-            self.refuse_late(now, w)
         }
+        if let Some((best, stretch)) = self.best(pass, w) {
+            let expected = w.ask.usual.mul_f64(stretch);
+            // A free target that is too slow at present is passed over while another may still do.
+            let in_time = now + expected <= w.since + w.ask.target_left;
+            let late = !w.can_be_in_time(now) && expected.mul_f64(pass.late_margin) <= left;
+            if in_time || late {
+                return Some(Decision::Grant { target: best.id.clone(), stretch });
+            }
+        }
+        let late = left < w.ask.usual.mul_f64(pass.late_margin);
+        late.then(|| self.refuse(now, w, Denial::TooLate))
     }
 
-    /// Returns the best target for a request, the stretch to expect there, and whether it has room.
-    /// The class of a target counts first.
-    fn best(&self, now: Time, w: &Waiting) -> Option<(&Target, f64, bool)> {
+    /// Returns the best target with room for a request and the stretch to expect there. A target that
+    /// faults leave out counts only if there are no others.
+    fn best(&self, pass: &Pass, w: &Waiting) -> Option<(&Target, f64)> {
         let ask = &w.ask;
-        let target_left = (w.since + ask.target_left).since(now);
-        let faults = &self.opts.faults;
-        let ejected = self.targets.iter().filter(|t| t.faults.is_ejected(now, faults)).count();
-        let ejects = ejected as f64 <= self.opts.max_left_out * self.targets.len() as f64;
-        let usable = self.targets.iter().filter(|t| !ask.avoid.contains(&t.id));
-        let rated = usable.map(|t| {
-            let report = self.expected_report(now, t);
-            let stretch = stretch(&report, t.cold, &self.opts.forecast);
-            let remote =
-                if t.failure_domain == ask.failure_domain { 0.0 } else { self.remote(ask) };
-            let class = Class {
-                left_out: ejects && t.faults.is_ejected(now, faults),
-                full: !self.has_room(&report),
-                late: ask.usual.mul_f64(stretch * self.opts.time_margin) > target_left,
-            };
-            (t, stretch, class, stretch * (1.0 + remote) * (1.0 + t.faults.at(now, faults)))
+        let target_left = (w.since + ask.target_left).since(pass.now);
+        let is_usable = |i: usize| !ask.avoid.contains(&self.targets[i].id);
+        let is_sound = |i: usize| !pass.outlooks[i].left_out;
+        let any_sound = (0..self.targets.len()).any(|i| is_sound(i) && is_usable(i));
+        let open = pass.open.iter().copied();
+        let rated = open.filter(|i| is_usable(*i) && (is_sound(*i) || !any_sound)).map(|i| {
+            let (t, outlook) = (&self.targets[i], &pass.outlooks[i]);
+            let near = t.failure_domain == ask.failure_domain;
+            let remote = if near { 0.0 } else { self.remote(ask) };
+            let time = ask.usual.mul_f64(outlook.stretch * self.opts.time_margin);
+            let order = outlook.stretch * (1.0 + remote) * outlook.faults;
+            (time > target_left, order, t, outlook.stretch)
         });
-        let best = rated.min_by(|a, b| a.2.cmp(&b.2).then(a.3.total_cmp(&b.3)));
-        best.map(|(t, stretch, class, _)| (t, stretch, !class.full))
+        let best = rated.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        best.map(|(_, _, t, stretch)| (t, stretch))
     }
 
     /// Returns the addition to the factor on the expected time at remote targets.
@@ -571,12 +613,6 @@
         (self.opts.remote + per_size).min(self.opts.max_remote)
     }
 
-    fn has_room(&self, report: &TargetReport) -> bool {
-        let waiting = self.waiting.len() > 1;
-        let places = report.slots + if waiting { self.opts.overcommit } else { 0 };
-        report.running + report.waiting < places
-    }
-
     /// Returns what a target would say of its load now.
     fn expected_report(&self, now: Time, t: &Target) -> TargetReport {
         let age = t.reported.map_or(f64::INFINITY, |at| now.since(at).as_secs_f64());
