Send decisions to the address that asked for them

Cause: after the loss of all hosts of a grown site the schedulers dropped decisions for hosts that were not yet among their members; those hosts took them for silent for eight seconds and chose by themselves. Ruled out: a scheduler without processor time (its host used 5% of a core). Change: a scheduler keeps the address of each host that asks; a decision without one is logged.

--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -120,7 +120,7 @@
         }
         Message::Strike(strike) => on_strike(host, &format!("{from}/{incarnation}"), &strike),
         Message::Ask { number, pool, ask } => {
-            scheduling::on_ask(host, &from, number, &pool, ask);
+            scheduling::on_ask(host, &from, addr, number, &pool, ask);
         }
         Message::Decided { number, decision } => scheduling::on_decided(host, number, decision),
         Message::Declined { number, pool, target } => {
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -10,7 +10,7 @@
 };
 use geraniummux_core::{MemberState, Time};
 use geraniummux_wire::{MAX_MEASURED, Message};
-use slog::info;
+use slog::{info, warn};
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -61,6 +61,9 @@
     /// Sorted by number.
     pending: Mutex<Vec<(u64, mpsc::UnboundedSender<Decision>)>>,
     next: AtomicU64,
+    /// Where hosts that ask get their decisions, sorted by host. A host that has just started is not
+    /// yet among the members that this one knows.
+    askers: Mutex<Vec<(Arc<str>, SocketAddr)>>,
     /// Schedulers that did not answer, with the end of the time in which they are not asked.
     distrusted: Mutex<Vec<(SocketAddr, Time)>>,
 }
@@ -90,6 +93,20 @@
         f(&mut duties[i].scheduler)
     }
 
+    fn note_asker(&self, host: &Arc<str>, addr: SocketAddr) {
+        let mut askers = lock(&self.askers);
+        match askers.binary_search_by(|(h, _)| h.cmp(host)) {
+            Ok(i) => askers[i].1 = addr,
+            Err(i) => askers.insert(i, (host.clone(), addr)),
+        }
+    }
+
+    fn asker(&self, host: &Arc<str>) -> Option<SocketAddr> {
+        let askers = lock(&self.askers);
+        let i = askers.binary_search_by(|(h, _)| h.cmp(host)).ok()?;
+        Some(askers[i].1)
+    }
+
     fn earn_probes(&self, pool: &Arc<str>) {
         let mut duties = lock(&self.duties);
         if let Ok(i) = duties.binary_search_by(|d| d.pool.cmp(pool)) {
@@ -271,15 +288,23 @@
 fn send_ask(host: &Arc<Host>, scheduler: SocketAddr, number: u64, pool: &Arc<str>, ask: Ask) {
     if scheduler == host.settings.load().peer {
         let me = host.settings.load().host.clone();
-        on_ask(host, &me, number, pool, ask);
+        on_ask(host, &me, scheduler, number, pool, ask);
     } else {
         peers::send(host, &[scheduler], Message::Ask { number, pool: pool.clone(), ask });
     }
 }
 
-/// Takes a question of a host.
-pub fn on_ask(host: &Arc<Host>, from: &Arc<str>, number: u64, pool: &Arc<str>, ask: Ask) {
+/// Takes a question of the host `from`, which gets its answers at `addr`.
+pub fn on_ask(
+    host: &Arc<Host>,
+    from: &Arc<str>,
+    addr: SocketAddr,
+    number: u64,
+    pool: &Arc<str>,
+    ask: Ask,
+) {
     let now = host.now();
+    host.scheduling.note_asker(from, addr);
     let ticket = Ticket { host: from.clone(), number };
     let decisions = host.scheduling.duty(host, pool, |s| s.ask(now, ticket, ask));
     host.scheduling.earn_probes(pool);
@@ -329,11 +354,11 @@
             on_decided(host, ticket.number, decision);
             continue;
         }
-        let addr = host.members().peer(&ticket.host).map(|m| m.addr);
-        if let Some(addr) = addr {
-            let message = Message::Decided { number: ticket.number, decision };
-            peers::send(host, &[addr], message);
-        }
+        let Some(addr) = host.scheduling.asker(&ticket.host) else {
+            warn!(host.log, "decision_undeliverable"; "to" => &*ticket.host);
+            continue;
+        };
+        peers::send(host, &[addr], Message::Decided { number: ticket.number, decision });
     }
 }
 
@@ -355,6 +380,9 @@
     {
         let mut duties = lock(&host.scheduling.duties);
         duties.retain(|d| now.since(d.asked) < ACTIVE);
+        if duties.is_empty() {
+            lock(&host.scheduling.askers).clear();
+        }
         for duty in duties.iter_mut() {
             decisions.extend(duty.scheduler.tick(now));
             let mut targets = duty.scheduler.unheard(now, REPORT_AGE);
--- /dev/null
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -0,0 +1,57 @@
+//! A host on loopback without a store, callers or targets.
+
+use bytes::Bytes;
+use geraniummux_core::fleet::TargetReport;
+use geraniummux_host::metrics::Metrics;
+use geraniummux_host::peers::PeerNet;
+use geraniummux_host::{CallerPlace, HeaderNames, Host, Protocol, Settings};
+use http::{HeaderMap, HeaderName, Uri};
+use slog::{Discard, Logger, o};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Key of the messages between hosts.
+pub const PEER_KEY: &str = "0123456789abcdef";
+
+struct NoProtocol(HeaderNames);
+
+impl Protocol for NoProtocol {
+    fn headers(&self) -> &HeaderNames {
+        &self.0
+    }
+    fn target_report(&self, _: &HeaderMap) -> Option<TargetReport> {
+        None
+    }
+    fn asks_readiness(&self, _: &Uri) -> bool {
+        true
+    }
+    fn asks_hosts(&self, _: &Uri) -> Option<CallerPlace> {
+        None
+    }
+    fn hosts_answer(&self, _: &[SocketAddr], _: Duration) -> (&'static str, Bytes) {
+        ("text/plain", Bytes::new())
+    }
+}
+
+/// Returns a host whose address for peers is `peer`.
+pub async fn host(peer: SocketAddr) -> Arc<Host> {
+    let settings = format!(
+        r#"{{"host": "h", "failure_domain": "a", "listen": "127.9.9.1:1", "readiness": "127.9.9.1:2",
+            "directory": "127.9.9.1:3", "peer": "{peer}", "peer_key": "{PEER_KEY}",
+            "store": "127.9.9.1:5"}}"#
+    );
+    let settings = Settings::parse(&settings).unwrap();
+    let name = HeaderName::from_static;
+    let names = HeaderNames {
+        request_id: name("a"),
+        time_left_ms: name("b"),
+        expected_target: name("c"),
+        answering_target: name("d"),
+        not_executed: name("e"),
+        digest: name("f"),
+    };
+    let net = PeerNet::open(peer, &settings.peer_key).await.unwrap();
+    let log = Logger::root(Discard, o!());
+    Arc::new(Host::new(settings, log, Metrics::new().unwrap(), Arc::new(NoProtocol(names)), net))
+}
--- /dev/null
+++ b/crates/geraniummux-host/tests/scheduling.rs
@@ -0,0 +1,43 @@
+//! Decisions of a scheduler for other hosts.
+
+mod common;
+
+use geraniummux_core::fleet::{Ask, Decision, Denial};
+use geraniummux_host::peers;
+use geraniummux_wire::{Codec, Envelope, MAX_DATAGRAM_LEN, Message};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// Guards against decisions that are thrown away because the host that asked is not yet among the
+/// members: after a start of the whole fleet hosts would wait for schedulers that never answer.
+#[tokio::test]
+async fn on_ask_from_unknown_host_is_answered() {
+    let scheduler: SocketAddr = "127.9.9.2:7009".parse().unwrap();
+    let host = common::host(scheduler).await;
+    let task = tokio::spawn(peers::receive(host));
+    let socket = UdpSocket::bind("127.9.9.2:7010").await.unwrap();
+    let codec = Codec::new(common::PEER_KEY.as_bytes());
+    let ask = Ask {
+        failure_domain: "a".into(),
+        priority: 0,
+        usual: Duration::from_millis(10),
+        bytes: 0,
+        time_left: Duration::from_secs(1),
+        target_left: Duration::from_secs(1),
+        repeatable: false,
+        avoid: Vec::new(),
+    };
+    let message = Message::Ask { number: 7, pool: "ledger".into(), ask };
+    let envelope = Envelope { from: "stranger".into(), incarnation: 1, generation: 0, message };
+    let datagram = codec.encode_datagram(&envelope).unwrap();
+    socket.send_to(&datagram, scheduler).await.unwrap();
+    let mut buf = [0; MAX_DATAGRAM_LEN];
+    let (len, _) = socket.recv_from(&mut buf).await.unwrap();
+    let answer = codec.decode_datagram(&buf[..len]).unwrap().message;
+    let Message::Decided { number: 7, decision: Decision::Refuse { why, .. } } = answer else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(why, Denial::NoTarget);
+    task.abort();
+}
