Hosts that have just started choose by themselves

Cause: after the loss of all hosts each of 170 hosts scheduled every pool for itself until gossip had reached it, 0.6 s after the start. Targets refused 506 of 1,300 sends and reset 290 more; hosts told each other of these as faults. Ruled out: processor time (5% of a core); slow reading of the store (all had read it 0.5 s after the start). Change: within a second of its start a host with seeds asks no scheduler, itself included, but asks targets for their load. place_just_started_host_does_not_schedule was red without the condition.

--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -39,6 +39,8 @@
     pub settings: ArcSwap<Settings>,
     /// The clocks.
     pub clock: Clock,
+    /// When the process started.
+    pub started: Time,
     /// The root logger.
     pub log: Logger,
     /// Metrics.
@@ -96,6 +98,7 @@
         let domain = settings.failure_domain.clone();
         Host {
             clock,
+            started: now,
             log,
             metrics,
             protocol,
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -40,6 +40,9 @@
 const PROBES_PER_ASK: f64 = 5.0;
 /// Most health checks that are earned ahead.
 const MAX_EARNED: f64 = 500.0;
+/// Time after its start in which a host doesn't rely on the members that it knows: news of all members
+/// reach a host within about half a second after a start of the whole fleet.
+const SETTLING: Duration = Duration::from_secs(1);
 /// Interval of the timer of a scheduler.
 const TICK: Duration = Duration::from_millis(30);
 /// Interval of the timer of a host that schedules no pool.
@@ -216,9 +219,14 @@
 }
 
 /// Returns the host that schedules a pool: among the hosts in service with the most capacity the
-/// first in an order that differs between pools.
+/// first in an order that differs between pools. There is none for a host that has just started and
+/// doesn't know the others: if it scheduled by itself, as they do, they would fill the same targets.
 fn scheduler_of(host: &Host, pool: &str) -> Option<SocketAddr> {
+    let is_settling = host.now().since(host.started) < SETTLING;
     let members = host.members();
+    if is_settling && members.has_seeds() {
+        return None;
+    }
     std::iter::once(members.me())
         .chain(members.peers())
         .filter(|m| m.state == MemberState::Alive)
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -34,12 +34,12 @@
     }
 }
 
-/// Returns a host whose address for peers is `peer`.
-pub async fn host(peer: SocketAddr) -> Arc<Host> {
+/// Returns a host whose address for peers is `peer`. `seeds` are addresses of other hosts, in JSON.
+pub async fn host(peer: SocketAddr, seeds: &str) -> Arc<Host> {
     let settings = format!(
         r#"{{"host": "h", "failure_domain": "a", "listen": "127.9.9.1:1", "readiness": "127.9.9.1:2",
             "directory": "127.9.9.1:3", "peer": "{peer}", "peer_key": "{PEER_KEY}",
-            "store": "127.9.9.1:5"}}"#
+            "store": "127.9.9.1:5", "seeds": {seeds}}}"#
     );
     let settings = Settings::parse(&settings).unwrap();
     let name = HeaderName::from_static;
--- a/crates/geraniummux-host/tests/reader.rs
+++ b/crates/geraniummux-host/tests/reader.rs
@@ -51,7 +51,7 @@
 /// would wait for its news instead of reading for themselves.
 #[tokio::test]
 async fn reader_store_silent_is_not_current() {
-    let host = common::host("127.9.9.1:7009".parse().unwrap()).await;
+    let host = common::host("127.9.9.1:7009".parse().unwrap(), "[]").await;
     let store = Arc::new(SilentStore::default());
     let task = tokio::spawn(reader::run(host.clone(), store.clone()));
     while !host.knowledge().age(host.now()).is_zero() {
--- a/crates/geraniummux-host/tests/scheduling.rs
+++ b/crates/geraniummux-host/tests/scheduling.rs
@@ -4,21 +4,14 @@
 
 use geraniummux_core::fleet::{Ask, Decision, Denial};
 use geraniummux_host::peers;
+use geraniummux_host::scheduling::{self, Answer};
 use geraniummux_wire::{Codec, Envelope, MAX_DATAGRAM_LEN, Message};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 
-/// Guards against decisions that are thrown away because the host that asked is not yet among the
-/// members: after a start of the whole fleet hosts would wait for schedulers that never answer.
-#[tokio::test]
-async fn on_ask_from_unknown_host_is_answered() {
-    let scheduler: SocketAddr = "127.9.9.2:7009".parse().unwrap();
-    let host = common::host(scheduler).await;
-    let task = tokio::spawn(peers::receive(host));
-    let socket = UdpSocket::bind("127.9.9.2:7010").await.unwrap();
-    let codec = Codec::new(common::PEER_KEY.as_bytes());
-    let ask = Ask {
+fn ask() -> Ask {
+    Ask {
         failure_domain: "a".into(),
         priority: 0,
         usual: Duration::from_millis(10),
@@ -27,8 +20,37 @@
         target_left: Duration::from_secs(1),
         repeatable: false,
         avoid: Vec::new(),
+    }
+}
+
+/// Pattern: all hosts start at once while callers press. Guards against hosts that don't know each other
+/// yet and each schedule the whole pool, so that targets get several times what they can run.
+#[tokio::test]
+async fn place_just_started_host_does_not_schedule() {
+    let host = common::host("127.9.9.3:7009".parse().unwrap(), r#"["127.9.9.4:1"]"#).await;
+    host.members().enter_service();
+    let place = async || {
+        let deadline = host.now() + Duration::from_secs(1);
+        scheduling::place(&host, &"ledger".into(), deadline, |_| ask()).await
     };
-    let message = Message::Ask { number: 7, pool: "ledger".into(), ask };
+    assert!(matches!(place().await, Answer::Unavailable));
+    // Later it relies on what it knows: that it is alone, and that the pool has no targets.
+    while matches!(place().await, Answer::Unavailable) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(matches!(place().await, Answer::Refused { .. }));
+}
+
+/// Guards against decisions that are thrown away because the host that asked is not yet among the
+/// members: after a start of the whole fleet hosts would wait for schedulers that never answer.
+#[tokio::test]
+async fn on_ask_from_unknown_host_is_answered() {
+    let scheduler: SocketAddr = "127.9.9.2:7009".parse().unwrap();
+    let host = common::host(scheduler, "[]").await;
+    let task = tokio::spawn(peers::receive(host));
+    let socket = UdpSocket::bind("127.9.9.2:7010").await.unwrap();
+    let codec = Codec::new(common::PEER_KEY.as_bytes());
+    let message = Message::Ask { number: 7, pool: "ledger".into(), ask: ask() };
     let envelope = Envelope { from: "stranger".into(), incarnation: 1, generation: 0, message };
     let datagram = codec.encode_datagram(&envelope).unwrap();
     socket.send_to(&datagram, scheduler).await.unwrap();
