--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -326,7 +326,8 @@
         self.scheduling.update(fleet.registry.targets(now));
     }
 
-    fn note_news(&self) {
+    /// Tells followers what has changed, or how current it is.
+    pub fn note_news(&self) {
         self.news.send_modify(|n| *n += 1);
     }
 }
--- a/crates/geraniummux-host/src/knowledge.rs
+++ b/crates/geraniummux-host/src/knowledge.rs
@@ -74,14 +74,15 @@
         now < self.lapses_until
     }
 
+    /// Returns whether the host's own watches are in place.
+    pub fn watches(&self) -> bool {
+        self.watches_config && self.watches_targets
+    }
+
     /// Returns how long ago the knowledge was known to be current.
     pub fn age(&self, now: Time) -> Duration {
         let behind = self.behind_since.map_or(Duration::ZERO, |t| now.since(t));
-        if self.watches_config && self.watches_targets {
-            behind
-        } else {
-            now.since(self.as_of).max(behind)
-        }
+        if self.watches() { behind } else { now.since(self.as_of).max(behind) }
     }
 
     /// Returns what was heard from peers.
@@ -102,9 +103,16 @@
         self.watches_config = watches;
     }
 
+    /// Records that the store no longer answers this host and last did so at `proven`.
+    pub fn lose_watches(&mut self, proven: Time) {
+        self.leave_store(proven, true);
+        self.watches_targets = false;
+        self.watches_config = false;
+    }
+
     /// Notes until when the knowledge was current if a watch that was in place has ended.
     fn leave_store(&mut self, now: Time, ended: bool) {
-        if ended && self.watches_config && self.watches_targets {
+        if ended && self.watches() {
             self.as_of = now;
         }
     }
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -6,8 +6,11 @@
 use geraniummux_core::fleet::{ReaderOptions, Source, source};
 use rand::RngExt;
 use slog::{info, warn};
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// How long a watch waits for changes. It bounds how long a store that has lost track of a watch
 /// goes unnoticed.
@@ -21,6 +24,12 @@
 const MAX_PAUSE: Duration = Duration::from_millis(1_200);
 /// Interval between decisions whether to read.
 const REVIEW: Duration = Duration::from_millis(100);
+/// Interval between checks whether the store answers a host that watches it: a watch that waits shows
+/// nothing, as the store may ignore some hosts without a sign. With the time for an answer, and that of the
+/// hosts that read instead, it has to stay within two seconds.
+const CHECK_EVERY: Duration = Duration::from_millis(300);
+/// Time for the answer to a check; a slow store takes about 250 ms.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after the start in which the members get to know each other before any of them reads.
 const SETTLE: Duration = Duration::from_millis(1_200);
 
@@ -58,8 +67,11 @@
             (Source::Store, false) => {
                 info!(host.log, "reading_store"; "rank" => position.rank,
                     "hosts" => position.hosts, "age_ms" => heard.age.as_millis() as u64);
-                tasks.push(tokio::spawn(watch_targets(host.clone(), store.clone())));
-                tasks.push(tokio::spawn(watch_config(host.clone(), store.clone())));
+                let lost = Arc::new(Notify::new());
+                let (targets, config) = (lost.clone(), lost.clone());
+                tasks.push(tokio::spawn(watch_targets(host.clone(), store.clone(), targets)));
+                tasks.push(tokio::spawn(watch_config(host.clone(), store.clone(), config)));
+                tasks.push(tokio::spawn(check(host.clone(), store.clone(), lost)));
             }
             (Source::Peers, true) => {
                 info!(host.log, "reading_peers"; "rank" => position.rank,
@@ -95,7 +107,50 @@
     }
 }
 
-async fn watch_targets<S>(host: Arc<Host>, store: Arc<S>)
+/// Checks whether the store still answers, while watches wait. Ends the watches if it doesn't: it may
+/// have dropped them for good.
+async fn check<S>(host: Arc<Host>, store: Arc<S>, lost: Arc<Notify>)
+where
+    S: Store,
+{
+    let mut proven = host.now();
+    loop {
+        tokio::time::sleep(CHECK_EVERY).await;
+        let asked = host.now();
+        if !host.knowledge().watches() {
+            // The lists that precede the watches show it.
+            proven = asked;
+            continue;
+        }
+        let answer = timeout(CHECK_TIMEOUT, store.check()).await;
+        let answer = answer.unwrap_or_else(|_| Err(unanswered()));
+        note(&host, "check", answer.as_ref().err());
+        if answer.is_ok() {
+            proven = asked;
+            continue;
+        }
+        host.knowledge().lose_watches(proven);
+        lost.notify_waiters();
+        host.note_news();
+    }
+}
+
+fn unanswered() -> StoreError {
+    StoreError::Unreachable(String::from("no answer to a check"))
+}
+
+/// Waits for the answer to a watch, unless a check gets none.
+async fn unless_lost<T, F>(lost: &Notify, watch: F) -> Result<T, StoreError>
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    tokio::select! {
+        answer = watch => answer,
+        () = lost.notified() => Err(unanswered()),
+    }
+}
+
+async fn watch_targets<S>(host: Arc<Host>, store: Arc<S>, lost: Arc<Notify>)
 where
     S: Store,
 {
@@ -109,7 +164,7 @@
         host.knowledge().set_watches_targets(host.now(), true);
         let error = loop {
             let revision = host.fleet().registry.revision().unwrap_or(0);
-            let result = store.watch_targets(revision, WATCH_WAIT).await;
+            let result = unless_lost(&lost, store.watch_targets(revision, WATCH_WAIT)).await;
             note(&host, "watch_targets", result.as_ref().err());
             match result {
                 Ok(delta) => {
@@ -127,7 +182,7 @@
     }
 }
 
-async fn watch_config<S>(host: Arc<Host>, store: Arc<S>)
+async fn watch_config<S>(host: Arc<Host>, store: Arc<S>, lost: Arc<Notify>)
 where
     S: Store,
 {
@@ -140,7 +195,7 @@
         host.knowledge().set_watches_config(host.now(), true);
         let error = loop {
             let revision = host.knowledge().config_revision.unwrap_or(0);
-            let result = store.watch_config(revision, WATCH_WAIT).await;
+            let result = unless_lost(&lost, store.watch_config(revision, WATCH_WAIT)).await;
             note(&host, "watch_config", result.as_ref().err());
             match result {
                 Ok(news) => take_in(&host, news),
--- a/crates/geraniummux-host/src/store.rs
+++ b/crates/geraniummux-host/src/store.rs
@@ -43,6 +43,9 @@
 
 /// The calls to the store. Each has a time limit of its own.
 pub trait Store: Send + Sync + 'static {
+    /// Makes the cheapest call that shows whether the store answers this host.
+    fn check(&self) -> impl Future<Output = Result<(), StoreError>> + Send;
+
     /// Lists the registered targets.
     fn list_targets(
         &self,
--- a/crates/geraniummux-host/tests/reader.rs
+++ b/crates/geraniummux-host/tests/reader.rs
@@ -4,28 +4,29 @@
 
 use geraniummux_core::fleet::Delta;
 use geraniummux_host::store::Currency;
-use geraniummux_host::{ConfigNews, Store, StoreError, reader};
-use std::future::pending;
+use geraniummux_host::{ConfigNews, Host, Store, StoreError, reader};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-/// A store that answers until it goes silent: watches fail and lists never end.
+/// A store that answers until it goes silent: lists and checks never end, and watches fail or never end.
 #[derive(Default)]
 struct SilentStore {
     silent: AtomicBool,
+    /// Whether watches never end.
+    keeps_watches: bool,
 }
 
 impl SilentStore {
     async fn list(&self) -> u64 {
-        if self.silent.load(Ordering::SeqCst) {
-            pending().await
+        while self.silent.load(Ordering::SeqCst) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
         7
     }
 
     async fn watch(&self) -> StoreError {
-        while !self.silent.load(Ordering::SeqCst) {
+        while self.keeps_watches || !self.silent.load(Ordering::SeqCst) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         StoreError::Unreachable(String::from("silent"))
@@ -33,6 +34,10 @@
 }
 
 impl Store for SilentStore {
+    async fn check(&self) -> Result<(), StoreError> {
+        self.list().await;
+        Ok(())
+    }
     async fn list_targets(&self, _: Currency) -> Result<Delta, StoreError> {
         Ok(Delta { from: None, to: self.list().await, changes: Vec::new() })
     }
@@ -47,6 +52,18 @@
     }
 }
 
+async fn until_current(host: &Host) {
+    while !host.knowledge().age(host.now()).is_zero() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn until_outdated(host: &Host) {
+    while host.knowledge().age(host.now()) < Duration::from_millis(300) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Guards against a reader that counts as in touch with a store that has gone silent: its followers
 /// would wait for its news instead of reading for themselves.
 #[tokio::test]
@@ -54,12 +71,23 @@
     let host = common::host("127.9.9.1:7009".parse().unwrap(), "[]").await;
     let store = Arc::new(SilentStore::default());
     let task = tokio::spawn(reader::run(host.clone(), store.clone()));
-    while !host.knowledge().age(host.now()).is_zero() {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    until_current(&host).await;
     store.silent.store(true, Ordering::SeqCst);
-    while host.knowledge().age(host.now()) < Duration::from_millis(300) {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    until_outdated(&host).await;
+    task.abort();
+}
+
+/// Guards against a reader that trusts a watch which the store, without a sign, no longer answers: leaving
+/// targets got requests for longer than they may. Also against one that stays outdated afterwards.
+#[tokio::test]
+async fn reader_store_ignores_host_is_not_current_until_it_answers() {
+    let host = common::host("127.9.9.5:7009".parse().unwrap(), "[]").await;
+    let store = Arc::new(SilentStore { keeps_watches: true, ..SilentStore::default() });
+    let task = tokio::spawn(reader::run(host.clone(), store.clone()));
+    until_current(&host).await;
+    store.silent.store(true, Ordering::SeqCst);
+    until_outdated(&host).await;
+    store.silent.store(false, Ordering::SeqCst);
+    until_current(&host).await;
     task.abort();
 }
