Refuse in a crowd only what will be late; remove what nothing uses

Cause: read-through. Change: the margin counts for late requests only. ask_request_in_time_in_crowd_waits was red before. Gone: Connection::is_reused, FleetConfig::pool, Scheduler::waiting, a wrapper in the settings.

--- a/crates/geraniummux-core/src/fleet/routes.rs
+++ b/crates/geraniummux-core/src/fleet/routes.rs
@@ -85,13 +85,6 @@
     pub limits: CallerLimits,
 }
 
-impl FleetConfig {
-    /// Returns the pool with this name.
-    pub fn pool(&self, name: &str) -> Option<&FleetPool> {
-        self.pools.iter().find(|p| &*p.name == name)
-    }
-}
-
 /// A configuration arranged for look-ups.
 #[derive(Clone, Debug, Default)]
 pub struct RouteIndex {
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -333,11 +333,6 @@
         self.targets.sort_by(|a, b| a.id.cmp(&b.id));
     }
 
-    /// Returns the number of requests that wait.
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// Returns the targets that have not reported for `max_age`, the longest first.
     pub fn unheard(&self, now: Time, max_age: Duration) -> Vec<Unheard> {
         let mut unheard: Vec<Unheard> = self
@@ -573,17 +568,17 @@
         if self.targets.iter().all(|t| w.ask.avoid.contains(&t.id)) {
             return Some(self.refuse(now, w, Denial::NoTarget));
         }
+        let is_late = !w.can_be_in_time(now);
         if let Some((best, stretch)) = self.best(pass, w) {
             let expected = w.ask.usual.mul_f64(stretch);
             // A free target that is too slow at present is passed over while another may still do.
             let in_time = now + expected <= w.since + w.ask.target_left;
-            let late = !w.can_be_in_time(now) && expected.mul_f64(pass.late_margin) <= left;
-            if in_time || late {
+            if in_time || is_late && expected.mul_f64(pass.late_margin) <= left {
                 return Some(Decision::Grant { target: best.id.clone(), stretch });
             }
         }
-        let late = left < w.ask.usual.mul_f64(pass.late_margin);
-        late.then(|| self.refuse(now, w, Denial::TooLate))
+        let is_hopeless = is_late && left < w.ask.usual.mul_f64(pass.late_margin);
+        is_hopeless.then(|| self.refuse(now, w, Denial::TooLate))
     }
 
     /// Returns the best target with room for a request and the stretch to expect there. A target that
--- a/crates/geraniummux-core/tests/fleet_scheduler.rs
+++ b/crates/geraniummux-core/tests/fleet_scheduler.rs
@@ -342,6 +342,19 @@
     assert!(refused, "{decisions:?}");
 }
 
+/// Guards against a request that is refused in a crowd although it can be answered in time, because its
+/// deadline is not far beyond its latency target.
+#[test]
+fn ask_request_in_time_in_crowd_waits() {
+    let mut s = scheduler(&[target("t1", "a", false)]);
+    s.on_report(START, "t1", &report(0, 1.0));
+    for n in 0..6 {
+        s.ask(START, ticket(n), ask(false));
+    }
+    let tight = Ask { time_left: ms(250), target_left: ms(250), ..ask(false) };
+    assert!(s.ask(START, ticket(9), tight).contains(&(ticket(9), Decision::Wait)));
+}
+
 /// Pattern: load on a target shifts while requests run there. Guards against idempotent requests that
 /// stay at a target that has become slow although there is room elsewhere.
 #[test]
--- a/crates/geraniummux-host/src/settings.rs
+++ b/crates/geraniummux-host/src/settings.rs
@@ -4,7 +4,7 @@
 use geraniummux_core::config::{MAX_NAME_LEN, is_name};
 use serde::Deserialize;
 use std::fs;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -126,7 +126,7 @@
         if self.peer_key.len() < MIN_KEY_LEN {
             bail!("peer_key: needs at least {MIN_KEY_LEN} bytes, has {}", self.peer_key.len());
         }
-        if is_unspecified(self.peer.ip()) || self.peer.port() == 0 {
+        if self.peer.ip().is_unspecified() || self.peer.port() == 0 {
             bail!("peer: {} is not an address that peers can reach", self.peer);
         }
         if !(0.001..=1_024.0).contains(&self.cores) {
@@ -158,7 +158,3 @@
 fn default_cores() -> f64 {
     1.0
 }
-
-fn is_unspecified(ip: IpAddr) -> bool {
-    ip.is_unspecified()
-}
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -27,7 +27,6 @@
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    reused: bool,
 }
 
 impl Drop for Connection {
@@ -51,7 +50,7 @@
             .map_err(|e| io::Error::other(e.to_string()))?;
         // How a connection ends is seen by the exchange on it.
         let task = tokio::spawn(async move { drop(conn.await) }).abort_handle();
-        Ok(Connection { addr, sender, task, reused: false })
+        Ok(Connection { addr, sender, task })
     }
 
     /// Returns the target's address.
@@ -59,11 +58,6 @@
         self.addr
     }
 
-    /// Returns whether the connection was idle before its present use.
-    pub fn is_reused(&self) -> bool {
-        self.reused
-    }
-
     fn is_open(&self) -> bool {
         !self.sender.is_closed()
     }
@@ -158,10 +152,9 @@
     pub fn take(&self, now: Time, addr: SocketAddr) -> Option<(Connection, Duration)> {
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
         let i = idle.binary_search_by_key(&addr, |(a, _)| *a).ok()?;
-        while let Some(mut last) = idle[i].1.pop() {
+        while let Some(last) = idle[i].1.pop() {
             let idle_time = now.since(last.since);
             if last.conn.is_open() && idle_time < MAX_IDLE_TIME {
-                last.conn.reused = true;
                 return Some((last.conn, idle_time));
             }
         }
