Serve configurations with route types that this version does not know

A route of an unknown type allows one attempt, is never retried after it may have run and never hedged; readers log route_type_unknown and count geraniummux_unknown_route_types_total.

--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -35,4 +35,4 @@
 pub use protocol::{CallerLocation, HeaderNames, Protocol};
 pub use run::run;
 pub use settings::Settings;
-pub use store::{ConfigUpdate, Store, StoreError};
+pub use store::{ConfigUpdate, Store, StoreError, UnknownRouteType};
--- a/crates/geraniummux-host/src/metrics.rs
+++ b/crates/geraniummux-host/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters, gauges and latency histograms, served in the text format of Prometheus.
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
     connections: IntCounterVec,
     store_calls: IntCounterVec,
     peer_messages: IntCounterVec,
+    unknown_route_types: IntCounter,
     state: IntGaugeVec,
 }
 
@@ -56,9 +58,13 @@
             connections: counter("connections_total", "New connections by peer", &["kind"])?,
             store_calls: counter("store_calls_total", "Calls to the store", &["call", "result"])?,
             peer_messages: counter("peer_messages_total", "Messages to and from peers", &["kind"])?,
+            unknown_route_types: IntCounter::new(
+                "geraniummux_unknown_route_types_total",
+                "Routes of unknown types in new configurations",
+            )?,
             state: IntGaugeVec::new(Opts::new("geraniummux_state", "State of the host"), &["of"])?,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 8] = [
+        let all: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.attempts.clone()),
@@ -66,6 +72,7 @@
             Box::new(metrics.connections.clone()),
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.peer_messages.clone()),
+            Box::new(metrics.unknown_route_types.clone()),
             Box::new(metrics.state.clone()),
         ];
         for metric in all {
@@ -105,6 +112,11 @@
         self.peer_messages.with_label_values(&[kind]).inc();
     }
 
+    /// Records routes of a new configuration whose type is unknown.
+    pub fn unknown_route_type(&self, routes: usize) {
+        self.unknown_route_types.inc_by(routes as u64);
+    }
+
     /// Sets the gauge of the host's state that is labelled `name`.
     pub fn set_state(&self, name: &str, value: i64) {
         self.state.with_label_values(&[name]).set(value);
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -2,7 +2,7 @@
 
 use crate::host::Host;
 use crate::replication;
-use crate::store::{ConfigUpdate, Consistency, Store, StoreError};
+use crate::store::{ConfigUpdate, Consistency, Store, StoreError, UnknownRouteType};
 use geraniummux_core::fleet::{ReadSource, ReaderOptions, read_source};
 use rand::RngExt;
 use slog::{info, warn};
@@ -236,12 +236,25 @@
             "kept" => host.config_version());
     }
     if let Some(config) = update.config {
+        if config.version > host.config_version() {
+            log_unknown_route_types(host, config.version, &update.unknown_route_types);
+        }
         host.adopt_config(config, update.revision, "store");
     }
     let mut freshness = host.freshness();
     freshness.config_revision = freshness.config_revision.max(Some(update.revision));
 }
 
+/// Logs and counts the types of routes that this version does not know.
+fn log_unknown_route_types(host: &Host, version: u64, unknown: &[UnknownRouteType]) {
+    for u in unknown {
+        host.metrics.unknown_route_type(u.routes);
+        warn!(host.log, "route_type_unknown"; "type" => &*u.route_type, "version" => version,
+            "routes" => u.routes, "first_route" => &*u.first_route,
+            "handled_as" => "not idempotent, one attempt");
+    }
+}
+
 /// Records the result of a call to the store, and logs it if the call failed.
 fn record_call(host: &Host, call: &str, error: Option<&StoreError>) {
     let result = match error {
--- a/crates/geraniummux-host/src/store.rs
+++ b/crates/geraniummux-host/src/store.rs
@@ -2,6 +2,7 @@
 
 use geraniummux_core::fleet::{FleetConfig, RegistryDelta};
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Why a call to the store returned no result.
@@ -30,6 +31,26 @@
     pub config: Option<FleetConfig>,
     /// Why the stored configuration is invalid; `None` if it is valid or does not exist.
     pub invalid: Option<String>,
+    /// Types of its routes that this version does not know.
+    pub unknown_route_types: Vec<UnknownRouteType>,
+}
+
+impl ConfigUpdate {
+    /// Returns an update without a configuration.
+    pub fn unchanged(revision: u64) -> Self {
+        ConfigUpdate { revision, config: None, invalid: None, unknown_route_types: Vec::new() }
+    }
+}
+
+/// A type of routes that this version does not know, and the routes of a configuration that have it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnknownRouteType {
+    /// Name of the type.
+    pub route_type: Arc<str>,
+    /// The first route of this type.
+    pub first_route: Arc<str>,
+    /// Number of routes of this type.
+    pub routes: usize,
 }
 
 /// Consistency that a read requires.
