Report replaced targets to the schedulers at once

A host that got a 421 left the target out for itself only; the scheduler saw an idle target and granted it again and again. In the trace, 629 of 3,300 sends between 15 and 17 s went to these three, and 263 requests were refused after that, as the budget for retries was spent. Ruled out: the ejection for faults. A 421 was no fault, and ejection stops at 40% of a pool, while such a target can't execute anything. Random input to the codec now covers the messages of the fleet.

--- a/crates/geraniummux-core/src/fleet/table.rs
+++ b/crates/geraniummux-core/src/fleet/table.rs
@@ -229,12 +229,13 @@
     }
 
     /// Records that another target answered at the address of this one, and ejects this one for a
-    /// while.
-    pub fn on_identity_mismatch(&mut self, now: Time, id: &str) {
+    /// while. Returns whether it was not ejected for that reason yet.
+    pub fn on_identity_mismatch(&mut self, now: Time, id: &str) -> bool {
         let until = now + self.opts.identity_mismatch_ejection;
-        if let Some(t) = self.find_mut(id) {
-            t.ejected_until = until;
-        }
+        let Some(t) = self.find_mut(id) else { return false };
+        let is_new = t.ejected_until <= now;
+        t.ejected_until = until;
+        is_new
     }
 
     fn pool(&self, pool: &str) -> &[Target] {
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Fleet, Prober};
 use crate::freshness::Freshness;
 use crate::metrics::Metrics;
-use crate::peers::PeerNet;
+use crate::peers::{self, PeerNet};
 use crate::protocol::Protocol;
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
@@ -283,6 +283,26 @@
         }
     }
 
+    /// Records that another target answered at the address of `id`, and reports it to peers unless it
+    /// is known.
+    pub fn on_identity_mismatch(&self, id: &Arc<str>) {
+        let now = self.now();
+        self.scheduling.on_identity_mismatch(now, id);
+        if self.fleet().table.on_identity_mismatch(now, id) {
+            warn!(self.log, "target_replaced"; "target" => &**id);
+            peers::send_identity_mismatch(self, id);
+        }
+    }
+
+    /// Records that another target answered a peer at the address of `id`.
+    pub fn on_peer_identity_mismatch(&self, from: &str, id: &str) {
+        let now = self.now();
+        self.scheduling.on_identity_mismatch(now, id);
+        if self.fleet().table.on_identity_mismatch(now, id) {
+            warn!(self.log, "target_replaced"; "target" => id, "peer" => from);
+        }
+    }
+
     /// Takes one extra attempt (a retry or hedge) from a pool's budget, which all hosts share. Returns
     /// whether it is allowed.
     pub fn try_extra_attempt(&self, pool: &Arc<str>, kind: ExtraAttempt) -> bool {
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -119,6 +119,7 @@
                 host.on_peer_fault(&from, &f.target, f64::from(f.weight));
             }
         }
+        Message::IdentityMismatch { target } => host.on_peer_identity_mismatch(&from, &target),
         Message::CrashReport(crash_report) => {
             on_crash_report(host, &format!("{from}/{incarnation}"), &crash_report)
         }
@@ -222,6 +223,26 @@
     alive.filter(|m| m.failure_domain == *own_domain).map(|m| m.addr).collect()
 }
 
+/// Returns the hosts to which faults of targets are sent: some of this host's failure domain, and all
+/// schedulers, since they select targets by them.
+fn fault_receivers(host: &Host) -> Vec<SocketAddr> {
+    let mut to = same_domain_peers(host);
+    to.shuffle(&mut rand::rng());
+    to.truncate(FAULT_FANOUT);
+    let me = host.settings.load().peer;
+    to.extend(Scheduling::schedulers(host).into_iter().filter(|a| *a != me));
+    to.sort_unstable();
+    to.dedup();
+    to
+}
+
+/// Reports that another target answered at the address of `target`. This is sent at once: until the
+/// schedulers know it, they take the target for an idle one.
+pub fn send_identity_mismatch(host: &Host, target: &Arc<str>) {
+    let message = Message::IdentityMismatch { target: target.clone() };
+    send(host, &fault_receivers(host), message);
+}
+
 fn broadcast_faults(host: &Host) {
     let unsent = std::mem::take(&mut host.fleet().unsent_faults);
     if unsent.is_empty() {
@@ -234,14 +255,7 @@
             None => sums.push(TargetFaults { target, weight: weight as f32 }),
         }
     }
-    let mut to = same_domain_peers(host);
-    to.shuffle(&mut rand::rng());
-    to.truncate(FAULT_FANOUT);
-    // Schedulers always receive the faults, since they select targets by them.
-    let me = host.settings.load().peer;
-    to.extend(Scheduling::schedulers(host).into_iter().filter(|a| *a != me));
-    to.sort_unstable();
-    to.dedup();
+    let to = fault_receivers(host);
     for faults in sums.chunks(MAX_FAULTS_PER_DATAGRAM) {
         send(host, &to, Message::Faults(faults.to_vec()));
     }
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -85,7 +85,7 @@
             "answered"
         }
         AttemptOutcome::NotExecuted("other_target") => {
-            host.fleet().table.on_identity_mismatch(now, &target);
+            host.on_identity_mismatch(&target);
             "other_target"
         }
         AttemptOutcome::NotExecuted(reason) => {
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -137,6 +137,12 @@
         /// Identity of a target that answered, with its load report at that time.
         report: Option<(Arc<str>, TargetReport)>,
     },
+    /// UDP: another target answered at the address of this one, so that requests sent there are not
+    /// executed.
+    IdentityMismatch {
+        /// Identity of the target that is registered with the address.
+        target: Arc<str>,
+    },
 }
 
 /// Maximum number of targets in one [`Message::ProbeTargets`] or [`Message::TargetReports`], so that
--- a/crates/geraniummux-wire/tests/codec.rs
+++ b/crates/geraniummux-wire/tests/codec.rs
@@ -1,6 +1,7 @@
 //! Frames: round trips, refusal of foreign and altered bytes, and size limits.
 
 use geraniummux_core::drain::{LeavingAck, LeavingNotice};
+use geraniummux_core::fleet::{RejectReason, SlotDecision, SlotRequest, TargetReport};
 use geraniummux_core::membership::{Gossip, GossipKind, MembershipAction, MembershipOptions};
 use geraniummux_core::usage::{
     MAX_CONFIRMED_REPORTS, Month, ProcessId, ReportRow, UsageAction, UsageCounters, UsageKey,
@@ -8,14 +9,16 @@
 };
 use geraniummux_core::{Member, MemberState, Membership, Time, UnixMs};
 use geraniummux_wire::{
-    Codec, CrashReport, Envelope, Error, MAX_DATAGRAM_LEN, MAX_STREAM_FRAME_LEN, Message,
-    ProbeResult, ProbeResults, ProbedState, State, stream_frame_len,
+    Codec, CrashReport, Envelope, Error, MAX_DATAGRAM_LEN, MAX_PROBED_TARGETS,
+    MAX_STREAM_FRAME_LEN, Message, ProbeResult, ProbeResults, ProbedState, State, TargetFaults,
+    stream_frame_len,
 };
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 fn name() -> impl Strategy<Value = Arc<str>> {
     "[a-z0-9.-]{1,64}".prop_map(Arc::from)
@@ -130,6 +133,71 @@
         state().prop_map(Message::SyncState),
         state().prop_map(Message::State),
         Just(Message::Done),
+        fleet_message(),
+    ]
+}
+
+fn target_report() -> impl Strategy<Value = TargetReport> {
+    (any::<u32>(), any::<u32>(), any::<u32>(), 0.0..1e6).prop_map(
+        |(running, waiting, slots, slowdown)| TargetReport { running, waiting, slots, slowdown },
+    )
+}
+
+fn slot_request() -> impl Strategy<Value = SlotRequest> {
+    let times = any::<[u32; 3]>().prop_map(|ms| ms.map(|t| Duration::from_millis(t.into())));
+    (name(), any::<u32>(), times, any::<u32>(), any::<bool>(), prop::collection::vec(name(), 0..4))
+        .prop_map(|(failure_domain, priority, times, body_bytes, hedgeable, avoid)| SlotRequest {
+            failure_domain,
+            priority,
+            service_time: times[0],
+            body_bytes,
+            time_left: times[1],
+            latency_target_left: times[2],
+            hedgeable,
+            avoid,
+        })
+}
+
+fn slot_decision() -> impl Strategy<Value = SlotDecision> {
+    let retry_after = any::<u32>().prop_map(|ms| Duration::from_millis(ms.into()));
+    prop_oneof![
+        (name(), 0.0..1e6)
+            .prop_map(|(target, latency_factor)| SlotDecision::Grant { target, latency_factor }),
+        Just(SlotDecision::Wait),
+        (name(), 0.0..1e6)
+            .prop_map(|(target, latency_factor)| SlotDecision::Hedge { target, latency_factor }),
+        retry_after.prop_map(|retry_after| SlotDecision::Reject {
+            reason: RejectReason::TooLate,
+            retry_after,
+        }),
+    ]
+}
+
+/// Messages of hosts that serve a fleet of registered targets.
+fn fleet_message() -> impl Strategy<Value = Message> {
+    prop_oneof![
+        prop::collection::vec((name(), 0.0f32..1e6), 0..16).prop_map(|faults| {
+            let faults = faults.into_iter();
+            Message::Faults(
+                faults.map(|(target, weight)| TargetFaults { target, weight }).collect(),
+            )
+        }),
+        (any::<u64>(), name(), slot_request())
+            .prop_map(|(number, pool, request)| Message::SlotRequest { number, pool, request }),
+        (any::<u64>(), slot_decision())
+            .prop_map(|(number, decision)| Message::SlotDecision { number, decision }),
+        (any::<u64>(), name(), name()).prop_map(|(number, pool, target)| Message::GrantDeclined {
+            number,
+            pool,
+            target
+        }),
+        (name(), prop::collection::vec(name(), 0..MAX_PROBED_TARGETS))
+            .prop_map(|(pool, targets)| Message::ProbeTargets { pool, targets }),
+        (name(), prop::collection::vec((name(), target_report()), 0..MAX_PROBED_TARGETS))
+            .prop_map(|(pool, reports)| Message::TargetReports { pool, reports }),
+        (any::<u64>(), name(), prop::option::of((name(), target_report())))
+            .prop_map(|(number, pool, report)| Message::GrantEnded { number, pool, report }),
+        name().prop_map(|target| Message::IdentityMismatch { target }),
     ]
 }
 
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -73,6 +73,7 @@
         | Message::SlotRequest { .. }
         | Message::SlotDecision { .. }
         | Message::GrantDeclined { .. }
+        | Message::IdentityMismatch { .. }
         | Message::ProbeTargets { .. }
         | Message::TargetReports { .. }
         | Message::GrantEnded { .. } => control.net.count_refused(),
