Scheduler: keep requests in time under overload, reuse connections, cost less

(2) A slot request cost 74 us at 408 targets, and probes' reports one pass each; a scheduler that ran out of its core's share for 80 ms made all hosts choose for themselves for 0.7 s, which overfilled targets (151 silent decisions at 15 to 17 s). (3) No pair of 312 hosts and 660 targets was warm: nearly each request opened a connection. Ruled out: a slowdown of running requests by one more. Change: while a pool is crowded, a slot has to leave room for a longer service time than the typical one, unless no better slot can come; a request that has become late by waiting is rejected if others that are not less urgent can be in time, unless the pool is so slow that none can. Requests in flight are indexed, decayed loads are kept for 5 ms, reports of one message make one pass. Targets to which the host holds an idle connection are preferred within 10% of the cost. Large bodies count more against targets in other domains. The first decision may take 5% of the latency target, with a second message if there is time. A connection for a request may take a quarter of the latency target.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod bodies;
+mod caller_age;
 mod extra_attempts;
 mod faults;
 mod forecast;
@@ -18,11 +19,13 @@
 mod scheduler;
 mod split;
 mod table;
+mod warm;
 
 pub use admission::{
     AdmissionDecision, AdmissionInput, AdmissionRejectReason, AdmissionRules, admit,
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
+pub use caller_age::CallerAge;
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
 pub use forecast::{ForecastOptions, TargetReport, latency_factor};
@@ -37,3 +40,4 @@
 };
 pub use split::SplitState;
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
+pub use warm::WarmConnections;
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -12,8 +12,9 @@
 //! * A request that would be late at all targets with a free slot, because these are slow at present,
 //!   waits for a better one as long as that can help.
 //! * A request that can't be answered before its deadline is rejected at once. While many requests
-//!   wait, so is one that is late already and has little time left, because it would take the slot of
-//!   another.
+//!   wait, so is one that has become late by waiting, because it would take the slot of another that
+//!   can still be in time. If the pool is so slow that none can be, late requests are served while
+//!   they have enough time left.
 //! * A request whose target becomes slow while it runs is granted a slot at a second target for a
 //!   hedge, if it may be hedged, would be late otherwise, and the pool has capacity to spare.
 //!
@@ -23,6 +24,7 @@
 use super::faults::{FaultOptions, FaultScore};
 use super::forecast::{ForecastOptions, TargetReport, latency_factor};
 use super::registry::RegisteredTarget;
+use super::warm::WarmConnections;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -132,11 +134,17 @@
     pub remote_penalty_per_kb: f64,
     /// Maximum of the whole penalty.
     pub max_remote_penalty: f64,
+    /// How much higher the cost of a target may be to which the requesting host holds an idle
+    /// connection, as a fraction of the lowest cost.
+    pub warm_preference: f64,
+    /// Time for which a host is taken to hold an idle connection.
+    pub max_idle: Duration,
     /// How long a request from the failure domain of a free slot is preferred to one from another
     /// domain, as a multiple of the latter's typical service time x penalty.
     pub local_preference: f64,
     /// Factor on the expected latency when targets are checked for whether a request will be in time
-    /// there; it leaves room for requests that take longer than is typical.
+    /// there; it leaves room for requests that take longer than is typical. It is smaller for a
+    /// request that would find no target then which is nearly full, though all run at normal speed.
     pub latency_margin: f64,
     /// Number of waiting requests above which the pool is crowded, as a fraction of its slots.
     pub crowded_share: f64,
@@ -155,6 +163,8 @@
     /// Fraction of the pool's targets above which no target is ejected for faults, since the cause
     /// then lies elsewhere or the remaining targets could not carry the load.
     pub max_ejected_share: f64,
+    /// Time for which a target gets no requests after another one has answered at its address.
+    pub identity_mismatch_ejection: Duration,
     /// Rise of a target's slowdown, as a ratio of two successive reports, from which the requests in
     /// flight there are considered for hedges.
     pub hedge_slowdown_rise: f64,
@@ -174,9 +184,11 @@
             faults: FaultOptions::default(),
             remote_penalty: 0.1,
             remote_penalty_per_kb: 0.25,
-            max_remote_penalty: 1.5,
+            max_remote_penalty: 8.0,
+            warm_preference: 0.1,
+            max_idle: Duration::from_secs(7),
             local_preference: 0.5,
-            latency_margin: 1.2,
+            latency_margin: 1.3,
             crowded_share: 0.05,
             late_deadline_margin: 3.0,
             overcommit: 1,
@@ -184,6 +196,7 @@
             unknown_slowdown: 1.5,
             untracked_decay: Duration::from_millis(400),
             max_ejected_share: 0.4,
+            identity_mismatch_ejection: Duration::from_secs(2),
             hedge_slowdown_rise: 1.5,
             hedge_spare_share: 0.25,
             max_waiting: 4_096,
@@ -216,9 +229,17 @@
     overcommit: u32,
     /// Whether targets are ejected for faults.
     may_eject: bool,
+    /// Number of waiting requests above which slots are scarce.
+    crowded_above: f64,
+    /// Whether more requests wait than that.
+    is_crowded: bool,
     /// Factor on the time that a late request must have left before its deadline to be granted a slot
     /// or to wait on.
     late_deadline_margin: f64,
+    /// Slowdown that a quarter of the targets reported at most, and at least 1.
+    usual_slowdown: f64,
+    /// Priorities of the waiting requests that can still be in time, sorted.
+    in_time_priorities: Vec<u32>,
 }
 
 /// A request that was granted a slot and has not ended.
@@ -264,7 +285,8 @@
 #[derive(Clone, Debug)]
 struct Target {
     id: Arc<str>,
-    failure_domain: Arc<str>,
+    /// Index of the failure domain in the scheduler's list.
+    domain: usize,
     slots: u32,
     warming_up: bool,
     /// Requests of this fleet that are in flight at the target.
@@ -275,6 +297,75 @@
     /// Number of requests in the last report that this scheduler has not granted.
     untracked: f64,
     faults: FaultScore,
+    /// End of the time without requests after another target has answered at this one's address.
+    mismatched_until: Time,
+    outlook: Outlook,
+}
+
+/// What decays with the age of a target's last report and faults, as of a recent time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outlook {
+    /// When it was computed; `None` if the target has reported or failed since.
+    at: Option<Time>,
+    slowdown: f64,
+    /// Number of requests that this scheduler has not granted.
+    untracked: u32,
+    fault_score: f64,
+}
+
+impl Target {
+    /// Records the load that the target reported.
+    fn set_report(&mut self, now: Time, report: &TargetReport) {
+        self.slowdown = report.slowdown;
+        self.slots = report.slots.max(1);
+        self.reported_at = Some(now);
+        let at_target = report.running + report.waiting;
+        self.untracked = f64::from(at_target.saturating_sub(self.in_flight.len() as u32));
+        self.outlook.at = None;
+    }
+
+    /// Computes the outlook anew unless it is recent.
+    fn refresh_outlook(&mut self, now: Time, opts: &SchedulerOptions) {
+        if self.outlook.at.is_some_and(|at| now.since(at) < MAX_OUTLOOK_AGE) {
+            return;
+        }
+        let age = self.reported_at.map_or(f64::INFINITY, |at| now.since(at).as_secs_f64());
+        let unknown = opts.unknown_slowdown;
+        let report_weight = (-age / opts.report_decay.as_secs_f64()).exp();
+        let untracked = self.untracked * (-age / opts.untracked_decay.as_secs_f64()).exp();
+        self.outlook = Outlook {
+            at: Some(now),
+            slowdown: unknown + (self.slowdown - unknown) * report_weight,
+            untracked: untracked.round() as u32,
+            fault_score: self.faults.at(now, &opts.faults),
+        };
+    }
+
+    /// Returns the report that the target is expected to make now.
+    fn expected_report(&self) -> TargetReport {
+        let load = self.in_flight.len() as u32 + self.outlook.untracked;
+        TargetReport {
+            running: load.min(self.slots),
+            waiting: load.saturating_sub(self.slots),
+            slots: self.slots,
+            slowdown: self.outlook.slowdown,
+        }
+    }
+}
+
+/// Age up to which an outlook is used; the loads change more quickly than the decay over this time.
+const MAX_OUTLOOK_AGE: Duration = Duration::from_millis(5);
+/// Interval at which slots are freed whose requests have passed their deadlines.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum number of targets at which a request is in flight: the first, and that of its hedge.
+const MAX_TARGETS_OF_REQUEST: usize = 2;
+
+/// Targets at which a request is in flight.
+#[derive(Clone, Debug)]
+struct Placement {
+    key: RequestKey,
+    /// Indices of the targets.
+    targets: [Option<u32>; MAX_TARGETS_OF_REQUEST],
 }
 
 /// Fraction of its typical service time that a request in flight is assumed to need at least, since
@@ -293,10 +384,15 @@
         self.since + self.request.time_left
     }
 
+    /// Returns when the latency target ends.
+    fn latency_deadline(&self) -> Time {
+        self.since + self.request.latency_target_left
+    }
+
     /// Returns whether the request can still be answered within its latency target by a target that
-    /// runs at normal speed.
-    fn can_be_in_time(&self, now: Time) -> bool {
-        now + self.request.service_time <= self.since + self.request.latency_target_left
+    /// takes `slowdown` times the typical service time.
+    fn can_be_in_time(&self, now: Time, slowdown: f64) -> bool {
+        now + self.request.service_time.mul_f64(slowdown) <= self.latency_deadline()
     }
 }
 
@@ -306,16 +402,36 @@
     opts: SchedulerOptions,
     /// Sorted by id.
     targets: Vec<Target>,
+    /// Failure domains of targets in the order in which they were seen first.
+    domains: Vec<Arc<str>>,
     /// Requests without a slot, in the order of arrival.
     waiting: Vec<Waiting>,
     /// Targets whose slowdown has risen since the last check for hedges.
     slowed_targets: Vec<Arc<str>>,
+    /// Requests in flight, sorted by key.
+    placements: Vec<Placement>,
+    /// When expired requests were looked for last.
+    expired_at: Time,
+    /// Slowdown that a quarter of the targets reported at most, and when it was computed.
+    usual_slowdown: (Option<Time>, f64),
+    /// Idle connections of the hosts.
+    warm: WarmConnections,
 }
 
 impl Scheduler {
     /// Returns a scheduler without targets.
     pub fn new(opts: SchedulerOptions) -> Self {
-        Scheduler { opts, targets: Vec::new(), waiting: Vec::new(), slowed_targets: Vec::new() }
+        Scheduler {
+            opts,
+            targets: Vec::new(),
+            domains: Vec::new(),
+            waiting: Vec::new(),
+            slowed_targets: Vec::new(),
+            placements: Vec::new(),
+            expired_at: Time::default(),
+            usual_slowdown: (None, 1.0),
+            warm: WarmConnections::default(),
+        }
     }
 
     /// Replaces the targets by the registered ones that are not leaving; the flag of each one is
@@ -324,34 +440,90 @@
     where
         I: Iterator<Item = (&'a RegisteredTarget, bool)>,
     {
-        let old = std::mem::take(&mut self.targets);
+        let mut old = std::mem::take(&mut self.targets);
         for (t, warming_up) in registered.filter(|(t, _)| !t.leaving) {
-            let previous = old.binary_search_by(|o| o.id.cmp(&t.id)).ok().map(|i| &old[i]);
-            self.targets.push(Target {
-                id: t.id.clone(),
-                failure_domain: t.failure_domain.clone(),
-                slots: t.slots.max(1),
-                warming_up,
-                in_flight: previous.map(|p| p.in_flight.clone()).unwrap_or_default(),
-                slowdown: previous.map_or(self.opts.unknown_slowdown, |p| p.slowdown),
-                reported_at: previous.and_then(|p| p.reported_at),
-                untracked: previous.map_or(0.0, |p| p.untracked),
-                faults: previous.map(|p| p.faults).unwrap_or_default(),
+            let domain = self.domain(&t.failure_domain).unwrap_or_else(|| {
+                self.domains.push(t.failure_domain.clone());
+                self.domains.len() - 1
+            });
+            let previous = old.binary_search_by(|o| o.id.cmp(&t.id)).ok().map(|i| &mut old[i]);
+            self.targets.push(match previous {
+                Some(p) => Target {
+                    id: p.id.clone(),
+                    domain,
+                    in_flight: std::mem::take(&mut p.in_flight),
+                    slots: t.slots.max(1),
+                    warming_up,
+                    ..*p
+                },
+                None => Target {
+                    id: t.id.clone(),
+                    domain,
+                    slots: t.slots.max(1),
+                    warming_up,
+                    in_flight: Vec::new(),
+                    slowdown: self.opts.unknown_slowdown,
+                    reported_at: None,
+                    untracked: 0.0,
+                    faults: FaultScore::default(),
+                    mismatched_until: Time::default(),
+                    outlook: Outlook::default(),
+                },
             });
         }
         self.targets.sort_by(|a, b| a.id.cmp(&b.id));
+        self.rebuild_placements();
+    }
+
+    /// Rebuilds the index of the requests in flight from the targets.
+    fn rebuild_placements(&mut self) {
+        self.placements.clear();
+        let mut all: Vec<(RequestKey, u32)> = Vec::new();
+        for (i, t) in (0..).zip(&self.targets) {
+            all.extend(t.in_flight.iter().map(|r| (r.key.clone(), i)));
+        }
+        all.sort_unstable();
+        for (key, i) in all {
+            match self.placements.last_mut().filter(|p| p.key == key) {
+                Some(last) => last.targets[1] = Some(i),
+                None => self.placements.push(Placement { key, targets: [Some(i), None] }),
+            }
+        }
+    }
+
+    fn domain(&self, name: &str) -> Option<usize> {
+        self.domains.iter().position(|d| **d == *name)
+    }
+
+    fn find(&self, target: &str) -> Option<usize> {
+        self.targets.binary_search_by(|t| (*t.id).cmp(target)).ok()
+    }
+
+    /// Adds a request to those in flight at the target with index `i`.
+    fn place(&mut self, i: usize, r: InFlight) {
+        let at = Some(i as u32);
+        match self.placements.binary_search_by(|p| p.key.cmp(&r.key)) {
+            Ok(p) => self.placements[p].targets[1] = at,
+            Err(p) => {
+                let placement = Placement { key: r.key.clone(), targets: [at, None] };
+                self.placements.insert(p, placement);
+            }
+        }
+        self.targets[i].in_flight.push(r);
     }
 
     /// Returns the targets whose last report is at least `max_age` old: first those that never
-    /// reported, then the others by age, the oldest first.
+    /// reported, then the others by age, the oldest first. Targets at whose address another one has
+    /// answered are left out.
     pub fn stale_targets(&self, now: Time, max_age: Duration) -> Vec<StaleTarget> {
         let mut stale_targets: Vec<StaleTarget> = self
             .targets
             .iter()
+            .filter(|t| t.mismatched_until <= now)
             .map(|t| StaleTarget {
                 age: t.reported_at.map(|at| now.since(at)),
                 target: t.id.clone(),
-                failure_domain: t.failure_domain.clone(),
+                failure_domain: self.domains[t.domain].clone(),
             })
             .filter(|u| u.age.is_none_or(|age| age >= max_age))
             .collect();
@@ -390,6 +562,7 @@
     ) -> Vec<(RequestKey, SlotDecision)> {
         self.remove_request(key);
         if let Some((target, report)) = report {
+            self.warm.put(now, &key.host, &target);
             self.on_report(now, &target, &report);
         }
         self.schedule(now)
@@ -397,34 +570,49 @@
 
     /// Records a target's report.
     pub fn on_report(&mut self, now: Time, target: &str, report: &TargetReport) {
-        let Some(t) = self.targets.iter_mut().find(|t| &*t.id == target) else { return };
+        let Some(i) = self.find(target) else { return };
+        let t = &mut self.targets[i];
         if report.slowdown >= t.slowdown * self.opts.hedge_slowdown_rise && !t.in_flight.is_empty()
         {
             self.slowed_targets.push(t.id.clone());
         }
-        t.slowdown = report.slowdown;
-        t.slots = report.slots.max(1);
-        t.reported_at = Some(now);
-        let at_target = report.running + report.waiting;
-        t.untracked = f64::from(at_target.saturating_sub(t.in_flight.len() as u32));
+        t.set_report(now, report);
     }
 
     /// Adds the weight of a fault to a target.
     pub fn on_fault(&mut self, now: Time, target: &str, weight: f64) {
-        let faults = self.opts.faults;
-        if let Some(t) = self.targets.iter_mut().find(|t| &*t.id == target) {
-            t.faults.add(now, weight, &faults);
+        if let Some(i) = self.find(target) {
+            self.targets[i].faults.add(now, weight, &self.opts.faults);
+            self.targets[i].outlook.at = None;
+        }
+    }
+
+    /// Records that another target answered at the address of this one. Unlike an ejection for faults,
+    /// this holds however many targets are affected, since such a target can't execute anything.
+    pub fn on_identity_mismatch(&mut self, now: Time, target: &str) {
+        if let Some(i) = self.find(target) {
+            self.targets[i].mismatched_until = now + self.opts.identity_mismatch_ejection;
         }
     }
 
     /// Advances the time. Returns the decisions on requests that can now be granted or rejected.
     pub fn tick(&mut self, now: Time) -> Vec<(RequestKey, SlotDecision)> {
-        for t in &mut self.targets {
-            t.in_flight.retain(|r| now < r.expires_at);
+        if now.since(self.expired_at) >= EXPIRY_INTERVAL {
+            self.expired_at = now;
+            self.remove_expired(now);
+            self.warm.expire(now, self.opts.max_idle);
         }
         self.schedule(now)
     }
 
+    /// Frees the slots of requests that have passed their deadlines.
+    fn remove_expired(&mut self, now: Time) {
+        let is_expired = |r: &InFlight| r.expires_at <= now;
+        let expired = self.targets.iter().flat_map(|t| &t.in_flight).filter(|r| is_expired(r));
+        let keys: Vec<RequestKey> = expired.map(|r| r.key.clone()).collect();
+        keys.iter().for_each(|key| self.remove_in_flight(key));
+    }
+
     /// Releases the slot of a hedge that the request's host does not make. Returns the decisions that
     /// follow.
     pub fn on_grant_declined(
@@ -433,19 +621,30 @@
         key: &RequestKey,
         target: &str,
     ) -> Vec<(RequestKey, SlotDecision)> {
-        if let Some(t) = self.targets.iter_mut().find(|t| &*t.id == target) {
-            t.in_flight.retain(|r| r.key != *key);
+        let found = self.placements.binary_search_by(|p| p.key.cmp(key));
+        if let (Some(i), Ok(p)) = (self.find(target), found) {
+            self.targets[i].in_flight.retain(|r| r.key != *key);
+            let rest = self.placements[p].targets.into_iter().flatten().find(|t| *t != i as u32);
+            match rest {
+                Some(rest) => self.placements[p].targets = [Some(rest), None],
+                None => drop(self.placements.remove(p)),
+            }
         }
         self.schedule(now)
     }
 
     fn remove_request(&mut self, key: &RequestKey) {
-        for t in &mut self.targets {
-            t.in_flight.retain(|r| r.key != *key);
-        }
+        self.remove_in_flight(key);
         self.waiting.retain(|w| w.key != *key);
     }
 
+    fn remove_in_flight(&mut self, key: &RequestKey) {
+        let Ok(p) = self.placements.binary_search_by(|p| p.key.cmp(key)) else { return };
+        for i in self.placements.remove(p).targets.into_iter().flatten() {
+            self.targets[i as usize].in_flight.retain(|r| r.key != *key);
+        }
+    }
+
     /// Grants and rejects waiting requests where possible, and grants slots for hedges.
     fn schedule(&mut self, now: Time) -> Vec<(RequestKey, SlotDecision)> {
         let mut out = Vec::new();
@@ -458,7 +657,8 @@
                     && let Ok(t) = self.targets.binary_search_by(|t| t.id.cmp(target))
                 {
                     let granted = InFlight::new(now, waiting, self.targets[t].slowdown, false);
-                    self.targets[t].in_flight.push(granted);
+                    self.warm.take(&waiting.key.host, target);
+                    self.place(t, granted);
                     self.update_forecast(&mut pass, t);
                 }
                 out.push((self.waiting[i].key.clone(), decision));
@@ -470,10 +670,13 @@
     }
 
     /// Returns the state shared by the decisions of one pass.
-    fn pass(&self, now: Time) -> Pass {
-        let faults = &self.opts.faults;
+    fn pass(&mut self, now: Time) -> Pass {
+        for t in &mut self.targets {
+            t.refresh_outlook(now, &self.opts);
+        }
+        let eject_at = self.opts.faults.eject_at;
         let ejected_count =
-            self.targets.iter().filter(|t| t.faults.is_ejected(now, faults)).count();
+            self.targets.iter().filter(|t| t.outlook.fault_score >= eject_at).count();
         let slots: u32 = self.targets.iter().map(|t| t.slots).sum();
         let crowded_above = (self.opts.crowded_share * f64::from(slots)).max(1.0);
         let is_crowded = self.waiting.len() as f64 > crowded_above;
@@ -484,8 +687,18 @@
             overcommit: if self.waiting.len() > 1 { self.opts.overcommit } else { 0 },
             may_eject: ejected_count as f64
                 <= self.opts.max_ejected_share * self.targets.len() as f64,
+            is_crowded,
             late_deadline_margin: if is_crowded { self.opts.late_deadline_margin } else { 1.0 },
+            usual_slowdown: self.usual_slowdown(now),
+            crowded_above,
+            in_time_priorities: Vec::new(),
         };
+        if is_crowded {
+            let can_be_in_time = |w: &&Waiting| w.can_be_in_time(now, pass.usual_slowdown);
+            let in_time = self.waiting.iter().filter(can_be_in_time);
+            pass.in_time_priorities = in_time.map(|w| w.request.priority).collect();
+            pass.in_time_priorities.sort_unstable();
+        }
         for (i, t) in self.targets.iter().enumerate() {
             let forecast = self.forecast(&pass, t);
             pass.forecasts.push(forecast);
@@ -496,14 +709,34 @@
         pass
     }
 
+    /// Returns the slowdown that a quarter of the targets reported at most, and at least 1. It is
+    /// computed anew if the last result is not recent.
+    fn usual_slowdown(&mut self, now: Time) -> f64 {
+        let (at, slowdown) = self.usual_slowdown;
+        if at.is_some_and(|at| now.since(at) < MAX_OUTLOOK_AGE) {
+            return slowdown;
+        }
+        let reported = self.targets.iter().filter(|t| t.reported_at.is_some());
+        let mut all: Vec<f64> = reported.map(|t| t.slowdown).collect();
+        let quarter = all.len() / 4;
+        let slowdown = if all.is_empty() {
+            1.0
+        } else {
+            all.select_nth_unstable_by(quarter, f64::total_cmp).1.max(1.0)
+        };
+        self.usual_slowdown = (Some(now), slowdown);
+        slowdown
+    }
+
     fn forecast(&self, pass: &Pass, t: &Target) -> Forecast {
-        let report = self.expected_report(pass.now, t);
-        let faults = &self.opts.faults;
+        let report = t.expected_report();
+        let fault_score = t.outlook.fault_score;
         Forecast {
-            has_room: report.running + report.waiting < report.slots + pass.overcommit,
-            ejected: pass.may_eject && t.faults.is_ejected(pass.now, faults),
+            has_room: report.running + report.waiting < report.slots + pass.overcommit
+                && t.mismatched_until <= pass.now,
+            ejected: pass.may_eject && fault_score >= self.opts.faults.eject_at,
             latency_factor: latency_factor(&report, t.warming_up, &self.opts.forecast),
-            fault_factor: 1.0 + t.faults.at(pass.now, faults),
+            fault_factor: 1.0 + fault_score,
         }
     }
 
@@ -541,9 +774,9 @@
                 if let Some(first) = self.targets[i].in_flight.iter_mut().find(|f| f.key == r.key) {
                     first.is_hedged = true;
                 }
-                if let Some(t) = self.targets.iter_mut().find(|t| t.id == target) {
-                    let second = InFlight::new(now, &w, t.slowdown, true);
-                    t.in_flight.push(second);
+                if let Some(t) = self.find(&target) {
+                    let second = InFlight::new(now, &w, self.targets[t].slowdown, true);
+                    self.place(t, second);
                 }
                 out.push((r.key, SlotDecision::Hedge { target, latency_factor }));
             }
@@ -553,17 +786,18 @@
 
     /// Returns a target for a hedge that is expected to be in time, and the latency factor there, if
     /// the pool has capacity to spare.
-    fn hedge_target(&self, now: Time, w: &Waiting) -> Option<(Arc<str>, f64)> {
+    fn hedge_target(&mut self, now: Time, w: &Waiting) -> Option<(Arc<str>, f64)> {
         let (load, slots) = self.targets.iter().fold((0.0, 0.0), |(load, slots), t| {
             (load + t.in_flight.len() as f64 + t.untracked, slots + f64::from(t.slots))
         });
         if !self.waiting.is_empty() || load > (1.0 - self.opts.hedge_spare_share) * slots {
             return None;
         }
-        let (best, latency_factor) = self.best_target(&self.pass(now), w)?;
+        let pass = self.pass(now);
+        let (best, latency_factor) = self.best_target(&pass, w)?;
         let in_time =
             w.request.service_time.mul_f64(latency_factor) <= w.request.latency_target_left;
-        in_time.then(|| (best.id.clone(), latency_factor))
+        in_time.then(|| (self.targets[best].id.clone(), latency_factor))
     }
 
     /// Returns the indices of the waiting requests in the order in which they are served.
@@ -573,13 +807,14 @@
             // The order doesn't matter, since nothing can be granted.
             return order;
         }
-        let mut available_domains: Vec<&str> =
-            pass.available.iter().map(|i| &*self.targets[*i].failure_domain).collect();
-        available_domains.sort_unstable();
-        available_domains.dedup();
+        let mut has_available = vec![false; self.domains.len()];
+        for i in &pass.available {
+            has_available[self.targets[*i].domain] = true;
+        }
         order.sort_by_cached_key(|i| {
             let w = &self.waiting[*i];
-            let same_domain = available_domains.binary_search(&&*w.request.failure_domain).is_ok();
+            let domain = self.domain(&w.request.failure_domain);
+            let same_domain = domain.is_some_and(|d| has_available[d]);
             // A free slot goes to a request from its own domain, unless the latency target of one
             // from another domain ends earlier by more than the preference.
             let preference = if same_domain {
@@ -587,10 +822,8 @@
             } else {
                 self.remote_penalty(&w.request) * self.opts.local_preference
             };
-            let rank = w.since
-                + w.request.latency_target_left
-                + w.request.service_time.mul_f64(preference);
-            (!w.can_be_in_time(pass.now), w.request.priority, rank)
+            let rank = w.latency_deadline() + w.request.service_time.mul_f64(preference);
+            (!w.can_be_in_time(pass.now, pass.usual_slowdown), w.request.priority, rank)
         });
         order
     }
@@ -602,17 +835,32 @@
         if left < w.request.service_time {
             return Some(self.reject(now, w, RejectReason::TooLate));
         }
-        if self.targets.iter().all(|t| w.request.avoid.contains(&t.id)) {
+        let is_excluded = |t: &Target| now < t.mismatched_until || w.request.avoid.contains(&t.id);
+        if self.targets.iter().all(is_excluded) {
             return Some(self.reject(now, w, RejectReason::NoTarget));
         }
-        let is_late = !w.can_be_in_time(now);
-        if let Some((best, latency_factor)) = self.best_target(pass, w) {
+        let is_late = !w.can_be_in_time(now, pass.usual_slowdown);
+        if is_late && self.must_yield(pass, w) {
+            return Some(self.reject(now, w, RejectReason::TooLate));
+        }
+        if let Some((i, latency_factor)) = self.best_target(pass, w) {
             let expected = w.request.service_time.mul_f64(latency_factor);
             // A target with a free slot that is too slow at present is skipped while another target
             // may still answer in time.
-            let in_time = now + expected <= w.since + w.request.latency_target_left;
-            if in_time || is_late && expected.mul_f64(pass.late_deadline_margin) <= left {
-                return Some(SlotDecision::Grant { target: best.id.clone(), latency_factor });
+            let useful = if is_late {
+                expected.mul_f64(pass.late_deadline_margin) <= left
+            } else if pass.is_crowded {
+                let is_known = self.targets[i].reported_at.is_some();
+                let margin = if is_known { self.latency_margin(w) } else { 1.0 };
+                let may_improve = w.can_be_in_time(now, pass.usual_slowdown * margin);
+                w.can_be_in_time(now, latency_factor * margin)
+                    || w.can_be_in_time(now, latency_factor) && !may_improve
+            } else {
+                w.can_be_in_time(now, latency_factor)
+            };
+            if useful {
+                let target = self.targets[i].id.clone();
+                return Some(SlotDecision::Grant { target, latency_factor });
             }
         }
         let is_hopeless =
@@ -620,29 +868,65 @@
         is_hopeless.then(|| self.reject(now, w, RejectReason::TooLate))
     }
 
-    /// Returns the best target with room for a request, and the latency factor there. Ejected targets
+    /// Returns whether a late request is rejected because slots are scarce for those that are not less
+    /// urgent and can still be in time. It is not while less urgent requests are served, nor if the pool
+    /// is so slow that none can be in time.
+    fn must_yield(&self, pass: &Pass, w: &Waiting) -> bool {
+        let in_time = &pass.in_time_priorities;
+        let is_least_urgent = in_time.last().is_none_or(|p| *p <= w.request.priority);
+        is_least_urgent
+            && in_time.len() as f64 > pass.crowded_above
+            && w.can_be_in_time(w.since, pass.usual_slowdown)
+    }
+
+    /// Returns the factor on the latency factor of a target that leaves room for a longer latency than
+    /// expected. It is not needed for a target without a report, as the slowdown that is assumed for
+    /// such a target leaves room already.
+    fn latency_margin(&self, w: &Waiting) -> f64 {
+        let nearly_full = w.request.service_time.as_secs_f64() * self.opts.forecast.knee_slowdown;
+        let attainable = w.request.latency_target_left.as_secs_f64() / nearly_full;
+        attainable.clamp(1.0, self.opts.latency_margin.max(1.0))
+    }
+
+    /// Returns the index of the best target with room for a request, and the latency factor there. Ejected targets
     /// are considered only if the request may be sent to no others.
-    fn best_target(&self, pass: &Pass, w: &Waiting) -> Option<(&Target, f64)> {
+    fn best_target(&self, pass: &Pass, w: &Waiting) -> Option<(usize, f64)> {
         let request = &w.request;
-        let latency_target_left = (w.since + request.latency_target_left).since(pass.now);
         let is_usable = |i: usize| !request.avoid.contains(&self.targets[i].id);
         let is_not_ejected = |i: usize| !pass.forecasts[i].ejected;
         let any_not_ejected = (0..self.targets.len()).any(|i| is_not_ejected(i) && is_usable(i));
-        let available = pass.available.iter().copied();
-        let rated = available
-            .filter(|i| is_usable(*i) && (is_not_ejected(*i) || !any_not_ejected))
-            .map(|i| {
-                let (t, forecast) = (&self.targets[i], &pass.forecasts[i]);
-                let same_domain = t.failure_domain == request.failure_domain;
-                let remote_penalty = if same_domain { 0.0 } else { self.remote_penalty(request) };
-                let expected = request
-                    .service_time
-                    .mul_f64(forecast.latency_factor * self.opts.latency_margin);
-                let cost = forecast.latency_factor * (1.0 + remote_penalty) * forecast.fault_factor;
-                (expected > latency_target_left, cost, t, forecast.latency_factor)
-            });
-        let best = rated.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        best.map(|(_, _, t, latency_factor)| (t, latency_factor))
+        // In seconds, as there are many targets.
+        let left = w.latency_deadline().since(pass.now).as_secs_f64();
+        let service_time = request.service_time.as_secs_f64();
+        let remote_factor = 1.0 + self.remote_penalty(request);
+        let margin = self.latency_margin(w);
+        let domain = self.domain(&request.failure_domain);
+        let rate = |i: usize| {
+            let (t, forecast) = (&self.targets[i], &pass.forecasts[i]);
+            let distance = if Some(t.domain) == domain { 1.0 } else { remote_factor };
+            let margin = if t.reported_at.is_some() { margin } else { 1.0 };
+            let is_late = service_time * forecast.latency_factor * margin > left;
+            (is_late, forecast.latency_factor * distance * forecast.fault_factor)
+        };
+        let is_allowed = |i: usize| is_usable(i) && (is_not_ejected(i) || !any_not_ejected);
+        let better =
+            |a: (bool, f64), b: (bool, f64)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).is_lt();
+        let mut best: Option<((bool, f64), usize)> = None;
+        for &i in &pass.available {
+            let rating = rate(i);
+            if best.is_none_or(|(lowest, _)| better(rating, lowest)) && is_allowed(i) {
+                best = Some((rating, i));
+            }
+        }
+        let ((is_late, lowest), mut best) = best?;
+        // A connection that is open saves the target the work for a new one, and the request its time.
+        let limit = (is_late, lowest * (1.0 + self.opts.warm_preference));
+        let warm = self.warm.targets_of(pass.now, &w.key.host, self.opts.max_idle);
+        let warm = warm.filter_map(|id| self.find(id)).filter(|i| pass.forecasts[*i].has_room);
+        if let Some(i) = warm.filter(|i| is_allowed(*i)).find(|i| !better(limit, rate(*i))) {
+            best = i;
+        }
+        Some((best, pass.forecasts[best].latency_factor))
     }
 
     /// Returns the penalty on targets in other failure domains.
@@ -651,21 +935,6 @@
         (self.opts.remote_penalty + per_size).min(self.opts.max_remote_penalty)
     }
 
-    /// Returns the report that the target is expected to make now.
-    fn expected_report(&self, now: Time, t: &Target) -> TargetReport {
-        let age = t.reported_at.map_or(f64::INFINITY, |at| now.since(at).as_secs_f64());
-        let unknown = self.opts.unknown_slowdown;
-        let report_weight = (-age / self.opts.report_decay.as_secs_f64()).exp();
-        let untracked = t.untracked * (-age / self.opts.untracked_decay.as_secs_f64()).exp();
-        let load = t.in_flight.len() as u32 + untracked.round() as u32;
-        TargetReport {
-            running: load.min(t.slots),
-            waiting: load.saturating_sub(t.slots),
-            slots: t.slots,
-            slowdown: unknown + (t.slowdown - unknown) * report_weight,
-        }
-    }
-
     fn reject(&self, now: Time, w: &Waiting, reason: RejectReason) -> SlotDecision {
         let left = w.deadline().since(now);
         SlotDecision::Reject { reason, retry_after: left.mul_f64(self.opts.retry_after_share) }
--- a/crates/geraniummux-core/tests/fleet_scheduler.rs
+++ b/crates/geraniummux-core/tests/fleet_scheduler.rs
@@ -8,6 +8,8 @@
     RegisteredTarget, RejectReason, RequestKey, Scheduler, SchedulerOptions, SlotDecision,
     SlotRequest, TargetReport,
 };
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -412,3 +414,172 @@
     s.on_report(START + ms(40), &first, &report(1, 9.0));
     assert_eq!(s.tick(START + ms(40)), []);
 }
+
+/// Guards against a target whose address now belongs to another one being taken for an idle target:
+/// each request sent there would be returned, and use up the budget for retries.
+#[test]
+fn on_identity_mismatch_target_gets_nothing() {
+    let mut s = scheduler(&[target("t1", "a", false), target("t2", "a", false)]);
+    s.on_identity_mismatch(START, "t1");
+    for n in 0..2 {
+        let decisions = s.on_request(START, key(n), request(false));
+        assert_eq!(granted_target(&decisions, n).as_deref(), Some("t2"));
+    }
+    assert_eq!(s.on_request(START, key(2), request(false)), [(key(2), SlotDecision::Wait)]);
+    s.on_identity_mismatch(START, "t2");
+    let decisions = s.on_request(START, key(3), request(false));
+    let rejected = decisions.iter().find(|(k, _)| *k == key(3)).map(|(_, d)| d);
+    assert!(
+        matches!(rejected, Some(SlotDecision::Reject { reason: RejectReason::NoTarget, .. })),
+        "{decisions:?}"
+    );
+    // The entry may be right again later.
+    let later = START + ms(2_001);
+    assert!(granted_target(&s.on_request(later, key(4), request(false)), 4).is_some());
+}
+
+/// Returns a scheduler of one target whose slots are taken, with two requests that wait.
+fn crowded_scheduler(slowdown: f64, waiting: &SlotRequest) -> Scheduler {
+    let mut s = scheduler(&[target("t1", "a", false)]);
+    let long =
+        SlotRequest { latency_target_left: ms(60_000), time_left: ms(60_000), ..request(false) };
+    for n in 0..3 {
+        s.on_request(START, key(n), long.clone());
+    }
+    s.on_report(START, "t1", &report(2, slowdown));
+    for n in 10..12 {
+        s.on_request(START, key(n), waiting.clone());
+    }
+    s
+}
+
+fn is_rejected(decisions: &[(RequestKey, SlotDecision)], number: u64) -> bool {
+    decisions.iter().any(|(k, d)| k.number == number && matches!(d, SlotDecision::Reject { .. }))
+}
+
+/// Guards against late requests that take the slots of others which then become late as well.
+#[test]
+fn tick_late_in_crowded_pool_yields_to_requests_in_time() {
+    let mut s = crowded_scheduler(1.0, &request(false));
+    let late_at = START + ms(201);
+    s.on_request(late_at, key(20), request(false));
+    let decisions = s.on_request(late_at, key(21), request(false));
+    assert!(is_rejected(&decisions, 10) && is_rejected(&decisions, 11), "{decisions:?}");
+    assert!(!is_rejected(&decisions, 20) && !is_rejected(&decisions, 21), "{decisions:?}");
+}
+
+/// Guards against urgent requests being rejected in favour of less urgent ones.
+#[test]
+fn tick_late_urgent_request_does_not_yield_to_others() {
+    let long = SlotRequest { time_left: ms(5_000), ..request(true) };
+    let mut s = crowded_scheduler(1.0, &long);
+    // Those that wait for a minute are less urgent and can still be in time.
+    let decisions = s.tick(START + ms(201));
+    assert!(!is_rejected(&decisions, 10) && !is_rejected(&decisions, 11), "{decisions:?}");
+}
+
+/// Guards against a pool that rejects all requests because it is too slow for any to be in time.
+#[test]
+fn tick_late_in_slow_pool_waits() {
+    let long = SlotRequest { time_left: ms(5_000), ..request(false) };
+    let mut s = crowded_scheduler(4.0, &long);
+    let decisions = s.tick(START + ms(201));
+    assert!(!is_rejected(&decisions, 10) && !is_rejected(&decisions, 11), "{decisions:?}");
+}
+
+/// Load pattern: for eight seconds, a pool with noisy neighbours gets more requests than it can answer.
+/// Those that it serves are in time: most of the urgent ones, and more of all than if slots were granted
+/// that only just suffice.
+#[test]
+fn load_sustained_overload_serves_in_time() {
+    for (slots, seed) in [(3, 1), (3, 2), (6, 3), (6, 4)] {
+        let per_s = 18.0 * f64::from(slots) / 0.12 * 0.7;
+        let load = Load {
+            kinds: vec![
+                kind(true, 0.3 * per_s, 160, 400, 1_000),
+                kind(false, 0.7 * per_s, 120, 300, 800),
+            ],
+            slow_target_share: 0.25,
+            slow_factor: 2.0,
+            duration: ms(8_000),
+            reports_slowdown: true,
+        };
+        let run = |latency_margin| {
+            let opts = SchedulerOptions { latency_margin, ..SchedulerOptions::default() };
+            Sim::with_options(18, slots, seed, opts).run(&load)
+        };
+        let with = run(SchedulerOptions::default().latency_margin);
+        let without = run(1.0);
+        let (urgent, other) = (with.kind(0), with.kind(1));
+        assert!(urgent.in_time >= 0.9, "{slots} slots, seed {seed}: {with:?}");
+        assert!(urgent.in_time >= without.kind(0).in_time, "{slots} slots, seed {seed}");
+        assert!(other.in_time > without.kind(1).in_time, "{slots} slots, seed {seed}");
+        assert_eq!(with.overfilled, 0);
+    }
+}
+
+/// Load pattern: a calm day of a large fleet, in which each host sends few requests and no pair of host
+/// and target is used often. Most requests go where their host holds an open connection.
+#[test]
+fn load_many_hosts_and_targets_reuse_connections() {
+    const HOSTS: u64 = 60;
+    const IDLE: Duration = Duration::from_secs(8);
+    let targets: Vec<RegisteredTarget> = (0..120)
+        .map(|i| RegisteredTarget { slots: 6, ..target(&format!("t{i:03}"), "a", false) })
+        .collect();
+    let mut s = scheduler(&targets);
+    let mut rng = StdRng::seed_from_u64(1);
+    let request = SlotRequest {
+        service_time: ms(700),
+        time_left: ms(5_000),
+        latency_target_left: ms(2_000),
+        ..request(false)
+    };
+    // Idle connections: host, target and since when. Running requests: end, number, host and target.
+    let mut idle: Vec<(u64, Arc<str>, Time)> = Vec::new();
+    let mut running: Vec<(Time, u64, u64, Arc<str>)> = Vec::new();
+    let (mut sent, mut opened) = (0, 0);
+    let mut slowdowns = vec![1.0; targets.len()];
+    for step in 0..30_000 {
+        let now = START + ms(step);
+        if step % 300 == 0 {
+            slowdowns.fill_with(|| if rng.random_bool(0.2) { 2.0 } else { 1.0 });
+        }
+        if step % 60 == 0 {
+            for (t, slowdown) in targets.iter().zip(&slowdowns) {
+                let running = running.iter().filter(|r| r.3 == t.id).count() as u32;
+                let report = TargetReport { running, waiting: 0, slots: 6, slowdown: *slowdown };
+                s.on_report(now, &t.id, &report);
+            }
+        }
+        let host_key =
+            |host: u64, number| RequestKey { host: format!("h{host:02}").into(), number };
+        for (_, number, host, id) in running.extract_if(.., |r| r.0 <= now).collect::<Vec<_>>() {
+            let i = targets.iter().position(|t| t.id == id).expect("a known target");
+            let left = running.iter().filter(|r| r.3 == id).count() as u32;
+            let report =
+                TargetReport { running: left, waiting: 0, slots: 6, slowdown: slowdowns[i] };
+            s.on_grant_ended(now, &host_key(host, number), Some((id.clone(), report)));
+            idle.push((host, id, now));
+        }
+        // Three requests a second of each host.
+        if step * HOSTS * 3 / 1_000 == (step + 1) * HOSTS * 3 / 1_000 {
+            continue;
+        }
+        let host = rng.random_range(0..HOSTS);
+        let decisions = s.on_request(now, host_key(host, step), request.clone());
+        let id = granted_target(&decisions, step).expect("a slot is free");
+        let kept = idle.iter().position(|c| c.0 == host && c.1 == id && now.since(c.2) < IDLE);
+        if let Some(i) = kept {
+            idle.remove(i);
+        }
+        // The connections of the first seconds have to be opened.
+        if step > 10_000 {
+            sent += 1;
+            opened += u32::from(kept.is_none());
+        }
+        let took = ms(rng.random_range(400..1_500));
+        running.push((now + took, step, host, id));
+    }
+    assert!(f64::from(opened) < 0.25 * f64::from(sent), "{opened} connections for {sent} requests");
+}
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -37,6 +37,11 @@
 const IDLE_PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time for a target to accept a connection and respond to a probe; taking longer is a fault.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a target to accept a connection for a request, as a share of the route's latency target, so
+/// that another target can still answer in time. It is no longer than `CONNECT_TIMEOUT`.
+const CONNECT_SHARE_OF_TARGET: f64 = 0.25;
+/// Shortest time for a target to accept a connection, for hosts with a small share of a core.
+const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 /// Limits of the body of a response to a probe; it is not used.
 const PROBE_RESPONSE_LIMITS: ResponseLimits =
     ResponseLimits { declared: 16 << 10, undeclared: 16 << 10 };
@@ -93,11 +98,14 @@
             service_time: ctx.service_time,
             body_bytes: ctx.typical_body_bytes,
             time_left: ctx.time_left(now),
-            latency_target_left: ctx.route.latency_target.saturating_sub(ctx.elapsed(now)),
+            latency_target_left: ctx.latency_target_left.saturating_sub(ctx.elapsed(now)),
             hedgeable: ctx.route.idempotent && ctx.route.max_attempts > 1,
             avoid: avoid.clone(),
         };
-        match scheduling::request_slot(host, &ctx.pool.name, ctx.deadline, slot_request).await {
+        let latency_target = ctx.route.latency_target;
+        let (pool, deadline) = (&ctx.pool.name, ctx.deadline);
+        let slot = scheduling::request_slot(host, pool, latency_target, deadline, slot_request);
+        match slot.await {
             SlotResult::Granted { grant, target, latency_factor } => {
                 if let Some(conn) = connect(&ctx, &target).await {
                     let grant = Some(grant);
@@ -142,7 +150,9 @@
         }
     }
     host.metrics.connection("target");
-    match timeout(CONNECT_TIMEOUT, Connection::open(candidate.addr)).await {
+    let limit = ctx.route.latency_target.mul_f64(CONNECT_SHARE_OF_TARGET);
+    let limit = limit.clamp(MIN_CONNECT_TIMEOUT, CONNECT_TIMEOUT);
+    match timeout(limit, Connection::open(candidate.addr)).await {
         Ok(Ok(conn)) => Some(conn),
         _ => {
             host.on_fault(target, Fault::Unreachable);
@@ -357,7 +367,7 @@
     let now = host.now();
     if answering.as_bytes() != candidate.id.as_bytes() {
         host.metrics.probe(&pool.name, "other_target");
-        host.fleet().table.on_identity_mismatch(now, &candidate.id);
+        host.on_identity_mismatch(&candidate.id);
         info!(host.log, "address_reused"; "target" => &*candidate.id,
             "addr" => candidate.addr.to_string(), "answering" => format!("{answering:?}"));
         return Ok(None);
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -24,9 +24,12 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-/// Time limit of the first decision after a slot request is sent. It covers the round trip to the
-/// scheduler and a few time slices of other processes, for hosts with a small share of a core.
-const FIRST_DECISION_TIMEOUT: Duration = Duration::from_millis(15);
+/// Shortest time limit of the first decision after a slot request is sent. It covers the round trip to
+/// the scheduler and a few time slices of other processes, for hosts with a small share of a core.
+const MIN_DECISION_TIMEOUT: Duration = Duration::from_millis(15);
+/// Time limit of the first decision as a share of the request's latency target. A scheduler that is
+/// briefly out of processor time costs a request less than the choice of a target without it.
+const DECISION_SHARE_OF_TARGET: f64 = 0.05;
 /// Time after which the slot request of a waiting request is sent again, in case a message was lost.
 const RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which no slot requests are sent to a scheduler that did not respond.
@@ -149,6 +152,13 @@
             scheduled.scheduler.on_fault(now, target, weight);
         }
     }
+
+    /// Records that another target answered at the address of this one.
+    pub fn on_identity_mismatch(&self, now: Time, target: &str) {
+        for scheduled in lock(&self.pools).iter_mut() {
+            scheduled.scheduler.on_identity_mismatch(now, target);
+        }
+    }
 }
 
 fn targets_of<'a, I>(targets: I, pool: &str) -> impl Iterator<Item = (&'a RegisteredTarget, bool)>
@@ -254,11 +264,31 @@
         .map(|m| m.addr)
 }
 
+/// How long a request waits for the first decision of the scheduler.
+#[derive(Clone, Copy, Debug)]
+struct DecisionTimeout {
+    /// Time after which the slot request is sent again or the scheduler is taken for unresponsive.
+    limit: Duration,
+    /// Number of times that the slot request is sent.
+    sends: u32,
+}
+
+impl DecisionTimeout {
+    fn new(latency_target: Duration) -> Self {
+        let whole = latency_target.mul_f64(DECISION_SHARE_OF_TARGET).max(MIN_DECISION_TIMEOUT);
+        // A second message covers the loss of the first one, if there is time for it.
+        let sends = if whole >= 2 * MIN_DECISION_TIMEOUT { 2 } else { 1 };
+        DecisionTimeout { limit: whole / sends, sends }
+    }
+}
+
 /// Requests a slot from the scheduler of a pool, and waits for its decision until `deadline`. `describe`
-/// returns the slot request as of the given time; it is sent again while the request waits.
+/// returns the slot request as of the given time; it is sent again while the request waits. How long
+/// the first decision may take depends on the latency target.
 pub async fn request_slot<F>(
     host: &Arc<Host>,
     pool: &Arc<str>,
+    latency_target: Duration,
     deadline: Time,
     describe: F,
 ) -> SlotResult
@@ -283,18 +313,22 @@
         report: None,
         decisions,
     };
-    let mut decision_timeout = FIRST_DECISION_TIMEOUT;
+    let first = DecisionTimeout::new(latency_target);
+    let mut unanswered = 0;
     loop {
         let now = host.now();
         if now >= deadline {
             return SlotResult::Unavailable;
         }
         send_slot_request(host, scheduler, number, pool, describe(now));
+        unanswered += 1;
+        let mut limit = first.limit;
         loop {
-            match timeout(decision_timeout, grant.decisions.recv()).await {
+            match timeout(limit, grant.decisions.recv()).await {
                 // A hedge is never granted before the first attempt.
                 Ok(Some(SlotDecision::Wait | SlotDecision::Hedge { .. })) => {
-                    decision_timeout = RESEND_INTERVAL
+                    unanswered = 0;
+                    limit = RESEND_INTERVAL;
                 }
                 Ok(Some(SlotDecision::Grant { target, latency_factor })) => {
                     return SlotResult::Granted { grant, target, latency_factor };
@@ -303,14 +337,13 @@
                     return SlotResult::Rejected { reason: reason.as_str(), retry_after };
                 }
                 Ok(None) => return SlotResult::Unavailable,
-                Err(_) if decision_timeout == FIRST_DECISION_TIMEOUT => {
+                Err(_) if unanswered >= first.sends => {
                     mark_unresponsive(host, scheduler);
                     return SlotResult::Unavailable;
                 }
                 Err(_) => break,
             }
         }
-        decision_timeout = FIRST_DECISION_TIMEOUT;
     }
 }
 
@@ -527,26 +560,24 @@
 
 /// Passes load reports of targets to the scheduler of their pool, if this host still schedules it.
 pub fn on_target_reports(host: &Arc<Host>, pool: &Arc<str>, reports: &[(Arc<str>, TargetReport)]) {
-    let now = host.now();
-    let mut decisions = Vec::new();
-    for (target, report) in reports {
-        decisions.extend(host.scheduling.on_load_report(now, pool, target, report));
-    }
+    let decisions = host.scheduling.on_load_reports(host.now(), pool, reports);
     send_decisions(host, decisions);
 }
 
 impl Scheduling {
-    fn on_load_report(
+    fn on_load_reports(
         &self,
         now: Time,
         pool: &Arc<str>,
-        target: &str,
-        report: &TargetReport,
+        reports: &[(Arc<str>, TargetReport)],
     ) -> Vec<(RequestKey, SlotDecision)> {
         let mut pools = lock(&self.pools);
         let Ok(i) = pools.binary_search_by(|p| p.pool.cmp(pool)) else { return Vec::new() };
-        pools[i].scheduler.on_report(now, target, report);
-        pools[i].scheduler.tick(now)
+        let scheduler = &mut pools[i].scheduler;
+        for (target, report) in reports {
+            scheduler.on_report(now, target, report);
+        }
+        scheduler.tick(now)
     }
 
     /// Returns the addresses of the hosts that schedule the pools of the configuration in force.
--- a/crates/geraniummux-host/tests/scheduling.rs
+++ b/crates/geraniummux-host/tests/scheduling.rs
@@ -31,7 +31,9 @@
     host.members().enter_service();
     let request_slot = async || {
         let deadline = host.now() + Duration::from_secs(1);
-        scheduling::request_slot(&host, &"ledger".into(), deadline, |_| slot_request()).await
+        let target = Duration::from_millis(300);
+        scheduling::request_slot(&host, &"ledger".into(), target, deadline, |_| slot_request())
+            .await
     };
     assert!(matches!(request_slot().await, SlotResult::Unavailable));
     // Later it relies on its view: it is the only member, and the pool has no targets.
