Block signals from the first statement until handlers are installed

Ruled out: earlier handlers alone; tokio's need a runtime. Change: the program blocks both signals first, and unblocks them when the handlers exist, so that they are handled then. The time from exec to the first statement remains, which a program can't close.

--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod scheduling;
 pub mod server;
 pub mod settings;
+pub mod signals;
 pub mod store;
 pub mod upstream;
 
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -6,6 +6,7 @@
 use crate::protocol::Protocol;
 use crate::server::{self, Service};
 use crate::settings::Settings;
+use crate::signals::Signals;
 use crate::store::Store;
 use crate::{logs, reader, replication, scheduling};
 use anyhow::Context;
@@ -14,7 +15,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 /// Interval at which targets expire, idle connections are closed and gauges are set.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -47,7 +48,6 @@
         .build()
         .context("starting the runtime")?;
     runtime.block_on(async {
-        // Handlers are installed first: an earlier signal would end the process.
         let signals = Signals::handle()?;
         let (log, _guard) = logs::start(&settings.host).context("starting the log writer")?;
         let metrics = Metrics::new()?;
@@ -58,20 +58,6 @@
     })
 }
 
-/// The signals that a host handles.
-struct Signals {
-    stop: Signal,
-    reload: Signal,
-}
-
-impl Signals {
-    fn handle() -> anyhow::Result<Self> {
-        let stop = signal(SignalKind::terminate()).context("handling SIGTERM")?;
-        let reload = signal(SignalKind::hangup()).context("handling SIGHUP")?;
-        Ok(Signals { stop, reload })
-    }
-}
-
 async fn serve<S>(
     path: PathBuf,
     host: Arc<Host>,
