Check a target's load once more before a request is sent

Cause: the preference for open connections made the scheduler choose targets whose last report was older. Ruled out: failures on reused connections; failed and refused stayed. Change: the probe that a host sends on an idle connection before it uses it brings a fresh report.

--- a/crates/geraniummux-core/src/fleet/forecast.rs
+++ b/crates/geraniummux-core/src/fleet/forecast.rs
@@ -49,6 +49,16 @@
     }
 }
 
+/// Rise of a latency factor between the grant of a slot and the start of the request from which another
+/// target is likely to be better, although it takes another decision.
+const SLOWED_RATIO: f64 = 1.5;
+
+/// Returns whether a target has become so slow since a slot was granted there that the request is better
+/// sent elsewhere. Both arguments are latency factors.
+pub fn has_slowed(granted: f64, present: f64) -> bool {
+    present > granted * SLOWED_RATIO
+}
+
 /// Returns the expected latency of one more request as a multiple of its typical service time.
 ///
 /// The estimate includes the wait in the target's queue if all slots are taken.
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -28,7 +28,7 @@
 pub use caller_age::CallerAge;
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
-pub use forecast::{ForecastOptions, TargetReport, latency_factor};
+pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
 pub use probes::ProbeBudget;
 pub use readers::{
     Leader, PeerFreshness, Position, ReadSource, ReaderOptions, leaders, read_source,
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -3,7 +3,7 @@
 use super::attempt::{self, AttemptOutcome, FinishedAttempt};
 use super::context::RequestContext;
 use super::response;
-use super::selection::{self, SelectedTarget, Selection};
+use super::selection::{self, Connect, SelectedTarget, Selection};
 use crate::peers;
 use crate::scheduling::Grant;
 use crate::upstream::TargetResponse;
@@ -202,13 +202,15 @@
         self.selecting = true;
         self.hedge_at = None;
         let connect = async move {
-            let conn = selection::connect(&ctx, &target).await;
-            let selected = conn.map(|conn| SelectedTarget {
-                target: target.clone(),
-                conn,
-                latency_factor,
-                grant: None,
-            });
+            let selected = match selection::connect(&ctx, &target, latency_factor).await {
+                Connect::Connected(conn) => Some(SelectedTarget {
+                    target: target.clone(),
+                    conn,
+                    latency_factor,
+                    grant: None,
+                }),
+                Connect::Slowed(_) | Connect::Unusable => None,
+            };
             Event::HedgeConnected(target, selected)
         };
         self.events.push(connect.boxed());
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -15,7 +15,7 @@
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
     AdmissionDecision, AdmissionInput, AdmissionRules, Candidate, Fault, FleetPool, ResponseLimits,
-    SlotRequest, TargetReport, admit,
+    SlotRequest, TargetReport, admit, has_slowed,
 };
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
@@ -91,7 +91,7 @@
 pub async fn select(ctx: Arc<RequestContext>, tried: Vec<Arc<str>>) -> Selection {
     let host = &ctx.host;
     let mut avoid = tried.clone();
-    for _ in 0..MAX_GRANTS_TRIED {
+    for tries in 1..=MAX_GRANTS_TRIED {
         let slot_request = |now: Time| SlotRequest {
             failure_domain: host.settings.load().failure_domain.clone(),
             priority: ctx.route.priority,
@@ -106,15 +106,21 @@
         let (pool, deadline) = (&ctx.pool.name, ctx.deadline);
         let slot = scheduling::request_slot(host, pool, latency_target, deadline, slot_request);
         match slot.await {
-            SlotResult::Granted { grant, target, latency_factor } => {
-                if let Some(conn) = connect(&ctx, &target).await {
-                    let grant = Some(grant);
-                    return Selection::Selected(SelectedTarget {
-                        target,
-                        conn,
-                        latency_factor,
-                        grant,
-                    });
+            SlotResult::Granted { mut grant, target, latency_factor } => {
+                // The last grant is used even if the target has become slow.
+                let limit = if tries < MAX_GRANTS_TRIED { latency_factor } else { f64::INFINITY };
+                match connect(&ctx, &target, limit).await {
+                    Connect::Connected(conn) => {
+                        let grant = Some(grant);
+                        return Selection::Selected(SelectedTarget {
+                            target,
+                            conn,
+                            latency_factor,
+                            grant,
+                        });
+                    }
+                    Connect::Slowed(report) => grant.set_report(&target, report),
+                    Connect::Unusable => {}
                 }
                 avoid.push(target);
             }
@@ -130,22 +136,46 @@
     select_by_probing(ctx, tried).await
 }
 
-/// Returns a connection to a target on which the request can be sent, `None` if there is none. A new
-/// connection that the target does not accept is recorded as a fault.
-pub async fn connect(ctx: &RequestContext, target: &Arc<str>) -> Option<Connection> {
+/// Result of the connection to a target.
+pub enum Connect {
+    /// A connection on which the request can be sent.
+    Connected(Connection),
+    /// The target has become slow, as its report shows.
+    Slowed(TargetReport),
+    /// The target can't be used.
+    Unusable,
+}
+
+/// Connects to a target. A new connection that the target does not accept is recorded as a fault.
+///
+/// `granted` is the latency factor with which the target was selected: if a probe shows that it has
+/// become much slower since, the request is not sent there.
+pub async fn connect(ctx: &RequestContext, target: &Arc<str>, granted: f64) -> Connect {
     let host = &ctx.host;
     // The scheduler may not know yet that the target is leaving, or this host not yet that it exists.
-    let candidate = host.fleet().table.candidate(&ctx.pool.name, target)?;
+    let Some(candidate) = host.fleet().table.candidate(&ctx.pool.name, target) else {
+        return Connect::Unusable;
+    };
     let now = host.now();
     if let Some((conn, idle)) = host.upstream.take_idle(now, candidate.addr) {
         if ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
-            return Some(conn);
+            return Connect::Connected(conn);
         }
         let probe = send_probe(host, &ctx.pool, &candidate, conn);
         match timeout(IDLE_PROBE_TIMEOUT, probe).await {
-            Ok(Ok(Some(response))) => return Some(response.conn),
+            Ok(Ok(Some(response))) => {
+                let now = host.now();
+                let rating = host.fleet().table.rate(now, &ctx.pool.name, target, &response.report);
+                if !has_slowed(granted, rating.latency_factor) {
+                    return Connect::Connected(response.conn);
+                }
+                info!(host.log, "target_slowed"; "id" => ctx.id(), "target" => &**target,
+                    "granted" => granted, "stretch" => rating.latency_factor);
+                host.upstream.put_idle(now, response.conn);
+                return Connect::Slowed(response.report);
+            }
             // The target responded, but can't be used.
-            Ok(Ok(None)) => return None,
+            Ok(Ok(None)) => return Connect::Unusable,
             Ok(Err(())) | Err(_) => {}
         }
     }
@@ -153,10 +183,10 @@
     let limit = ctx.route.latency_target.mul_f64(CONNECT_SHARE_OF_TARGET);
     let limit = limit.clamp(MIN_CONNECT_TIMEOUT, CONNECT_TIMEOUT);
     match timeout(limit, Connection::open(candidate.addr)).await {
-        Ok(Ok(conn)) => Some(conn),
+        Ok(Ok(conn)) => Connect::Connected(conn),
         _ => {
             host.on_fault(target, Fault::Unreachable);
-            None
+            Connect::Unusable
         }
     }
 }
