--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -7,6 +7,8 @@
 //! as an argument and do no I/O.
 
 mod admission;
+mod bodies;
+mod caller_age;
 mod extra_attempts;
 mod faults;
 mod forecast;
@@ -17,13 +19,16 @@
 mod scheduler;
 mod split;
 mod table;
+mod warm;
 
 pub use admission::{
     AdmissionDecision, AdmissionInput, AdmissionRejectReason, AdmissionRules, admit,
 };
+pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
+pub use caller_age::CallerAge;
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
-pub use forecast::{ForecastOptions, TargetReport, latency_factor};
+pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
 pub use probes::ProbeBudget;
 pub use readers::{
     Leader, PeerFreshness, Position, ReadSource, ReaderOptions, leaders, read_source,
@@ -35,3 +40,4 @@
 };
 pub use split::SplitState;
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
+pub use warm::WarmConnections;
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -1,10 +1,11 @@
 //! State of an entry host, shared by its tasks.
 
+use crate::bodies::Bodies;
 use crate::clock::Clock;
 use crate::fleet::{Fleet, Prober};
 use crate::freshness::Freshness;
 use crate::metrics::Metrics;
-use crate::peers::PeerNet;
+use crate::peers::{self, PeerNet};
 use crate::protocol::Protocol;
 use crate::scheduling::Scheduling;
 use crate::settings::Settings;
@@ -51,6 +52,8 @@
     pub protocol: Arc<dyn Protocol>,
     /// Idle connections to targets.
     pub upstream: IdleConnections,
+    /// Memory for bodies of requests and responses.
+    pub bodies: Bodies,
     net: PeerNet,
     /// Grants that this host requests, and the pools that it schedules.
     pub scheduling: Scheduling,
@@ -106,6 +109,7 @@
             protocol,
             net,
             upstream: IdleConnections::default(),
+            bodies: Bodies::new(settings.body_memory()),
             scheduling: Scheduling::default(),
             routes: ArcSwapOption::empty(),
             config: Mutex::default(),
@@ -279,6 +283,26 @@
         }
     }
 
+    /// Records that another target answered at the address of `id`, and reports it to peers unless it
+    /// is known.
+    pub fn on_identity_mismatch(&self, id: &Arc<str>) {
+        let now = self.now();
+        self.scheduling.on_identity_mismatch(now, id);
+        if self.fleet().table.on_identity_mismatch(now, id) {
+            warn!(self.log, "target_replaced"; "target" => &**id);
+            peers::send_identity_mismatch(self, id);
+        }
+    }
+
+    /// Records that another target answered a peer at the address of `id`.
+    pub fn on_peer_identity_mismatch(&self, from: &str, id: &str) {
+        let now = self.now();
+        self.scheduling.on_identity_mismatch(now, id);
+        if self.fleet().table.on_identity_mismatch(now, id) {
+            warn!(self.log, "target_replaced"; "target" => id, "peer" => from);
+        }
+    }
+
     /// Takes one extra attempt (a retry or hedge) from a pool's budget, which all hosts share. Returns
     /// whether it is allowed.
     pub fn try_extra_attempt(&self, pool: &Arc<str>, kind: ExtraAttempt) -> bool {
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -11,6 +11,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod bodies;
 pub mod clock;
 pub mod directory;
 pub mod fleet;
@@ -27,6 +28,7 @@
 pub mod scheduling;
 pub mod server;
 pub mod settings;
+pub mod signals;
 pub mod store;
 pub mod upstream;
 
@@ -35,4 +37,4 @@
 pub use protocol::{CallerLocation, HeaderNames, Protocol};
 pub use run::run;
 pub use settings::Settings;
-pub use store::{ConfigUpdate, Store, StoreError};
+pub use store::{ConfigUpdate, Store, StoreError, UnknownRouteType};
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -14,8 +14,8 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
-    AdmissionDecision, AdmissionInput, AdmissionRules, Candidate, Fault, FleetPool, SlotRequest,
-    TargetReport, admit,
+    AdmissionDecision, AdmissionInput, AdmissionRules, Candidate, Fault, FleetPool, ResponseLimits,
+    SlotRequest, TargetReport, admit, has_slowed,
 };
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
@@ -37,6 +37,14 @@
 const IDLE_PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time for a target to accept a connection and respond to a probe; taking longer is a fault.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a target to accept a connection for a request, as a share of the route's latency target, so
+/// that another target can still answer in time. It is no longer than `CONNECT_TIMEOUT`.
+const CONNECT_SHARE_OF_TARGET: f64 = 0.25;
+/// Shortest time for a target to accept a connection, for hosts with a small share of a core.
+const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
+/// Limits of the body of a response to a probe; it is not used.
+const PROBE_RESPONSE_LIMITS: ResponseLimits =
+    ResponseLimits { declared: 16 << 10, undeclared: 16 << 10 };
 /// Idle time up to which a connection is used for idempotent requests without a probe.
 const MAX_UNPROBED_IDLE: Duration = Duration::from_millis(1_000);
 /// Grants whose targets can't be used after which the host selects a target by probing.
@@ -83,27 +91,36 @@
 pub async fn select(ctx: Arc<RequestContext>, tried: Vec<Arc<str>>) -> Selection {
     let host = &ctx.host;
     let mut avoid = tried.clone();
-    for _ in 0..MAX_GRANTS_TRIED {
+    for tries in 1..=MAX_GRANTS_TRIED {
         let slot_request = |now: Time| SlotRequest {
             failure_domain: host.settings.load().failure_domain.clone(),
             priority: ctx.route.priority,
             service_time: ctx.service_time,
             body_bytes: ctx.typical_body_bytes,
             time_left: ctx.time_left(now),
-            latency_target_left: ctx.route.latency_target.saturating_sub(ctx.elapsed(now)),
+            latency_target_left: ctx.latency_target_left.saturating_sub(ctx.elapsed(now)),
             hedgeable: ctx.route.idempotent && ctx.route.max_attempts > 1,
             avoid: avoid.clone(),
         };
-        match scheduling::request_slot(host, &ctx.pool.name, ctx.deadline, slot_request).await {
-            SlotResult::Granted { grant, target, latency_factor } => {
-                if let Some(conn) = connect(&ctx, &target).await {
-                    let grant = Some(grant);
-                    return Selection::Selected(SelectedTarget {
-                        target,
-                        conn,
-                        latency_factor,
-                        grant,
-                    });
+        let latency_target = ctx.route.latency_target;
+        let (pool, deadline) = (&ctx.pool.name, ctx.deadline);
+        let slot = scheduling::request_slot(host, pool, latency_target, deadline, slot_request);
+        match slot.await {
+            SlotResult::Granted { mut grant, target, latency_factor } => {
+                // The last grant is used even if the target has become slow.
+                let limit = if tries < MAX_GRANTS_TRIED { latency_factor } else { f64::INFINITY };
+                match connect(&ctx, &target, limit).await {
+                    Connect::Connected(conn) => {
+                        let grant = Some(grant);
+                        return Selection::Selected(SelectedTarget {
+                            target,
+                            conn,
+                            latency_factor,
+                            grant,
+                        });
+                    }
+                    Connect::Slowed(report) => grant.set_report(&target, report),
+                    Connect::Unusable => {}
                 }
                 avoid.push(target);
             }
@@ -119,31 +136,57 @@
     select_by_probing(ctx, tried).await
 }
 
-/// Returns a connection to a target on which the request can be sent, `None` if there is none. A new
-/// connection that the target does not accept is recorded as a fault.
-pub async fn connect(ctx: &RequestContext, target: &Arc<str>) -> Option<Connection> {
+/// Result of the connection to a target.
+pub enum Connect {
+    /// A connection on which the request can be sent.
+    Connected(Connection),
+    /// The target has become slow, as its report shows.
+    Slowed(TargetReport),
+    /// The target can't be used.
+    Unusable,
+}
+
+/// Connects to a target. A new connection that the target does not accept is recorded as a fault.
+///
+/// `granted` is the latency factor with which the target was selected: if a probe shows that it has
+/// become much slower since, the request is not sent there.
+pub async fn connect(ctx: &RequestContext, target: &Arc<str>, granted: f64) -> Connect {
     let host = &ctx.host;
     // The scheduler may not know yet that the target is leaving, or this host not yet that it exists.
-    let candidate = host.fleet().table.candidate(&ctx.pool.name, target)?;
+    let Some(candidate) = host.fleet().table.candidate(&ctx.pool.name, target) else {
+        return Connect::Unusable;
+    };
     let now = host.now();
     if let Some((conn, idle)) = host.upstream.take_idle(now, candidate.addr) {
         if ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
-            return Some(conn);
+            return Connect::Connected(conn);
         }
         let probe = send_probe(host, &ctx.pool, &candidate, conn);
         match timeout(IDLE_PROBE_TIMEOUT, probe).await {
-            Ok(Ok(Some(response))) => return Some(response.conn),
+            Ok(Ok(Some(response))) => {
+                let now = host.now();
+                let rating = host.fleet().table.rate(now, &ctx.pool.name, target, &response.report);
+                if !has_slowed(granted, rating.latency_factor) {
+                    return Connect::Connected(response.conn);
+                }
+                info!(host.log, "target_slowed"; "id" => ctx.id(), "target" => &**target,
+                    "granted" => granted, "stretch" => rating.latency_factor);
+                host.upstream.put_idle(now, response.conn);
+                return Connect::Slowed(response.report);
+            }
             // The target responded, but can't be used.
-            Ok(Ok(None)) => return None,
+            Ok(Ok(None)) => return Connect::Unusable,
             Ok(Err(())) | Err(_) => {}
         }
     }
     host.metrics.connection("target");
-    match timeout(CONNECT_TIMEOUT, Connection::open(candidate.addr)).await {
-        Ok(Ok(conn)) => Some(conn),
+    let limit = ctx.route.latency_target.mul_f64(CONNECT_SHARE_OF_TARGET);
+    let limit = limit.clamp(MIN_CONNECT_TIMEOUT, CONNECT_TIMEOUT);
+    match timeout(limit, Connection::open(candidate.addr)).await {
+        Ok(Ok(conn)) => Connect::Connected(conn),
         _ => {
             host.on_fault(target, Fault::Unreachable);
-            None
+            Connect::Unusable
         }
     }
 }
@@ -344,14 +387,17 @@
         .header(header::HOST, candidate.addr.to_string())
         .body(Full::<Bytes>::default());
     let req = req.map_err(|_| ())?;
-    let (response, conn) = upstream::exchange(conn, req).await.map_err(|_: ExchangeError| ())?;
+    let memory = host.bodies.unreserved(&pool.name);
+    let (response, conn) = upstream::exchange(conn, req, PROBE_RESPONSE_LIMITS, memory)
+        .await
+        .map_err(|_: ExchangeError| ())?;
     let names = host.protocol.headers();
     // A late response to an earlier request carries that request's id instead of this header.
     let Some(answering) = response.headers.get(&names.answering_target) else { return Err(()) };
     let now = host.now();
     if answering.as_bytes() != candidate.id.as_bytes() {
         host.metrics.probe(&pool.name, "other_target");
-        host.fleet().table.on_identity_mismatch(now, &candidate.id);
+        host.on_identity_mismatch(&candidate.id);
         info!(host.log, "address_reused"; "target" => &*candidate.id,
             "addr" => candidate.addr.to_string(), "answering" => format!("{answering:?}"));
         return Ok(None);
