Take back two rules for overload; look up open connections once a grant

Change: open connections are looked up for a request that is granted a slot only. The larger penalty on remote targets goes as well; it did not lower the bytes between domains. The probe before a send is now made on new connections too, where targets report their load.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -8,7 +8,6 @@
 
 mod admission;
 mod bodies;
-mod caller_age;
 mod extra_attempts;
 mod faults;
 mod forecast;
@@ -25,7 +24,6 @@
     AdmissionDecision, AdmissionInput, AdmissionRejectReason, AdmissionRules, admit,
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
-pub use caller_age::CallerAge;
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
 pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -12,9 +12,8 @@
 //! * A request that would be late at all targets with a free slot, because these are slow at present,
 //!   waits for a better one as long as that can help.
 //! * A request that can't be answered before its deadline is rejected at once. While many requests
-//!   wait, so is one that has become late by waiting, because it would take the slot of another that
-//!   can still be in time. If the pool is so slow that none can be, late requests are served while
-//!   they have enough time left.
+//!   wait, so is one that is late already and has little time left, because it would take the slot of
+//!   another.
 //! * A request whose target becomes slow while it runs is granted a slot at a second target for a
 //!   hedge, if it may be hedged, would be late otherwise, and the pool has capacity to spare.
 //!
@@ -143,8 +142,7 @@
     /// domain, as a multiple of the latter's typical service time x penalty.
     pub local_preference: f64,
     /// Factor on the expected latency when targets are checked for whether a request will be in time
-    /// there; it leaves room for requests that take longer than is typical. It is smaller for a
-    /// request that would find no target then which is nearly full, though all run at normal speed.
+    /// there; it leaves room for requests that take longer than is typical.
     pub latency_margin: f64,
     /// Number of waiting requests above which the pool is crowded, as a fraction of its slots.
     pub crowded_share: f64,
@@ -184,11 +182,11 @@
             faults: FaultOptions::default(),
             remote_penalty: 0.1,
             remote_penalty_per_kb: 0.25,
-            max_remote_penalty: 8.0,
+            max_remote_penalty: 1.5,
             warm_preference: 0.1,
             max_idle: Duration::from_secs(7),
             local_preference: 0.5,
-            latency_margin: 1.3,
+            latency_margin: 1.2,
             crowded_share: 0.05,
             late_deadline_margin: 3.0,
             overcommit: 1,
@@ -229,17 +227,9 @@
     overcommit: u32,
     /// Whether targets are ejected for faults.
     may_eject: bool,
-    /// Number of waiting requests above which slots are scarce.
-    crowded_above: f64,
-    /// Whether more requests wait than that.
-    is_crowded: bool,
     /// Factor on the time that a late request must have left before its deadline to be granted a slot
     /// or to wait on.
     late_deadline_margin: f64,
-    /// Slowdown that a quarter of the targets reported at most, and at least 1.
-    usual_slowdown: f64,
-    /// Priorities of the waiting requests that can still be in time, sorted.
-    in_time_priorities: Vec<u32>,
 }
 
 /// A request that was granted a slot and has not ended.
@@ -412,8 +402,6 @@
     placements: Vec<Placement>,
     /// When expired requests were looked for last.
     expired_at: Time,
-    /// Slowdown that a quarter of the targets reported at most, and when it was computed.
-    usual_slowdown: (Option<Time>, f64),
     /// Idle connections of the hosts.
     warm: WarmConnections,
 }
@@ -429,7 +417,6 @@
             slowed_targets: Vec::new(),
             placements: Vec::new(),
             expired_at: Time::default(),
-            usual_slowdown: (None, 1.0),
             warm: WarmConnections::default(),
         }
     }
@@ -687,18 +674,8 @@
             overcommit: if self.waiting.len() > 1 { self.opts.overcommit } else { 0 },
             may_eject: ejected_count as f64
                 <= self.opts.max_ejected_share * self.targets.len() as f64,
-            is_crowded,
             late_deadline_margin: if is_crowded { self.opts.late_deadline_margin } else { 1.0 },
-            usual_slowdown: self.usual_slowdown(now),
-            crowded_above,
-            in_time_priorities: Vec::new(),
         };
-        if is_crowded {
-            let can_be_in_time = |w: &&Waiting| w.can_be_in_time(now, pass.usual_slowdown);
-            let in_time = self.waiting.iter().filter(can_be_in_time);
-            pass.in_time_priorities = in_time.map(|w| w.request.priority).collect();
-            pass.in_time_priorities.sort_unstable();
-        }
         for (i, t) in self.targets.iter().enumerate() {
             let forecast = self.forecast(&pass, t);
             pass.forecasts.push(forecast);
@@ -709,25 +686,6 @@
         pass
     }
 
-    /// Returns the slowdown that a quarter of the targets reported at most, and at least 1. It is
-    /// computed anew if the last result is not recent.
-    fn usual_slowdown(&mut self, now: Time) -> f64 {
-        let (at, slowdown) = self.usual_slowdown;
-        if at.is_some_and(|at| now.since(at) < MAX_OUTLOOK_AGE) {
-            return slowdown;
-        }
-        let reported = self.targets.iter().filter(|t| t.reported_at.is_some());
-        let mut all: Vec<f64> = reported.map(|t| t.slowdown).collect();
-        let quarter = all.len() / 4;
-        let slowdown = if all.is_empty() {
-            1.0
-        } else {
-            all.select_nth_unstable_by(quarter, f64::total_cmp).1.max(1.0)
-        };
-        self.usual_slowdown = (Some(now), slowdown);
-        slowdown
-    }
-
     fn forecast(&self, pass: &Pass, t: &Target) -> Forecast {
         let report = t.expected_report();
         let fault_score = t.outlook.fault_score;
@@ -823,7 +781,7 @@
                 self.remote_penalty(&w.request) * self.opts.local_preference
             };
             let rank = w.latency_deadline() + w.request.service_time.mul_f64(preference);
-            (!w.can_be_in_time(pass.now, pass.usual_slowdown), w.request.priority, rank)
+            (!w.can_be_in_time(pass.now, 1.0), w.request.priority, rank)
         });
         order
     }
@@ -839,26 +797,14 @@
         if self.targets.iter().all(is_excluded) {
             return Some(self.reject(now, w, RejectReason::NoTarget));
         }
-        let is_late = !w.can_be_in_time(now, pass.usual_slowdown);
-        if is_late && self.must_yield(pass, w) {
-            return Some(self.reject(now, w, RejectReason::TooLate));
-        }
+        let is_late = !w.can_be_in_time(now, 1.0);
         if let Some((i, latency_factor)) = self.best_target(pass, w) {
             let expected = w.request.service_time.mul_f64(latency_factor);
             // A target with a free slot that is too slow at present is skipped while another target
             // may still answer in time.
-            let useful = if is_late {
-                expected.mul_f64(pass.late_deadline_margin) <= left
-            } else if pass.is_crowded {
-                let is_known = self.targets[i].reported_at.is_some();
-                let margin = if is_known { self.latency_margin(w) } else { 1.0 };
-                let may_improve = w.can_be_in_time(now, pass.usual_slowdown * margin);
-                w.can_be_in_time(now, latency_factor * margin)
-                    || w.can_be_in_time(now, latency_factor) && !may_improve
-            } else {
-                w.can_be_in_time(now, latency_factor)
-            };
-            if useful {
+            let in_time = w.can_be_in_time(now, latency_factor);
+            if in_time || is_late && expected.mul_f64(pass.late_deadline_margin) <= left {
+                let (i, latency_factor) = self.prefer_open_connection(pass, w, i);
                 let target = self.targets[i].id.clone();
                 return Some(SlotDecision::Grant { target, latency_factor });
             }
@@ -868,26 +814,6 @@
         is_hopeless.then(|| self.reject(now, w, RejectReason::TooLate))
     }
 
-    /// Returns whether a late request is rejected because slots are scarce for those that are not less
-    /// urgent and can still be in time. It is not while less urgent requests are served, nor if the pool
-    /// is so slow that none can be in time.
-    fn must_yield(&self, pass: &Pass, w: &Waiting) -> bool {
-        let in_time = &pass.in_time_priorities;
-        let is_least_urgent = in_time.last().is_none_or(|p| *p <= w.request.priority);
-        is_least_urgent
-            && in_time.len() as f64 > pass.crowded_above
-            && w.can_be_in_time(w.since, pass.usual_slowdown)
-    }
-
-    /// Returns the factor on the latency factor of a target that leaves room for a longer latency than
-    /// expected. It is not needed for a target without a report, as the slowdown that is assumed for
-    /// such a target leaves room already.
-    fn latency_margin(&self, w: &Waiting) -> f64 {
-        let nearly_full = w.request.service_time.as_secs_f64() * self.opts.forecast.knee_slowdown;
-        let attainable = w.request.latency_target_left.as_secs_f64() / nearly_full;
-        attainable.clamp(1.0, self.opts.latency_margin.max(1.0))
-    }
-
     /// Returns the index of the best target with room for a request, and the latency factor there. Ejected targets
     /// are considered only if the request may be sent to no others.
     fn best_target(&self, pass: &Pass, w: &Waiting) -> Option<(usize, f64)> {
@@ -899,12 +825,11 @@
         let left = w.latency_deadline().since(pass.now).as_secs_f64();
         let service_time = request.service_time.as_secs_f64();
         let remote_factor = 1.0 + self.remote_penalty(request);
-        let margin = self.latency_margin(w);
+        let margin = self.opts.latency_margin;
         let domain = self.domain(&request.failure_domain);
         let rate = |i: usize| {
             let (t, forecast) = (&self.targets[i], &pass.forecasts[i]);
             let distance = if Some(t.domain) == domain { 1.0 } else { remote_factor };
-            let margin = if t.reported_at.is_some() { margin } else { 1.0 };
             let is_late = service_time * forecast.latency_factor * margin > left;
             (is_late, forecast.latency_factor * distance * forecast.fault_factor)
         };
@@ -918,15 +843,32 @@
                 best = Some((rating, i));
             }
         }
-        let ((is_late, lowest), mut best) = best?;
-        // A connection that is open saves the target the work for a new one, and the request its time.
-        let limit = (is_late, lowest * (1.0 + self.opts.warm_preference));
+        best.map(|(_, i)| (i, pass.forecasts[i].latency_factor))
+    }
+
+    /// Returns a target to which the requesting host holds an idle connection and whose cost is not much
+    /// higher than that of the target with index `best`, and its latency factor; otherwise `best`. An
+    /// open connection saves the target the work for a new one, and the request its time.
+    fn prefer_open_connection(&self, pass: &Pass, w: &Waiting, best: usize) -> (usize, f64) {
+        let request = &w.request;
+        let domain = self.domain(&request.failure_domain);
+        let remote_factor = 1.0 + self.remote_penalty(request);
+        let cost = |i: usize| {
+            let (t, forecast) = (&self.targets[i], &pass.forecasts[i]);
+            let distance = if Some(t.domain) == domain { 1.0 } else { remote_factor };
+            forecast.latency_factor * distance * forecast.fault_factor
+        };
+        let limit = cost(best) * (1.0 + self.opts.warm_preference);
+        let is_suitable = |i: &usize| {
+            let forecast = &pass.forecasts[*i];
+            forecast.has_room
+                && (!forecast.ejected || pass.forecasts[best].ejected)
+                && !request.avoid.contains(&self.targets[*i].id)
+                && cost(*i) <= limit
+        };
         let warm = self.warm.targets_of(pass.now, &w.key.host, self.opts.max_idle);
-        let warm = warm.filter_map(|id| self.find(id)).filter(|i| pass.forecasts[*i].has_room);
-        if let Some(i) = warm.filter(|i| is_allowed(*i)).find(|i| !better(limit, rate(*i))) {
-            best = i;
-        }
-        Some((best, pass.forecasts[best].latency_factor))
+        let chosen = warm.filter_map(|id| self.find(id)).find(is_suitable).unwrap_or(best);
+        (chosen, pass.forecasts[chosen].latency_factor)
     }
 
     /// Returns the penalty on targets in other failure domains.
--- a/crates/geraniummux-host/src/fleet.rs
+++ b/crates/geraniummux-host/src/fleet.rs
@@ -1,8 +1,8 @@
 //! A host's view of the fleet of targets, its budgets, and what is typical of each route's requests.
 
 use geraniummux_core::fleet::{
-    CallerAge, ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, SplitState,
-    TableOptions, TargetRegistry, TargetTable,
+    ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, SplitState, TableOptions,
+    TargetRegistry, TargetTable,
 };
 use geraniummux_core::quarantine::QuarantineOptions;
 use geraniummux_core::{Quarantine, Time};
@@ -33,8 +33,6 @@
     pub service_time_s: f64,
     /// Size of the bodies of a request and its response together, in bytes.
     pub body_bytes: f64,
-    /// How long its callers wait.
-    pub caller_age: CallerAge,
 }
 
 /// A host's view of the fleet of targets, with its budgets and typical values per route.
@@ -117,7 +115,6 @@
         entry(&mut self.typical_requests, route, || TypicalRequest {
             service_time_s,
             body_bytes: 0.0,
-            caller_age: CallerAge::default(),
         })
     }
 
--- a/crates/geraniummux-host/src/proxy/context.rs
+++ b/crates/geraniummux-host/src/proxy/context.rs
@@ -31,9 +31,6 @@
     pub body: Bytes,
     /// When the request arrived.
     pub started: Time,
-    /// Time from `started` within which a response meets the latency target, which starts with the
-    /// caller's first attempt.
-    pub latency_target_left: Duration,
     /// When the response is due: at the caller's deadline or the route's timeout, whichever is first.
     pub deadline: Time,
     /// Typical service time of the route's requests.
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -109,12 +109,7 @@
     let id = id.ok_or(Unserved::local(StatusCode::BAD_REQUEST, "no_request_id"))?;
     let time_left = headers::parse_millis(&parts.headers, &names.time_left_ms);
     let deadline = started + time_left.unwrap_or(route.timeout).min(route.timeout);
-    let (typical, age) = {
-        let mut fleet = host.fleet();
-        let typical = fleet.typical_request(&route.name, route.latency_target);
-        let age = time_left.map_or(Duration::ZERO, |left| typical.caller_age.observe(left));
-        (*typical, age)
-    };
+    let typical = *host.fleet().typical_request(&route.name, route.latency_target);
     let typical_response = typical.body_bytes as u64;
     let expected = typical_response.saturating_add(body.size_hint().lower());
     let max_request_body = index.limits.max_body_bytes as u64;
@@ -164,7 +159,6 @@
         parts,
         body,
         started,
-        latency_target_left: route.latency_target.saturating_sub(age),
         deadline,
         service_time: Duration::from_secs_f64(typical.service_time_s),
         typical_body_bytes: typical.body_bytes as u32,
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -1,9 +1,11 @@
 //! Selects a target for a request: by a grant from the pool's scheduler or, if no scheduler responds,
 //! by probing some targets for their load.
 //!
-//! A request is sent on a connection on which the target has just responded or that is new, so that a
-//! connection that is closed or no longer works is detected before the request is sent on it. Only an
-//! idempotent request may use a connection without a probe after a short idle time.
+//! A request is sent on a connection on which the target has just responded to a probe, so that a
+//! connection that is closed or no longer works, and a target that has become slow, are detected before
+//! the request is sent. Targets that don't report their load may let a probe wait for a slot; their
+//! requests are sent on new connections without a probe and, if they are idempotent, on connections
+//! with a short idle time.
 
 use super::context::RequestContext;
 use crate::fleet::Prober;
@@ -45,7 +47,8 @@
 /// Limits of the body of a response to a probe; it is not used.
 const PROBE_RESPONSE_LIMITS: ResponseLimits =
     ResponseLimits { declared: 16 << 10, undeclared: 16 << 10 };
-/// Idle time up to which a connection is used for idempotent requests without a probe.
+/// Idle time up to which a connection to a target that does not report its load is used for idempotent
+/// requests without a probe.
 const MAX_UNPROBED_IDLE: Duration = Duration::from_millis(1_000);
 /// Grants whose targets can't be used after which the host selects a target by probing.
 const MAX_GRANTS_TRIED: u32 = 3;
@@ -98,7 +101,7 @@
             service_time: ctx.service_time,
             body_bytes: ctx.typical_body_bytes,
             time_left: ctx.time_left(now),
-            latency_target_left: ctx.latency_target_left.saturating_sub(ctx.elapsed(now)),
+            latency_target_left: ctx.route.latency_target.saturating_sub(ctx.elapsed(now)),
             hedgeable: ctx.route.idempotent && ctx.route.max_attempts > 1,
             avoid: avoid.clone(),
         };
@@ -156,41 +159,62 @@
     let Some(candidate) = host.fleet().table.candidate(&ctx.pool.name, target) else {
         return Connect::Unusable;
     };
-    let now = host.now();
-    if let Some((conn, idle)) = host.upstream.take_idle(now, candidate.addr) {
-        if ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
+    // A target that reports its load answers a probe even if all its slots are taken.
+    let answers_at_once = host.fleet().table.reports_load(&ctx.pool.name);
+    if let Some((conn, idle)) = host.upstream.take_idle(host.now(), candidate.addr) {
+        if !answers_at_once && ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
             return Connect::Connected(conn);
         }
-        let probe = send_probe(host, &ctx.pool, &candidate, conn);
-        match timeout(IDLE_PROBE_TIMEOUT, probe).await {
-            Ok(Ok(Some(response))) => {
-                let now = host.now();
-                let rating = host.fleet().table.rate(now, &ctx.pool.name, target, &response.report);
-                if !has_slowed(granted, rating.latency_factor) {
-                    return Connect::Connected(response.conn);
-                }
-                info!(host.log, "target_slowed"; "id" => ctx.id(), "target" => &**target,
-                    "granted" => granted, "stretch" => rating.latency_factor);
-                host.upstream.put_idle(now, response.conn);
-                return Connect::Slowed(response.report);
-            }
-            // The target responded, but can't be used.
-            Ok(Ok(None)) => return Connect::Unusable,
-            Ok(Err(())) | Err(_) => {}
+        let probe = probe_before_send(ctx, &candidate, conn, granted);
+        if let Ok(Ok(result)) = timeout(IDLE_PROBE_TIMEOUT, probe).await {
+            return result;
         }
     }
     host.metrics.connection("target");
     let limit = ctx.route.latency_target.mul_f64(CONNECT_SHARE_OF_TARGET);
     let limit = limit.clamp(MIN_CONNECT_TIMEOUT, CONNECT_TIMEOUT);
-    match timeout(limit, Connection::open(candidate.addr)).await {
-        Ok(Ok(conn)) => Connect::Connected(conn),
-        _ => {
+    let connect = async {
+        let conn = Connection::open(candidate.addr).await.map_err(|_| ())?;
+        if answers_at_once {
+            probe_before_send(ctx, &candidate, conn, granted).await
+        } else {
+            Ok(Connect::Connected(conn))
+        }
+    };
+    match timeout(limit, connect).await {
+        Ok(Ok(result)) => result,
+        Ok(Err(())) | Err(_) => {
             host.on_fault(target, Fault::Unreachable);
             Connect::Unusable
         }
     }
 }
 
+/// Checks by a probe on the connection whether the target is still as fast as when it was selected.
+/// Fails if the connection is unusable.
+async fn probe_before_send(
+    ctx: &RequestContext,
+    candidate: &Candidate,
+    conn: Connection,
+    granted: f64,
+) -> Result<Connect, ()> {
+    let host = &ctx.host;
+    let Some(response) = send_probe(host, &ctx.pool, candidate, conn).await? else {
+        // The target responded, but can't be used.
+        return Ok(Connect::Unusable);
+    };
+    let now = host.now();
+    let target = &candidate.id;
+    let rating = host.fleet().table.rate(now, &ctx.pool.name, target, &response.report);
+    if !has_slowed(granted, rating.latency_factor) {
+        return Ok(Connect::Connected(response.conn));
+    }
+    info!(host.log, "target_slowed"; "id" => ctx.id(), "target" => &**target,
+        "granted" => granted, "stretch" => rating.latency_factor);
+    host.upstream.put_idle(now, response.conn);
+    Ok(Connect::Slowed(response.report))
+}
+
 /// Probes a target of a pool for its load.
 pub async fn probe_load(
     host: &Arc<Host>,
