The check before a send looks at the target's speed only

Cause: the check took the load into account, too. In a crowded pool the scheduler grants one request more than a target has slots, to cover the time of the messages; the check found the target full and returned the grant, so that slots stayed idle. Ruled out: processor time, as it was not charged. Change: a grant is returned only if the reported slowdown alone is 1.5 times the granted latency factor.

--- a/crates/geraniummux-core/src/fleet/forecast.rs
+++ b/crates/geraniummux-core/src/fleet/forecast.rs
@@ -49,14 +49,14 @@
     }
 }
 
-/// Rise of a latency factor between the grant of a slot and the start of the request from which another
-/// target is likely to be better, although it takes another decision.
+/// Ratio of a target's slowdown to the latency factor with which a slot was granted there from which
+/// another target is likely to be better, although it takes another decision.
 const SLOWED_RATIO: f64 = 1.5;
 
-/// Returns whether a target has become so slow since a slot was granted there that the request is better
-/// sent elsewhere. Both arguments are latency factors.
-pub fn has_slowed(granted: f64, present: f64) -> bool {
-    present > granted * SLOWED_RATIO
+/// Returns whether a target has become so slow since a slot was granted there with the latency factor
+/// `granted` that the request is better sent elsewhere.
+pub fn has_slowed(granted: f64, slowdown: f64) -> bool {
+    slowdown > granted * SLOWED_RATIO
 }
 
 /// Returns the expected latency of one more request as a multiple of its typical service time.
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -203,14 +203,14 @@
         // The target responded, but can't be used.
         return Ok(Connect::Unusable);
     };
-    let now = host.now();
-    let target = &candidate.id;
-    let rating = host.fleet().table.rate(now, &ctx.pool.name, target, &response.report);
-    if !has_slowed(granted, rating.latency_factor) {
+    // Only the speed counts: the scheduler knows best how many requests the target has, and may grant
+    // one more than it has slots.
+    if !has_slowed(granted, response.report.slowdown) {
         return Ok(Connect::Connected(response.conn));
     }
-    info!(host.log, "target_slowed"; "id" => ctx.id(), "target" => &**target,
-        "granted" => granted, "stretch" => rating.latency_factor);
+    info!(host.log, "target_slowed"; "id" => ctx.id(), "target" => &*candidate.id,
+        "granted" => granted, "slowdown" => response.report.slowdown);
+    let now = host.now();
     host.upstream.put_idle(now, response.conn);
     Ok(Connect::Slowed(response.report))
 }
