Prefer open connections only while nothing waits; check idle connections only

Change: new connections are not probed before a send, a connection may take 250 ms as before, and open connections are preferred only for a request that waits alone.

--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -804,7 +804,12 @@
             // may still answer in time.
             let in_time = w.can_be_in_time(now, latency_factor);
             if in_time || is_late && expected.mul_f64(pass.late_deadline_margin) <= left {
-                let (i, latency_factor) = self.prefer_open_connection(pass, w, i);
+                // While others wait, each slot goes to the request that it suits best.
+                let (i, latency_factor) = if self.waiting.len() == 1 {
+                    self.prefer_open_connection(pass, w, i)
+                } else {
+                    (i, latency_factor)
+                };
                 let target = self.targets[i].id.clone();
                 return Some(SlotDecision::Grant { target, latency_factor });
             }
--- a/crates/geraniummux-core/src/fleet/table.rs
+++ b/crates/geraniummux-core/src/fleet/table.rs
@@ -139,11 +139,6 @@
         self.pool(pool).iter().find(|t| &*t.id == id).map(Target::candidate)
     }
 
-    /// Returns whether targets of the pool report their load.
-    pub fn reports_load(&self, pool: &str) -> bool {
-        self.pool(pool).iter().any(|t| t.report.is_some())
-    }
-
     /// Returns whether any target in the table has this address.
     pub fn contains_addr(&self, addr: SocketAddr) -> bool {
         self.targets.iter().any(|t| t.addr == addr)
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -1,11 +1,9 @@
 //! Selects a target for a request: by a grant from the pool's scheduler or, if no scheduler responds,
 //! by probing some targets for their load.
 //!
-//! A request is sent on a connection on which the target has just responded to a probe, so that a
-//! connection that is closed or no longer works, and a target that has become slow, are detected before
-//! the request is sent. Targets that don't report their load may let a probe wait for a slot; their
-//! requests are sent on new connections without a probe and, if they are idempotent, on connections
-//! with a short idle time.
+//! A request is sent on a connection on which the target has just responded or that is new, so that a
+//! connection that is closed or no longer works is detected before the request is sent on it. Only an
+//! idempotent request may use a connection without a probe after a short idle time.
 
 use super::context::RequestContext;
 use crate::fleet::Prober;
@@ -39,16 +37,10 @@
 const IDLE_PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time for a target to accept a connection and respond to a probe; taking longer is a fault.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for a target to accept a connection for a request, as a share of the route's latency target, so
-/// that another target can still answer in time. It is no longer than `CONNECT_TIMEOUT`.
-const CONNECT_SHARE_OF_TARGET: f64 = 0.25;
-/// Shortest time for a target to accept a connection, for hosts with a small share of a core.
-const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 /// Limits of the body of a response to a probe; it is not used.
 const PROBE_RESPONSE_LIMITS: ResponseLimits =
     ResponseLimits { declared: 16 << 10, undeclared: 16 << 10 };
-/// Idle time up to which a connection to a target that does not report its load is used for idempotent
-/// requests without a probe.
+/// Idle time up to which a connection is used for idempotent requests without a probe.
 const MAX_UNPROBED_IDLE: Duration = Duration::from_millis(1_000);
 /// Grants whose targets can't be used after which the host selects a target by probing.
 const MAX_GRANTS_TRIED: u32 = 3;
@@ -159,10 +151,8 @@
     let Some(candidate) = host.fleet().table.candidate(&ctx.pool.name, target) else {
         return Connect::Unusable;
     };
-    // A target that reports its load answers a probe even if all its slots are taken.
-    let answers_at_once = host.fleet().table.reports_load(&ctx.pool.name);
     if let Some((conn, idle)) = host.upstream.take_idle(host.now(), candidate.addr) {
-        if !answers_at_once && ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
+        if ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
             return Connect::Connected(conn);
         }
         let probe = probe_before_send(ctx, &candidate, conn, granted);
@@ -171,19 +161,9 @@
         }
     }
     host.metrics.connection("target");
-    let limit = ctx.route.latency_target.mul_f64(CONNECT_SHARE_OF_TARGET);
-    let limit = limit.clamp(MIN_CONNECT_TIMEOUT, CONNECT_TIMEOUT);
-    let connect = async {
-        let conn = Connection::open(candidate.addr).await.map_err(|_| ())?;
-        if answers_at_once {
-            probe_before_send(ctx, &candidate, conn, granted).await
-        } else {
-            Ok(Connect::Connected(conn))
-        }
-    };
-    match timeout(limit, connect).await {
-        Ok(Ok(result)) => result,
-        Ok(Err(())) | Err(_) => {
+    match timeout(CONNECT_TIMEOUT, Connection::open(candidate.addr)).await {
+        Ok(Ok(conn)) => Connect::Connected(conn),
+        _ => {
             host.on_fault(target, Fault::Unreachable);
             Connect::Unusable
         }
