Scheduler: one cost of a target, idle connections forgotten less often

The preference for open connections computed the cost of a target again beside best_target, and each tick of 10 ms went through the idle connections of all hosts, though expired ones are skipped where they are looked up. Ruled out: a change of choices; both places use the same function now, and the time of each idle connection is still compared when it is used. Change: Scheduler::cost; expired connections are forgotten once in their idle time; a doc line is wrapped. Checked: formatter, linter of the core crate, core fleet_scheduler 25 passed before and after.

--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -404,6 +404,8 @@
     expired_at: Time,
     /// Idle connections of the hosts.
     warm: WarmConnections,
+    /// When expired idle connections were forgotten last.
+    warm_expired_at: Time,
 }
 
 impl Scheduler {
@@ -418,6 +420,7 @@
             placements: Vec::new(),
             expired_at: Time::default(),
             warm: WarmConnections::default(),
+            warm_expired_at: Time::default(),
         }
     }
 
@@ -587,6 +590,10 @@
         if now.since(self.expired_at) >= EXPIRY_INTERVAL {
             self.expired_at = now;
             self.remove_expired(now);
+        }
+        // Expired connections are not used before they are forgotten.
+        if now.since(self.warm_expired_at) >= self.opts.max_idle {
+            self.warm_expired_at = now;
             self.warm.expire(now, self.opts.max_idle);
         }
         self.schedule(now)
@@ -819,8 +826,8 @@
         is_hopeless.then(|| self.reject(now, w, RejectReason::TooLate))
     }
 
-    /// Returns the index of the best target with room for a request, and the latency factor there. Ejected targets
-    /// are considered only if the request may be sent to no others.
+    /// Returns the index of the best target with room for a request, and the latency factor there.
+    /// Ejected targets are considered only if the request may be sent to no others.
     fn best_target(&self, pass: &Pass, w: &Waiting) -> Option<(usize, f64)> {
         let request = &w.request;
         let is_usable = |i: usize| !request.avoid.contains(&self.targets[i].id);
@@ -829,14 +836,11 @@
         // In seconds, as there are many targets.
         let left = w.latency_deadline().since(pass.now).as_secs_f64();
         let service_time = request.service_time.as_secs_f64();
-        let remote_factor = 1.0 + self.remote_penalty(request);
         let margin = self.opts.latency_margin;
-        let domain = self.domain(&request.failure_domain);
+        let cost = self.cost(pass, request);
         let rate = |i: usize| {
-            let (t, forecast) = (&self.targets[i], &pass.forecasts[i]);
-            let distance = if Some(t.domain) == domain { 1.0 } else { remote_factor };
-            let is_late = service_time * forecast.latency_factor * margin > left;
-            (is_late, forecast.latency_factor * distance * forecast.fault_factor)
+            let is_late = service_time * pass.forecasts[i].latency_factor * margin > left;
+            (is_late, cost(i))
         };
         let is_allowed = |i: usize| is_usable(i) && (is_not_ejected(i) || !any_not_ejected);
         let better =
@@ -856,13 +860,7 @@
     /// open connection saves the target the work for a new one, and the request its time.
     fn prefer_open_connection(&self, pass: &Pass, w: &Waiting, best: usize) -> (usize, f64) {
         let request = &w.request;
-        let domain = self.domain(&request.failure_domain);
-        let remote_factor = 1.0 + self.remote_penalty(request);
-        let cost = |i: usize| {
-            let (t, forecast) = (&self.targets[i], &pass.forecasts[i]);
-            let distance = if Some(t.domain) == domain { 1.0 } else { remote_factor };
-            forecast.latency_factor * distance * forecast.fault_factor
-        };
+        let cost = self.cost(pass, request);
         let limit = cost(best) * (1.0 + self.opts.warm_preference);
         let is_suitable = |i: &usize| {
             let forecast = &pass.forecasts[*i];
@@ -876,6 +874,19 @@
         (chosen, pass.forecasts[chosen].latency_factor)
     }
 
+    /// Returns the function by which targets are compared for a request: the expected latency factor of
+    /// the target with an index, with the penalties for its distance and its faults.
+    fn cost(&self, pass: &Pass, request: &SlotRequest) -> impl Fn(usize) -> f64 {
+        let domain = self.domain(&request.failure_domain);
+        let remote_factor = 1.0 + self.remote_penalty(request);
+        move |i| {
+            let forecast = &pass.forecasts[i];
+            let is_local = Some(self.targets[i].domain) == domain;
+            let distance = if is_local { 1.0 } else { remote_factor };
+            forecast.latency_factor * distance * forecast.fault_factor
+        }
+    }
+
     /// Returns the penalty on targets in other failure domains.
     fn remote_penalty(&self, request: &SlotRequest) -> f64 {
         let per_size = self.opts.remote_penalty_per_kb * f64::from(request.body_bytes) / 1_024.0;
