Replicate the changes of a configuration, compressed, instead of all routes

Cause: each version was sent whole, over every hop of the replication tree, to about four followers a hop. 1,400 routes are 91 kB; on links of 10 Mbit/s the last hosts got a version 1.3 to 3.3 s after the first, and changes in quick succession queued up behind one another. The time limit of a follower covered a whole message, so that a long one broke the connection and was sent again.

Ruled out: late reads (the first host adopts within 0.1 s of the acknowledgement), processor time (the same hosts adopt small versions in 0.3 s), older versions from returned hosts (versions only rise).

Change: a leader sends the routes that changed since the follower's version (core::fleet::ConfigChange), or all of them if it doesn't retain that version, compressed with LZ4. A follower waits for a message as long as bytes arrive.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod bodies;
+mod config_change;
 mod extra_attempts;
 mod faults;
 mod forecast;
@@ -24,6 +25,7 @@
     AdmissionDecision, AdmissionInput, AdmissionRejectReason, AdmissionRules, admit,
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
+pub use config_change::ConfigChange;
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
 pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -12,11 +12,12 @@
 use crate::upstream::IdleConnections;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
-    ExtraAttempt, ExtraAttemptOptions, Fault, FleetConfig, RegistryDelta, RouteIndex,
+    ConfigChange, ExtraAttempt, ExtraAttemptOptions, Fault, FleetConfig, RegistryDelta, RouteIndex,
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::{Member, MemberState, Membership, Time};
 use slog::{Logger, info, warn};
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -24,6 +25,9 @@
 
 /// Share of the probes allowed at a target that is reserved for the scheduler of its pool.
 const SCHEDULER_PROBE_SHARE: f64 = 0.6;
+/// Number of former configurations that are retained. A follower that is further behind receives the
+/// whole configuration.
+const MAX_FORMER_CONFIGS: usize = 6;
 
 /// Stages of a host from start to stop; a host never returns to an earlier one.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -59,6 +63,8 @@
     pub scheduling: Scheduling,
     routes: ArcSwapOption<RouteIndex>,
     config: Mutex<Option<Arc<FleetConfig>>>,
+    /// The configurations that were in force before, oldest first, as bases of changes for followers.
+    former_configs: Mutex<VecDeque<Arc<FleetConfig>>>,
     fleet: Mutex<Fleet>,
     members: Mutex<Membership>,
     freshness: Mutex<Freshness>,
@@ -113,6 +119,7 @@
             scheduling: Scheduling::default(),
             routes: ArcSwapOption::empty(),
             config: Mutex::default(),
+            former_configs: Mutex::default(),
             fleet: Mutex::new(Fleet::new(domain, process)),
             members: Mutex::new(Membership::new(now, local_member, seeds, opts, &mut rand::rng())),
             freshness: Mutex::new(Freshness::new(now)),
@@ -218,12 +225,31 @@
             "revision" => revision, "from" => from, "routes" => config.routes.len(),
             "pools" => config.pools.len());
         self.routes.store(Some(Arc::new(RouteIndex::new(&config))));
-        *current = Some(Arc::new(config));
+        let former = current.replace(Arc::new(config));
         drop(current);
+        let mut formers = lock(&self.former_configs);
+        formers.extend(former);
+        while formers.len() > MAX_FORMER_CONFIGS {
+            formers.pop_front();
+        }
+        drop(formers);
         self.freshness().config_behind_since = None;
         self.notify_followers();
     }
 
+    /// Returns the change that leads a follower from its configuration to the one in force: from the
+    /// `version` that it has or, if that is not retained, the whole configuration; `None` if it lacks
+    /// nothing.
+    pub fn config_change_since(&self, version: u64) -> Option<ConfigChange> {
+        let config = self.config().filter(|c| c.version > version)?;
+        let formers = lock(&self.former_configs);
+        let base = formers.iter().find(|c| c.version == version);
+        Some(match base {
+            Some(base) => ConfigChange::between(base, &config),
+            None => ConfigChange::whole(&config),
+        })
+    }
+
     /// Records the configuration version that a peer has in force. If it is newer than this host's and
     /// does not arrive, what this host reads or follows is not current.
     pub fn on_peer_config_version(&self, version: u64) {
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -372,6 +372,26 @@
     }
 }
 
+/// Reads one message from a stream, however long it is, as long as no pause between its bytes exceeds
+/// `max_pause`.
+pub async fn read_within(
+    host: &Host,
+    stream: &mut TcpStream,
+    max_pause: Duration,
+) -> io::Result<Envelope> {
+    let mut prefix = [0; STREAM_PREFIX_LEN];
+    timeout(max_pause, stream.read_exact(&mut prefix)).await??;
+    let len = stream_frame_len(prefix).map_err(io::Error::other)?;
+    let mut frame = Vec::with_capacity(len);
+    let mut rest = stream.take(len as u64);
+    while frame.len() < len {
+        if timeout(max_pause, rest.read_buf(&mut frame)).await?? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    host.net().codec.decode_stream(&frame).map_err(io::Error::other)
+}
+
 /// Reads one message from a stream.
 pub async fn read(host: &Host, stream: &mut TcpStream) -> io::Result<Envelope> {
     let mut prefix = [0; STREAM_PREFIX_LEN];
--- a/crates/geraniummux-host/src/replication.rs
+++ b/crates/geraniummux-host/src/replication.rs
@@ -8,7 +8,7 @@
 use crate::peers;
 use geraniummux_core::fleet::{Leader, Position, ReaderOptions, leaders};
 use geraniummux_core::{Member, MemberState, Membership, Time};
-use geraniummux_wire::{Message, ReplicaUpdate, ReplicaVersions};
+use geraniummux_wire::{Message, PackedConfigChange, ReplicaUpdate, ReplicaVersions};
 use slog::{info, warn};
 use std::io;
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
 
 /// Interval of updates to a follower while nothing changes; they only state how current the copy is.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// Time without an update after which another leader is followed: three missed heartbeats.
+/// Time without any bytes from the leader after which another one is followed: three missed heartbeats.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for a leader to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -95,8 +95,9 @@
         "targets_revision" => versions.targets_revision.unwrap_or(0));
     loop {
         changes.borrow_and_update();
-        let message = next_update(host, &mut versions);
-        timeout(SEND_TIMEOUT, peers::write(host, &mut stream, message)).await??;
+        for message in next_messages(host, &mut versions)? {
+            timeout(SEND_TIMEOUT, peers::write(host, &mut stream, message)).await??;
+        }
         tokio::select! {
             changed = changes.changed() => changed.map_err(io::Error::other)?,
             () = tokio::time::sleep(HEARTBEAT_INTERVAL) => {}
@@ -110,28 +111,32 @@
     }
 }
 
-/// Returns an update with what a follower lacks, and advances its versions by that.
-fn next_update(host: &Host, versions: &mut ReplicaVersions) -> Message {
+/// Returns the messages with what a follower lacks, and advances its versions by that. The last one is an
+/// update.
+fn next_messages(host: &Host, versions: &mut ReplicaVersions) -> io::Result<Vec<Message>> {
     let now = host.now();
     let (age, expiry_grace, config_revision) = {
         let freshness = host.freshness();
         (freshness.age(now), freshness.in_expiry_grace(now), freshness.config_revision.unwrap_or(0))
     };
-    let config = host.config().filter(|c| c.version > versions.config_version);
-    let targets = host.fleet().delta_since(versions.targets_revision);
-    if let Some(config) = &config {
-        versions.config_version = config.version;
+    let mut messages = Vec::with_capacity(2);
+    if let Some(change) = host.config_change_since(versions.config_version) {
+        versions.config_version = change.version;
+        let packed = PackedConfigChange::pack(&change).map_err(io::Error::other)?;
+        messages.push(Message::ConfigChange(packed));
     }
+    let targets = host.fleet().delta_since(versions.targets_revision);
     if let Some(targets) = &targets {
         versions.targets_revision = Some(targets.to);
     }
-    Message::Update(ReplicaUpdate {
+    messages.push(Message::Update(ReplicaUpdate {
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         expiry_grace,
         config_revision,
-        config: config.map(|c| (*c).clone()),
+        config: None,
         targets,
-    })
+    }));
+    Ok(messages)
 }
 
 /// Follows other hosts until the task is dropped.
@@ -189,9 +194,14 @@
     let started = host.now();
     let mut reviewed = started;
     loop {
-        let envelope = timeout(LEADER_TIMEOUT, peers::read(host, &mut stream)).await??;
-        let Message::Update(update) = envelope.message else {
-            return Err(io::Error::other("the leader sent a message that is not an update"));
+        let envelope = peers::read_within(host, &mut stream, LEADER_TIMEOUT).await?;
+        let update = match envelope.message {
+            Message::Update(update) => update,
+            Message::ConfigChange(packed) => {
+                apply_config_change(host, &packed, &envelope.from)?;
+                continue;
+            }
+            _ => return Err(io::Error::other("the leader sent a message that is not an update")),
         };
         let age = Duration::from_millis(u64::from(update.age_ms));
         if !apply_update(host, update, &envelope.from) {
@@ -223,6 +233,24 @@
     first == Some(leader) || (!preferred && followed < 5 * LEADER_REVIEW_INTERVAL)
 }
 
+/// Puts the configuration after a change in force.
+fn apply_config_change(host: &Host, packed: &PackedConfigChange, from: &str) -> io::Result<()> {
+    let change = packed.unpack().map_err(io::Error::other)?;
+    let (base, version) = (change.base, change.version);
+    let revision = host.freshness().config_revision.unwrap_or(0);
+    match change.apply(host.config().as_deref()) {
+        Some(config) => host.adopt_config(config, revision, from),
+        // This host got a newer one meanwhile from elsewhere.
+        None if host.config_version() >= version => {}
+        None => {
+            return Err(io::Error::other(format!(
+                "a change to version {version} is based on version {base:?}, which is not in force"
+            )));
+        }
+    }
+    Ok(())
+}
+
 /// Applies a leader's update. Returns false if its changes of targets do not continue from this host's
 /// revision.
 fn apply_update(host: &Host, update: ReplicaUpdate, from: &str) -> bool {
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -36,8 +36,13 @@
 
 /// Returns a host with the peer address `peer`. `seeds` is a JSON array of other hosts' addresses.
 pub async fn host(peer: SocketAddr, seeds: &str) -> Arc<Host> {
+    named_host("h", peer, seeds).await
+}
+
+/// Returns a host with a name.
+pub async fn named_host(name: &str, peer: SocketAddr, seeds: &str) -> Arc<Host> {
     let settings = format!(
-        r#"{{"host": "h", "failure_domain": "a", "listen": "127.9.9.1:1", "readiness": "127.9.9.1:2",
+        r#"{{"host": "{name}", "failure_domain": "a", "listen": "127.9.9.1:1", "readiness": "127.9.9.1:2",
             "directory": "127.9.9.1:3", "peer": "{peer}", "peer_key": "{PEER_KEY}",
             "store": "127.9.9.1:5", "seeds": {seeds}}}"#
     );
--- a/crates/geraniummux-wire/src/lib.rs
+++ b/crates/geraniummux-wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod codec;
 pub mod errors;
 pub mod message;
+pub mod packed;
 
 pub use codec::{Codec, MAX_DATAGRAM_LEN, MAX_STREAM_FRAME_LEN, stream_frame_len};
 pub use errors::{Error, Result};
@@ -16,3 +17,4 @@
     CrashReport, Envelope, MAX_PROBED_TARGETS, Message, ProbeResult, ProbeResults, ProbedState,
     ReplicaUpdate, ReplicaVersions, State, TargetFaults,
 };
+pub use packed::PackedConfigChange;
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -1,5 +1,6 @@
 //! The messages between hosts.
 
+use crate::packed::PackedConfigChange;
 use geraniummux_core::drain::{LeavingAck, LeavingNotice};
 use geraniummux_core::fleet::{
     FleetConfig, RegistryDelta, SlotDecision, SlotRequest, TargetReport,
@@ -143,6 +144,10 @@
         /// Identity of the target that is registered with the address.
         target: Arc<str>,
     },
+    /// TCP: a change of the configuration, which a leader sends to a follower before an update.
+    ConfigChange(PackedConfigChange),
+    /// UDP: the sender reads the platform's store and has current data, while other hosts lack it.
+    ReadingStore,
 }
 
 /// Maximum number of targets in one [`Message::ProbeTargets`] or [`Message::TargetReports`], so that
@@ -168,7 +173,8 @@
     pub expiry_grace: bool,
     /// Revision of the store up to which the sender's configuration is current.
     pub config_revision: u64,
-    /// The configuration if it is newer than the follower's.
+    /// The configuration if it is newer than the follower's. Hosts send [`Message::ConfigChange`] instead;
+    /// older versions send it here.
     pub config: Option<FleetConfig>,
     /// Changes of the target registry if the follower lacks any.
     pub targets: Option<RegistryDelta>,
--- /dev/null
+++ b/crates/geraniummux-wire/src/packed.rs
@@ -0,0 +1,51 @@
+//! Changes of the configuration in compressed form. Routes resemble each other, so that compression makes
+//! a configuration several times smaller.
+
+use crate::codec::MAX_STREAM_FRAME_LEN;
+use crate::errors::{Error, Result};
+use geraniummux_core::fleet::ConfigChange;
+use serde::{Deserialize, Serialize};
+
+/// Maximum size of a change before compression in bytes, so that a reader never allocates more.
+const MAX_UNPACKED_LEN: usize = 4 * MAX_STREAM_FRAME_LEN;
+
+/// A [`ConfigChange`], encoded with postcard and compressed with LZ4.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PackedConfigChange {
+    /// Size of the encoded change in bytes.
+    len: u32,
+    data: Vec<u8>,
+}
+
+impl PackedConfigChange {
+    /// Encodes and compresses a change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the encoded change is longer than a follower accepts.
+    pub fn pack(change: &ConfigChange) -> Result<Self> {
+        let encoded = postcard::to_stdvec(change).map_err(|e| Error::Codec(e.to_string()))?;
+        check_len(encoded.len())?;
+        let data = lz4_flex::block::compress(&encoded);
+        Ok(PackedConfigChange { len: encoded.len() as u32, data })
+    }
+
+    /// Decompresses and decodes the change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the content is invalid or longer than the limit.
+    pub fn unpack(&self) -> Result<ConfigChange> {
+        check_len(self.len as usize)?;
+        let encoded = lz4_flex::block::decompress(&self.data, self.len as usize)
+            .map_err(|e| Error::Codec(e.to_string()))?;
+        postcard::from_bytes(&encoded).map_err(|e| Error::Codec(e.to_string()))
+    }
+}
+
+fn check_len(len: usize) -> Result<()> {
+    if len > MAX_UNPACKED_LEN {
+        return Err(Error::TooLong { len, limit: MAX_UNPACKED_LEN });
+    }
+    Ok(())
+}
--- a/crates/geraniummux-wire/tests/codec.rs
+++ b/crates/geraniummux-wire/tests/codec.rs
@@ -1,7 +1,9 @@
 //! Frames: round trips, refusal of foreign and altered bytes, and size limits.
 
 use geraniummux_core::drain::{LeavingAck, LeavingNotice};
-use geraniummux_core::fleet::{RejectReason, SlotDecision, SlotRequest, TargetReport};
+use geraniummux_core::fleet::{
+    ConfigChange, FleetConfig, RejectReason, SlotDecision, SlotRequest, TargetReport,
+};
 use geraniummux_core::membership::{Gossip, GossipKind, MembershipAction, MembershipOptions};
 use geraniummux_core::usage::{
     MAX_CONFIRMED_REPORTS, Month, ProcessId, ReportRow, UsageAction, UsageCounters, UsageKey,
@@ -10,8 +12,8 @@
 use geraniummux_core::{Member, MemberState, Membership, Time, UnixMs};
 use geraniummux_wire::{
     Codec, CrashReport, Envelope, Error, MAX_DATAGRAM_LEN, MAX_PROBED_TARGETS,
-    MAX_STREAM_FRAME_LEN, Message, ProbeResult, ProbeResults, ProbedState, State, TargetFaults,
-    stream_frame_len,
+    MAX_STREAM_FRAME_LEN, Message, PackedConfigChange, ProbeResult, ProbeResults, ProbedState,
+    State, TargetFaults, stream_frame_len,
 };
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -198,6 +200,12 @@
         (any::<u64>(), name(), prop::option::of((name(), target_report())))
             .prop_map(|(number, pool, report)| Message::GrantEnded { number, pool, report }),
         name().prop_map(|target| Message::IdentityMismatch { target }),
+        (any::<u64>(), prop::collection::vec(name(), 0..40)).prop_map(|(version, removed)| {
+            let config = FleetConfig { version, ..FleetConfig::default() };
+            let change = ConfigChange { base: Some(1), removed, ..ConfigChange::whole(&config) };
+            Message::ConfigChange(PackedConfigChange::pack(&change).unwrap())
+        }),
+        Just(Message::ReadingStore),
     ]
 }
 
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -74,6 +74,8 @@
         | Message::SlotDecision { .. }
         | Message::GrantDeclined { .. }
         | Message::IdentityMismatch { .. }
+        | Message::ConfigChange(_)
+        | Message::ReadingStore
         | Message::ProbeTargets { .. }
         | Message::TargetReports { .. }
         | Message::GrantEnded { .. } => control.net.count_refused(),
