Readers: other hosts ask the store when it refuses the six readers

Cause: while the replicated data is stale, only the two primary and four standby readers read the store; all others wait until it is 6 s old. A store that refuses these six and serves others leaves the fleet on the old version for six seconds. A host that then read had no followers, since nobody expects it to.

Ruled out: the replication tree (the readers themselves had no new version), a silent watch (the calls were refused).

Change: from an age of 1.2 s on, the other hosts check in growing groups (4, 8, 16 hosts, 100 ms apart) whether the store responds to them, with the call that costs a tenth, and read only then; failed checks back off to 5 s. A reader that is not a primary one announces itself, and hosts with stale data follow it. A follower of stale leaders pauses between them; it went round them without a pause before.

By the old rule the first host after the readers asks after 6 s, which read_source_readers_refused_others_ask_in_time refuses.

--- a/crates/geraniummux-core/src/fleet/readers.rs
+++ b/crates/geraniummux-core/src/fleet/readers.rs
@@ -6,8 +6,10 @@
 //! little traffic crosses domains. The number of store calls therefore doesn't grow with the fleet.
 //!
 //! If the replicated data becomes stale, the next hosts in the order, the standby readers, start
-//! reading one after the other. All other hosts read only if they get no updates from any peer, or
-//! much later.
+//! reading one after the other. If it stays stale, the store may refuse all of them and yet serve
+//! others: the other hosts check in growing groups whether it responds to them, which is cheap, and read
+//! only if it does. Without a check they read only if they get no updates from any peer, or much
+//! later.
 
 use std::time::Duration;
 
@@ -27,6 +29,13 @@
     /// Additional delay for each further host, so that hosts start reading one after the other.
     /// Applies to `stale_after`, `isolated_after` and `fallback_after`.
     pub standby_step: Duration,
+    /// Age of the replicated data at which the first hosts after the standby readers check whether the
+    /// store responds to them.
+    pub check_after: Duration,
+    /// Number of hosts in the first group that checks the store. Each further group is twice as large.
+    pub first_check_group: usize,
+    /// Additional delay for each further group.
+    pub check_step: Duration,
     /// Time without updates from any peer after which a host that is neither a primary nor a
     /// standby reader starts reading.
     pub isolated_after: Duration,
@@ -43,6 +52,9 @@
             fanout: 4,
             stale_after: Duration::from_millis(700),
             standby_step: Duration::from_millis(150),
+            check_after: Duration::from_millis(1_200),
+            first_check_group: 4,
+            check_step: Duration::from_millis(100),
             isolated_after: Duration::from_millis(2_500),
             fallback_after: Duration::from_secs(6),
         }
@@ -63,6 +75,8 @@
 pub enum ReadSource {
     /// The platform's store.
     Store,
+    /// The platform's store if it responds to a check, otherwise other hosts.
+    StoreIfResponsive,
     /// Other hosts only.
     Peers,
 }
@@ -93,7 +107,7 @@
         return ReadSource::Store;
     }
     let delay = |n: usize| opts.standby_step * n as u32;
-    let stale = if reads_store {
+    let reads = if reads_store {
         age >= opts.stale_after / 2
     } else if rank < opts.readers {
         age >= opts.stale_after + delay(rank - opts.primary_readers)
@@ -104,7 +118,19 @@
         silence >= opts.isolated_after + delay(rank % 8)
             || age >= opts.fallback_after + delay(rank - opts.readers)
     };
-    if stale { ReadSource::Store } else { ReadSource::Peers }
+    if reads {
+        return ReadSource::Store;
+    }
+    let checks = !reads_store
+        && rank >= opts.readers
+        && age >= opts.check_after + opts.check_step * check_group(rank - opts.readers, opts);
+    if checks { ReadSource::StoreIfResponsive } else { ReadSource::Peers }
+}
+
+/// Returns the number of the group in which the host checks the store that has `index` hosts between the
+/// standby readers and itself.
+fn check_group(index: usize, opts: &ReaderOptions) -> u32 {
+    (index / opts.first_check_group.max(1) + 1).ilog2()
 }
 
 /// A host to replicate from.
--- a/crates/geraniummux-core/tests/fleet_budgets.rs
+++ b/crates/geraniummux-core/tests/fleet_budgets.rs
@@ -115,6 +115,28 @@
     assert_eq!(reader_count(6_900, 100), 13);
 }
 
+/// Returns the age of the replicated data at which the store is first asked by one of `served`, the ranks
+/// of the hosts to which it responds, in a fleet of 500 hosts that get updates from one another.
+fn first_read_ms(served: &[usize]) -> u64 {
+    let opts = ReaderOptions::default();
+    let asks = |rank: usize, age_ms: u64| {
+        let freshness = PeerFreshness { age: Duration::from_millis(age_ms), ..Default::default() };
+        read_source(rank, freshness, false, &opts) != ReadSource::Peers
+    };
+    (0..20_000).step_by(10).find(|ms| served.iter().any(|rank| asks(*rank, *ms))).unwrap()
+}
+
+/// Guards against hosts that keep an old configuration for seconds because the store refuses all primary
+/// and standby readers (CONFIG on kukko-gw-grown): some host that it serves has to ask it in time for a
+/// configuration to be in force within two seconds.
+#[test]
+fn read_source_readers_refused_others_ask_in_time() {
+    assert!(first_read_ms(&[17]) <= 1_500, "{}", first_read_ms(&[17]));
+    let some: Vec<usize> = (0..500).filter(|rank| rank % 7 == 6).collect();
+    assert!(first_read_ms(&some) <= 1_300, "{}", first_read_ms(&some));
+    assert!(first_read_ms(&[499]) <= 2_000, "{}", first_read_ms(&[499]));
+}
+
 /// Guards against hosts that are cut off from their peers and don't read the store.
 #[test]
 fn read_source_cut_off_from_peers_reads() {
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -18,6 +18,7 @@
 use geraniummux_core::{Member, MemberState, Membership, Time};
 use slog::{Logger, info, warn};
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -69,6 +70,8 @@
     members: Mutex<Membership>,
     freshness: Mutex<Freshness>,
     phase: watch::Sender<Phase>,
+    /// The host that announced last that it reads the store.
+    pub announced_reader: watch::Sender<Option<SocketAddr>>,
     /// Incremented with each change that has to be sent to followers.
     replica_changes: watch::Sender<u64>,
     callers: AtomicUsize,
@@ -124,6 +127,7 @@
             members: Mutex::new(Membership::new(now, local_member, seeds, opts, &mut rand::rng())),
             freshness: Mutex::new(Freshness::new(now)),
             phase: watch::channel(Phase::Serving).0,
+            announced_reader: watch::channel(None).0,
             replica_changes: watch::channel(0).0,
             callers: AtomicUsize::new(0),
             settings: ArcSwap::from_pointee(settings),
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -120,6 +120,9 @@
             }
         }
         Message::IdentityMismatch { target } => host.on_peer_identity_mismatch(&from, &target),
+        Message::ReadingStore => {
+            host.announced_reader.send_replace(Some(addr));
+        }
         Message::CrashReport(crash_report) => {
             on_crash_report(host, &format!("{from}/{incarnation}"), &crash_report)
         }
@@ -243,6 +246,11 @@
     send(host, &fault_receivers(host), message);
 }
 
+/// Tells all peers that this host reads the store and has current data.
+pub fn announce_reading(host: &Host) {
+    send(host, &live_peers(host), Message::ReadingStore);
+}
+
 fn broadcast_faults(host: &Host) {
     let unsent = std::mem::take(&mut host.fleet().unsent_faults);
     if unsent.is_empty() {
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -1,8 +1,10 @@
 //! Reads and watches the platform's store while this host is one of its readers.
 
 use crate::host::Host;
+use crate::peers;
 use crate::replication;
 use crate::store::{ConfigUpdate, Consistency, Store, StoreError, UnknownRouteType};
+use geraniummux_core::Time;
 use geraniummux_core::fleet::{ReadSource, ReaderOptions, read_source};
 use rand::RngExt;
 use slog::{info, warn};
@@ -30,6 +32,16 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for the response to a check; a slow store takes about 250 ms.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Delay before a host that doesn't read the store repeats a failed check; it doubles with each further
+/// one.
+const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(800);
+/// Longest delay before such a check is repeated.
+const MAX_RECHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which a standby reader or a later host tells the others that it reads the store. They may
+/// not expect that of it, and follow other hosts.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(4);
+/// Interval of these announcements, some of which may be lost.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the start in which members discover each other before any of them reads the store.
 const STARTUP_SETTLE_TIME: Duration = Duration::from_millis(1_200);
 
@@ -54,6 +66,9 @@
     let opts = ReaderOptions::default();
     let started = host.now();
     let mut tasks: Vec<tokio::task::JoinHandle<()>> = Vec::new();
+    let mut checks = CheckInterval::new();
+    // Until when other hosts are told that this one reads the store, and when next.
+    let (mut announce_until, mut next_announcement) = (started, started);
     loop {
         tokio::time::sleep(ROLE_REVIEW_INTERVAL).await;
         let now = host.now();
@@ -63,8 +78,28 @@
         let position = replication::ReaderOrder::of(&host.members()).position;
         let peer_freshness = host.freshness().peer_freshness(now);
         let is_reading = !tasks.is_empty();
-        match (read_source(position.rank, peer_freshness, is_reading, &opts), is_reading) {
+        let mut source = read_source(position.rank, peer_freshness, is_reading, &opts);
+        match source {
+            ReadSource::StoreIfResponsive if !checks.is_due(now) => source = ReadSource::Peers,
+            ReadSource::StoreIfResponsive => {
+                let result = timeout(CHECK_TIMEOUT, store.check()).await;
+                let result = result.unwrap_or_else(|_| Err(check_timed_out()));
+                record_call(&host, "check", result.as_ref().err());
+                checks.record(host.now(), result.is_ok());
+                source = if result.is_ok() { ReadSource::Store } else { ReadSource::Peers };
+            }
+            ReadSource::Store => {}
+            ReadSource::Peers => checks.reset(),
+        }
+        if now < announce_until && now >= next_announcement && host.freshness().is_watching() {
+            next_announcement = now + ANNOUNCEMENT_INTERVAL;
+            peers::announce_reading(&host);
+        }
+        match (source, is_reading) {
             (ReadSource::Store, false) => {
+                if position.rank >= opts.primary_readers {
+                    announce_until = now + ANNOUNCEMENT_TIME;
+                }
                 info!(host.log, "reading_store"; "rank" => position.rank,
                     "hosts" => position.hosts, "age_ms" => peer_freshness.age.as_millis() as u64);
                 let store_lost = Arc::new(Notify::new());
@@ -73,7 +108,7 @@
                 tasks.push(tokio::spawn(watch_config(host.clone(), store.clone(), config)));
                 tasks.push(tokio::spawn(monitor_store(host.clone(), store.clone(), store_lost)));
             }
-            (ReadSource::Peers, true) => {
+            (ReadSource::Peers | ReadSource::StoreIfResponsive, true) => {
                 info!(host.log, "reading_peers"; "rank" => position.rank,
                     "hosts" => position.hosts, "age_ms" => peer_freshness.age.as_millis() as u64);
                 for task in tasks.drain(..) {
@@ -83,8 +118,38 @@
                 freshness.set_watching_targets(now, false);
                 freshness.set_watching_config(now, false);
             }
-            (ReadSource::Store, true) | (ReadSource::Peers, false) => {}
+            (ReadSource::Store, true)
+            | (ReadSource::Peers | ReadSource::StoreIfResponsive, false) => {}
+        }
+    }
+}
+
+/// When a host checks again whether the store responds to it.
+struct CheckInterval {
+    due: Time,
+    interval: Duration,
+}
+
+impl CheckInterval {
+    fn new() -> Self {
+        CheckInterval { due: Time::default(), interval: MIN_RECHECK_INTERVAL }
+    }
+
+    fn reset(&mut self) {
+        *self = CheckInterval::new();
+    }
+
+    fn is_due(&self, now: Time) -> bool {
+        now >= self.due
+    }
+
+    fn record(&mut self, now: Time, responded: bool) {
+        if responded {
+            self.reset();
+            return;
         }
+        self.due = now + self.interval.mul_f64(rand::rng().random_range(0.75..1.25));
+        self.interval = (self.interval * 2).min(MAX_RECHECK_INTERVAL);
     }
 }
 
--- a/crates/geraniummux-host/src/replication.rs
+++ b/crates/geraniummux-host/src/replication.rs
@@ -12,6 +12,7 @@
 use slog::{info, warn};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -154,11 +155,21 @@
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         }
-        let leader = leaders[failures % leaders.len()];
-        let preferred = failures == 0;
-        match follow_leader(&host, leader, preferred).await {
+        let announced = *host.announced_reader.borrow();
+        let announced = announced.filter(|_| is_stale(&host));
+        let leader = announced.unwrap_or(leaders[failures % leaders.len()]);
+        let preferred = announced.is_none() && failures == 0;
+        let result = follow_leader(&host, leader, preferred).await;
+        if announced.is_some() && !matches!(result, Ok(SwitchReason::NotPreferred)) {
+            host.announced_reader.send_if_modified(|a| a.take_if(|a| *a == leader).is_some());
+        }
+        match result {
             Ok(SwitchReason::NotPreferred) => failures = 0,
-            Ok(SwitchReason::LeaderStale) => failures += 1,
+            Ok(SwitchReason::LeaderStale) => {
+                failures += 1;
+                let mut announcements = host.announced_reader.subscribe();
+                let _ = timeout(RETRY_DELAY, announcements.changed()).await;
+            }
             Err(e) => {
                 warn!(host.log, "leader_lost"; "leader" => leader.to_string(),
                     "error" => e.to_string(),
@@ -170,6 +181,12 @@
     }
 }
 
+/// Returns whether the copy is so old that a host is followed which has announced that it reads the
+/// store.
+fn is_stale(host: &Host) -> bool {
+    host.freshness().age(host.now()) >= ReaderOptions::default().stale_after
+}
+
 /// Why a leader is no longer followed.
 enum SwitchReason {
     /// Its copy of the store is not current.
@@ -191,10 +208,23 @@
     };
     peers::write(host, &mut stream, Message::Follow(versions)).await?;
     info!(host.log, "leader_followed"; "leader" => leader.to_string(), "preferred" => preferred);
+    let mut announcements = host.announced_reader.subscribe();
     let started = host.now();
     let mut reviewed = started;
     loop {
-        let envelope = peers::read_within(host, &mut stream, LEADER_TIMEOUT).await?;
+        let mut read = pin!(peers::read_within(host, &mut stream, LEADER_TIMEOUT));
+        let envelope = loop {
+            tokio::select! {
+                biased;
+                envelope = &mut read => break envelope?,
+                Ok(()) = announcements.changed() => {
+                    let is_other = *announcements.borrow_and_update() != Some(leader);
+                    if is_other && is_stale(host) {
+                        return Ok(SwitchReason::LeaderStale);
+                    }
+                }
+            }
+        };
         let update = match envelope.message {
             Message::Update(update) => update,
             Message::ConfigChange(packed) => {
--- a/crates/geraniummux-host/tests/replication.rs
+++ b/crates/geraniummux-host/tests/replication.rs
@@ -31,7 +31,7 @@
         // Differs as much between routes as generated names do.
         prefix: format!("/{:08x}/", (i as u32).wrapping_mul(0x9e37_79b9)).into(),
         shares: vec![PoolShare { pool: "ledger".into(), weight: 1.0 }],
-        idempotent: i % 3 == 0,
+        idempotent: i.is_multiple_of(3),
         max_attempts: 3,
         timeout: Duration::from_millis(timeout_ms),
         latency_target: Duration::from_millis(300),
