A target that says in its answers that it leaves gets no more requests

That is not reproduced on this machine; this closes the one way that is left by reading.

Cause (suspected): a leaving target says so in the store and in all its answers, and hosts read the store only. A host without news from the store and from peers went on using the target for as long as it answered.

Change: hosts read the header from responses and probes (Demands), keep the target out of every choice of their own, and report it to the scheduler of the pool, at once and every second, since messages may be lost and schedulers change. The mark ends when the target's entry goes or shows another start. The target of a grant is looked up once more after the connection or the probe, that is, right before the request is sent. A target that restarts under its identity starts without load and faults in the scheduler.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod bodies;
 mod config_change;
+mod demands;
 mod extra_attempts;
 mod faults;
 mod forecast;
@@ -26,6 +27,7 @@
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
 pub use config_change::ConfigChange;
+pub use demands::{Demands, ReportedDemand, TargetDemand};
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
 pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
--- a/crates/geraniummux-core/src/fleet/registry.rs
+++ b/crates/geraniummux-core/src/fleet/registry.rs
@@ -143,6 +143,12 @@
             .filter_map(move |e| Some((e.target.as_ref()?, now < e.warm_up_ends)))
     }
 
+    /// Returns when a registered target was started, in milliseconds since the Unix epoch.
+    pub fn started_unix_ms(&self, target: &str) -> Option<u64> {
+        let i = self.entries.binary_search_by(|e| (*e.id).cmp(target)).ok()?;
+        self.entries[i].started_unix_ms()
+    }
+
     /// Drops entries whose expiry grace is over. Returns whether there were any.
     pub fn drop_expired(&mut self, now: Time) -> bool {
         let before = self.entries.len();
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -20,6 +20,7 @@
 //! The scheduler stores no state: another host can take over at any time, since the targets' reports
 //! show what is in flight there.
 
+use super::demands::ReportedDemand;
 use super::faults::{FaultOptions, FaultScore};
 use super::forecast::{ForecastOptions, TargetReport, latency_factor};
 use super::registry::RegisteredTarget;
@@ -289,6 +290,11 @@
     faults: FaultScore,
     /// End of the time without requests after another target has answered at this one's address.
     mismatched_until: Time,
+    started_unix_ms: u64,
+    /// Whether the target has said that it is leaving.
+    leaving: bool,
+    /// When the target's last answer was given that says whether it is leaving.
+    demand_at: Time,
     outlook: Outlook,
 }
 
@@ -304,6 +310,11 @@
 }
 
 impl Target {
+    /// Returns whether the target accepts no requests, whatever its load.
+    fn is_closed(&self, now: Time) -> bool {
+        self.leaving || now < self.mismatched_until
+    }
+
     /// Records the load that the target reported.
     fn set_report(&mut self, now: Time, report: &TargetReport) {
         self.slowdown = report.slowdown;
@@ -438,7 +449,7 @@
             });
             let previous = old.binary_search_by(|o| o.id.cmp(&t.id)).ok().map(|i| &mut old[i]);
             self.targets.push(match previous {
-                Some(p) => Target {
+                Some(p) if p.started_unix_ms == t.started_unix_ms => Target {
                     id: p.id.clone(),
                     domain,
                     in_flight: std::mem::take(&mut p.in_flight),
@@ -446,7 +457,7 @@
                     warming_up,
                     ..*p
                 },
-                None => Target {
+                _ => Target {
                     id: t.id.clone(),
                     domain,
                     slots: t.slots.max(1),
@@ -457,6 +468,9 @@
                     untracked: 0.0,
                     faults: FaultScore::default(),
                     mismatched_until: Time::default(),
+                    started_unix_ms: t.started_unix_ms,
+                    leaving: false,
+                    demand_at: Time::default(),
                     outlook: Outlook::default(),
                 },
             });
@@ -504,12 +518,12 @@
 
     /// Returns the targets whose last report is at least `max_age` old: first those that never
     /// reported, then the others by age, the oldest first. Targets at whose address another one has
-    /// answered are left out.
+    /// answered are left out, and so are those that are leaving.
     pub fn stale_targets(&self, now: Time, max_age: Duration) -> Vec<StaleTarget> {
         let mut stale_targets: Vec<StaleTarget> = self
             .targets
             .iter()
-            .filter(|t| t.mismatched_until <= now)
+            .filter(|t| !t.is_closed(now))
             .map(|t| StaleTarget {
                 age: t.reported_at.map(|at| now.since(at)),
                 target: t.id.clone(),
@@ -569,6 +583,18 @@
         t.set_report(now, report);
     }
 
+    /// Records what a target demanded with an answer to some host.
+    pub fn on_demand(&mut self, now: Time, report: &ReportedDemand) {
+        let Some(i) = self.find(&report.target) else { return };
+        let (t, said_at) = (&mut self.targets[i], now - report.age);
+        // Reports of several hosts arrive in any order.
+        if said_at <= t.demand_at {
+            return;
+        }
+        t.demand_at = said_at;
+        t.leaving |= report.demand.leaving;
+    }
+
     /// Adds the weight of a fault to a target.
     pub fn on_fault(&mut self, now: Time, target: &str, weight: f64) {
         if let Some(i) = self.find(target) {
@@ -698,7 +724,7 @@
         let fault_score = t.outlook.fault_score;
         Forecast {
             has_room: report.running + report.waiting < report.slots + pass.overcommit
-                && t.mismatched_until <= pass.now,
+                && !t.is_closed(pass.now),
             ejected: pass.may_eject && fault_score >= self.opts.faults.eject_at,
             latency_factor: latency_factor(&report, t.warming_up, &self.opts.forecast),
             fault_factor: 1.0 + fault_score,
@@ -800,7 +826,7 @@
         if left < w.request.service_time {
             return Some(self.reject(now, w, RejectReason::TooLate));
         }
-        let is_excluded = |t: &Target| now < t.mismatched_until || w.request.avoid.contains(&t.id);
+        let is_excluded = |t: &Target| t.is_closed(now) || w.request.avoid.contains(&t.id);
         if self.targets.iter().all(is_excluded) {
             return Some(self.reject(now, w, RejectReason::NoTarget));
         }
--- /dev/null
+++ b/crates/geraniummux-core/tests/fleet_demands.rs
@@ -0,0 +1,74 @@
+//! What targets demand with their answers.
+
+use geraniummux_core::Time;
+use geraniummux_core::fleet::{
+    Demands, RegisteredTarget, ReportedDemand, RequestKey, Scheduler, SchedulerOptions,
+    SlotDecision, SlotRequest, TargetDemand,
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+const START: Time = Time::from_millis(1_000_000);
+const LEAVING: TargetDemand = TargetDemand { leaving: true };
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn target(id: &str) -> RegisteredTarget {
+    RegisteredTarget {
+        id: id.into(),
+        pool: "ledger".into(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: "a".into(),
+        slots: 6,
+        leaving: false,
+        warm_up: Duration::ZERO,
+        started_unix_ms: 0,
+    }
+}
+
+fn request() -> SlotRequest {
+    SlotRequest {
+        failure_domain: "a".into(),
+        priority: 1,
+        service_time: ms(100),
+        body_bytes: 0,
+        time_left: ms(1_000),
+        latency_target_left: ms(300),
+        hedgeable: false,
+        avoid: Vec::new(),
+    }
+}
+
+/// Guards against grants at a target that has said that it is leaving (DRAIN), and against reports that
+/// arrive late and undo newer ones.
+#[test]
+fn on_demand_leaving_target_gets_nothing() {
+    let mut s = Scheduler::new(SchedulerOptions::default());
+    let targets = [target("t0"), target("t1")];
+    s.update(targets.iter().map(|t| (t, false)));
+    let report = |demand, age| ReportedDemand { target: "t0".into(), demand, age };
+    s.on_demand(START, &report(LEAVING, Duration::ZERO));
+    s.on_demand(START + ms(10), &report(TargetDemand::default(), ms(200)));
+    for number in 0..6 {
+        let key = RequestKey { host: "h0".into(), number };
+        for (_, d) in s.on_request(START + ms(20), key, request()) {
+            assert!(matches!(&d, SlotDecision::Grant { target, .. } if **target == *"t1"), "{d:?}");
+        }
+    }
+}
+
+/// Guards against a host that goes on sending to a target that leaves (DRAIN); a target that was started
+/// again under its identity is usable.
+#[test]
+fn is_closed_leaving_target_until_it_restarts() {
+    let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
+    let mut d = Demands::default();
+    assert!(d.on_answer(START, &pool, &target, LEAVING));
+    assert!(!d.on_answer(START + ms(100), &pool, &target, TargetDemand::default()));
+    d.retain(|_| Some(7));
+    assert!(d.is_closed("t0"));
+    d.retain(|_| Some(8));
+    assert!(!d.is_closed("t0"));
+}
--- a/crates/geraniummux-host/src/fleet.rs
+++ b/crates/geraniummux-host/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A host's view of the fleet of targets, its budgets, and what is typical of each route's requests.
 
 use geraniummux_core::fleet::{
-    ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, SplitState, TableOptions,
+    Demands, ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, SplitState, TableOptions,
     TargetRegistry, TargetTable,
 };
 use geraniummux_core::quarantine::QuarantineOptions;
@@ -41,6 +41,8 @@
     pub registry: TargetRegistry,
     /// Load and faults of the targets that may be used.
     pub table: TargetTable,
+    /// What targets demanded with their answers to this host.
+    pub demands: Demands,
     /// Crash reports, and the requests that are blocked because of them.
     pub quarantine: Quarantine,
     /// The latest changes of the registry, oldest first.
@@ -76,6 +78,7 @@
         Fleet {
             registry: TargetRegistry::default(),
             table: TargetTable::new(failure_domain, TableOptions::default()),
+            demands: Demands::default(),
             quarantine: Quarantine::new(process, QuarantineOptions::default()),
             deltas: VecDeque::new(),
             splits: Vec::new(),
@@ -164,7 +167,10 @@
 
     /// Updates the table from the registered targets.
     pub fn update_table(&mut self, now: Time) {
-        let Fleet { registry, table, .. } = self;
+        let Fleet { registry, table, demands, .. } = self;
         table.update(registry.targets(now));
+        if !demands.is_empty() {
+            demands.retain(|target| registry.started_unix_ms(target));
+        }
     }
 }
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -7,12 +7,13 @@
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerNet};
 use crate::protocol::Protocol;
-use crate::scheduling::Scheduling;
+use crate::scheduling::{self, Scheduling};
 use crate::settings::Settings;
 use crate::upstream::IdleConnections;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
-    ConfigChange, ExtraAttempt, ExtraAttemptOptions, Fault, FleetConfig, RegistryDelta, RouteIndex,
+    Candidate, ConfigChange, ExtraAttempt, ExtraAttemptOptions, Fault, FleetConfig, RegistryDelta,
+    ReportedDemand, RouteIndex, TargetDemand,
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::{Member, MemberState, Membership, Time};
@@ -293,6 +294,31 @@
         true
     }
 
+    /// Records what a target demands with a response to a request or a probe, and reports changes to the
+    /// scheduler of the pool.
+    pub fn on_demand(self: &Arc<Self>, pool: &Arc<str>, target: &Arc<str>, demand: TargetDemand) {
+        if demand == TargetDemand::default() && self.fleet().demands.is_empty() {
+            return;
+        }
+        let now = self.now();
+        if !self.fleet().demands.on_answer(now, pool, target, demand) {
+            return;
+        }
+        info!(self.log, "target_demand"; "target" => &**target, "pool" => &**pool,
+            "leaving" => demand.leaving);
+        let report = ReportedDemand { target: target.clone(), demand, age: Duration::ZERO };
+        scheduling::report_demands(self, pool, vec![report]);
+    }
+
+    /// Returns a target as a candidate if it may be sent requests of the pool at present.
+    pub fn candidate(&self, pool: &str, target: &str) -> Option<Candidate> {
+        let fleet = self.fleet();
+        if fleet.demands.is_closed(target) {
+            return None;
+        }
+        fleet.table.candidate(pool, target)
+    }
+
     /// Records a fault of a target that this host observed.
     pub fn on_fault(&self, id: &Arc<str>, fault: Fault) {
         let now = self.now();
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -120,6 +120,9 @@
             }
         }
         Message::IdentityMismatch { target } => host.on_peer_identity_mismatch(&from, &target),
+        Message::TargetDemands { pool, demands } => {
+            scheduling::on_demands(host, &pool, &demands);
+        }
         Message::ReadingStore => {
             host.announced_reader.send_replace(Some(addr));
         }
--- a/crates/geraniummux-host/src/protocol.rs
+++ b/crates/geraniummux-host/src/protocol.rs
@@ -2,7 +2,7 @@
 //! readiness checks and the host list.
 
 use bytes::Bytes;
-use geraniummux_core::fleet::TargetReport;
+use geraniummux_core::fleet::{TargetDemand, TargetReport};
 use http::{HeaderMap, HeaderName, Uri};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -40,6 +40,9 @@
     /// Parses the load that a target reports in a response's headers.
     fn target_report(&self, headers: &HeaderMap) -> Option<TargetReport>;
 
+    /// Parses what a target demands of all hosts in a response's headers.
+    fn target_demand(&self, headers: &HeaderMap) -> TargetDemand;
+
     /// Returns whether a request to the readiness address is a readiness check.
     fn is_readiness_request(&self, uri: &Uri) -> bool;
 
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -10,6 +10,9 @@
 use slog::info;
 use std::sync::Arc;
 
+/// Reason of an attempt that the target refused without executing the request.
+const REFUSED: &str = "refused";
+
 /// Outcome of an attempt. The reasons are for logs and metrics.
 pub enum AttemptOutcome {
     /// The target's complete response.
@@ -54,7 +57,11 @@
                 host.fleet().table.on_report(now, &target, report);
             }
             let body_bytes = response.body.len() as u64;
+            let demand = host.protocol.target_demand(&response.headers);
             let outcome = classify(&ctx, response);
+            if is_from_target(&outcome) {
+                host.on_demand(&ctx.pool.name, &target, demand);
+            }
             if matches!(outcome, AttemptOutcome::Responded(_)) {
                 host.bodies.budget().on_response(route, body_bytes);
             }
@@ -124,6 +131,11 @@
     Some(req)
 }
 
+/// Returns whether a response is that of the target to this request.
+fn is_from_target(outcome: &AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::Responded(_) | AttemptOutcome::NotExecuted(REFUSED))
+}
+
 /// Classifies a target's response. A success counts only with the request's id and a digest.
 fn classify(ctx: &RequestContext, response: TargetResponse) -> AttemptOutcome {
     let names = ctx.host.protocol.headers();
@@ -135,7 +147,7 @@
         return AttemptOutcome::NotExecuted("other_target");
     }
     if response.headers.contains_key(&names.not_executed) {
-        return AttemptOutcome::NotExecuted("refused");
+        return AttemptOutcome::NotExecuted(REFUSED);
     }
     let verified = id.is_some() && response.headers.contains_key(&names.digest);
     if response.status.is_success() && !verified {
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -86,6 +86,7 @@
 pub async fn select(ctx: Arc<RequestContext>, tried: Vec<Arc<str>>) -> Selection {
     let host = &ctx.host;
     let mut avoid = tried.clone();
+    avoid.extend(closed_targets(&ctx));
     for tries in 1..=MAX_GRANTS_TRIED {
         let slot_request = |now: Time| SlotRequest {
             failure_domain: host.settings.load().failure_domain.clone(),
@@ -131,6 +132,18 @@
     select_by_probing(ctx, tried).await
 }
 
+/// Maximum number of targets that a slot request avoids because they accept nothing from this host, so
+/// that the message fits into a datagram. A grant for any other such target is not used.
+const MAX_CLOSED_TARGETS: usize = 16;
+
+/// Returns the targets that accept nothing from this host at present, as far as a slot request names
+/// them.
+fn closed_targets(ctx: &RequestContext) -> Vec<Arc<str>> {
+    let mut closed = ctx.host.fleet().demands.closed(&ctx.pool.name);
+    closed.truncate(MAX_CLOSED_TARGETS);
+    closed
+}
+
 /// Result of the connection to a target.
 pub enum Connect {
     /// A connection on which the request can be sent.
@@ -148,14 +161,24 @@
 pub async fn connect(ctx: &RequestContext, target: &Arc<str>, granted: f64) -> Connect {
     let host = &ctx.host;
     // The scheduler may not know yet that the target is leaving, or this host not yet that it exists.
-    let Some(candidate) = host.fleet().table.candidate(&ctx.pool.name, target) else {
+    let Some(candidate) = host.candidate(&ctx.pool.name, target) else {
         return Connect::Unusable;
     };
+    let result = connect_candidate(ctx, &candidate, granted).await;
+    // The target may have started to leave meanwhile.
+    if matches!(result, Connect::Connected(_)) && host.candidate(&ctx.pool.name, target).is_none() {
+        return Connect::Unusable;
+    }
+    result
+}
+
+async fn connect_candidate(ctx: &RequestContext, candidate: &Candidate, granted: f64) -> Connect {
+    let host = &ctx.host;
     if let Some((conn, idle)) = host.upstream.take_idle(host.now(), candidate.addr) {
         if ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
             return Connect::Connected(conn);
         }
-        let probe = probe_before_send(ctx, &candidate, conn, granted);
+        let probe = probe_before_send(ctx, candidate, conn, granted);
         if let Ok(Ok(result)) = timeout(IDLE_PROBE_TIMEOUT, probe).await {
             return result;
         }
@@ -164,7 +187,7 @@
     match timeout(CONNECT_TIMEOUT, Connection::open(candidate.addr)).await {
         Ok(Ok(conn)) => Connect::Connected(conn),
         _ => {
-            host.on_fault(target, Fault::Unreachable);
+            host.on_fault(&candidate.id, Fault::Unreachable);
             Connect::Unusable
         }
     }
@@ -202,7 +225,7 @@
     target: &Arc<str>,
 ) -> Option<TargetReport> {
     let pool = host.routes()?.pool(pool)?.clone();
-    let candidate = host.fleet().table.candidate(&pool.name, target)?;
+    let candidate = host.candidate(&pool.name, target)?;
     let response = probe_target(host.clone(), pool, candidate).await?;
     host.upstream.put_idle(host.now(), response.conn);
     Some(response.report)
@@ -225,11 +248,7 @@
             min_probes = usize::from(ctx.elapsed(host.now()) >= max_hold);
             continue;
         }
-        let now = host.now();
-        let candidates = {
-            let fleet = host.fleet();
-            fleet.table.candidates(now, &ctx.pool.name, &tried, granted, &mut rand::rng())
-        };
+        let candidates = candidates(&ctx, &tried, granted);
         if candidates.is_empty() {
             return rejection("no_target", &ctx);
         }
@@ -262,12 +281,11 @@
         match admit(&demand, &best.report, latency_factor, rand::random(), &rules) {
             AdmissionDecision::Send => {
                 let id = best.candidate.id;
-                let mut fleet = host.fleet();
                 // The target may have started to leave during the probe.
-                if !fleet.table.contains(&ctx.pool.name, &id) {
+                if host.candidate(&ctx.pool.name, &id).is_none() {
                     continue;
                 }
-                fleet.table.on_sent(&id);
+                host.fleet().table.on_sent(&id);
                 let conn = best.conn;
                 return Selection::Selected(SelectedTarget {
                     target: id,
@@ -295,6 +313,16 @@
     }
 }
 
+/// Returns up to `count` targets to probe for a request, none of `tried`.
+fn candidates(ctx: &RequestContext, tried: &[Arc<str>], count: usize) -> Vec<Candidate> {
+    let pool = &ctx.pool.name;
+    let now = ctx.host.now();
+    let fleet = ctx.host.fleet();
+    let mut avoid = tried.to_vec();
+    avoid.extend(fleet.demands.closed(pool));
+    fleet.table.candidates(now, pool, &avoid, count, &mut rand::rng())
+}
+
 fn rejection(reason: &'static str, ctx: &RequestContext) -> Selection {
     let left = ctx.time_left(ctx.host.now());
     let share = AdmissionRules::default().retry_after_share;
@@ -382,7 +410,7 @@
 /// Sends one probe. Returns `Err` if the connection is unusable, and `Ok(None)` if the target
 /// responded but can't be used.
 async fn send_probe(
-    host: &Host,
+    host: &Arc<Host>,
     pool: &FleetPool,
     candidate: &Candidate,
     conn: Connection,
@@ -407,6 +435,8 @@
         return Ok(None);
     }
     host.metrics.probe(&pool.name, response.status.as_str());
+    let demand = host.protocol.target_demand(&response.headers);
+    host.on_demand(&pool.name, &candidate.id, demand);
     let report = host.protocol.target_report(&response.headers);
     if let Some(report) = report {
         host.fleet().table.on_report(now, &candidate.id, report);
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -9,8 +9,8 @@
 use crate::proxy::selection;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::fleet::{
-    RegisteredTarget, RequestKey, Scheduler, SchedulerOptions, SlotDecision, SlotRequest,
-    StaleTarget, TargetReport,
+    RegisteredTarget, ReportedDemand, RequestKey, Scheduler, SchedulerOptions, SlotDecision,
+    SlotRequest, StaleTarget, TargetReport,
 };
 use geraniummux_core::{MemberState, Time};
 use geraniummux_wire::{MAX_PROBED_TARGETS, Message};
@@ -51,6 +51,8 @@
 /// Time after its start in which a host does not rely on its view of the membership. After a start of
 /// the whole fleet, a host discovers all members within about half a second.
 const STARTUP_SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time after which a host reports the demands of targets to their scheduler once more.
+const DEMAND_REFRESH: Duration = Duration::from_secs(1);
 /// Interval of the timer of a host that schedules pools.
 const SCHEDULER_TICK: Duration = Duration::from_millis(30);
 /// Interval of the timer of a host that schedules no pool.
@@ -76,6 +78,8 @@
     /// Addresses to which the decisions for other hosts are sent, sorted by host. The membership does
     /// not suffice, as this host may not know a member yet that has just started.
     reply_addrs: Mutex<Vec<(Arc<str>, SocketAddr)>>,
+    /// When the demands of targets were last reported to a scheduler, sorted by pool.
+    demands_reported: Mutex<Vec<(Arc<str>, SocketAddr, Time)>>,
     /// Schedulers that did not respond, with the time until which no slot requests are sent to them.
     unresponsive: Mutex<Vec<(SocketAddr, Time)>>,
 }
@@ -97,6 +101,9 @@
             info!(host.log, "scheduling_pool"; "pool" => &**pool);
             let mut scheduler = Scheduler::new(SchedulerOptions::default());
             scheduler.update(targets_of(fleet.registry.targets(now), pool));
+            for demand in fleet.demands.reports(now, pool) {
+                scheduler.on_demand(now, &demand);
+            }
             pools.insert(
                 i,
                 ScheduledPool {
@@ -301,6 +308,7 @@
     {
         return SlotResult::Unavailable;
     }
+    refresh_demands(host, scheduler, pool);
     let number = host.scheduling.next_number.fetch_add(1, Ordering::Relaxed);
     let (tx, decisions) = mpsc::unbounded_channel();
     lock(&host.scheduling.pending).push((number, tx));
@@ -347,6 +355,60 @@
     }
 }
 
+/// Reports what the targets of a pool demand to its scheduler, unless it was told recently: messages may
+/// be lost, and another host may have become the scheduler.
+fn refresh_demands(host: &Arc<Host>, scheduler: SocketAddr, pool: &Arc<str>) {
+    let now = host.now();
+    let demands = {
+        let fleet = host.fleet();
+        if fleet.demands.is_empty() { Vec::new() } else { fleet.demands.reports(now, pool) }
+    };
+    if demands.is_empty() {
+        return;
+    }
+    {
+        let mut reported = lock(&host.scheduling.demands_reported);
+        match reported.binary_search_by(|(p, ..)| p.cmp(pool)) {
+            Ok(i) if reported[i].1 == scheduler && now.since(reported[i].2) < DEMAND_REFRESH => {
+                return;
+            }
+            Ok(i) => reported[i] = (pool.clone(), scheduler, now),
+            Err(i) => reported.insert(i, (pool.clone(), scheduler, now)),
+        }
+    }
+    send_demands(host, scheduler, pool, demands);
+}
+
+/// Reports changed demands of targets to the scheduler of their pool.
+pub fn report_demands(host: &Arc<Host>, pool: &Arc<str>, demands: Vec<ReportedDemand>) {
+    if let Some(scheduler) = scheduler_of(host, pool) {
+        send_demands(host, scheduler, pool, demands);
+    }
+}
+
+fn send_demands(
+    host: &Arc<Host>,
+    scheduler: SocketAddr,
+    pool: &Arc<str>,
+    demands: Vec<ReportedDemand>,
+) {
+    if scheduler == host.settings.load().peer {
+        on_demands(host, pool, &demands);
+        return;
+    }
+    for demands in demands.chunks(MAX_PROBED_TARGETS) {
+        let message = Message::TargetDemands { pool: pool.clone(), demands: demands.to_vec() };
+        peers::send(host, &[scheduler], message);
+    }
+}
+
+/// Records what targets demanded, if this host schedules their pool.
+pub fn on_demands(host: &Arc<Host>, pool: &Arc<str>, demands: &[ReportedDemand]) {
+    let now = host.now();
+    host.scheduling
+        .with_scheduler(host, pool, |s| demands.iter().for_each(|d| s.on_demand(now, d)));
+}
+
 fn mark_unresponsive(host: &Host, scheduler: SocketAddr) {
     let now = host.now();
     info!(host.log, "scheduler_silent"; "scheduler" => scheduler.to_string());
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -1,7 +1,9 @@
 //! Sets up a host on loopback without a store, callers or targets.
 
+pub mod targets;
+
 use bytes::Bytes;
-use geraniummux_core::fleet::TargetReport;
+use geraniummux_core::fleet::{TargetDemand, TargetReport};
 use geraniummux_host::metrics::Metrics;
 use geraniummux_host::peers::PeerNet;
 use geraniummux_host::{CallerLocation, HeaderNames, Host, Protocol, Settings};
@@ -23,6 +25,9 @@
     fn target_report(&self, _: &HeaderMap) -> Option<TargetReport> {
         None
     }
+    fn target_demand(&self, headers: &HeaderMap) -> TargetDemand {
+        TargetDemand { leaving: headers.contains_key("leaving") }
+    }
     fn is_readiness_request(&self, _: &Uri) -> bool {
         true
     }
--- /dev/null
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -0,0 +1,172 @@
+//! Targets, callers and routes on loopback.
+
+// Not every test file uses all of them.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use geraniummux_core::fleet::{
+    CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RegisteredTarget, RegistryChange,
+    RegistryDelta,
+};
+use geraniummux_host::server::{self, Service};
+use geraniummux_host::{Host, scheduling};
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Body of a complete response.
+pub const COMPLETE_BODY: &str = "complete";
+
+/// Reads one request head, and returns its id; `None` if the connection is closed.
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let id = head.lines().find_map(|l| l.strip_prefix("a: "));
+    Some(id.unwrap_or("none").to_owned())
+}
+
+/// Returns the identity of the target at an address.
+pub fn identity(addr: SocketAddr) -> String {
+    format!("t-{:05}", addr.port())
+}
+
+pub fn complete_response(target: SocketAddr, id: &str) -> String {
+    let (len, target) = (COMPLETE_BODY.len(), identity(target));
+    format!(
+        "HTTP/1.1 200 OK\r\na: {id}\r\nd: {target}\r\nf: digest\r\ncontent-length: {len}\r\n\r\n{COMPLETE_BODY}"
+    )
+}
+
+pub fn route(name: &str, pool: &str) -> FleetRoute {
+    FleetRoute {
+        name: name.into(),
+        host: "a.example".into(),
+        prefix: format!("/{name}/").into(),
+        shares: vec![PoolShare { pool: pool.into(), weight: 1.0 }],
+        idempotent: true,
+        max_attempts: 3,
+        timeout: Duration::from_secs(5),
+        latency_target: Duration::from_secs(1),
+        priority: 1,
+    }
+}
+
+pub fn registered(pool: &str, addr: SocketAddr) -> (u64, RegistryChange) {
+    let target = RegisteredTarget {
+        id: identity(addr).into(),
+        pool: pool.into(),
+        addr,
+        failure_domain: "a".into(),
+        slots: 4,
+        leaving: false,
+        warm_up: Duration::ZERO,
+        started_unix_ms: 0,
+    };
+    (1, RegistryChange::Put(target))
+}
+
+/// Sends a request to the host and returns the status and the body of its response.
+pub async fn call(host: SocketAddr, route: &str, time_left_ms: u64) -> (StatusCode, Bytes) {
+    let stream = TcpStream::connect(host).await.unwrap();
+    let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(async move { drop(conn.await) });
+    let req = Request::get(format!("/{route}/x"))
+        .header(header::HOST, "a.example")
+        .header("a", format!("r-{}", rand::random::<u64>()))
+        .header("b", time_left_ms)
+        .body(Full::<Bytes>::default())
+        .unwrap();
+    let rsp = sender.send_request(req).await.unwrap();
+    (rsp.status(), rsp.into_body().collect().await.unwrap().to_bytes())
+}
+
+/// What a target does with a request.
+pub enum Reply {
+    /// Writes this and keeps the connection.
+    Keep(String),
+    /// Writes this and closes the connection.
+    Close(String),
+}
+
+/// A target whose replies a function makes.
+pub struct ScriptedTarget {
+    /// Address of the target.
+    pub addr: SocketAddr,
+    /// Identities of the requests that arrived, without probes.
+    pub requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl ScriptedTarget {
+    /// Starts a target that replies to its n-th request, and to each probe with `None` for its number,
+    /// with what `reply` returns for the number, the target's address and the request's identity.
+    pub async fn start<F>(reply: F) -> Self
+    where
+        F: Fn(Option<usize>, SocketAddr, &str) -> Reply + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.9.9.7:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let (reply, seen) = (Arc::new(reply), requests.clone());
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (reply, seen) = (reply.clone(), seen.clone());
+                tokio::spawn(async move {
+                    while let Some(id) = read_request(&mut stream).await {
+                        let number = (id != "none").then(|| {
+                            let mut seen = seen.lock().unwrap();
+                            seen.push(id.clone());
+                            seen.len() - 1
+                        });
+                        let (text, closes) = match reply(number, addr, &id) {
+                            Reply::Keep(text) => (text, false),
+                            Reply::Close(text) => (text, true),
+                        };
+                        if stream.write_all(text.as_bytes()).await.is_err() || closes {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        ScriptedTarget { addr, requests }
+    }
+
+    /// Returns the number of requests that arrived.
+    pub fn count(&self) -> usize {
+        self.requests.lock().unwrap().len()
+    }
+}
+
+/// Starts a host whose pool "pool" has the given targets, with an idempotent route "safe" and a route
+/// "once" whose requests run once at most. Returns it with its address for callers.
+pub async fn start_host_with(targets: &[SocketAddr], peer: &str) -> (Arc<Host>, SocketAddr) {
+    let host = super::host(peer.parse().unwrap(), "[]").await;
+    host.members().enter_service();
+    let pool =
+        FleetPool { name: "pool".into(), health_path: "/health".into(), max_connections: 100 };
+    let once = FleetRoute { idempotent: false, ..route("once", "pool") };
+    let config = FleetConfig {
+        version: 1,
+        routes: vec![route("safe", "pool"), once],
+        pools: vec![pool],
+        limits: CallerLimits::default(),
+    };
+    host.adopt_config(config, 1, "store");
+    let changes = targets.iter().map(|addr| registered("pool", *addr)).collect();
+    assert!(host.apply_targets(RegistryDelta { from: None, to: 1, changes }, "store"));
+    let ip = peer.parse::<SocketAddr>().unwrap().ip();
+    let listener = server::listen(Service::Requests, SocketAddr::new(ip, 0)).unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(server::serve(host.clone(), Service::Requests, listener));
+    tokio::spawn(scheduling::run(host.clone()));
+    (host, addr)
+}
--- /dev/null
+++ b/crates/geraniummux-host/tests/demands.rs
@@ -0,0 +1,52 @@
+//! Targets that say with their responses that they are leaving, name a limit or ask for a pause.
+
+mod common;
+
+use common::targets::{Reply, ScriptedTarget, call, complete_response, start_host_with};
+use futures_util::future::join_all;
+use http::StatusCode;
+use std::net::SocketAddr;
+
+/// Time that callers have for a request, in milliseconds.
+const TIME_LEFT_MS: u64 = 2_000;
+/// Requests at once that need more than one of the targets, which have four slots each.
+const AT_ONCE: usize = 6;
+
+fn with_header(addr: SocketAddr, id: &str, line: &str) -> Reply {
+    Reply::Keep(complete_response(addr, id).replacen("\r\n", &format!("\r\n{line}\r\n"), 1))
+}
+
+fn plain(_: Option<usize>, addr: SocketAddr, id: &str) -> Reply {
+    Reply::Keep(complete_response(addr, id))
+}
+
+/// Sends requests on alternate routes at once, and returns the number of successes.
+async fn call_at_once(host: SocketAddr) -> usize {
+    let routes = ["safe", "once"];
+    let calls = (0..AT_ONCE).map(|i| call(host, routes[i % routes.len()], TIME_LEFT_MS));
+    join_all(calls).await.iter().filter(|(status, _)| *status == StatusCode::OK).count()
+}
+
+/// Guards against requests to a target that has said in a response that it leaves (DRAIN), on a host that
+/// gets no news of it from the store or from peers.
+#[tokio::test]
+async fn host_target_leaving_by_its_answers_gets_nothing() {
+    let leaves = ScriptedTarget::start(|n, addr, id| match n {
+        Some(_) => with_header(addr, id, "leaving: 1"),
+        None => plain(n, addr, id),
+    })
+    .await;
+    let stays = [ScriptedTarget::start(plain).await, ScriptedTarget::start(plain).await];
+    let targets = [leaves.addr, stays[0].addr, stays[1].addr];
+    let (_host, addr) = start_host_with(&targets, "127.9.9.40:7009").await;
+    let mut served = 0;
+    while leaves.count() == 0 {
+        served += call_at_once(addr).await;
+    }
+    let before = leaves.count();
+    for _ in 0..10 {
+        served += call_at_once(addr).await;
+    }
+    assert_eq!(leaves.count(), before);
+    assert_eq!(served, leaves.count() + stays[0].count() + stays[1].count());
+}
--- a/crates/geraniummux-host/tests/endless.rs
+++ b/crates/geraniummux-host/tests/endless.rs
@@ -3,23 +3,21 @@
 mod common;
 
 use bytes::Bytes;
+use common::targets::{COMPLETE_BODY, call, complete_response, read_request, registered, route};
 use geraniummux_core::fleet::{
-    CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RegisteredTarget, RegistryChange,
-    RegistryDelta, ResponseLimits,
+    CallerLimits, FleetConfig, FleetPool, RegistryDelta, ResponseLimits,
 };
 use geraniummux_host::bodies::Bodies;
 use geraniummux_host::server::{self, Service};
 use geraniummux_host::upstream::{Connection, ExchangeError, exchange};
 use geraniummux_host::{Host, scheduling};
 use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use http_body_util::Full;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Bytes after which a target counts as not having been cut off; far more than the buffers of a
@@ -29,8 +27,6 @@
 const MAX_SENT_SLOWLY: usize = 3_000;
 const SLOW_INTERVAL: Duration = Duration::from_millis(20);
 const LIMITS: ResponseLimits = ResponseLimits { declared: 1 << 20, undeclared: 256 << 10 };
-/// A complete response with the headers that a host expects.
-const COMPLETE_BODY: &str = "complete";
 
 /// Where the bytes without end are sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -126,29 +122,6 @@
     }
 }
 
-/// Reads one request head, and returns its id; `None` if the connection is closed.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.ok()?);
-    }
-    let head = String::from_utf8(head).unwrap();
-    let id = head.lines().find_map(|l| l.strip_prefix("a: "));
-    Some(id.unwrap_or("none").to_owned())
-}
-
-/// Returns the identity of the target at an address.
-fn identity(addr: SocketAddr) -> String {
-    format!("t-{:05}", addr.port())
-}
-
-fn complete_response(target: SocketAddr, id: &str) -> String {
-    let (len, target) = (COMPLETE_BODY.len(), identity(target));
-    format!(
-        "HTTP/1.1 200 OK\r\na: {id}\r\nd: {target}\r\nf: digest\r\ncontent-length: {len}\r\n\r\n{COMPLETE_BODY}"
-    )
-}
-
 /// Returns whether the host closed the connection during the endless response.
 async fn serve_endlessly(mut stream: TcpStream, b: Behavior, started: &AtomicUsize) -> bool {
     let addr = stream.local_addr().unwrap();
@@ -248,34 +221,6 @@
     }
 }
 
-fn route(name: &str, pool: &str) -> FleetRoute {
-    FleetRoute {
-        name: name.into(),
-        host: "a.example".into(),
-        prefix: format!("/{name}/").into(),
-        shares: vec![PoolShare { pool: pool.into(), weight: 1.0 }],
-        idempotent: true,
-        max_attempts: 3,
-        timeout: Duration::from_secs(5),
-        latency_target: Duration::from_secs(1),
-        priority: 1,
-    }
-}
-
-fn registered(pool: &str, addr: SocketAddr) -> (u64, RegistryChange) {
-    let target = RegisteredTarget {
-        id: identity(addr).into(),
-        pool: pool.into(),
-        addr,
-        failure_domain: "a".into(),
-        slots: 4,
-        leaving: false,
-        warm_up: Duration::ZERO,
-        started_unix_ms: 0,
-    };
-    (1, RegistryChange::Put(target))
-}
-
 /// Starts a host whose pool "mixed" has the given targets, and "good" one that responds.
 async fn start_host(mixed: &[SocketAddr], peer: &str) -> (Arc<Host>, SocketAddr) {
     let host = common::host(peer.parse().unwrap(), "[]").await;
@@ -304,21 +249,6 @@
     (host, addr)
 }
 
-/// Sends a request to the host and returns the status and the body of its response.
-async fn call(host: SocketAddr, route: &str, time_left_ms: u64) -> (StatusCode, Bytes) {
-    let stream = TcpStream::connect(host).await.unwrap();
-    let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
-    tokio::spawn(async move { drop(conn.await) });
-    let req = Request::get(format!("/{route}/x"))
-        .header(header::HOST, "a.example")
-        .header("a", format!("r-{}", rand::random::<u64>()))
-        .header("b", time_left_ms)
-        .body(Full::<Bytes>::default())
-        .unwrap();
-    let rsp = sender.send_request(req).await.unwrap();
-    (rsp.status(), rsp.into_body().collect().await.unwrap().to_bytes())
-}
-
 /// Load pattern: a third of a pool's targets, 50 of them, send bytes without end at the same time. Their
 /// connections are closed, the host keeps within its memory for bodies, and requests are served by the
 /// other targets of the pool and of other pools.
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -3,7 +3,7 @@
 use crate::packed::PackedConfigChange;
 use geraniummux_core::drain::{LeavingAck, LeavingNotice};
 use geraniummux_core::fleet::{
-    FleetConfig, RegistryDelta, SlotDecision, SlotRequest, TargetReport,
+    FleetConfig, RegistryDelta, ReportedDemand, SlotDecision, SlotRequest, TargetReport,
 };
 use geraniummux_core::membership::{Gossip, Member};
 use geraniummux_core::usage::UsageReport;
@@ -148,6 +148,13 @@
     ConfigChange(PackedConfigChange),
     /// UDP: the sender reads the platform's store and has current data, while other hosts lack it.
     ReadingStore,
+    /// UDP: tells the scheduler of a pool what targets demanded with their answers.
+    TargetDemands {
+        /// The pool.
+        pool: Arc<str>,
+        /// The demands, [`MAX_PROBED_TARGETS`] at most.
+        demands: Vec<ReportedDemand>,
+    },
 }
 
 /// Maximum number of targets in one [`Message::ProbeTargets`] or [`Message::TargetReports`], so that
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -76,6 +76,7 @@
         | Message::IdentityMismatch { .. }
         | Message::ConfigChange(_)
         | Message::ReadingStore
+        | Message::TargetDemands { .. }
         | Message::ProbeTargets { .. }
         | Message::TargetReports { .. }
         | Message::GrantEnded { .. } => control.net.count_refused(),
