Keep the limits that targets name, summed over all hosts

Cause: nothing read the header, and nothing carried what a target demands from the host that receives the answer to the scheduler that decides.

Change: hosts record limits (Demands) and report them to the scheduler of the pool, at once and each second. The scheduler takes each attempt out of a bucket for the target, and rejects at once what would come too late, the least urgent first. Hosts that select targets themselves use those without limits, and otherwise a share of the limit, drawn by lot if it is less than a request. A bucket allows a request each five seconds at least, whose answer tells whether the limit holds on.

--- a/crates/geraniummux-core/src/fleet/demands.rs
+++ b/crates/geraniummux-core/src/fleet/demands.rs
@@ -1,17 +1,124 @@
-//! What targets demand with their answers: no more requests, because they are leaving.
+//! What targets demand with their answers: a limit of the request rate, or no more requests, because
+//! they are leaving.
+//!
+//! A limit holds for all hosts together. The [`Scheduler`](super::Scheduler) of a pool keeps it for all
+//! requests that it grants, with a [`RateBucket`]. A host that selects a target itself uses a target
+//! without a limit if there is one, and otherwise its [`LimitShare`].
 
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Time without an answer of a target after which a scheduler forgets its limit.
+pub const MAX_LIMIT_AGE: Duration = Duration::from_secs(10);
+/// Time without an answer of a target after which a host forgets its limit for its own choices. A host
+/// rarely sends to a target with a low limit.
+const HOST_LIMIT_AGE: Duration = Duration::from_secs(60);
+/// Lowest rate that is granted to a target. The answers to these requests tell when its limit has
+/// changed.
+const MIN_PER_S: f64 = 2.0 / MAX_LIMIT_AGE.as_secs() as f64;
+/// Capacity of a bucket beyond one request, as time at the limited rate.
+const BURST: Duration = Duration::from_millis(500);
+/// Time for which a host draws what it may send of its share. Nothing is carried over, so that hosts that
+/// all begin to select targets themselves don't send at once what they have saved.
+const SHARE_PERIOD: Duration = Duration::from_secs(1);
+
 /// What a target demands of all hosts with an answer.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct TargetDemand {
+    /// Requests per second that the target accepts from all hosts together; `None` if it sets no limit.
+    pub limit_per_s: Option<f64>,
     /// Whether the target is leaving and must get no new requests.
     pub leaving: bool,
 }
 
+/// Requests that a limited rate allows at present.
+#[derive(Clone, Copy, Debug)]
+pub struct RateBucket {
+    per_s: f64,
+    capacity: f64,
+    tokens: f64,
+    at: Time,
+}
+
+impl RateBucket {
+    /// Returns an empty bucket. It allows a request from time to time even if `per_s` is 0.
+    pub fn new(now: Time, per_s: f64) -> Self {
+        let per_s = per_s.max(MIN_PER_S);
+        let capacity = 1.0 + per_s * BURST.as_secs_f64();
+        RateBucket { per_s, capacity, tokens: 0.0, at: now }
+    }
+
+    /// Changes the rate and keeps the tokens, as far as the new capacity allows.
+    pub fn adopt(&mut self, now: Time, other: RateBucket) {
+        self.refill(now);
+        self.per_s = other.per_s;
+        self.capacity = other.capacity;
+        self.tokens = self.tokens.min(self.capacity);
+    }
+
+    /// Returns the requests per second that the bucket allows.
+    pub fn per_s(&self) -> f64 {
+        self.per_s
+    }
+
+    /// Returns whether a whole request is allowed.
+    pub fn has_token(&self, now: Time) -> bool {
+        self.tokens_at(now) >= 1.0
+    }
+
+    /// Returns the time until a whole request is allowed.
+    pub fn next_token(&self, now: Time) -> Duration {
+        let missing = (1.0 - self.tokens_at(now)).max(0.0);
+        Duration::try_from_secs_f64(missing / self.per_s).unwrap_or(Duration::MAX)
+    }
+
+    /// Takes a request out of the bucket.
+    pub fn take(&mut self, now: Time) {
+        self.refill(now);
+        self.tokens -= 1.0;
+    }
+
+    fn tokens_at(&self, now: Time) -> f64 {
+        (self.tokens + now.since(self.at).as_secs_f64() * self.per_s).min(self.capacity)
+    }
+
+    fn refill(&mut self, now: Time) {
+        self.tokens = self.tokens_at(now);
+        self.at = now;
+    }
+}
+
+/// One host's share of a limit, which may be much less than one request a second: whole requests are
+/// drawn by lot, so that the fleet as a whole sends what the limit allows.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitShare {
+    per_s: f64,
+    /// Number of the period for which `left` was drawn.
+    period: u128,
+    left: u32,
+}
+
+impl LimitShare {
+    /// Returns the share of one of `hosts` hosts.
+    pub fn new(per_s: f64, hosts: usize) -> Self {
+        LimitShare { per_s: per_s / hosts.max(1) as f64, period: 0, left: 0 }
+    }
+
+    /// Takes a request out of the share and returns whether it is allowed. `random` is in 0..1.
+    pub fn try_take(&mut self, now: Time, random: f64) -> bool {
+        let period = now.since(Time::default()).as_millis() / SHARE_PERIOD.as_millis();
+        if period != self.period {
+            self.period = period;
+            self.left = (self.per_s * SHARE_PERIOD.as_secs_f64() + random).floor() as u32;
+        }
+        let allowed = self.left > 0;
+        self.left = self.left.saturating_sub(1);
+        allowed
+    }
+}
+
 /// A demand with its target and the time since it was last heard, as hosts report it to each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ReportedDemand {
@@ -29,6 +136,8 @@
     pool: Arc<str>,
     demand: TargetDemand,
     heard_at: Time,
+    /// This host's share of the limit.
+    share: Option<LimitShare>,
     /// Start of the target, once the registry was asked for it.
     started_unix_ms: Option<u64>,
 }
@@ -43,20 +152,26 @@
 impl Demands {
     /// Records what a target demands with an answer. Returns whether that has changed, so that it has to
     /// be reported to the scheduler of the pool.
+    ///
+    /// `hosts` is the number of hosts that share a limit.
     pub fn on_answer(
         &mut self,
         now: Time,
         pool: &Arc<str>,
         target: &Arc<str>,
         demand: TargetDemand,
+        hosts: usize,
     ) -> bool {
         let found = self.entries.binary_search_by(|e| e.target.cmp(target));
         if found.is_err() && demand == TargetDemand::default() {
             return false;
         }
         let e = self.entry(now, pool, target);
+        if e.demand.limit_per_s != demand.limit_per_s || demand.limit_per_s.is_none() {
+            e.share = demand.limit_per_s.map(|per_s| LimitShare::new(per_s, hosts));
+        }
         // A leaving target does not come back under its identity before it is registered again.
-        let demand = TargetDemand { leaving: demand.leaving || e.demand.leaving };
+        let demand = TargetDemand { leaving: demand.leaving || e.demand.leaving, ..demand };
         let is_changed = e.demand != demand;
         e.demand = demand;
         e.heard_at = now;
@@ -70,6 +185,7 @@
                 pool: pool.clone(),
                 demand: TargetDemand::default(),
                 heard_at: now,
+                share: None,
                 started_unix_ms: None,
             };
             self.entries.insert(i, entry);
@@ -93,10 +209,25 @@
         self.of_pool(pool).filter(|e| e.demand.leaving).map(|e| e.target.clone()).collect()
     }
 
+    /// Returns the targets of a pool that have a limit.
+    pub fn limited(&self, now: Time, pool: &str) -> Vec<Arc<str>> {
+        self.of_pool(pool)
+            .filter(|e| e.is_limited(now, HOST_LIMIT_AGE))
+            .map(|e| e.target.clone())
+            .collect()
+    }
+
+    /// Takes a request out of this host's share of a target's limit, if it has one; see
+    /// [`LimitShare::try_take`].
+    pub fn try_take_share(&mut self, now: Time, target: &str, random: f64) -> bool {
+        let Ok(i) = self.entries.binary_search_by(|e| (*e.target).cmp(target)) else { return true };
+        self.entries[i].share.as_mut().is_none_or(|s| s.try_take(now, random))
+    }
+
     /// Returns what the targets of a pool demand, for its scheduler.
     pub fn reports(&self, now: Time, pool: &str) -> Vec<ReportedDemand> {
         self.of_pool(pool)
-            .filter(|e| e.demand.leaving)
+            .filter(|e| e.demand.leaving || e.is_limited(now, MAX_LIMIT_AGE))
             .map(|e| ReportedDemand {
                 target: e.target.clone(),
                 demand: e.demand,
@@ -105,15 +236,16 @@
             .collect()
     }
 
-    /// Forgets targets that are gone or have restarted. `started_unix_ms` returns when a registered target
-    /// was started.
-    pub fn retain<F>(&mut self, started_unix_ms: F)
+    /// Forgets limits that have not been heard for long, and targets that are gone or have restarted.
+    /// `started_unix_ms` returns when a registered target was started.
+    pub fn retain<F>(&mut self, now: Time, started_unix_ms: F)
     where
         F: Fn(&str) -> Option<u64>,
     {
         self.entries.retain_mut(|e| {
             let Some(started) = started_unix_ms(&e.target) else { return false };
-            *e.started_unix_ms.get_or_insert(started) == started && e.demand.leaving
+            let is_same_run = *e.started_unix_ms.get_or_insert(started) == started;
+            is_same_run && (e.demand.leaving || e.is_limited(now, HOST_LIMIT_AGE))
         });
     }
 
@@ -126,3 +258,9 @@
         self.entries.iter().filter(move |e| *e.pool == *pool)
     }
 }
+
+impl Entry {
+    fn is_limited(&self, now: Time, max_age: Duration) -> bool {
+        self.share.is_some() && now.since(self.heard_at) < max_age
+    }
+}
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -14,13 +14,15 @@
 //! * A request that can't be answered before its deadline is rejected at once. While many requests
 //!   wait, so is one that is late already and has little time left, because it would take the slot of
 //!   another.
+//! * A target that limits its request rate is granted to no more requests than that, over all hosts. If
+//!   some targets have limits, a request is rejected at once if its turn would come too late.
 //! * A request whose target becomes slow while it runs is granted a slot at a second target for a
 //!   hedge, if it may be hedged, would be late otherwise, and the pool has capacity to spare.
 //!
 //! The scheduler stores no state: another host can take over at any time, since the targets' reports
 //! show what is in flight there.
 
-use super::demands::ReportedDemand;
+use super::demands::{MAX_LIMIT_AGE, RateBucket, ReportedDemand};
 use super::faults::{FaultOptions, FaultScore};
 use super::forecast::{ForecastOptions, TargetReport, latency_factor};
 use super::registry::RegisteredTarget;
@@ -67,6 +69,8 @@
     TooLate,
     /// The pool has no target to which the request may be sent.
     NoTarget,
+    /// The targets limit their request rates, and others come first.
+    Limited,
 }
 
 impl RejectReason {
@@ -75,6 +79,7 @@
         match self {
             RejectReason::TooLate => "too_late",
             RejectReason::NoTarget => "no_target",
+            RejectReason::Limited => "limited",
         }
     }
 }
@@ -228,11 +233,33 @@
     overcommit: u32,
     /// Whether targets are ejected for faults.
     may_eject: bool,
+    /// What the targets accept while some of them have limits, if requests are to be rejected whose turn
+    /// would come too late.
+    limits: Option<LimitOutlook>,
+    /// Number of requests that were decided on in this pass and wait on.
+    waiting_on: usize,
     /// Factor on the time that a late request must have left before its deadline to be granted a slot
     /// or to wait on.
     late_deadline_margin: f64,
 }
 
+/// What the targets of a pool accept while some of them have limits.
+#[derive(Clone, Copy, Debug)]
+struct LimitOutlook {
+    /// Requests per second, of all targets together.
+    per_s: f64,
+    /// Time until the first target accepts a request.
+    next: Duration,
+}
+
+impl LimitOutlook {
+    /// Returns the time until a target accepts a request behind `ahead` others.
+    fn turn(&self, ahead: usize) -> Duration {
+        let others = Duration::try_from_secs_f64(ahead as f64 / self.per_s);
+        others.map_or(Duration::MAX, |others| self.next.saturating_add(others))
+    }
+}
+
 /// A request that was granted a slot and has not ended.
 #[derive(Clone, Debug)]
 struct InFlight {
@@ -293,7 +320,9 @@
     started_unix_ms: u64,
     /// Whether the target has said that it is leaving.
     leaving: bool,
-    /// When the target's last answer was given that says whether it is leaving.
+    /// Requests that the target accepts at present, if it limits their rate.
+    limit: Option<RateBucket>,
+    /// When the target's last answer was given that says whether it is leaving or has a limit.
     demand_at: Time,
     outlook: Outlook,
 }
@@ -315,6 +344,42 @@
         self.leaving || now < self.mismatched_until
     }
 
+    /// Returns how many requests a second the target accepts; `None` if it has no limit.
+    fn limit_per_s(&self, now: Time) -> Option<f64> {
+        let limit = self.limit.filter(|_| now.since(self.demand_at) < MAX_LIMIT_AGE)?;
+        Some(limit.per_s())
+    }
+
+    /// Returns whether the target's limit allows one more request.
+    fn is_within_limit(&self, now: Time) -> bool {
+        self.limit_per_s(now).is_none() || self.limit.is_none_or(|l| l.has_token(now))
+    }
+
+    /// Returns how many slots requests can use. A limited target's rate says how many, rather than its
+    /// slots; those in use are the best estimate.
+    fn usable_slots(&self, now: Time) -> u32 {
+        match self.limit_per_s(now) {
+            Some(_) => self.slots.min(self.in_flight.len() as u32),
+            None => self.slots,
+        }
+    }
+
+    /// Takes a request out of the target's limit.
+    fn take_token(&mut self, now: Time) {
+        if let Some(limit) = &mut self.limit {
+            limit.take(now);
+        }
+    }
+
+    /// Returns whether the target may be probed: if it has a limit, only so often that probes add a
+    /// fraction to the requests that it accepts.
+    fn may_probe(&self, now: Time) -> bool {
+        let (Some(per_s), Some(at)) = (self.limit_per_s(now), self.reported_at) else {
+            return true;
+        };
+        now.since(at).as_secs_f64() * per_s * LIMITED_PROBE_SHARE >= 1.0
+    }
+
     /// Records the load that the target reported.
     fn set_report(&mut self, now: Time, report: &TargetReport) {
         self.slowdown = report.slowdown;
@@ -356,6 +421,11 @@
 
 /// Age up to which an outlook is used; the loads change more quickly than the decay over this time.
 const MAX_OUTLOOK_AGE: Duration = Duration::from_millis(5);
+/// Probes of a target with a limit, as a fraction of the requests that it accepts.
+const LIMITED_PROBE_SHARE: f64 = 0.25;
+/// Interval at which requests are rejected whose turn would come too late, since finding them costs a
+/// pass over all waiting requests.
+const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which slots are freed whose requests have passed their deadlines.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(10);
 /// Maximum number of targets at which a request is in flight: the first, and that of its hedge.
@@ -417,6 +487,10 @@
     warm: WarmConnections,
     /// When expired idle connections were forgotten last.
     warm_expired_at: Time,
+    /// Part of the targets' limits that this scheduler grants.
+    limit_share: f64,
+    /// When requests were last rejected whose turn would come too late.
+    turns_checked_at: Time,
 }
 
 impl Scheduler {
@@ -432,6 +506,8 @@
             expired_at: Time::default(),
             warm: WarmConnections::default(),
             warm_expired_at: Time::default(),
+            limit_share: 1.0,
+            turns_checked_at: Time::default(),
         }
     }
 
@@ -470,6 +546,7 @@
                     mismatched_until: Time::default(),
                     started_unix_ms: t.started_unix_ms,
                     leaving: false,
+                    limit: None,
                     demand_at: Time::default(),
                     outlook: Outlook::default(),
                 },
@@ -518,12 +595,13 @@
 
     /// Returns the targets whose last report is at least `max_age` old: first those that never
     /// reported, then the others by age, the oldest first. Targets at whose address another one has
-    /// answered are left out, and so are those that are leaving.
+    /// answered are left out, and so are those that are leaving. Targets with a limit are probed less
+    /// often than it allows.
     pub fn stale_targets(&self, now: Time, max_age: Duration) -> Vec<StaleTarget> {
         let mut stale_targets: Vec<StaleTarget> = self
             .targets
             .iter()
-            .filter(|t| !t.is_closed(now))
+            .filter(|t| !t.is_closed(now) && t.may_probe(now))
             .map(|t| StaleTarget {
                 age: t.reported_at.map(|at| now.since(at)),
                 target: t.id.clone(),
@@ -593,6 +671,17 @@
         }
         t.demand_at = said_at;
         t.leaving |= report.demand.leaving;
+        let limit = report.demand.limit_per_s.map(|l| RateBucket::new(now, l * self.limit_share));
+        match (&mut t.limit, limit) {
+            (Some(old), Some(new)) => old.adopt(now, new),
+            (old, new) => *old = new,
+        }
+    }
+
+    /// Sets the part of the targets' limits that this scheduler grants, 0 to 1: less than all if hosts
+    /// are out of sight, which may have a scheduler of their own.
+    pub fn set_limit_share(&mut self, share: f64) {
+        self.limit_share = share;
     }
 
     /// Adds the weight of a fault to a target.
@@ -670,14 +759,22 @@
         let mut out = Vec::new();
         if !self.waiting.is_empty() {
             let mut pass = self.pass(now);
+            if now.since(self.turns_checked_at) >= TURN_CHECK_INTERVAL {
+                self.turns_checked_at = now;
+                pass.limits = self.limits(now);
+            }
             for i in self.queue_order(&pass) {
-                let Some(decision) = self.decide(&pass, &self.waiting[i]) else { continue };
+                let Some(decision) = self.decide(&pass, &self.waiting[i]) else {
+                    pass.waiting_on += 1;
+                    continue;
+                };
                 let waiting = &self.waiting[i];
                 if let SlotDecision::Grant { target, .. } = &decision
                     && let Ok(t) = self.targets.binary_search_by(|t| t.id.cmp(target))
                 {
                     let granted = InFlight::new(now, waiting, self.targets[t].slowdown, false);
                     self.warm.take(&waiting.key.host, target);
+                    self.targets[t].take_token(now);
                     self.place(t, granted);
                     self.update_forecast(&mut pass, t);
                 }
@@ -697,7 +794,7 @@
         let eject_at = self.opts.faults.eject_at;
         let ejected_count =
             self.targets.iter().filter(|t| t.outlook.fault_score >= eject_at).count();
-        let slots: u32 = self.targets.iter().map(|t| t.slots).sum();
+        let slots: u32 = self.targets.iter().map(|t| t.usable_slots(now)).sum();
         let crowded_above = (self.opts.crowded_share * f64::from(slots)).max(1.0);
         let is_crowded = self.waiting.len() as f64 > crowded_above;
         let mut pass = Pass {
@@ -707,6 +804,8 @@
             overcommit: if self.waiting.len() > 1 { self.opts.overcommit } else { 0 },
             may_eject: ejected_count as f64
                 <= self.opts.max_ejected_share * self.targets.len() as f64,
+            limits: None,
+            waiting_on: 0,
             late_deadline_margin: if is_crowded { self.opts.late_deadline_margin } else { 1.0 },
         };
         for (i, t) in self.targets.iter().enumerate() {
@@ -724,7 +823,8 @@
         let fault_score = t.outlook.fault_score;
         Forecast {
             has_room: report.running + report.waiting < report.slots + pass.overcommit
-                && !t.is_closed(pass.now),
+                && !t.is_closed(pass.now)
+                && t.is_within_limit(pass.now),
             ejected: pass.may_eject && fault_score >= self.opts.faults.eject_at,
             latency_factor: latency_factor(&report, t.warming_up, &self.opts.forecast),
             fault_factor: 1.0 + fault_score,
@@ -766,6 +866,7 @@
                     first.is_hedged = true;
                 }
                 if let Some(t) = self.find(&target) {
+                    self.targets[t].take_token(now);
                     let second = InFlight::new(now, &w, self.targets[t].slowdown, true);
                     self.place(t, second);
                 }
@@ -779,7 +880,7 @@
     /// the pool has capacity to spare.
     fn hedge_target(&mut self, now: Time, w: &Waiting) -> Option<(Arc<str>, f64)> {
         let (load, slots) = self.targets.iter().fold((0.0, 0.0), |(load, slots), t| {
-            (load + t.in_flight.len() as f64 + t.untracked, slots + f64::from(t.slots))
+            (load + t.in_flight.len() as f64 + t.untracked, slots + f64::from(t.usable_slots(now)))
         });
         if !self.waiting.is_empty() || load > (1.0 - self.opts.hedge_spare_share) * slots {
             return None;
@@ -794,8 +895,8 @@
     /// Returns the indices of the waiting requests in the order in which they are served.
     fn queue_order(&self, pass: &Pass) -> Vec<usize> {
         let mut order: Vec<usize> = (0..self.waiting.len()).collect();
-        if pass.available.is_empty() {
-            // The order doesn't matter, since nothing can be granted.
+        if pass.available.is_empty() && pass.limits.is_none() {
+            // The order doesn't matter, since nothing is granted, nor rejected for its turn.
             return order;
         }
         let mut has_available = vec![false; self.domains.len()];
@@ -847,11 +948,39 @@
                 return Some(SlotDecision::Grant { target, latency_factor });
             }
         }
+        if let Some(limits) = pass.limits
+            && limits.turn(pass.waiting_on) > left - w.request.service_time
+        {
+            return Some(self.reject(now, w, RejectReason::Limited));
+        }
         let is_hopeless =
             is_late && left < w.request.service_time.mul_f64(pass.late_deadline_margin);
         is_hopeless.then(|| self.reject(now, w, RejectReason::TooLate))
     }
 
+    /// Returns what all targets together accept if some of them have limits. Targets without one accept
+    /// as many requests as their slots can serve.
+    fn limits(&self, now: Time) -> Option<LimitOutlook> {
+        let open = || self.targets.iter().filter(|t| !t.is_closed(now));
+        if open().all(|t| t.limit_per_s(now).is_none()) {
+            return None;
+        }
+        let service_times = self.waiting.iter().map(|w| w.request.service_time.as_secs_f64());
+        let service_time = service_times.sum::<f64>() / self.waiting.len() as f64;
+        let nothing = LimitOutlook { per_s: 0.0, next: Duration::MAX };
+        Some(open().fold(nothing, |sum, t| {
+            let (per_s, next) = match (t.limit_per_s(now), t.limit) {
+                (Some(per_s), Some(limit)) => (per_s, limit.next_token(now)),
+                _ => {
+                    let per_slot = service_time * t.slowdown;
+                    let next = Duration::from_secs_f64(per_slot / f64::from(t.slots.max(1)));
+                    (f64::from(t.slots) / per_slot, next)
+                }
+            };
+            LimitOutlook { per_s: sum.per_s + per_s, next: sum.next.min(next) }
+        }))
+    }
+
     /// Returns the index of the best target with room for a request, and the latency factor there.
     /// Ejected targets are considered only if the request may be sent to no others.
     fn best_target(&self, pass: &Pass, w: &Waiting) -> Option<(usize, f64)> {
--- a/crates/geraniummux-core/tests/fleet_demands.rs
+++ b/crates/geraniummux-core/tests/fleet_demands.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 const START: Time = Time::from_millis(1_000_000);
-const LEAVING: TargetDemand = TargetDemand { leaving: true };
+const LEAVING: TargetDemand = TargetDemand { limit_per_s: None, leaving: true };
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -65,10 +65,10 @@
 fn is_closed_leaving_target_until_it_restarts() {
     let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
     let mut d = Demands::default();
-    assert!(d.on_answer(START, &pool, &target, LEAVING));
-    assert!(!d.on_answer(START + ms(100), &pool, &target, TargetDemand::default()));
-    d.retain(|_| Some(7));
+    assert!(d.on_answer(START, &pool, &target, LEAVING, 18));
+    assert!(!d.on_answer(START + ms(100), &pool, &target, TargetDemand::default(), 18));
+    d.retain(START, |_| Some(7));
     assert!(d.is_closed("t0"));
-    d.retain(|_| Some(8));
+    d.retain(START, |_| Some(8));
     assert!(!d.is_closed("t0"));
 }
--- a/crates/geraniummux-host/src/fleet.rs
+++ b/crates/geraniummux-host/src/fleet.rs
@@ -170,7 +170,7 @@
         let Fleet { registry, table, demands, .. } = self;
         table.update(registry.targets(now));
         if !demands.is_empty() {
-            demands.retain(|target| registry.started_unix_ms(target));
+            demands.retain(now, |target| registry.started_unix_ms(target));
         }
     }
 }
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -27,6 +27,9 @@
 
 /// Share of the probes allowed at a target that is reserved for the scheduler of its pool.
 const SCHEDULER_PROBE_SHARE: f64 = 0.6;
+/// Smallest part of the targets' limits that a scheduler grants. Limits may be exceeded by half, and most
+/// hosts that are out of sight are down.
+const MIN_LIMIT_SHARE: f64 = 0.7;
 /// Number of former configurations that are retained. A follower that is further behind receives the
 /// whole configuration.
 const MAX_FORMER_CONFIGS: usize = 6;
@@ -300,11 +303,13 @@
         if demand == TargetDemand::default() && self.fleet().demands.is_empty() {
             return;
         }
+        let hosts = self.members().peers().count() + 1;
         let now = self.now();
-        if !self.fleet().demands.on_answer(now, pool, target, demand) {
+        if !self.fleet().demands.on_answer(now, pool, target, demand, hosts) {
             return;
         }
         info!(self.log, "target_demand"; "target" => &**target, "pool" => &**pool,
+            "limit_per_s" => demand.limit_per_s.unwrap_or(f64::INFINITY),
             "leaving" => demand.leaving);
         let report = ReportedDemand { target: target.clone(), demand, age: Duration::ZERO };
         scheduling::report_demands(self, pool, vec![report]);
@@ -319,6 +324,14 @@
         fleet.table.candidate(pool, target)
     }
 
+    /// Returns the part of the targets' limits that a scheduler on this host may grant. Hosts that are out
+    /// of sight may have a scheduler of their own, as long as they are not known to be gone.
+    pub fn limit_share(&self) -> f64 {
+        let members = self.members();
+        let (all, live) = (members.peers().count() + 1, members.live_peers().count() + 1);
+        (live as f64 / all as f64).max(MIN_LIMIT_SHARE)
+    }
+
     /// Records a fault of a target that this host observed.
     pub fn on_fault(&self, id: &Arc<str>, fault: Fault) {
         let now = self.now();
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -313,14 +313,26 @@
     }
 }
 
-/// Returns up to `count` targets to probe for a request, none of `tried`.
+/// Returns up to `count` targets to probe for a request, none of `tried`. Targets with a limit are used
+/// only if there are no others, and then within this host's share of the limit.
 fn candidates(ctx: &RequestContext, tried: &[Arc<str>], count: usize) -> Vec<Candidate> {
     let pool = &ctx.pool.name;
     let now = ctx.host.now();
-    let fleet = ctx.host.fleet();
+    let mut fleet = ctx.host.fleet();
     let mut avoid = tried.to_vec();
     avoid.extend(fleet.demands.closed(pool));
-    fleet.table.candidates(now, pool, &avoid, count, &mut rand::rng())
+    let limited = fleet.demands.limited(now, pool);
+    let reserved = avoid.len();
+    avoid.extend(limited.iter().cloned());
+    let found = fleet.table.candidates(now, pool, &avoid, count, &mut rand::rng());
+    if !found.is_empty() || limited.is_empty() {
+        return found;
+    }
+    avoid.truncate(reserved);
+    let found = fleet.table.candidates(now, pool, &avoid, usize::MAX, &mut rand::rng());
+    let demands = &mut fleet.demands;
+    let allowed = found.into_iter().find(|c| demands.try_take_share(now, &c.id, rand::random()));
+    allowed.into_iter().collect()
 }
 
 fn rejection(reason: &'static str, ctx: &RequestContext) -> Selection {
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -521,6 +521,7 @@
     let now = host.now();
     let mut decisions = Vec::new();
     let mut stale_targets = Vec::new();
+    let limit_share = host.limit_share();
     {
         let mut pools = lock(&host.scheduling.pools);
         pools.retain(|d| now.since(d.last_request) < POOL_IDLE_TIMEOUT);
@@ -528,6 +529,7 @@
             lock(&host.scheduling.reply_addrs).clear();
         }
         for scheduled in pools.iter_mut() {
+            scheduled.scheduler.set_limit_share(limit_share);
             decisions.extend(scheduled.scheduler.tick(now));
             let mut targets = scheduled.scheduler.stale_targets(now, MAX_REPORT_AGE);
             targets.truncate(scheduled.probe_credit as usize);
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -26,7 +26,11 @@
         None
     }
     fn target_demand(&self, headers: &HeaderMap) -> TargetDemand {
-        TargetDemand { leaving: headers.contains_key("leaving") }
+        let limit = headers.get("limit").and_then(|v| v.to_str().ok());
+        TargetDemand {
+            limit_per_s: limit.and_then(|v| v.parse().ok()),
+            leaving: headers.contains_key("leaving"),
+        }
     }
     fn is_readiness_request(&self, _: &Uri) -> bool {
         true
--- a/crates/geraniummux-host/tests/demands.rs
+++ b/crates/geraniummux-host/tests/demands.rs
@@ -1,4 +1,4 @@
-//! Targets that say with their responses that they are leaving, name a limit or ask for a pause.
+//! Targets that say with their responses that they are leaving, or name a limit.
 
 mod common;
 
@@ -50,3 +50,28 @@
     assert_eq!(leaves.count(), before);
     assert_eq!(served, leaves.count() + stays[0].count() + stays[1].count());
 }
+
+/// Guards against a target that gets more than the limit that it names (LIMIT), on every way to select a
+/// target: by the scheduler, and without one.
+#[tokio::test]
+async fn host_target_limit_is_kept() {
+    let limited = ScriptedTarget::start(|n, addr, id| match n {
+        Some(_) => with_header(addr, id, "limit: 0"),
+        None => plain(n, addr, id),
+    })
+    .await;
+    let others = [ScriptedTarget::start(plain).await, ScriptedTarget::start(plain).await];
+    let targets = [limited.addr, others[0].addr, others[1].addr];
+    let (host, addr) = start_host_with(&targets, "127.9.9.41:7009").await;
+    while limited.count() == 0 {
+        call_at_once(addr).await;
+    }
+    let before = limited.count();
+    for round in 0..20 {
+        if round == 10 {
+            host.members().leave();
+        }
+        assert_eq!(call_at_once(addr).await, AT_ONCE);
+    }
+    assert_eq!(limited.count(), before);
+}
