A target that asks a host for a pause gets nothing from it meanwhile

A target that refuses a request with 503 may name a time for which it wants nothing from that host; no host kept to it (BUDGET).

Cause: Retry-After of a target's response was not read. The scheduler lowers the rank of a target that refuses, but grants it again as soon as it is the best.

Change: a host keeps a target that asked it for a pause out of slot requests, out of its own choices and out of its health checks until the longest pause ends. A pause concerns the one host, so nothing is reported to the scheduler.

Evidence: host_target_that_asks_for_a_pause_gets_nothing fails before (5 requests, 3 allowed) and passes now.

--- a/crates/geraniummux-core/src/fleet/demands.rs
+++ b/crates/geraniummux-core/src/fleet/demands.rs
@@ -1,5 +1,5 @@
-//! What targets demand with their answers: a limit of the request rate, or no more requests, because
-//! they are leaving.
+//! What targets demand with their answers: a limit of the request rate, a pause, or no more requests,
+//! because they are leaving.
 //!
 //! A limit holds for all hosts together. The [`Scheduler`](super::Scheduler) of a pool keeps it for all
 //! requests that it grants, with a [`RateBucket`]. A host that selects a target itself uses a target
@@ -138,6 +138,8 @@
     heard_at: Time,
     /// This host's share of the limit.
     share: Option<LimitShare>,
+    /// End of the time in which the target accepts nothing from this host.
+    paused_until: Time,
     /// Start of the target, once the registry was asked for it.
     started_unix_ms: Option<u64>,
 }
@@ -178,6 +180,12 @@
         is_changed
     }
 
+    /// Records that a target accepts nothing from this host for some time.
+    pub fn on_pause(&mut self, now: Time, pool: &Arc<str>, target: &Arc<str>, pause: Duration) {
+        let e = self.entry(now, pool, target);
+        e.paused_until = e.paused_until.max(now + pause);
+    }
+
     fn entry(&mut self, now: Time, pool: &Arc<str>, target: &Arc<str>) -> &mut Entry {
         let i = self.entries.binary_search_by(|e| e.target.cmp(target)).unwrap_or_else(|i| {
             let entry = Entry {
@@ -186,6 +194,7 @@
                 demand: TargetDemand::default(),
                 heard_at: now,
                 share: None,
+                paused_until: now,
                 started_unix_ms: None,
             };
             self.entries.insert(i, entry);
@@ -199,14 +208,14 @@
         Some(&self.entries[i])
     }
 
-    /// Returns whether a target must get no requests of this host.
-    pub fn is_closed(&self, target: &str) -> bool {
-        self.find(target).is_some_and(|e| e.demand.leaving)
+    /// Returns whether a target must get no requests of this host, because it leaves or for a pause.
+    pub fn is_closed(&self, now: Time, target: &str) -> bool {
+        self.find(target).is_some_and(|e| e.is_closed(now))
     }
 
     /// Returns the targets of a pool that must get no requests of this host.
-    pub fn closed(&self, pool: &str) -> Vec<Arc<str>> {
-        self.of_pool(pool).filter(|e| e.demand.leaving).map(|e| e.target.clone()).collect()
+    pub fn closed(&self, now: Time, pool: &str) -> Vec<Arc<str>> {
+        self.of_pool(pool).filter(|e| e.is_closed(now)).map(|e| e.target.clone()).collect()
     }
 
     /// Returns the targets of a pool that have a limit.
@@ -236,7 +245,7 @@
             .collect()
     }
 
-    /// Forgets limits that have not been heard for long, and targets that are gone or have restarted.
+    /// Forgets pauses that are over, limits that have not been heard for long, and targets that are gone or have restarted.
     /// `started_unix_ms` returns when a registered target was started.
     pub fn retain<F>(&mut self, now: Time, started_unix_ms: F)
     where
@@ -245,7 +254,7 @@
         self.entries.retain_mut(|e| {
             let Some(started) = started_unix_ms(&e.target) else { return false };
             let is_same_run = *e.started_unix_ms.get_or_insert(started) == started;
-            is_same_run && (e.demand.leaving || e.is_limited(now, HOST_LIMIT_AGE))
+            is_same_run && (e.is_closed(now) || e.is_limited(now, HOST_LIMIT_AGE))
         });
     }
 
@@ -260,6 +269,10 @@
 }
 
 impl Entry {
+    fn is_closed(&self, now: Time) -> bool {
+        self.demand.leaving || now < self.paused_until
+    }
+
     fn is_limited(&self, now: Time, max_age: Duration) -> bool {
         self.share.is_some() && now.since(self.heard_at) < max_age
     }
--- a/crates/geraniummux-core/tests/fleet_demands.rs
+++ b/crates/geraniummux-core/tests/fleet_demands.rs
@@ -68,7 +68,21 @@
     assert!(d.on_answer(START, &pool, &target, LEAVING, 18));
     assert!(!d.on_answer(START + ms(100), &pool, &target, TargetDemand::default(), 18));
     d.retain(START, |_| Some(7));
-    assert!(d.is_closed("t0"));
+    assert!(d.is_closed(START, "t0"));
     d.retain(START, |_| Some(8));
-    assert!(!d.is_closed("t0"));
+    assert!(!d.is_closed(START, "t0"));
+}
+
+/// Guards against requests to a target during the pause that it asked this host for (BUDGET).
+#[test]
+fn is_closed_paused_target_until_the_longest_pause_ends() {
+    let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
+    let mut d = Demands::default();
+    d.on_pause(START, &pool, &target, ms(2_000));
+    d.on_pause(START + ms(100), &pool, &target, ms(500));
+    d.retain(START + ms(1_999), |_| Some(7));
+    assert!(d.is_closed(START + ms(1_999), "t0"));
+    assert_eq!(d.closed(START + ms(1_999), &pool), [target]);
+    assert!(!d.is_closed(START + ms(2_000), "t0"));
+    assert!(d.reports(START, &pool).is_empty());
 }
--- a/crates/geraniummux-core/tests/fleet_limits.rs
+++ b/crates/geraniummux-core/tests/fleet_limits.rs
@@ -201,7 +201,7 @@
             time_left: ms(1_000),
             latency_target_left: ms(400),
             hedgeable: true,
-            avoid: self.hosts[host].closed(POOL),
+            avoid: self.hosts[host].closed(now, POOL),
         };
         self.schedulers[s].on_request(now, key, request)
     }
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -315,10 +315,18 @@
         scheduling::report_demands(self, pool, vec![report]);
     }
 
+    /// Records that a target accepts nothing from this host for some time.
+    pub fn on_pause(&self, pool: &Arc<str>, target: &Arc<str>, pause: Duration) {
+        info!(self.log, "target_pause"; "target" => &**target, "pool" => &**pool,
+            "pause_ms" => pause.as_millis() as u64);
+        self.fleet().demands.on_pause(self.now(), pool, target, pause);
+    }
+
     /// Returns a target as a candidate if it may be sent requests of the pool at present.
     pub fn candidate(&self, pool: &str, target: &str) -> Option<Candidate> {
+        let now = self.now();
         let fleet = self.fleet();
-        if fleet.demands.is_closed(target) {
+        if fleet.demands.is_closed(now, target) {
             return None;
         }
         fleet.table.candidate(pool, target)
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -139,7 +139,8 @@
 /// Returns the targets that accept nothing from this host at present, as far as a slot request names
 /// them.
 fn closed_targets(ctx: &RequestContext) -> Vec<Arc<str>> {
-    let mut closed = ctx.host.fleet().demands.closed(&ctx.pool.name);
+    let now = ctx.host.now();
+    let mut closed = ctx.host.fleet().demands.closed(now, &ctx.pool.name);
     closed.truncate(MAX_CLOSED_TARGETS);
     closed
 }
@@ -320,7 +321,7 @@
     let now = ctx.host.now();
     let mut fleet = ctx.host.fleet();
     let mut avoid = tried.to_vec();
-    avoid.extend(fleet.demands.closed(pool));
+    avoid.extend(fleet.demands.closed(now, pool));
     let limited = fleet.demands.limited(now, pool);
     let reserved = avoid.len();
     avoid.extend(limited.iter().cloned());
--- a/crates/geraniummux-host/tests/demands.rs
+++ b/crates/geraniummux-host/tests/demands.rs
@@ -1,8 +1,8 @@
-//! Targets that say with their responses that they are leaving, or name a limit.
+//! Targets that say with their responses that they are leaving, name a limit, or ask for a pause.
 
 mod common;
 
-use common::targets::{Reply, ScriptedTarget, call, complete_response, start_host_with};
+use common::targets::{Reply, ScriptedTarget, call, complete_response, identity, start_host_with};
 use futures_util::future::join_all;
 use http::StatusCode;
 use std::net::SocketAddr;
@@ -75,3 +75,31 @@
     }
     assert_eq!(limited.count(), before);
 }
+
+/// Guards against requests to a target that has refused one with 503 and asked this host for a pause
+/// (BUDGET), on every way to select a target.
+#[tokio::test]
+async fn host_target_that_asks_for_a_pause_gets_nothing() {
+    let busy = ScriptedTarget::start(|n, addr, id| match n {
+        Some(0) => Reply::Keep(format!(
+            "HTTP/1.1 503 Service Unavailable\r\na: {id}\r\nd: {}\r\ne: 1\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n",
+            identity(addr)
+        )),
+        _ => plain(n, addr, id),
+    })
+    .await;
+    let others = [ScriptedTarget::start(plain).await, ScriptedTarget::start(plain).await];
+    let targets = [busy.addr, others[0].addr, others[1].addr];
+    let (host, addr) = start_host_with(&targets, "127.9.9.42:7009").await;
+    while busy.count() == 0 {
+        assert_eq!(call_at_once(addr).await, AT_ONCE);
+    }
+    let before = busy.count();
+    for round in 0..20 {
+        if round == 10 {
+            host.members().leave();
+        }
+        assert_eq!(call_at_once(addr).await, AT_ONCE);
+    }
+    assert_eq!(busy.count(), before);
+}
