A response counts only with the id of the request

A target that wrote an earlier refusal once more on a kept connection made a request run at a second target (TWICE), or its caller was told that it had not run (REFUSED). Reported by another operator; reproduced here.

Cause: classify compared ids only if the response had one, and took a refusal or a 421 without an id for true.

Ruled out: refusals that repeat the id of the earlier request (compared already); heads of responses that stop midway (host_head_that_stops_midway_is_no_response: with and without a length, on new and reused connections, hedged, and for requests that run once at most; passes before and after).

Change: a response without the request's id is a lost response, whatever its status.

Evidence: host_repeated_refusal_says_nothing_of_later_requests before: "503 Service Unavailable, Missing, request 2: 200 OK, 2 runs"; passes now.

Conclusion: fixed.

--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -140,12 +140,14 @@
     matches!(outcome, AttemptOutcome::Responded(_) | AttemptOutcome::NotExecuted(REFUSED))
 }
 
-/// Classifies a target's response. A success counts only with the request's id and a digest.
+/// Classifies a target's response. It counts only with the id of the request, as a faulty target may
+/// write an earlier response once more; a success counts only with a digest.
 fn classify(ctx: &RequestContext, response: TargetResponse) -> AttemptOutcome {
     let names = ctx.host.protocol.headers();
-    let id = response.headers.get(&names.request_id);
-    if id.is_some_and(|id| *id != ctx.id) {
-        return AttemptOutcome::Lost("answer_of_other_request");
+    match response.headers.get(&names.request_id) {
+        Some(id) if *id == ctx.id => {}
+        Some(_) => return AttemptOutcome::Lost("answer_of_other_request"),
+        None => return AttemptOutcome::Lost("unproven_answer"),
     }
     if response.status == StatusCode::MISDIRECTED_REQUEST {
         return AttemptOutcome::NotExecuted("other_target");
@@ -153,8 +155,7 @@
     if response.headers.contains_key(&names.not_executed) {
         return AttemptOutcome::NotExecuted(REFUSED);
     }
-    let verified = id.is_some() && response.headers.contains_key(&names.digest);
-    if response.status.is_success() && !verified {
+    if response.status.is_success() && !response.headers.contains_key(&names.digest) {
         return AttemptOutcome::Lost("unproven_answer");
     }
     AttemptOutcome::Responded(response)
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -76,12 +76,22 @@
 
 /// Sends a request to the host and returns the status and the body of its response.
 pub async fn call(host: SocketAddr, route: &str, time_left_ms: u64) -> (StatusCode, Bytes) {
+    call_as(host, route, &format!("r-{}", rand::random::<u64>()), time_left_ms).await
+}
+
+/// Sends a request with the identity `id`; see [`call`].
+pub async fn call_as(
+    host: SocketAddr,
+    route: &str,
+    id: &str,
+    time_left_ms: u64,
+) -> (StatusCode, Bytes) {
     let stream = TcpStream::connect(host).await.unwrap();
     let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
     tokio::spawn(async move { drop(conn.await) });
     let req = Request::get(format!("/{route}/x"))
         .header(header::HOST, "a.example")
-        .header("a", format!("r-{}", rand::random::<u64>()))
+        .header("a", id)
         .header("b", time_left_ms)
         .body(Full::<Bytes>::default())
         .unwrap();
