Remember that a target leaves beyond the end of its registration

A target that had said in an answer that it leaves got requests again from the same host (DRAIN, by the rule for answers), once its registration had expired and come back, as after an outage of the store.

Cause: Demands::retain forgot a target as soon as it was not registered.

Ruled out: the same through the scheduler, since the host checks the target of each grant itself.

Change: demands of a target that is not registered are kept for ten minutes after its last answer; a registration with another start ends them, as before.

Conclusion: fixed as far as the test shows.

--- a/crates/geraniummux-core/src/fleet/demands.rs
+++ b/crates/geraniummux-core/src/fleet/demands.rs
@@ -15,6 +15,8 @@
 /// Time without an answer of a target after which a host forgets its limit for its own choices. A host
 /// rarely sends to a target with a low limit.
 const HOST_LIMIT_AGE: Duration = Duration::from_secs(60);
+/// Time since the last answer of a target that is not registered after which its demands are forgotten.
+const GONE_TARGET_RETENTION: Duration = Duration::from_secs(600);
 /// Lowest rate that is granted to a target. The answers to these requests tell when its limit has
 /// changed.
 const MIN_PER_S: f64 = 2.0 / MAX_LIMIT_AGE.as_secs() as f64;
@@ -245,15 +247,18 @@
             .collect()
     }
 
-    /// Forgets pauses that are over, limits that have not been heard for long, and targets that are gone or have restarted.
-    /// `started_unix_ms` returns when a registered target was started.
+    /// Forgets pauses that are over, limits that have not been heard for long, and targets that have
+    /// restarted or have been gone for long. `started_unix_ms` returns when a registered target was
+    /// started. What a target demanded survives the end of its registration, which may return.
     pub fn retain<F>(&mut self, now: Time, started_unix_ms: F)
     where
         F: Fn(&str) -> Option<u64>,
     {
         self.entries.retain_mut(|e| {
-            let Some(started) = started_unix_ms(&e.target) else { return false };
-            let is_same_run = *e.started_unix_ms.get_or_insert(started) == started;
+            let is_same_run = match started_unix_ms(&e.target) {
+                Some(started) => *e.started_unix_ms.get_or_insert(started) == started,
+                None => now.since(e.heard_at) < GONE_TARGET_RETENTION,
+            };
             is_same_run && (e.is_closed(now) || e.is_limited(now, HOST_LIMIT_AGE))
         });
     }
--- a/crates/geraniummux-core/tests/fleet_demands.rs
+++ b/crates/geraniummux-core/tests/fleet_demands.rs
@@ -86,3 +86,19 @@
     assert!(!d.is_closed(START + ms(2_000), "t0"));
     assert!(d.reports(START, &pool).is_empty());
 }
+
+/// Guards against requests to a target that said that it leaves and whose registration expired and came
+/// back since, as after an outage of the store (DRAIN).
+#[test]
+fn is_closed_leaving_target_after_its_registration_returns() {
+    let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
+    let mut d = Demands::default();
+    assert!(d.on_answer(START, &pool, &target, LEAVING, 18));
+    d.retain(START + ms(100), |_| Some(7));
+    d.retain(START + ms(5_000), |_| None);
+    d.retain(START + ms(9_000), |_| Some(7));
+    assert!(d.is_closed(START + ms(9_000), "t0"));
+    d.retain(START + ms(9_100), |_| None);
+    d.retain(START + ms(9_200), |_| Some(8));
+    assert!(!d.is_closed(START + ms(9_200), "t0"));
+}
