A stopping host takes no request that it would cut

In a planned stop, requests that came late in the grace period were passed on and then cut without a response, among them requests that run once at most (LOST).

Cause: a stopping host accepted every request for 45% of the grace period, and whatever was complete later on a connection that it was draining, however long the request may take; at the exit it closed the connections.

Ruled out: requests on idle or new connections while the host drains (hyper closes both).

Change: module stopping. A stopping host accepts a request if its deadline, or four typical service times, lie before the exit, checked when the whole body has arrived; otherwise 503 with Retry-After: 0. What is in flight 0.1 s before the exit gets a response: 503 if it was not sent, 504 otherwise.

--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -21,7 +21,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -43,6 +43,8 @@
     Leaving,
     /// No new connections are accepted, idle ones are closed, and requests in flight finish.
     Draining,
+    /// Requests that are still in flight are answered at once, and the process exits.
+    Exiting,
 }
 
 /// State of an entry host.
@@ -74,6 +76,8 @@
     members: Mutex<Membership>,
     freshness: Mutex<Freshness>,
     phase: watch::Sender<Phase>,
+    /// By when the requests in flight must have ended, once the host is stopping.
+    finish_by: OnceLock<Time>,
     /// The host that announced last that it reads the store.
     pub announced_reader: watch::Sender<Option<SocketAddr>>,
     /// Incremented with each change that has to be sent to followers.
@@ -131,6 +135,7 @@
             members: Mutex::new(Membership::new(now, local_member, seeds, opts, &mut rand::rng())),
             freshness: Mutex::new(Freshness::new(now)),
             phase: watch::channel(Phase::Serving).0,
+            finish_by: OnceLock::new(),
             announced_reader: watch::channel(None).0,
             replica_changes: watch::channel(0).0,
             callers: AtomicUsize::new(0),
@@ -205,6 +210,16 @@
         });
     }
 
+    /// Sets by when the requests in flight must have ended. The first call counts.
+    pub fn set_finish_by(&self, at: Time) {
+        self.finish_by.get_or_init(|| at);
+    }
+
+    /// Returns by when the requests in flight must have ended; `None` if the host is not stopping.
+    pub fn finish_by(&self) -> Option<Time> {
+        self.finish_by.get().copied()
+    }
+
     /// Returns a channel that changes with each change that has to be sent to followers.
     pub fn replica_changes(&self) -> watch::Receiver<u64> {
         self.replica_changes.subscribe()
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod server;
 pub mod settings;
 pub mod signals;
+pub mod stopping;
 pub mod store;
 pub mod upstream;
 
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::bodies::{self, BodyError};
 use crate::host::{Host, Phase};
+use crate::stopping;
 use bytes::Bytes;
 use context::RequestContext;
 use geraniummux_core::Fingerprint;
@@ -87,6 +88,12 @@
         Unserved { status, reason, retry_after: Some(delay) }
     }
 
+    /// Returns the rejection of a request that other hosts can serve at once.
+    fn elsewhere(reason: &'static str) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Unserved { status, reason, retry_after: Some(Duration::ZERO) }
+    }
+
     fn response(&self) -> Response<Full<Bytes>> {
         match self.retry_after {
             Some(delay) => response::retry_later(delay),
@@ -138,6 +145,10 @@
             Err(_) => return Err(Unserved::local(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
         }
     };
+    let service_time = Duration::from_secs_f64(typical.service_time_s);
+    if !stopping::ends_before_exit(host, host.now(), deadline, service_time) {
+        return Err(Unserved::elsewhere("stopping"));
+    }
     let mut fleet = host.fleet();
     let pool = fleet.split(&route.name).next(route, rand::random::<f64>());
     let pool = pool.and_then(|name| index.pool(name)).cloned();
@@ -160,7 +171,7 @@
         body,
         started,
         deadline,
-        service_time: Duration::from_secs_f64(typical.service_time_s),
+        service_time,
         typical_body_bytes: typical.body_bytes as u32,
         response_memory: Mutex::new(Some(response_memory)),
         fingerprint,
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -4,6 +4,7 @@
 use super::context::RequestContext;
 use super::response;
 use super::selection::{self, Connect, SelectedTarget, Selection};
+use crate::host::Phase;
 use crate::peers;
 use crate::scheduling::Grant;
 use crate::upstream::TargetResponse;
@@ -81,6 +82,9 @@
     active.select_target();
     let deadline = tokio::time::sleep(ctx.time_left(now));
     tokio::pin!(deadline);
+    let mut phases = host.phases();
+    let exiting = phases.wait_for(|p| *p == Phase::Exiting);
+    tokio::pin!(exiting);
     let rsp = loop {
         let hedge_delay = active.hedge_at.map(|at| at.since(host.now()));
         tokio::select! {
@@ -94,6 +98,10 @@
                 active.reason = "deadline";
                 break active.failure_response();
             }
+            _ = &mut exiting => {
+                active.reason = "stopping";
+                break active.failure_response();
+            }
             (target, latency_factor) = next_hedge_grant(&mut active.grants) => active.on_hedge_grant(target, latency_factor),
             () = sleep(hedge_delay) => active.start_hedge(),
         }
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -1,16 +1,16 @@
 //! Starts the tasks of a host, and shuts it down on SIGTERM.
 
-use crate::host::{Host, Phase};
+use crate::host::Host;
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerNet};
 use crate::protocol::Protocol;
 use crate::server::{self, Service};
 use crate::settings::Settings;
 use crate::signals::Signals;
+use crate::stopping::Stop;
 use crate::store::Store;
 use crate::{logs, reader, replication, scheduling};
 use anyhow::Context;
-use geraniummux_core::Time;
 use slog::{Logger, info, warn};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -21,12 +21,6 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between checks of the settings file, which may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
-/// Time before the end of the grace period by which the process exits at the latest.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
-/// Share of the grace period in which callers are still served while they move to other hosts. The
-/// rest suffices to finish the requests that were accepted until then.
-const SERVE_SHARE_OF_GRACE: f64 = 0.45;
-
 /// Runs a host until it is stopped. `path` is the settings file, which is read again when it changes
 /// or on SIGHUP; `store` creates the client of the platform's store.
 ///
@@ -148,25 +142,14 @@
     }
 }
 
-/// Serves callers while they move to other hosts, then finishes the requests in flight. A second
-/// SIGTERM ends the process at once.
-async fn shut_down(host: &Arc<Host>, mut stop: Signal) {
+/// Stops the host gracefully. A second SIGTERM while callers move to other hosts ends the process at once.
+async fn shut_down(host: &Arc<Host>, mut signal: Signal) {
     let grace = Duration::from_secs_f64(host.settings.load().promises.grace_s);
-    let started: Time = host.now();
-    info!(host.log, "stopping"; "callers" => host.caller_count(), "grace_ms" => grace.as_millis() as u64);
-    host.enter_phase(Phase::Leaving);
-    peers::leave(host);
+    let stop = Stop::begin(host, grace);
     tokio::select! {
-        () = tokio::time::sleep(grace.mul_f64(SERVE_SHARE_OF_GRACE)) => {}
-        _ = stop.recv() => {
+        () = stop.until_callers_have_moved() => stop.drain(host).await,
+        _ = signal.recv() => {
             warn!(host.log, "stopped_at_once"; "callers" => host.caller_count());
-            return;
         }
     }
-    host.enter_phase(Phase::Draining);
-    while host.caller_count() > 0 && host.now().since(started) + EXIT_MARGIN < grace {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    info!(host.log, "stopped"; "callers" => host.caller_count(),
-        "took_ms" => host.now().since(started).as_millis() as u64);
 }
--- a/crates/geraniummux-host/src/server.rs
+++ b/crates/geraniummux-host/src/server.rs
@@ -125,7 +125,7 @@
 }
 
 async fn until_draining(phases: &mut watch::Receiver<Phase>) {
-    if phases.wait_for(|p| *p == Phase::Draining).await.is_err() {
+    if phases.wait_for(|p| *p >= Phase::Draining).await.is_err() {
         std::future::pending().await
     }
 }
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -105,6 +105,8 @@
     Keep(String),
     /// Writes this and closes the connection.
     Close(String),
+    /// Writes nothing and keeps the connection.
+    Nothing,
 }
 
 /// A target whose replies a function makes.
@@ -139,6 +141,7 @@
                         let (text, closes) = match reply(number, addr, &id) {
                             Reply::Keep(text) => (text, false),
                             Reply::Close(text) => (text, true),
+                            Reply::Nothing => (String::new(), false),
                         };
                         if stream.write_all(text.as_bytes()).await.is_err() || closes {
                             return;
