Test of endless targets: check the memory when all is quiet

Cause: the check compared with 0 right after the callers had their responses. A host releases a body after it has written the response, and responses to probes hold memory until the pool is idle.

Change: the check waits for four seconds without requests. It still demands 0.

--- a/crates/geraniummux-host/tests/endless.rs
+++ b/crates/geraniummux-host/tests/endless.rs
@@ -26,6 +26,8 @@
 /// The same for a target that sends a byte now and then.
 const MAX_SENT_SLOWLY: usize = 3_000;
 const SLOW_INTERVAL: Duration = Duration::from_millis(20);
+/// Time without requests after which no response is being sent and no target is probed.
+const IDLE_WAIT: Duration = Duration::from_secs(4);
 const LIMITS: ResponseLimits = ResponseLimits { declared: 1 << 20, undeclared: 256 << 10 };
 
 /// Where the bytes without end are sent.
@@ -286,6 +288,9 @@
     assert!(started > 0, "no endless response was requested");
     // Each endless target costs one request at most.
     assert!(served >= 200 - endless.len(), "{served} of 200 served, {started} endless responses");
+    // Memory is released after the caller has its response, and responses to probes hold some until the
+    // pool is idle.
+    tokio::time::sleep(IDLE_WAIT).await;
     assert_eq!(host.bodies.budget().held(), 0);
 }
 
