Wait longer for probes after a round without any response

Callers got 503 with nine tenths of their time left from a host that selected targets itself and was slow.

Cause: four rounds of probes that each wait 30 ms for a first response end in a rejection. On a host that gets no processor time for that long, all four pass.

Ruled out: memory for bodies and full targets (the metrics of the failed runs show "no_answer" only).

Change: the wait doubles with each round without any response: 30, 60, 120, 240 ms. Targets that refuse connections end a round at once, as before.

Evidence: host_probes_answered_late_rejects_nothing failed before and passes now; 17 runs of the test above beside 20 busy loops pass.

--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -31,7 +31,8 @@
 const FURTHER_PROBES: usize = 6;
 /// Time for which further responses are awaited after the first.
 const FURTHER_RESPONSES_WAIT: Duration = Duration::from_millis(4);
-/// Time for which a first response is awaited before other targets are probed.
+/// Time for which a first response is awaited before other targets are probed. It doubles with each round
+/// without any response, since this host may be the slow one.
 const FIRST_RESPONSE_WAIT: Duration = Duration::from_millis(30);
 /// Time limit of a probe on an idle connection, after which a new connection is opened.
 const IDLE_PROBE_TIMEOUT: Duration = Duration::from_millis(60);
@@ -253,7 +254,8 @@
         if candidates.is_empty() {
             return rejection("no_target", &ctx);
         }
-        let mut responses = probe_targets(host, &ctx.pool, candidates).await;
+        let wait = FIRST_RESPONSE_WAIT * 2_u32.pow(empty_rounds);
+        let mut responses = probe_targets(host, &ctx.pool, candidates, wait).await;
         let now = host.now();
         let Some((best, latency_factor)) = best_response(&ctx, &responses) else {
             empty_rounds += 1;
@@ -354,17 +356,18 @@
     best.map(|(i, _, rating)| (i, rating.latency_factor))
 }
 
-/// Probes targets for their load. Returns the responses until shortly after the first; later ones
-/// still update the table of targets and return their connections.
+/// Probes targets for their load. Returns the responses until shortly after the first, for which it waits
+/// up to `first_wait`; later ones still update the table of targets and return their connections.
 async fn probe_targets(
     host: &Arc<Host>,
     pool: &Arc<FleetPool>,
     candidates: Vec<Candidate>,
+    first_wait: Duration,
 ) -> Vec<ProbeResponse> {
     let mut pending: FuturesUnordered<_> =
         candidates.into_iter().map(|c| probe_target(host.clone(), pool.clone(), c)).collect();
     let mut responses = Vec::new();
-    let mut timer = pin!(tokio::time::sleep(FIRST_RESPONSE_WAIT));
+    let mut timer = pin!(tokio::time::sleep(first_wait));
     loop {
         tokio::select! {
             biased;
--- a/crates/geraniummux-host/tests/answers.rs
+++ b/crates/geraniummux-host/tests/answers.rs
@@ -1,4 +1,4 @@
-//! Targets whose responses are those to other requests, or stop midway.
+//! Targets whose responses are those to other requests, stop midway, or come late.
 
 mod common;
 
@@ -8,10 +8,13 @@
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Time that callers have for a request, in milliseconds.
 const TIME_LEFT_MS: u64 = 2_000;
 const REQUESTS: usize = 24;
+/// Time after which a late target answers a probe.
+const PROBE_DELAY: Duration = Duration::from_millis(90);
 
 /// How a refusal that is repeated identifies the request that it was for.
 #[derive(Clone, Copy, Debug)]
@@ -130,3 +133,21 @@
         }
     }
 }
+
+/// Guards against requests that are rejected with most of their time left, because all probes of a host
+/// that selects targets itself are answered later than the first wait: the host may be the slow one.
+#[tokio::test]
+async fn host_probes_answered_late_rejects_nothing() {
+    let late = |n: Option<usize>, addr: SocketAddr, id: &str| match n {
+        Some(_) => Reply::Keep(complete_response(addr, id)),
+        None => Reply::Later(PROBE_DELAY, complete_response(addr, id)),
+    };
+    let targets = [ScriptedTarget::start(late).await, ScriptedTarget::start(late).await];
+    let addrs = targets.each_ref().map(|t| t.addr);
+    let (host, addr) = start_host_with(&addrs, "127.9.9.65:7009").await;
+    host.members().leave();
+    for n in 0..4 {
+        let (status, body) = call_as(addr, "safe", &format!("r-{n}"), TIME_LEFT_MS).await;
+        assert_eq!((status, &*body), (StatusCode::OK, COMPLETE_BODY.as_bytes()));
+    }
+}
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -105,6 +105,8 @@
     Keep(String),
     /// Writes this and closes the connection.
     Close(String),
+    /// Writes this after some time and keeps the connection.
+    Later(Duration, String),
     /// Writes nothing and keeps the connection.
     Nothing,
 }
@@ -141,6 +143,10 @@
                         let (text, closes) = match reply(number, addr, &id) {
                             Reply::Keep(text) => (text, false),
                             Reply::Close(text) => (text, true),
+                            Reply::Later(delay, text) => {
+                                tokio::time::sleep(delay).await;
+                                (text, false)
+                            }
                             Reply::Nothing => (String::new(), false),
                         };
                         if stream.write_all(text.as_bytes()).await.is_err() || closes {
