Soak: targets make demands in their responses

Random faults did not cover what targets say in their responses, so that the soak could not have found the repeated refusals, nor what limits, pauses and leaving targets lead to beside kills and restarts.

The demands are drawn apart from the other faults, whose seeds stay as they are.

--- a/crates/geraniummux-soak/src/faults.rs
+++ b/crates/geraniummux-soak/src/faults.rs
@@ -2,9 +2,10 @@
 
 use crate::harness::Harness;
 use geraniummux_standin::link::LinkFault;
+use geraniummux_standin::registered_target::Demand;
 use nix::sys::signal::Signal;
-use rand::RngExt;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,6 +65,25 @@
     }
 }
 
+/// Lets targets demand something in their responses, one after another, until the run is over. What they
+/// demand is drawn from generators of its own, so that the other faults of a seed stay the same.
+pub async fn make_demands(harness: Arc<Harness>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    while !harness.is_over() {
+        let i = rng.random_range(0..harness.targets.len());
+        harness.targets[i].set_demand(match rng.random_range(0..4) {
+            0 => Demand::Limit(rng.random_range(0.0..20.0)),
+            1 => Demand::Leaving,
+            2 => Demand::Pause(rng.random_range(0.1..2.0)),
+            _ => Demand::RepeatedRefusal,
+        });
+        let span = rng.random_range(100..1_500);
+        tokio::time::sleep(Duration::from_millis(span)).await;
+        harness.targets[i].restart();
+        harness.register(i);
+    }
+}
+
 /// Injects a fault, waits until its time is over and clears it.
 pub async fn inject(harness: Arc<Harness>, fault: Fault) {
     match fault {
--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -47,6 +47,8 @@
     pub callers: u64,
     /// Whether to check guarantees that set a time limit; they need a machine that is not overloaded.
     pub timed: bool,
+    /// Whether targets make demands in their responses: limits, pauses, that they leave.
+    pub demands: bool,
     /// Entry host program to test.
     pub program: PathBuf,
     /// Directory for the settings and logs of the hosts.
@@ -342,6 +344,8 @@
     let callers: Vec<_> = (0..opts.callers)
         .map(|n| tokio::spawn(callers::run(harness.clone(), n, opts.seed)))
         .collect();
+    let demands =
+        opts.demands.then(|| tokio::spawn(faults::make_demands(harness.clone(), opts.seed)));
     let mut rng = StdRng::seed_from_u64(opts.seed);
     let mut injected = Vec::new();
     let end = tokio::time::Instant::now() + opts.fault_duration;
@@ -359,8 +363,8 @@
     harness.publish_config();
     await_config_on_all_hosts(&harness, &mut report).await;
     harness.over.store(true, Ordering::SeqCst);
-    for caller in callers {
-        caller.await?;
+    for task in callers.into_iter().chain(demands) {
+        task.await?;
     }
     harness.check_hosts();
     callers::check(&harness, &mut report);
--- a/crates/geraniummux-soak/src/main.rs
+++ b/crates/geraniummux-soak/src/main.rs
@@ -27,6 +27,9 @@
     /// targets (default: 6)
     #[argh(option, default = "6")]
     targets: usize,
+    /// let targets make demands in their responses: limits, pauses, that they leave
+    #[argh(switch)]
+    demands: bool,
     /// directory for the hosts' settings and logs (default: a new one in the temporary directory)
     #[argh(option)]
     dir: Option<PathBuf>,
@@ -54,6 +57,7 @@
             targets: args.targets,
             callers: args.callers,
             timed: args.timed,
+            demands: args.demands,
             program: args.program.clone().unwrap_or_else(|| default_program.clone()),
             dir: dir.join(seed.to_string()),
         })
--- a/crates/geraniummux-soak/tests/process.rs
+++ b/crates/geraniummux-soak/tests/process.rs
@@ -4,6 +4,7 @@
 use geraniummux_soak::callers::{self, Outcome};
 use geraniummux_soak::harness::Harness;
 use geraniummux_standin::link::LinkFault;
+use geraniummux_standin::registered_target::Demand;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use nix::sys::signal::Signal;
@@ -29,6 +30,7 @@
         targets: 2,
         callers: 0,
         timed: false,
+        demands: false,
         program: program(),
         dir: std::env::temp_dir().join(format!("geraniummux-process-{}-{net}", std::process::id())),
     };
@@ -56,6 +58,8 @@
     (parts.status, String::from_utf8_lossy(&body).into_owned())
 }
 
+/// Requests beyond its limit that a target may get in a few seconds.
+const LIMIT_SLACK: u32 = 5;
 const SERVED: Outcome = Outcome::Response(StatusCode::OK);
 
 /// Guards against a graceful stop that aborts requests in flight.
@@ -308,3 +312,25 @@
     assert_eq!(run_check("{").0, Some(2));
     std::fs::remove_dir_all(dir).unwrap();
 }
+
+/// Guards against a target that gets more than the limit that it names (LIMIT), from all hosts together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn target_limit_is_kept_by_all_hosts() {
+    let harness = start_harness(12).await;
+    let target = &harness.targets[0];
+    target.set_demand(Demand::Limit(0.0));
+    let mut n = 0;
+    let mut request = async || {
+        n += 1;
+        assert_eq!(send(&harness, n % 2, &format!("limit-{n}"), n % 4 < 2).await, SERVED);
+    };
+    while target.run_count() == 0 {
+        request().await;
+    }
+    let before = target.run_count();
+    for _ in 0..100 {
+        request().await;
+    }
+    let extra = target.run_count() - before;
+    assert!(extra <= LIMIT_SLACK, "{extra} requests beyond the limit");
+}
--- a/crates/geraniummux-soak/tests/soak.rs
+++ b/crates/geraniummux-soak/tests/soak.rs
@@ -15,7 +15,7 @@
     path
 }
 
-async fn run_seed(seed: u64) {
+async fn run_seed(seed: u64, demands: bool) {
     let opts = Options {
         seed,
         fault_duration: Duration::from_secs(6),
@@ -24,6 +24,7 @@
         callers: 12,
         // Time limits can't be kept on a machine that runs a build at the same time.
         timed: false,
+        demands,
         program: program(),
         dir: std::env::temp_dir()
             .join(format!("geraniummux-soak-test-{}-{seed}", std::process::id())),
@@ -39,14 +40,21 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_short_keeps_all_promises() {
     for seed in [1, 2] {
-        run_seed(seed).await;
+        run_seed(seed, false).await;
     }
 }
 
+/// Guards against violated guarantees while targets make demands in their responses, beside the other
+/// faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_with_demands_of_targets_keeps_all_promises() {
+    run_seed(3, true).await;
+}
+
 /// Guards against the return of the failures that are listed in `seeds.txt`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_failed_seeds_keep_all_promises() {
     for line in REGRESSION_SEEDS.lines().filter(|l| !l.starts_with('#') && !l.is_empty()) {
-        run_seed(line.split_whitespace().next().unwrap().parse().unwrap()).await;
+        run_seed(line.split_whitespace().next().unwrap().parse().unwrap(), false).await;
     }
 }
--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -60,6 +60,26 @@
     /// When the target began to leave, and for how long it may still get requests from then on.
     leaving_since: Mutex<Option<(Instant, Duration)>>,
     late_runs: Mutex<Vec<LateRun>>,
+    demand: Mutex<Demand>,
+    run_count: AtomicU32,
+    /// Number of starts, as the time of the last one.
+    starts: AtomicU64,
+}
+
+/// What a target says in its responses beside its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Demand {
+    /// Nothing.
+    #[default]
+    None,
+    /// It accepts so many requests a second from all hosts together.
+    Limit(f64),
+    /// It is leaving.
+    Leaving,
+    /// It refuses each request and wants nothing from that host for so many seconds.
+    Pause(f64),
+    /// It runs each request, but then writes a refusal without an id instead of the response.
+    RepeatedRefusal,
 }
 
 /// A request that began to run after the time for which its leaving target was allowed to get requests.
@@ -84,14 +104,38 @@
             leaving: AtomicBool::new(false),
             leaving_since: Mutex::default(),
             late_runs: Mutex::default(),
+            demand: Mutex::default(),
+            run_count: AtomicU32::new(0),
+            starts: AtomicU64::new(1),
         })
     }
 
+    /// Sets what the target says in its responses beside its load.
+    pub fn set_demand(&self, demand: Demand) {
+        *self.demand.lock().unwrap_or_else(|e| e.into_inner()) = demand;
+    }
+
+    /// Makes the next registration that of a target that has started again under its identity.
+    pub fn restart(&self) {
+        self.set_demand(Demand::None);
+        self.starts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn demand(&self) -> Demand {
+        *self.demand.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Returns the number of requests that ran at this target.
+    pub fn run_count(&self) -> u32 {
+        self.run_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the object that registers the target in the store.
     pub fn registration(&self, service: &str, addr: &str, zone: &str) -> Value {
         let state = if self.leaving.load(Ordering::Relaxed) { "draining" } else { "ready" };
         json!({"service": service, "address": addr, "zone": zone, "version": "v1", "slots": SLOTS,
-            "state": state, "warmup-left-s": 0, "sequence": 1, "born": 1})
+            "state": state, "warmup-left-s": 0, "sequence": 1,
+            "born": self.starts.load(Ordering::Relaxed)})
     }
 
     /// Sets the time for which each request occupies a slot, in milliseconds.
@@ -133,7 +177,9 @@
         let timeout_ms =
             header(&parts.headers, "request-deadline-ms").parse().unwrap_or(DEFAULT_TIMEOUT_MS);
         let body = read_body(body).await;
-        if self.waiting.load(Ordering::Relaxed) >= MAX_QUEUED {
+        if self.waiting.load(Ordering::Relaxed) >= MAX_QUEUED
+            || matches!(self.demand(), Demand::Pause(_))
+        {
             return self.refusal(&id);
         }
         let run = async {
@@ -147,6 +193,7 @@
             drop(slot);
         };
         match tokio::time::timeout(Duration::from_millis(timeout_ms), run).await {
+            Ok(()) if self.demand() == Demand::RepeatedRefusal => self.refusal(""),
             Ok(()) => Reply::Send(self.response(StatusCode::OK, &id, response_body(&id, &body))),
             Err(_) => Reply::Send(self.response(StatusCode::GATEWAY_TIMEOUT, &id, Bytes::new())),
         }
@@ -154,6 +201,7 @@
 
     fn record_run(&self, id: &str) {
         self.run_counts.record(id);
+        self.run_count.fetch_add(1, Ordering::Relaxed);
         let leaving = *self.leaving_since.lock().unwrap_or_else(|e| e.into_inner());
         let run_start = Instant::now();
         if let Some((leaving_since, _)) =
@@ -175,6 +223,11 @@
         let mut rsp = self.response(StatusCode::SERVICE_UNAVAILABLE, id, Bytes::new());
         rsp.headers_mut().remove("response-signature");
         rsp.headers_mut().insert("not-executed", http::HeaderValue::from_static("1"));
+        if let Demand::Pause(seconds) = self.demand()
+            && let Ok(value) = seconds.to_string().parse()
+        {
+            rsp.headers_mut().insert(http::header::RETRY_AFTER, value);
+        }
         Reply::Send(rsp)
     }
 
@@ -190,6 +243,11 @@
             .header("instance-id", &self.id)
             .header("response-signature", format!("{}.{id}", self.id));
         let rsp = if id.is_empty() { rsp } else { rsp.header("request-id", id) };
+        let rsp = match self.demand() {
+            Demand::Limit(per_s) => rsp.header("server-limit", per_s.to_string()),
+            Demand::Leaving => rsp.header("server-leaving", "1"),
+            Demand::None | Demand::Pause(_) | Demand::RepeatedRefusal => rsp,
+        };
         rsp.body(Full::new(body)).unwrap_or_default()
     }
 }
