--- a/crates/geraniummux-core/src/fleet/limits.rs
+++ b/crates/geraniummux-core/src/fleet/limits.rs
@@ -18,7 +18,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RateBucket {
     per_s: f64,
-    capacity: f64,
     tokens: f64,
     at: Time,
 }
@@ -26,17 +25,18 @@
 impl RateBucket {
     /// Returns an empty bucket. It allows a request from time to time even if `per_s` is 0.
     pub fn new(now: Time, per_s: f64) -> Self {
-        let per_s = per_s.max(MIN_PER_S);
-        let capacity = 1.0 + per_s * BURST.as_secs_f64();
-        RateBucket { per_s, capacity, tokens: 0.0, at: now }
+        RateBucket { per_s: per_s.max(MIN_PER_S), tokens: 0.0, at: now }
     }
 
     /// Changes the rate and keeps the tokens, as far as the new capacity allows.
-    pub fn adopt(&mut self, now: Time, other: RateBucket) {
+    pub fn set_per_s(&mut self, now: Time, per_s: f64) {
         self.refill(now);
-        self.per_s = other.per_s;
-        self.capacity = other.capacity;
-        self.tokens = self.tokens.min(self.capacity);
+        self.per_s = per_s.max(MIN_PER_S);
+        self.refill(now);
+    }
+
+    fn capacity(&self) -> f64 {
+        1.0 + self.per_s * BURST.as_secs_f64()
     }
 
     /// Returns the requests per second that the bucket allows.
@@ -62,7 +62,7 @@
     }
 
     fn tokens_at(&self, now: Time) -> f64 {
-        (self.tokens + now.since(self.at).as_secs_f64() * self.per_s).min(self.capacity)
+        (self.tokens + now.since(self.at).as_secs_f64() * self.per_s).min(self.capacity())
     }
 
     fn refill(&mut self, now: Time) {
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -655,10 +655,10 @@
         }
         t.demand_at = said_at;
         t.leaving |= report.demand.leaving;
-        let limit = report.demand.limit_per_s.map(|l| RateBucket::new(now, l * self.limit_share));
-        match (&mut t.limit, limit) {
-            (Some(old), Some(new)) => old.adopt(now, new),
-            (old, new) => *old = new,
+        let per_s = report.demand.limit_per_s.map(|l| l * self.limit_share);
+        match (&mut t.limit, per_s) {
+            (Some(limit), Some(per_s)) => limit.set_per_s(now, per_s),
+            (limit, per_s) => *limit = per_s.map(|per_s| RateBucket::new(now, per_s)),
         }
     }
 
--- a/crates/geraniummux-host/tests/demands.rs
+++ b/crates/geraniummux-host/tests/demands.rs
@@ -4,6 +4,7 @@
 
 use common::targets::{Reply, ScriptedTarget, call, complete_response, identity, start_host_with};
 use futures_util::future::join_all;
+use geraniummux_host::Host;
 use http::StatusCode;
 use std::net::SocketAddr;
 
@@ -27,6 +28,26 @@
     join_all(calls).await.iter().filter(|(status, _)| *status == StatusCode::OK).count()
 }
 
+/// Sends requests until the target has got some, and checks that it gets no more, whether the scheduler
+/// selects targets or, without one, the host itself; all requests are served.
+async fn assert_gets_nothing_after_first_answers(
+    host: &Host,
+    addr: SocketAddr,
+    target: &ScriptedTarget,
+) {
+    while target.count() == 0 {
+        assert_eq!(call_at_once(addr).await, AT_ONCE);
+    }
+    let before = target.count();
+    for round in 0..20 {
+        if round == 10 {
+            host.members().leave();
+        }
+        assert_eq!(call_at_once(addr).await, AT_ONCE);
+    }
+    assert_eq!(target.count(), before);
+}
+
 /// Guards against requests to a target that has said in a response that it leaves (DRAIN), on a host that
 /// gets no news of it from the store or from peers.
 #[tokio::test]
@@ -63,17 +84,7 @@
     let others = [ScriptedTarget::start(plain).await, ScriptedTarget::start(plain).await];
     let targets = [limited.addr, others[0].addr, others[1].addr];
     let (host, addr) = start_host_with(&targets, "127.9.9.41:7009").await;
-    while limited.count() == 0 {
-        call_at_once(addr).await;
-    }
-    let before = limited.count();
-    for round in 0..20 {
-        if round == 10 {
-            host.members().leave();
-        }
-        assert_eq!(call_at_once(addr).await, AT_ONCE);
-    }
-    assert_eq!(limited.count(), before);
+    assert_gets_nothing_after_first_answers(&host, addr, &limited).await;
 }
 
 /// Guards against requests to a target that has refused one with 503 and asked this host for a pause
@@ -91,15 +102,5 @@
     let others = [ScriptedTarget::start(plain).await, ScriptedTarget::start(plain).await];
     let targets = [busy.addr, others[0].addr, others[1].addr];
     let (host, addr) = start_host_with(&targets, "127.9.9.42:7009").await;
-    while busy.count() == 0 {
-        assert_eq!(call_at_once(addr).await, AT_ONCE);
-    }
-    let before = busy.count();
-    for round in 0..20 {
-        if round == 10 {
-            host.members().leave();
-        }
-        assert_eq!(call_at_once(addr).await, AT_ONCE);
-    }
-    assert_eq!(busy.count(), before);
+    assert_gets_nothing_after_first_answers(&host, addr, &busy).await;
 }
