Limits: no debt from the time in which a limit was forgotten

A target whose limit was forgotten and then named again could get nothing for minutes: requests that were granted while no limit was known were still taken out of its bucket.

Cause: take_token looked at the bucket, not at whether the limit is in force.

Ruled out: the same after the end of a limit, which removes the bucket.

Change: a request is taken out of a limit that is in force.

Evidence: limit_named_again_leaves_no_debt failed before (rejected as limited, 0.6 s after the limit of 2/s was named again) and passes now.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -32,6 +32,7 @@
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
 pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
+pub use limits::MAX_LIMIT_AGE;
 pub use probes::ProbeBudget;
 pub use readers::{
     Leader, PeerFreshness, Position, ReadSource, ReaderOptions, leaders, read_source,
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -348,9 +348,10 @@
         }
     }
 
-    /// Takes a request out of the target's limit.
+    /// Takes a request out of the target's limit, unless that is forgotten.
     fn take_token(&mut self, now: Time) {
-        if let Some(limit) = &mut self.limit {
+        let is_limited = self.limit_per_s(now).is_some();
+        if let Some(limit) = self.limit.as_mut().filter(|_| is_limited) {
             limit.take(now);
         }
     }
--- a/crates/geraniummux-core/tests/fleet_limits.rs
+++ b/crates/geraniummux-core/tests/fleet_limits.rs
@@ -3,7 +3,7 @@
 
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
-    Demands, RegisteredTarget, RejectReason, ReportedDemand, RequestKey, Scheduler,
+    Demands, MAX_LIMIT_AGE, RegisteredTarget, RejectReason, ReportedDemand, RequestKey, Scheduler,
     SchedulerOptions, SlotDecision, SlotRequest, TargetDemand,
 };
 use rand::rngs::StdRng;
@@ -426,3 +426,24 @@
     };
     assert!(rejected(1) && !rejected(2), "{decisions:?}");
 }
+
+/// Guards against a target that gets nothing for long, because what it got while its limit was forgotten
+/// counts against the limit once it is named again.
+#[test]
+fn limit_named_again_leaves_no_debt() {
+    let mut s = scheduler(&Scenario { targets: 1, ..Scenario::new(1, 1.0) });
+    let demand = TargetDemand { limit_per_s: Some(2.0), leaving: false };
+    let report = ReportedDemand { target: "t0".into(), demand, age: Duration::ZERO };
+    s.on_demand(START, &report);
+    let forgotten = START + MAX_LIMIT_AGE;
+    for number in 0..20 {
+        let key = RequestKey { host: "h0".into(), number };
+        let decisions = s.on_request(forgotten, key.clone(), urgent_request(1));
+        assert!(matches!(&decisions[..], [(_, SlotDecision::Grant { .. })]), "{decisions:?}");
+        s.on_grant_ended(forgotten, &key, None);
+    }
+    s.on_demand(forgotten + ms(10), &report);
+    let key = RequestKey { host: "h0".into(), number: 20 };
+    let decisions = s.on_request(forgotten + ms(600), key, urgent_request(1));
+    assert!(matches!(&decisions[..], [(_, SlotDecision::Grant { .. })]), "{decisions:?}");
+}
