Readers: hosts that the store serves read in groups, not all at once

Change: hosts check from an age of 1 s on; those to which the store has responded read in growing groups, the first at 1.25 s, each further one 125 ms later, unless newer data arrives. No checks in the first three seconds of a host.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -36,6 +36,7 @@
 pub use probes::ProbeBudget;
 pub use readers::{
     Leader, PeerFreshness, Position, ReadSource, ReaderOptions, leaders, read_source,
+    reads_after_check,
 };
 pub use registry::{RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry};
 pub use routes::{CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex};
--- a/crates/geraniummux-core/src/fleet/readers.rs
+++ b/crates/geraniummux-core/src/fleet/readers.rs
@@ -8,7 +8,7 @@
 //! If the replicated data becomes stale, the next hosts in the order, the standby readers, start
 //! reading one after the other. If it stays stale, the store may refuse all of them and yet serve
 //! others: the other hosts check in growing groups whether it responds to them, which is cheap, and read
-//! only if it does. Without a check they read only if they get no updates from any peer, or much
+//! only if it does and no earlier group has read meanwhile. Without a check they read only if they get no updates from any peer, or much
 //! later.
 
 use std::time::Duration;
@@ -36,6 +36,11 @@
     pub first_check_group: usize,
     /// Additional delay for each further group.
     pub check_step: Duration,
+    /// Age of the replicated data at which the first group reads the store if it has responded to a check.
+    pub read_after_check: Duration,
+    /// Additional delay of the reads for each further group, in which the data of an earlier one may
+    /// arrive.
+    pub read_step: Duration,
     /// Time without updates from any peer after which a host that is neither a primary nor a
     /// standby reader starts reading.
     pub isolated_after: Duration,
@@ -52,9 +57,11 @@
             fanout: 4,
             stale_after: Duration::from_millis(700),
             standby_step: Duration::from_millis(150),
-            check_after: Duration::from_millis(1_200),
+            check_after: Duration::from_millis(1_000),
             first_check_group: 4,
-            check_step: Duration::from_millis(100),
+            check_step: Duration::from_millis(50),
+            read_after_check: Duration::from_millis(1_250),
+            read_step: Duration::from_millis(125),
             isolated_after: Duration::from_millis(2_500),
             fallback_after: Duration::from_secs(6),
         }
@@ -127,6 +134,13 @@
     if checks { ReadSource::StoreIfResponsive } else { ReadSource::Peers }
 }
 
+/// Returns whether a host to which the store has responded reads it: its turn has come, and data that an
+/// earlier group has read did not arrive. `age` is that of the replicated data.
+pub fn reads_after_check(rank: usize, age: Duration, opts: &ReaderOptions) -> bool {
+    let group = check_group(rank.saturating_sub(opts.readers), opts);
+    age >= opts.read_after_check + opts.read_step * group
+}
+
 /// Returns the number of the group in which the host checks the store that has `index` hosts between the
 /// standby readers and itself.
 fn check_group(index: usize, opts: &ReaderOptions) -> u32 {
--- a/crates/geraniummux-core/tests/fleet_budgets.rs
+++ b/crates/geraniummux-core/tests/fleet_budgets.rs
@@ -4,7 +4,7 @@
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
     ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions, Leader, PeerFreshness, Position,
-    ProbeBudget, ReadSource, ReaderOptions, leaders, read_source,
+    ProbeBudget, ReadSource, ReaderOptions, leaders, read_source, reads_after_check,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -115,15 +115,32 @@
     assert_eq!(reader_count(6_900, 100), 13);
 }
 
-/// Returns the age of the replicated data at which the store is first asked by one of `served`, the ranks
-/// of the hosts to which it responds, in a fleet of 500 hosts that get updates from one another.
-fn first_read_ms(served: &[usize]) -> u64 {
+/// Returns whether a host to which the store responds reads it, given the age of the replicated data, in a
+/// fleet of hosts that get updates from one another.
+fn reads_served(rank: usize, age_ms: u64) -> bool {
     let opts = ReaderOptions::default();
-    let asks = |rank: usize, age_ms: u64| {
-        let freshness = PeerFreshness { age: Duration::from_millis(age_ms), ..Default::default() };
-        read_source(rank, freshness, false, &opts) != ReadSource::Peers
-    };
-    (0..20_000).step_by(10).find(|ms| served.iter().any(|rank| asks(*rank, *ms))).unwrap()
+    let age = Duration::from_millis(age_ms);
+    match read_source(rank, PeerFreshness { age, ..Default::default() }, false, &opts) {
+        ReadSource::Store => true,
+        ReadSource::StoreIfResponsive => reads_after_check(rank, age, &opts),
+        ReadSource::Peers => false,
+    }
+}
+
+/// Returns the age of the replicated data at which the store is first read by one of `served`, the ranks
+/// of the hosts to which it responds.
+fn first_read_ms(served: &[usize]) -> u64 {
+    (0..20_000).step_by(10).find(|ms| served.iter().any(|rank| reads_served(*rank, *ms))).unwrap()
+}
+
+/// Guards against all hosts reading at once when a store comes back that was away for all of them: the
+/// data of the first ones reaches the others meanwhile.
+#[test]
+fn read_source_store_back_few_read_at_once() {
+    let readers = |age_ms| (0..300).filter(|rank| reads_served(*rank, age_ms)).count();
+    assert_eq!(readers(1_200), 6);
+    assert!(readers(1_350) <= 10, "{}", readers(1_350));
+    assert!(readers(1_600) <= 36, "{}", readers(1_600));
 }
 
 /// Guards against hosts that keep an old configuration for seconds because the store refuses all primary
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -5,7 +5,7 @@
 use crate::replication;
 use crate::store::{ConfigUpdate, Consistency, Store, StoreError, UnknownRouteType};
 use geraniummux_core::Time;
-use geraniummux_core::fleet::{ReadSource, ReaderOptions, read_source};
+use geraniummux_core::fleet::{ReadSource, ReaderOptions, read_source, reads_after_check};
 use rand::RngExt;
 use slog::{info, warn};
 use std::future::Future;
@@ -45,6 +45,10 @@
 /// Time after the start in which members discover each other before any of them reads the store.
 const STARTUP_SETTLE_TIME: Duration = Duration::from_millis(1_200);
 
+/// Time after the start in which a host that is no reader does not check the store, as the first updates of
+/// its peers may take that long in a large fleet.
+const STARTUP_CHECK_DELAY: Duration = Duration::from_secs(3);
+
 /// Reads the store once, so that the host can serve before it has reached any peer.
 pub async fn read_once<S>(host: Arc<Host>, store: Arc<S>)
 where
@@ -66,7 +70,7 @@
     let opts = ReaderOptions::default();
     let started = host.now();
     let mut tasks: Vec<tokio::task::JoinHandle<()>> = Vec::new();
-    let mut checks = CheckInterval::new();
+    let mut checks = Checks::new();
     // Until when other hosts are told that this one reads the store, and when next.
     let (mut announce_until, mut next_announcement) = (started, started);
     loop {
@@ -80,16 +84,22 @@
         let is_reading = !tasks.is_empty();
         let mut source = read_source(position.rank, peer_freshness, is_reading, &opts);
         match source {
-            ReadSource::StoreIfResponsive if !checks.is_due(now) => source = ReadSource::Peers,
+            ReadSource::StoreIfResponsive if now.since(started) < STARTUP_CHECK_DELAY => {
+                source = ReadSource::Peers;
+            }
             ReadSource::StoreIfResponsive => {
-                let result = timeout(CHECK_TIMEOUT, store.check()).await;
-                let result = result.unwrap_or_else(|_| Err(check_timed_out()));
-                record_call(&host, "check", result.as_ref().err());
-                checks.record(host.now(), result.is_ok());
-                source = if result.is_ok() { ReadSource::Store } else { ReadSource::Peers };
+                if checks.is_due(now) {
+                    let result = timeout(CHECK_TIMEOUT, store.check()).await;
+                    let result = result.unwrap_or_else(|_| Err(check_timed_out()));
+                    record_call(&host, "check", result.as_ref().err());
+                    checks.record(host.now(), result.is_ok());
+                }
+                // Most hosts need not read, as those that read first pass on what they have read.
+                let reads =
+                    checks.responded && reads_after_check(position.rank, peer_freshness.age, &opts);
+                source = if reads { ReadSource::Store } else { ReadSource::Peers };
             }
-            ReadSource::Store => {}
-            ReadSource::Peers => checks.reset(),
+            ReadSource::Store | ReadSource::Peers => checks.reset(),
         }
         if now < announce_until && now >= next_announcement && host.freshness().is_watching() {
             next_announcement = now + ANNOUNCEMENT_INTERVAL;
@@ -124,28 +134,30 @@
     }
 }
 
-/// When a host checks again whether the store responds to it.
-struct CheckInterval {
+/// Whether the store responds to a host that does not read it, and when the host checks that again.
+struct Checks {
+    /// Whether the store responded.
+    responded: bool,
     due: Time,
     interval: Duration,
 }
 
-impl CheckInterval {
+impl Checks {
     fn new() -> Self {
-        CheckInterval { due: Time::default(), interval: MIN_RECHECK_INTERVAL }
+        Checks { responded: false, due: Time::default(), interval: MIN_RECHECK_INTERVAL }
     }
 
     fn reset(&mut self) {
-        *self = CheckInterval::new();
+        *self = Checks::new();
     }
 
     fn is_due(&self, now: Time) -> bool {
-        now >= self.due
+        !self.responded && now >= self.due
     }
 
     fn record(&mut self, now: Time, responded: bool) {
+        self.responded = responded;
         if responded {
-            self.reset();
             return;
         }
         self.due = now + self.interval.mul_f64(rand::rng().random_range(0.75..1.25));
