A target that left and was restarted under its identity is used again

A target that had said in an answer that it leaves, and whose registration ended before any other change of the registry reached the host, got no requests from that host after it was started again under the same identity (for ten minutes after its last answer, and longer while it was registered).

Cause: the start of the target, by which a restart is recognised, was looked up at the next change of the registry. If that change was the end of the registration, the start of the next run was taken for that of the run that left.

Ruled out: the scheduler, which forgets the mark when a target's start differs.

Change: the start is looked up when the answer is recorded.

Evidence: is_closed_leaving_target_restarted_at_once_is_usable failed before (4 passed, 1 failed) and passes now; fleet_limits passes unchanged but for the new argument.

Conclusion: a leaving target gets nothing, and its next run is used.

--- a/crates/geraniummux-core/src/fleet/demands.rs
+++ b/crates/geraniummux-core/src/fleet/demands.rs
@@ -47,7 +47,7 @@
     share: Option<LimitShare>,
     /// End of the time in which the target accepts nothing from this host.
     paused_until: Time,
-    /// Start of the target, once the registry was asked for it.
+    /// Start of the target that made the demand; `None` until it is known to be registered.
     started_unix_ms: Option<u64>,
 }
 
@@ -62,13 +62,15 @@
     /// Records what a target demands with an answer. Returns whether that has changed, so that it has to
     /// be reported to the scheduler of the pool.
     ///
-    /// `hosts` is the number of hosts that share a limit.
+    /// `started_unix_ms` is when the target was started, if it is registered; `hosts` is the number of
+    /// hosts that share a limit.
     pub fn on_answer(
         &mut self,
         now: Time,
         pool: &Arc<str>,
         target: &Arc<str>,
         demand: TargetDemand,
+        started_unix_ms: Option<u64>,
         hosts: usize,
     ) -> bool {
         let found = self.entries.binary_search_by(|e| e.target.cmp(target));
@@ -76,6 +78,7 @@
             return false;
         }
         let e = self.entry(now, pool, target);
+        e.started_unix_ms = e.started_unix_ms.or(started_unix_ms);
         if e.demand.limit_per_s != demand.limit_per_s || demand.limit_per_s.is_none() {
             e.share = demand.limit_per_s.map(|per_s| LimitShare::new(per_s, hosts));
         }
--- a/crates/geraniummux-core/tests/fleet_demands.rs
+++ b/crates/geraniummux-core/tests/fleet_demands.rs
@@ -65,8 +65,8 @@
 fn is_closed_leaving_target_until_it_restarts() {
     let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
     let mut d = Demands::default();
-    assert!(d.on_answer(START, &pool, &target, LEAVING, 18));
-    assert!(!d.on_answer(START + ms(100), &pool, &target, TargetDemand::default(), 18));
+    assert!(d.on_answer(START, &pool, &target, LEAVING, Some(7), 18));
+    assert!(!d.on_answer(START + ms(100), &pool, &target, TargetDemand::default(), Some(7), 18));
     d.retain(START, |_| Some(7));
     assert!(d.is_closed(START, "t0"));
     d.retain(START, |_| Some(8));
@@ -93,7 +93,7 @@
 fn is_closed_leaving_target_after_its_registration_returns() {
     let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
     let mut d = Demands::default();
-    assert!(d.on_answer(START, &pool, &target, LEAVING, 18));
+    assert!(d.on_answer(START, &pool, &target, LEAVING, Some(7), 18));
     d.retain(START + ms(100), |_| Some(7));
     d.retain(START + ms(5_000), |_| None);
     d.retain(START + ms(9_000), |_| Some(7));
@@ -102,3 +102,16 @@
     d.retain(START + ms(9_200), |_| Some(8));
     assert!(!d.is_closed(START + ms(9_200), "t0"));
 }
+
+/// Guards against a target that gets nothing for good, because it said that it leaves, ended before any
+/// other change of the registry, and was started again under its identity.
+#[test]
+fn is_closed_leaving_target_restarted_at_once_is_usable() {
+    let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
+    let mut d = Demands::default();
+    assert!(d.on_answer(START, &pool, &target, LEAVING, Some(7), 18));
+    d.retain(START + ms(3_000), |_| None);
+    assert!(d.is_closed(START + ms(3_000), "t0"));
+    d.retain(START + ms(4_000), |_| Some(8));
+    assert!(!d.is_closed(START + ms(4_000), "t0"));
+}
--- a/crates/geraniummux-core/tests/fleet_limits.rs
+++ b/crates/geraniummux-core/tests/fleet_limits.rs
@@ -266,7 +266,8 @@
             let demand = TargetDemand { limit_per_s, leaving: false };
             let name = self.names[target].clone();
             let hosts = self.scenario.hosts;
-            let changed = self.hosts[host].on_answer(now, &POOL.into(), &name, demand, hosts);
+            let changed =
+                self.hosts[host].on_answer(now, &POOL.into(), &name, demand, Some(0), hosts);
             if is_limited {
                 self.told[host][target].get_or_insert(now);
             }
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -320,7 +320,12 @@
         }
         let hosts = self.members().peers().count() + 1;
         let now = self.now();
-        if !self.fleet().demands.on_answer(now, pool, target, demand, hosts) {
+        let is_changed = {
+            let Fleet { registry, demands, .. } = &mut *self.fleet();
+            let started = registry.started_unix_ms(target);
+            demands.on_answer(now, pool, target, demand, started, hosts)
+        };
+        if !is_changed {
             return;
         }
         info!(self.log, "target_demand"; "target" => &**target, "pool" => &**pool,
