Limits: a host's share follows the number of hosts known when it is used

Hosts that select targets themselves sent a limited target far more than its limit (LIMIT) if they had heard of the limit before they knew the other hosts, as right after a start of the whole fleet.

Cause: the share was computed when the limit was named, and kept until the target named another one.

Ruled out: the scheduler, which keeps the whole limit and no shares.

Change: the number of hosts is an argument of the draw.

Evidence: try_take_share_fleet_known_later_is_counted failed before (36 requests in a second, 2 allowed) and passes now.

Conclusion: shares add up to the limit as soon as hosts know each other.

--- a/crates/geraniummux-core/src/fleet/demands.rs
+++ b/crates/geraniummux-core/src/fleet/demands.rs
@@ -62,8 +62,7 @@
     /// Records what a target demands with an answer. Returns whether that has changed, so that it has to
     /// be reported to the scheduler of the pool.
     ///
-    /// `started_unix_ms` is when the target was started, if it is registered; `hosts` is the number of
-    /// hosts that share a limit.
+    /// `started_unix_ms` is when the target was started, if it is registered.
     pub fn on_answer(
         &mut self,
         now: Time,
@@ -71,7 +70,6 @@
         target: &Arc<str>,
         demand: TargetDemand,
         started_unix_ms: Option<u64>,
-        hosts: usize,
     ) -> bool {
         let found = self.entries.binary_search_by(|e| e.target.cmp(target));
         if found.is_err() && demand == TargetDemand::default() {
@@ -80,7 +78,7 @@
         let e = self.entry(now, pool, target);
         e.started_unix_ms = e.started_unix_ms.or(started_unix_ms);
         if e.demand.limit_per_s != demand.limit_per_s || demand.limit_per_s.is_none() {
-            e.share = demand.limit_per_s.map(|per_s| LimitShare::new(per_s, hosts));
+            e.share = demand.limit_per_s.map(LimitShare::new);
         }
         // A leaving target does not come back under its identity before it is registered again.
         let demand = TargetDemand { leaving: demand.leaving || e.demand.leaving, ..demand };
@@ -136,11 +134,11 @@
             .collect()
     }
 
-    /// Takes a request out of this host's share of a target's limit, if it has one; see
-    /// [`LimitShare::try_take`].
-    pub fn try_take_share(&mut self, now: Time, target: &str, random: f64) -> bool {
+    /// Takes a request out of the share of a target's limit, if it has one, that this host has as one of
+    /// `hosts`; see [`LimitShare::try_take`].
+    pub fn try_take_share(&mut self, now: Time, target: &str, hosts: usize, random: f64) -> bool {
         let Ok(i) = self.entries.binary_search_by(|e| (*e.target).cmp(target)) else { return true };
-        self.entries[i].share.as_mut().is_none_or(|s| s.try_take(now, random))
+        self.entries[i].share.as_mut().is_none_or(|s| s.try_take(now, hosts, random))
     }
 
     /// Returns what the targets of a pool demand, for its scheduler.
--- a/crates/geraniummux-core/src/fleet/limits.rs
+++ b/crates/geraniummux-core/src/fleet/limits.rs
@@ -75,6 +75,7 @@
 /// drawn by lot, so that the fleet as a whole sends what the limit allows.
 #[derive(Clone, Copy, Debug)]
 pub struct LimitShare {
+    /// Requests per second that the target accepts from all hosts together.
     per_s: f64,
     /// Number of the period for which `left` was drawn.
     period: u128,
@@ -82,17 +83,19 @@
 }
 
 impl LimitShare {
-    /// Returns the share of one of `hosts` hosts.
-    pub fn new(per_s: f64, hosts: usize) -> Self {
-        LimitShare { per_s: per_s / hosts.max(1) as f64, period: 0, left: 0 }
+    /// Returns a share of a limit.
+    pub fn new(per_s: f64) -> Self {
+        LimitShare { per_s, period: 0, left: 0 }
     }
 
-    /// Takes a request out of the share and returns whether it is allowed. `random` is in 0..1.
-    pub fn try_take(&mut self, now: Time, random: f64) -> bool {
+    /// Takes a request out of the share that one of `hosts` hosts has, and returns whether it is allowed.
+    /// `random` is in 0..1.
+    pub fn try_take(&mut self, now: Time, hosts: usize, random: f64) -> bool {
         let period = now.since(Time::default()).as_millis() / SHARE_PERIOD.as_millis();
         if period != self.period {
             self.period = period;
-            self.left = (self.per_s * SHARE_PERIOD.as_secs_f64() + random).floor() as u32;
+            let share = self.per_s * SHARE_PERIOD.as_secs_f64() / hosts.max(1) as f64;
+            self.left = (share + random).floor() as u32;
         }
         let allowed = self.left > 0;
         self.left = self.left.saturating_sub(1);
--- a/crates/geraniummux-core/tests/fleet_demands.rs
+++ b/crates/geraniummux-core/tests/fleet_demands.rs
@@ -65,8 +65,8 @@
 fn is_closed_leaving_target_until_it_restarts() {
     let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
     let mut d = Demands::default();
-    assert!(d.on_answer(START, &pool, &target, LEAVING, Some(7), 18));
-    assert!(!d.on_answer(START + ms(100), &pool, &target, TargetDemand::default(), Some(7), 18));
+    assert!(d.on_answer(START, &pool, &target, LEAVING, Some(7)));
+    assert!(!d.on_answer(START + ms(100), &pool, &target, TargetDemand::default(), Some(7)));
     d.retain(START, |_| Some(7));
     assert!(d.is_closed(START, "t0"));
     d.retain(START, |_| Some(8));
@@ -93,7 +93,7 @@
 fn is_closed_leaving_target_after_its_registration_returns() {
     let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
     let mut d = Demands::default();
-    assert!(d.on_answer(START, &pool, &target, LEAVING, Some(7), 18));
+    assert!(d.on_answer(START, &pool, &target, LEAVING, Some(7)));
     d.retain(START + ms(100), |_| Some(7));
     d.retain(START + ms(5_000), |_| None);
     d.retain(START + ms(9_000), |_| Some(7));
@@ -109,9 +109,27 @@
 fn is_closed_leaving_target_restarted_at_once_is_usable() {
     let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
     let mut d = Demands::default();
-    assert!(d.on_answer(START, &pool, &target, LEAVING, Some(7), 18));
+    assert!(d.on_answer(START, &pool, &target, LEAVING, Some(7)));
     d.retain(START + ms(3_000), |_| None);
     assert!(d.is_closed(START + ms(3_000), "t0"));
     d.retain(START + ms(4_000), |_| Some(8));
     assert!(!d.is_closed(START + ms(4_000), "t0"));
 }
+
+/// Guards against hosts that each take a large share of a limit because they heard of it before they knew
+/// the other hosts, as after a start of the whole fleet (LIMIT).
+#[test]
+fn try_take_share_fleet_known_later_is_counted() {
+    let (pool, target): (Arc<str>, Arc<str>) = ("ledger".into(), "t0".into());
+    let limit = TargetDemand { limit_per_s: Some(2.0), leaving: false };
+    let mut allowed = 0;
+    for host in 0..18 {
+        let mut d = Demands::default();
+        assert!(d.on_answer(START, &pool, &target, limit, Some(7)));
+        let random = f64::from(host) / 18.0;
+        for _ in 0..4 {
+            allowed += usize::from(d.try_take_share(START + ms(5_000), "t0", 18, random));
+        }
+    }
+    assert!(allowed <= 2, "{allowed} requests in a second");
+}
--- a/crates/geraniummux-core/tests/fleet_limits.rs
+++ b/crates/geraniummux-core/tests/fleet_limits.rs
@@ -236,8 +236,8 @@
         let first = self.rng.random_range(0..self.names.len());
         let mut order = (0..self.names.len()).map(|i| (first + i) % self.names.len());
         let names = &self.names;
-        let rng = &mut self.rng;
-        let found = order.find(|i| demands.try_take_share(now, &names[*i], rng.random()));
+        let (rng, hosts) = (&mut self.rng, self.scenario.hosts);
+        let found = order.find(|i| demands.try_take_share(now, &names[*i], hosts, rng.random()));
         match found {
             Some(target) => self.send(now, host, target, None),
             None => self.out.rejected += 1,
@@ -265,9 +265,7 @@
             let limit_per_s = is_limited.then_some(self.scenario.limit_per_s);
             let demand = TargetDemand { limit_per_s, leaving: false };
             let name = self.names[target].clone();
-            let hosts = self.scenario.hosts;
-            let changed =
-                self.hosts[host].on_answer(now, &POOL.into(), &name, demand, Some(0), hosts);
+            let changed = self.hosts[host].on_answer(now, &POOL.into(), &name, demand, Some(0));
             if is_limited {
                 self.told[host][target].get_or_insert(now);
             }
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -318,12 +318,11 @@
         if demand == TargetDemand::default() && self.fleet().demands.is_empty() {
             return;
         }
-        let hosts = self.members().peers().count() + 1;
         let now = self.now();
         let is_changed = {
             let Fleet { registry, demands, .. } = &mut *self.fleet();
             let started = registry.started_unix_ms(target);
-            demands.on_answer(now, pool, target, demand, started, hosts)
+            demands.on_answer(now, pool, target, demand, started)
         };
         if !is_changed {
             return;
@@ -352,6 +351,11 @@
         fleet.table.candidate(pool, target)
     }
 
+    /// Returns the number of hosts that share the limits of targets, this one among them.
+    pub fn host_count(&self) -> usize {
+        self.members().peers().count() + 1
+    }
+
     /// Returns the part of the targets' limits that a scheduler on this host may grant. Hosts that are out
     /// of sight may have a scheduler of their own, as long as they are not known to be gone.
     pub fn limit_share(&self) -> f64 {
@@ -403,7 +407,7 @@
     /// Takes one extra attempt (a retry or hedge) from a pool's budget, which all hosts share. Returns
     /// whether it is allowed.
     pub fn try_extra_attempt(&self, pool: &Arc<str>, kind: ExtraAttempt) -> bool {
-        let hosts = self.members().peers().count() + 1;
+        let hosts = self.host_count();
         let opts = self.extra_attempt_options();
         let now = self.now();
         self.fleet().extra_attempts(pool).try_take(now, kind, hosts, &opts)
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -321,6 +321,7 @@
 fn candidates(ctx: &RequestContext, tried: &[Arc<str>], count: usize) -> Vec<Candidate> {
     let pool = &ctx.pool.name;
     let now = ctx.host.now();
+    let hosts = ctx.host.host_count();
     let mut fleet = ctx.host.fleet();
     let mut avoid = tried.to_vec();
     avoid.extend(fleet.demands.closed(now, pool));
@@ -334,7 +335,8 @@
     avoid.truncate(reserved);
     let found = fleet.table.candidates(now, pool, &avoid, usize::MAX, &mut rand::rng());
     let demands = &mut fleet.demands;
-    let allowed = found.into_iter().find(|c| demands.try_take_share(now, &c.id, rand::random()));
+    let mut is_allowed = |c: &Candidate| demands.try_take_share(now, &c.id, hosts, rand::random());
+    let allowed = found.into_iter().find(|c| is_allowed(c));
     allowed.into_iter().collect()
 }
 
