Limits: silence does not end the limit of a target

After ten seconds without requests, targets got as many requests as they have slots, although they had named limits that still held (LIMIT).

Cause: hosts and schedulers forgot a limit ten seconds after the last answer that named it, whether the target answered without it or did not answer at all. Hosts that heard the same limit again told the scheduler up to a second later.

Ruled out: the burst that a bucket saves while nothing is sent; it holds half a second's requests and one more.

Change: a scheduler takes a limit for ended if the target has answered since without confirming it. A host reports a limit of up to a minute before, and at once if it hears one that it had not heard for five seconds.

The simulation passes on the load that targets report, as hosts do.

Conclusion: a limit ends when the target says so.

--- a/crates/geraniummux-core/src/fleet/demands.rs
+++ b/crates/geraniummux-core/src/fleet/demands.rs
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time without an answer of a target after which a host forgets its limit for its own choices. A host
-/// rarely sends to a target with a low limit.
+/// Time without an answer of a target after which a host forgets its limit. A host rarely sends to a
+/// target with a low limit.
 const HOST_LIMIT_AGE: Duration = Duration::from_secs(60);
 /// Time since the last answer of a target that is not registered after which its demands are forgotten.
 const GONE_TARGET_RETENTION: Duration = Duration::from_secs(600);
@@ -59,8 +59,9 @@
 }
 
 impl Demands {
-    /// Records what a target demands with an answer. Returns whether that has changed, so that it has to
-    /// be reported to the scheduler of the pool.
+    /// Records what a target demands with an answer. Returns whether it has to be reported to the scheduler
+    /// of the pool at once, because it has changed, or because a limit was not heard for so long that the
+    /// scheduler takes it for ended if it isn't confirmed.
     ///
     /// `started_unix_ms` is when the target was started, if it is registered.
     pub fn on_answer(
@@ -82,10 +83,11 @@
         }
         // A leaving target does not come back under its identity before it is registered again.
         let demand = TargetDemand { leaving: demand.leaving || e.demand.leaving, ..demand };
-        let is_changed = e.demand != demand;
+        let is_old = demand.limit_per_s.is_some() && now.since(e.heard_at) >= MAX_LIMIT_AGE / 2;
+        let is_due = e.demand != demand || is_old;
         e.demand = demand;
         e.heard_at = now;
-        is_changed
+        is_due
     }
 
     /// Records that a target accepts nothing from this host for some time.
@@ -128,10 +130,7 @@
 
     /// Returns the targets of a pool that have a limit.
     pub fn limited(&self, now: Time, pool: &str) -> Vec<Arc<str>> {
-        self.of_pool(pool)
-            .filter(|e| e.is_limited(now, HOST_LIMIT_AGE))
-            .map(|e| e.target.clone())
-            .collect()
+        self.of_pool(pool).filter(|e| e.is_limited(now)).map(|e| e.target.clone()).collect()
     }
 
     /// Takes a request out of the share of a target's limit, if it has one, that this host has as one of
@@ -144,7 +143,7 @@
     /// Returns what the targets of a pool demand, for its scheduler.
     pub fn reports(&self, now: Time, pool: &str) -> Vec<ReportedDemand> {
         self.of_pool(pool)
-            .filter(|e| e.demand.leaving || e.is_limited(now, MAX_LIMIT_AGE))
+            .filter(|e| e.demand.leaving || e.is_limited(now))
             .map(|e| ReportedDemand {
                 target: e.target.clone(),
                 demand: e.demand,
@@ -165,7 +164,7 @@
                 Some(started) => *e.started_unix_ms.get_or_insert(started) == started,
                 None => now.since(e.heard_at) < GONE_TARGET_RETENTION,
             };
-            is_same_run && (e.is_closed(now) || e.is_limited(now, HOST_LIMIT_AGE))
+            is_same_run && (e.is_closed(now) || e.is_limited(now))
         });
     }
 
@@ -184,7 +183,7 @@
         self.demand.leaving || now < self.paused_until
     }
 
-    fn is_limited(&self, now: Time, max_age: Duration) -> bool {
-        self.share.is_some() && now.since(self.heard_at) < max_age
+    fn is_limited(&self, now: Time) -> bool {
+        self.share.is_some() && now.since(self.heard_at) < HOST_LIMIT_AGE
     }
 }
--- a/crates/geraniummux-core/src/fleet/limits.rs
+++ b/crates/geraniummux-core/src/fleet/limits.rs
@@ -3,7 +3,8 @@
 use crate::time::Time;
 use std::time::Duration;
 
-/// Time without an answer of a target after which a scheduler forgets its limit.
+/// Time since a target last named its limit after which a scheduler takes an answer without it for the end
+/// of the limit. A target that does not answer at all keeps its limit.
 pub const MAX_LIMIT_AGE: Duration = Duration::from_secs(10);
 /// Lowest rate that is granted to a target. The answers to these requests tell when its limit has
 /// changed.
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -329,20 +329,20 @@
     }
 
     /// Returns how many requests a second the target accepts; `None` if it has no limit.
-    fn limit_per_s(&self, now: Time) -> Option<f64> {
-        let limit = self.limit.filter(|_| now.since(self.demand_at) < MAX_LIMIT_AGE)?;
-        Some(limit.per_s())
+    fn limit_per_s(&self) -> Option<f64> {
+        let has_ended = self.reported_at.is_some_and(|at| at >= self.demand_at + MAX_LIMIT_AGE);
+        self.limit.filter(|_| !has_ended).map(|l| l.per_s())
     }
 
     /// Returns whether the target's limit allows one more request.
     fn is_within_limit(&self, now: Time) -> bool {
-        self.limit_per_s(now).is_none() || self.limit.is_none_or(|l| l.has_token(now))
+        self.limit_per_s().is_none() || self.limit.is_none_or(|l| l.has_token(now))
     }
 
     /// Returns how many slots requests can use. A limited target's rate says how many, rather than its
     /// slots; those in use are the best estimate.
-    fn usable_slots(&self, now: Time) -> u32 {
-        match self.limit_per_s(now) {
+    fn usable_slots(&self) -> u32 {
+        match self.limit_per_s() {
             Some(_) => self.slots.min(self.in_flight.len() as u32),
             None => self.slots,
         }
@@ -350,7 +350,7 @@
 
     /// Takes a request out of the target's limit, unless that is forgotten.
     fn take_token(&mut self, now: Time) {
-        let is_limited = self.limit_per_s(now).is_some();
+        let is_limited = self.limit_per_s().is_some();
         if let Some(limit) = self.limit.as_mut().filter(|_| is_limited) {
             limit.take(now);
         }
@@ -359,7 +359,7 @@
     /// Returns whether the target may be probed: if it has a limit, only so often that probes add a
     /// fraction to the requests that it accepts.
     fn may_probe(&self, now: Time) -> bool {
-        let (Some(per_s), Some(at)) = (self.limit_per_s(now), self.reported_at) else {
+        let (Some(per_s), Some(at)) = (self.limit_per_s(), self.reported_at) else {
             return true;
         };
         now.since(at).as_secs_f64() * per_s * LIMITED_PROBE_SHARE >= 1.0
@@ -779,7 +779,7 @@
         let eject_at = self.opts.faults.eject_at;
         let ejected_count =
             self.targets.iter().filter(|t| t.outlook.fault_score >= eject_at).count();
-        let slots: u32 = self.targets.iter().map(|t| t.usable_slots(now)).sum();
+        let slots: u32 = self.targets.iter().map(|t| t.usable_slots()).sum();
         let crowded_above = (self.opts.crowded_share * f64::from(slots)).max(1.0);
         let is_crowded = self.waiting.len() as f64 > crowded_above;
         let mut pass = Pass {
@@ -865,7 +865,7 @@
     /// the pool has capacity to spare.
     fn hedge_target(&mut self, now: Time, w: &Waiting) -> Option<(Arc<str>, f64)> {
         let (load, slots) = self.targets.iter().fold((0.0, 0.0), |(load, slots), t| {
-            (load + t.in_flight.len() as f64 + t.untracked, slots + f64::from(t.usable_slots(now)))
+            (load + t.in_flight.len() as f64 + t.untracked, slots + f64::from(t.usable_slots()))
         });
         if !self.waiting.is_empty() || load > (1.0 - self.opts.hedge_spare_share) * slots {
             return None;
@@ -947,12 +947,12 @@
     /// as many requests as their slots can serve.
     fn limits(&self, now: Time) -> Option<LimitOutlook> {
         let open = || self.targets.iter().filter(|t| !t.is_closed(now));
-        if open().all(|t| t.limit_per_s(now).is_none()) {
+        if open().all(|t| t.limit_per_s().is_none()) {
             return None;
         }
         let service_times = self.waiting.iter().map(|w| w.request.service_time.as_secs_f64());
         let service_time = service_times.sum::<f64>() / self.waiting.len() as f64;
-        Some(open().fold(LimitOutlook::NONE, |sum, t| match (t.limit_per_s(now), t.limit) {
+        Some(open().fold(LimitOutlook::NONE, |sum, t| match (t.limit_per_s(), t.limit) {
             (Some(per_s), Some(limit)) => sum.add(per_s, limit.next_token(now)),
             _ => {
                 let per_s = f64::from(t.slots) / (service_time * t.slowdown);
--- a/crates/geraniummux-core/tests/fleet_limits.rs
+++ b/crates/geraniummux-core/tests/fleet_limits.rs
@@ -4,7 +4,7 @@
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
     Demands, MAX_LIMIT_AGE, RegisteredTarget, RejectReason, ReportedDemand, RequestKey, Scheduler,
-    SchedulerOptions, SlotDecision, SlotRequest, TargetDemand,
+    SchedulerOptions, SlotDecision, SlotRequest, TargetDemand, TargetReport,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -32,6 +32,8 @@
 struct Scenario {
     hosts: usize,
     targets: usize,
+    /// Slots of each target.
+    slots: u32,
     /// Number of targets that name a limit.
     limited: usize,
     limit_per_s: f64,
@@ -44,6 +46,8 @@
     split: Option<f64>,
     /// When a tenth of the hosts stand still, and for how long.
     paused: Option<(Duration, Duration)>,
+    /// When callers send nothing, and for how long. A scheduler without requests is dropped.
+    quiet: Option<(Duration, Duration)>,
 }
 
 impl Scenario {
@@ -51,12 +55,14 @@
         Scenario {
             hosts,
             targets: 10,
+            slots: 6,
             limited: 7,
             limit_per_s,
             per_s: 120.0,
             dead: None,
             split: None,
             paused: None,
+            quiet: None,
         }
     }
 }
@@ -108,7 +114,7 @@
             pool: POOL.into(),
             addr: "127.0.0.1:1".parse().unwrap(),
             failure_domain: "a".into(),
-            slots: 6,
+            slots: scenario.slots,
             leaving: false,
             warm_up: Duration::ZERO,
             started_unix_ms: 0,
@@ -147,21 +153,24 @@
 
     fn run(mut self, duration: Duration) -> Outcome {
         let mut generation = 1;
-        let mut was_dead = false;
+        let mut was_without = false;
         for step in 0..duration.as_millis() as u64 {
             let now = START + ms(step);
             let is_dead = self.is_in(now, self.scenario.dead);
-            if was_dead && !is_dead {
+            let is_quiet = self.is_in(now, self.scenario.quiet);
+            let is_without = is_dead || is_quiet;
+            if was_without && !is_without {
                 self.schedulers[0] = scheduler(&self.scenario);
                 generation += 1;
             }
-            was_dead = is_dead;
+            was_without = is_without;
             let mut decisions = Vec::new();
             if step % 30 == 0 && !is_dead {
                 decisions.extend(self.schedulers.iter_mut().flat_map(|s| s.tick(now)));
             }
             decisions.extend(self.end_requests(now, is_dead));
-            if self.rng.random::<f64>() < self.scenario.per_s / 1_000.0 {
+            let is_request = self.rng.random::<f64>() < self.scenario.per_s / 1_000.0;
+            if is_request && !is_quiet {
                 let host = self.rng.random_range(0..self.scenario.hosts);
                 if is_dead {
                     self.select_without_scheduler(now, host);
@@ -278,7 +287,11 @@
                 self.schedulers[s].on_demand(now, &report);
             }
             if let Some(key) = key {
-                decisions.extend(self.schedulers[s].on_grant_ended(now, &key, None));
+                let running = self.running.iter().filter(|r| r.target == target).count() as u32;
+                let report =
+                    TargetReport { running, waiting: 0, slots: self.scenario.slots, slowdown: 1.0 };
+                let report = Some((self.names[target].clone(), report));
+                decisions.extend(self.schedulers[s].on_grant_ended(now, &key, report));
             }
         }
         decisions
@@ -362,6 +375,24 @@
     assert_within("paused", &outcomes);
 }
 
+/// Guards against limits that are forgotten while callers send nothing (LIMIT): the next requests come all
+/// at once, and find a scheduler that was told nothing.
+#[test]
+fn limit_after_quiet_time_is_kept() {
+    for hosts in [18, 169] {
+        for limit in [0.0, 0.5] {
+            let outcomes = run(|| Scenario {
+                limited: 10,
+                slots: 24,
+                quiet: Some((ms(8_000), ms(12_000))),
+                per_s: 900.0,
+                ..Scenario::new(hosts, limit)
+            });
+            assert_within(&format!("{hosts} hosts, {limit}/s"), &outcomes);
+        }
+    }
+}
+
 /// Guards against limits that are kept at the callers' expense: targets get most of what they accept, and
 /// what does not fit is rejected without waiting for its deadline.
 #[test]
@@ -435,6 +466,8 @@
     let report = ReportedDemand { target: "t0".into(), demand, age: Duration::ZERO };
     s.on_demand(START, &report);
     let forgotten = START + MAX_LIMIT_AGE;
+    let load = TargetReport { running: 0, waiting: 0, slots: 6, slowdown: 1.0 };
+    s.on_report(forgotten, "t0", &load);
     for number in 0..20 {
         let key = RequestKey { host: "h0".into(), number };
         let decisions = s.on_request(forgotten, key.clone(), urgent_request(1));
