A target that turns away a health check may ask for a pause, too

A target that turned away a health check with 503 and Retry-After went on getting requests and health checks from that host (BUDGET). Found by reading: on the users' platform a health check may be turned away like any other request.

Cause: Retry-After was read only from responses to requests, and only if they had the id of the request.

Ruled out: responses to requests (host_target_that_asks_for_a_pause_gets_nothing passes before and after).

Change: a pause counts with any 503 of a target, as keeping it harms no request.

Evidence: host_target_that_asks_a_probe_for_a_pause_gets_nothing failed before (94 requests and health checks after the first refusal, 2 allowed) and passes now.

Conclusion: fixed as far as the test shows.

--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -58,13 +58,12 @@
             }
             let body_bytes = response.body.len() as u64;
             let demand = host.protocol.target_demand(&response.headers);
-            let pause = headers::retry_after(&response);
+            if let Some(pause) = headers::retry_after(&response) {
+                host.on_pause(&ctx.pool.name, &target, pause);
+            }
             let outcome = classify(&ctx, response);
             if is_from_target(&outcome) {
                 host.on_demand(&ctx.pool.name, &target, demand);
-                if let Some(pause) = pause {
-                    host.on_pause(&ctx.pool.name, &target, pause);
-                }
             }
             if matches!(outcome, AttemptOutcome::Responded(_)) {
                 host.bodies.budget().on_response(route, body_bytes);
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -6,6 +6,7 @@
 //! idempotent request may use a connection without a probe after a short idle time.
 
 use super::context::RequestContext;
+use super::headers;
 use crate::fleet::Prober;
 use crate::host::Host;
 use crate::scheduling::{self, Grant, SlotResult};
@@ -441,6 +442,9 @@
     let (response, conn) = upstream::exchange(conn, req, PROBE_RESPONSE_LIMITS, memory)
         .await
         .map_err(|_: ExchangeError| ())?;
+    if let Some(pause) = headers::retry_after(&response) {
+        host.on_pause(&pool.name, &candidate.id, pause);
+    }
     let names = host.protocol.headers();
     // A late response to an earlier request carries that request's id instead of this header.
     let Some(answering) = response.headers.get(&names.answering_target) else { return Err(()) };
--- a/crates/geraniummux-host/tests/demands.rs
+++ b/crates/geraniummux-host/tests/demands.rs
@@ -7,6 +7,8 @@
 use geraniummux_host::Host;
 use http::StatusCode;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Time that callers have for a request, in milliseconds.
 const TIME_LEFT_MS: u64 = 2_000;
@@ -21,6 +23,14 @@
     Reply::Keep(complete_response(addr, id))
 }
 
+fn refusal_with_pause(addr: SocketAddr, id: &str) -> Reply {
+    let id = if id == "none" { String::new() } else { format!("a: {id}\r\n") };
+    Reply::Keep(format!(
+        "HTTP/1.1 503 Service Unavailable\r\n{id}d: {}\r\ne: 1\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n",
+        identity(addr)
+    ))
+}
+
 /// Sends requests on alternate routes at once, and returns the number of successes.
 async fn call_at_once(host: SocketAddr) -> usize {
     let routes = ["safe", "once"];
@@ -92,10 +102,7 @@
 #[tokio::test]
 async fn host_target_that_asks_for_a_pause_gets_nothing() {
     let busy = ScriptedTarget::start(|n, addr, id| match n {
-        Some(0) => Reply::Keep(format!(
-            "HTTP/1.1 503 Service Unavailable\r\na: {id}\r\nd: {}\r\ne: 1\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n",
-            identity(addr)
-        )),
+        Some(0) => refusal_with_pause(addr, id),
         _ => plain(n, addr, id),
     })
     .await;
@@ -104,3 +111,37 @@
     let (host, addr) = start_host_with(&targets, "127.9.9.42:7009").await;
     assert_gets_nothing_after_first_answers(&host, addr, &busy).await;
 }
+
+/// Guards against requests and health checks at a target that has turned away a health check with 503 and
+/// asked this host for a pause (BUDGET).
+#[tokio::test]
+async fn host_target_that_asks_a_probe_for_a_pause_gets_nothing() {
+    let probes = Arc::new(AtomicUsize::new(0));
+    let seen = probes.clone();
+    let busy = ScriptedTarget::start(move |n, addr, id| match n {
+        Some(_) => plain(n, addr, id),
+        None => {
+            seen.fetch_add(1, Ordering::Relaxed);
+            refusal_with_pause(addr, id)
+        }
+    })
+    .await;
+    let others = [ScriptedTarget::start(plain).await, ScriptedTarget::start(plain).await];
+    let targets = [busy.addr, others[0].addr, others[1].addr];
+    let (host, addr) = start_host_with(&targets, "127.9.9.43:7009").await;
+    while probes.load(Ordering::Relaxed) == 0 {
+        assert_eq!(call_at_once(addr).await, AT_ONCE);
+    }
+    // What was sent before the first refusal arrived.
+    assert_eq!(call_at_once(addr).await, AT_ONCE);
+    let arrived = || busy.count() + probes.load(Ordering::Relaxed);
+    let before = arrived();
+    for round in 0..20 {
+        if round == 10 {
+            host.members().leave();
+        }
+        assert_eq!(call_at_once(addr).await, AT_ONCE);
+    }
+    let more = arrived() - before;
+    assert!(more <= 2, "{more} requests and health checks");
+}
