Limits: no health check before a request to a target with a limit

A target with a limit got up to twice as many requests as that, if its health checks count (LIMIT): each request on a connection that was idle for a second, and each that may run once at most, was preceded by one.

Cause: the check of an idle connection before a send didn't know of limits; only the scheduler's own health checks did.

Ruled out: health checks of the scheduler, which are a quarter of the limit at most.

Change: a request to a target with a limit goes over a connection that was used within a second, if it may be repeated, and otherwise over a new one.

Evidence: host_probes_and_requests_together_keep_the_limit failed before (36 in four seconds, 29 allowed) and passes now.

--- a/crates/geraniummux-core/src/fleet/demands.rs
+++ b/crates/geraniummux-core/src/fleet/demands.rs
@@ -133,6 +133,11 @@
         self.of_pool(pool).filter(|e| e.is_limited(now)).map(|e| e.target.clone()).collect()
     }
 
+    /// Returns whether a target has a limit.
+    pub fn is_limited(&self, now: Time, target: &str) -> bool {
+        self.find(target).is_some_and(|e| e.is_limited(now))
+    }
+
     /// Takes a request out of the share of a target's limit, if it has one, that this host has as one of
     /// `hosts`; see [`LimitShare::try_take`].
     pub fn try_take_share(&mut self, now: Time, target: &str, hosts: usize, random: f64) -> bool {
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -181,9 +181,12 @@
         if ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
             return Connect::Connected(conn);
         }
-        let probe = probe_before_send(ctx, candidate, conn, granted);
-        if let Ok(Ok(result)) = timeout(IDLE_PROBE_TIMEOUT, probe).await {
-            return result;
+        // A probe may count against a target's limit, and a new connection doesn't.
+        if !host.fleet().demands.is_limited(host.now(), &candidate.id) {
+            let probe = probe_before_send(ctx, candidate, conn, granted);
+            if let Ok(Ok(result)) = timeout(IDLE_PROBE_TIMEOUT, probe).await {
+                return result;
+            }
         }
     }
     host.metrics.connection("target");
--- a/crates/geraniummux-host/tests/demands.rs
+++ b/crates/geraniummux-host/tests/demands.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 /// Time that callers have for a request, in milliseconds.
 const TIME_LEFT_MS: u64 = 2_000;
@@ -145,3 +146,34 @@
     let more = arrived() - before;
     assert!(more <= 2, "{more} requests and health checks");
 }
+
+/// Requests per second that a target with a limit accepts.
+const LIMIT_PER_S: f64 = 4.0;
+
+/// Guards against health checks that are sent before each request to a target with a limit, and double
+/// what it gets (LIMIT).
+#[tokio::test]
+async fn host_probes_and_requests_together_keep_the_limit() {
+    let arrived = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let seen = arrived.clone();
+    let limited = ScriptedTarget::start(move |_, addr, id| {
+        seen.lock().unwrap().push(Instant::now());
+        with_header(addr, id, &format!("limit: {LIMIT_PER_S}"))
+    })
+    .await;
+    let (_host, addr) = start_host_with(&[limited.addr], "127.9.9.44:7009").await;
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(6) {
+        call(addr, "once", TIME_LEFT_MS).await;
+    }
+    let arrived = arrived.lock().unwrap();
+    let from = started + Duration::from_secs(1);
+    let counted: Vec<Instant> = arrived.iter().copied().filter(|at| *at >= from).collect();
+    let window = Duration::from_secs(4);
+    let in_window = |start: &Instant| {
+        counted.iter().filter(|at| **at >= *start && **at - *start <= window).count()
+    };
+    let most = counted.iter().map(in_window).max().unwrap_or(0);
+    let allowed = 1.5 * LIMIT_PER_S * window.as_secs_f64() + 5.0;
+    assert!(most as f64 <= allowed, "{most} of {allowed}");
+}
