A target's 503 without its declaration is no refusal of a request that runs once at most

A target that answers 503, 429 or 408 after it has run a request made the host tell the caller 'not run, send it again' (REFUSED), if the request may run once at most.

Cause: failures of targets were relayed whatever their status says to callers. Only a target's header declares that it has not executed a request.

Ruled out: requests that may be repeated; for them the failure is relayed unchanged, as before. geraniummuxd has callers of its own and takes a refusal by its header, too.

Change: the caller of a request that runs once at most gets 502 instead of such a failure.

Evidence: host_failure_without_proof_is_no_refusal failed before (503, 502 expected) and passes now.

Conclusion: a refusal that says that a request has not run is true as far as targets declare it.

--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -267,6 +267,13 @@
                 self.reason = "server_error";
                 self.failure = Some(response);
             }
+            AttemptOutcome::Responded(response)
+                if !idempotent && response::promises_no_execution(response.status) =>
+            {
+                // The target did not declare that it has not executed the request.
+                self.may_have_executed = true;
+                self.reason = "unproven_refusal";
+            }
             AttemptOutcome::Responded(response) => {
                 self.reason = "answered";
                 self.retract_crash_reports(addr);
--- a/crates/geraniummux-host/src/proxy/response.rs
+++ b/crates/geraniummux-host/src/proxy/response.rs
@@ -24,6 +24,17 @@
     rsp
 }
 
+/// Returns whether a status tells the caller that its request was not executed and may be sent again.
+pub fn promises_no_execution(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
 /// Returns a target's response as it is relayed to the caller.
 pub fn relayed(response: TargetResponse) -> Response<Full<Bytes>> {
     let mut rsp = Response::new(Full::new(response.body));
--- a/crates/geraniummux-host/tests/answers.rs
+++ b/crates/geraniummux-host/tests/answers.rs
@@ -79,6 +79,27 @@
     }
 }
 
+/// Guards against a caller that is told by a target's status alone that its request was not run (REFUSED),
+/// while the target has run it: only the header for that says so.
+#[tokio::test]
+async fn host_failure_without_proof_is_no_refusal() {
+    let statuses = ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"];
+    for (net, status) in (70..).zip(statuses) {
+        let fails = move |n: Option<usize>, addr: SocketAddr, id: &str| match n {
+            Some(_) => Reply::Keep(format!(
+                "HTTP/1.1 {status}\r\na: {id}\r\nd: {}\r\nf: digest\r\ncontent-length: 0\r\n\r\n",
+                identity(addr)
+            )),
+            None => Reply::Keep(complete_response(addr, id)),
+        };
+        let target = ScriptedTarget::start(fails).await;
+        let (_host, addr) = start_host_with(&[target.addr], &format!("127.9.9.{net}:7009")).await;
+        let (got, _) = call_as(addr, "once", "r-0", TIME_LEFT_MS).await;
+        assert_eq!(target.count(), 1, "{status}");
+        assert_eq!(got, StatusCode::BAD_GATEWAY, "{status}");
+    }
+}
+
 /// Where the head of a response stops.
 const STOPS: [&str; 5] = ["HTTP/1.1 2", "HTTP/1.1 200 OK\r\n", "d: ", "f: digest\r\n", "\r\n\r\n"];
 
