Readers: the reads after an outage of the store are left to the readers

Change: StoreChecks, in the core, decides with the present time as argument. The delay until a host reads counts from the response to its check: as before if its first check succeeds, and two seconds if earlier ones failed, by when the readers have retried and passed on what they read.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -35,8 +35,7 @@
 pub use limits::MAX_LIMIT_AGE;
 pub use probes::ProbeBudget;
 pub use readers::{
-    Leader, PeerFreshness, Position, ReadSource, ReaderOptions, leaders, read_source,
-    reads_after_check,
+    Leader, PeerFreshness, Position, ReadSource, ReaderOptions, StoreChecks, leaders, read_source,
 };
 pub use registry::{RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry};
 pub use routes::{CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex};
--- a/crates/geraniummux-core/src/fleet/readers.rs
+++ b/crates/geraniummux-core/src/fleet/readers.rs
@@ -8,9 +8,10 @@
 //! If the replicated data becomes stale, the next hosts in the order, the standby readers, start
 //! reading one after the other. If it stays stale, the store may refuse all of them and yet serve
 //! others: the other hosts check in growing groups whether it responds to them, which is cheap, and read
-//! only if it does and no earlier group has read meanwhile. Without a check they read only if they get no updates from any peer, or much
-//! later.
+//! only if it does and no earlier group has read meanwhile. Without a check they read only if they get no
+//! updates from any peer, or much later.
 
+use crate::time::Time;
 use std::time::Duration;
 
 /// Parameters of the choice of readers and leaders.
@@ -36,8 +37,15 @@
     pub first_check_group: usize,
     /// Additional delay for each further group.
     pub check_step: Duration,
-    /// Age of the replicated data at which the first group reads the store if it has responded to a check.
+    /// Delay before a host repeats a failed check; it doubles with each further one.
+    pub recheck_after: Duration,
+    /// Longest delay before a failed check is repeated.
+    pub max_recheck_delay: Duration,
+    /// Delay from the first check, if the store responds to it, until the first group reads the store.
     pub read_after_check: Duration,
+    /// The same if earlier checks have failed. The store may be back for all, and the readers, which retry
+    /// within 1.5 s, pass on what they read.
+    pub read_after_failed_checks: Duration,
     /// Additional delay of the reads for each further group, in which the data of an earlier one may
     /// arrive.
     pub read_step: Duration,
@@ -60,8 +68,11 @@
             check_after: Duration::from_millis(1_000),
             first_check_group: 4,
             check_step: Duration::from_millis(50),
-            read_after_check: Duration::from_millis(1_250),
-            read_step: Duration::from_millis(125),
+            recheck_after: Duration::from_millis(800),
+            max_recheck_delay: Duration::from_secs(5),
+            read_after_check: Duration::from_millis(250),
+            read_after_failed_checks: Duration::from_secs(2),
+            read_step: Duration::from_millis(75),
             isolated_after: Duration::from_millis(2_500),
             fallback_after: Duration::from_secs(6),
         }
@@ -134,11 +145,57 @@
     if checks { ReadSource::StoreIfResponsive } else { ReadSource::Peers }
 }
 
-/// Returns whether a host to which the store has responded reads it: its turn has come, and data that an
-/// earlier group has read did not arrive. `age` is that of the replicated data.
-pub fn reads_after_check(rank: usize, age: Duration, opts: &ReaderOptions) -> bool {
-    let group = check_group(rank.saturating_sub(opts.readers), opts);
-    age >= opts.read_after_check + opts.read_step * group
+/// Whether the store responds to a host that does not read it, and when the host checks that again.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreChecks {
+    opts: ReaderOptions,
+    /// When the store responded.
+    responded_at: Option<Time>,
+    /// Whether a check failed before.
+    has_failed: bool,
+    due: Time,
+    interval: Duration,
+}
+
+impl StoreChecks {
+    /// Returns the state of a host that has not checked the store.
+    pub fn new(opts: ReaderOptions) -> Self {
+        StoreChecks {
+            opts,
+            responded_at: None,
+            has_failed: false,
+            due: Time::default(),
+            interval: opts.recheck_after,
+        }
+    }
+
+    /// Returns whether the host checks the store now.
+    pub fn is_due(&self, now: Time) -> bool {
+        self.responded_at.is_none() && now >= self.due
+    }
+
+    /// Records the result of a check. `jitter` is a factor on the delay of the next check.
+    pub fn record(&mut self, now: Time, responded: bool, jitter: f64) {
+        if responded {
+            self.responded_at = Some(now);
+            return;
+        }
+        self.has_failed = true;
+        self.due = now + self.interval.mul_f64(jitter);
+        self.interval = (self.interval * 2).min(self.opts.max_recheck_delay);
+    }
+
+    /// Returns whether a host reads the store: it has responded, the host's turn has come, and data that an
+    /// earlier group has read did not arrive.
+    pub fn reads(&self, now: Time, rank: usize) -> bool {
+        let opts = &self.opts;
+        let first = match self.has_failed {
+            true => opts.read_after_failed_checks,
+            false => opts.read_after_check,
+        };
+        let group = check_group(rank.saturating_sub(opts.readers), opts);
+        self.responded_at.is_some_and(|at| now >= at + first + opts.read_step * group)
+    }
 }
 
 /// Returns the number of the group in which the host checks the store that has `index` hosts between the
--- a/crates/geraniummux-core/tests/fleet_budgets.rs
+++ b/crates/geraniummux-core/tests/fleet_budgets.rs
@@ -4,7 +4,7 @@
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
     ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions, Leader, PeerFreshness, Position,
-    ProbeBudget, ReadSource, ReaderOptions, leaders, read_source, reads_after_check,
+    ProbeBudget, ReadSource, ReaderOptions, StoreChecks, leaders, read_source,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -119,10 +119,18 @@
 /// fleet of hosts that get updates from one another.
 fn reads_served(rank: usize, age_ms: u64) -> bool {
     let opts = ReaderOptions::default();
-    let age = Duration::from_millis(age_ms);
-    match read_source(rank, PeerFreshness { age, ..Default::default() }, false, &opts) {
+    let source = |age_ms| {
+        let age = Duration::from_millis(age_ms);
+        read_source(rank, PeerFreshness { age, ..Default::default() }, false, &opts)
+    };
+    match source(age_ms) {
         ReadSource::Store => true,
-        ReadSource::StoreIfResponsive => reads_after_check(rank, age, &opts),
+        ReadSource::StoreIfResponsive => {
+            let checked_ms = (0..age_ms).find(|ms| source(*ms) == ReadSource::StoreIfResponsive);
+            let mut checks = StoreChecks::new(opts);
+            checks.record(Time::from_millis(checked_ms.unwrap_or(age_ms)), true, 1.0);
+            checks.reads(Time::from_millis(age_ms), rank)
+        }
         ReadSource::Peers => false,
     }
 }
@@ -143,6 +151,37 @@
     assert!(readers(1_600) <= 36, "{}", readers(1_600));
 }
 
+/// Guards against most of a large fleet that reads the store when it is back after an outage for all: each
+/// host's check succeeds at some time, long after the data became stale.
+#[test]
+fn reads_after_outage_are_left_to_the_readers() {
+    let opts = ReaderOptions::default();
+    for outage_ms in [1_500, 2_000, 5_000] {
+        // The readers retry within 1.5 s, and what they read arrives half a second later.
+        let fresh_at = Time::from_millis(outage_ms + 2_000);
+        let mut rng = StdRng::seed_from_u64(outage_ms);
+        let mut checks = vec![StoreChecks::new(opts); 300];
+        let mut reads = vec![false; 300];
+        for ms in (0..outage_ms + 2_000).step_by(10) {
+            let now = Time::from_millis(ms);
+            let age = now.since(Time::default());
+            let freshness = PeerFreshness { age, ..Default::default() };
+            for rank in opts.readers..300 {
+                if read_source(rank, freshness, false, &opts) != ReadSource::StoreIfResponsive {
+                    continue;
+                }
+                let c = &mut checks[rank];
+                if c.is_due(now) {
+                    c.record(now, ms >= outage_ms, rng.random_range(0.75..1.25));
+                }
+                reads[rank] |= now < fresh_at && c.reads(now, rank);
+            }
+        }
+        let count = reads.iter().filter(|r| **r).count();
+        assert!(count <= 10, "{count} hosts after {outage_ms} ms");
+    }
+}
+
 /// Guards against hosts that keep an old configuration for seconds because the store refuses all primary
 /// and standby readers (CONFIG on kukko-gw-grown): some host that it serves has to ask it in time for a
 /// configuration to be in force within two seconds.
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -4,8 +4,7 @@
 use crate::peers;
 use crate::replication;
 use crate::store::{ConfigUpdate, Consistency, Store, StoreError, UnknownRouteType};
-use geraniummux_core::Time;
-use geraniummux_core::fleet::{ReadSource, ReaderOptions, read_source, reads_after_check};
+use geraniummux_core::fleet::{ReadSource, ReaderOptions, StoreChecks, read_source};
 use rand::RngExt;
 use slog::{info, warn};
 use std::future::Future;
@@ -32,11 +31,6 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for the response to a check; a slow store takes about 250 ms.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-/// Delay before a host that doesn't read the store repeats a failed check; it doubles with each further
-/// one.
-const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(800);
-/// Longest delay before such a check is repeated.
-const MAX_RECHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Time for which a standby reader or a later host tells the others that it reads the store. They may
 /// not expect that of it, and follow other hosts.
 const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(4);
@@ -70,7 +64,7 @@
     let opts = ReaderOptions::default();
     let started = host.now();
     let mut tasks: Vec<tokio::task::JoinHandle<()>> = Vec::new();
-    let mut checks = Checks::new();
+    let mut checks = StoreChecks::new(opts);
     // Until when other hosts are told that this one reads the store, and when next.
     let (mut announce_until, mut next_announcement) = (started, started);
     loop {
@@ -92,14 +86,14 @@
                     let result = timeout(CHECK_TIMEOUT, store.check()).await;
                     let result = result.unwrap_or_else(|_| Err(check_timed_out()));
                     record_call(&host, "check", result.as_ref().err());
-                    checks.record(host.now(), result.is_ok());
+                    let jitter = rand::rng().random_range(0.75..1.25);
+                    checks.record(host.now(), result.is_ok(), jitter);
                 }
                 // Most hosts need not read, as those that read first pass on what they have read.
-                let reads =
-                    checks.responded && reads_after_check(position.rank, peer_freshness.age, &opts);
+                let reads = checks.reads(host.now(), position.rank);
                 source = if reads { ReadSource::Store } else { ReadSource::Peers };
             }
-            ReadSource::Store | ReadSource::Peers => checks.reset(),
+            ReadSource::Store | ReadSource::Peers => checks = StoreChecks::new(opts),
         }
         if now < announce_until && now >= next_announcement && host.freshness().is_watching() {
             next_announcement = now + ANNOUNCEMENT_INTERVAL;
@@ -134,37 +128,6 @@
     }
 }
 
-/// Whether the store responds to a host that does not read it, and when the host checks that again.
-struct Checks {
-    /// Whether the store responded.
-    responded: bool,
-    due: Time,
-    interval: Duration,
-}
-
-impl Checks {
-    fn new() -> Self {
-        Checks { responded: false, due: Time::default(), interval: MIN_RECHECK_INTERVAL }
-    }
-
-    fn reset(&mut self) {
-        *self = Checks::new();
-    }
-
-    fn is_due(&self, now: Time) -> bool {
-        !self.responded && now >= self.due
-    }
-
-    fn record(&mut self, now: Time, responded: bool) {
-        self.responded = responded;
-        if responded {
-            return;
-        }
-        self.due = now + self.interval.mul_f64(rand::rng().random_range(0.75..1.25));
-        self.interval = (self.interval * 2).min(MAX_RECHECK_INTERVAL);
-    }
-}
-
 /// Exponential backoff between failed calls.
 struct Backoff(Duration);
 
