A host that was cut off takes that for no outage of the store, nor do those that follow it

Cause: a host whose calls to the store failed for a second, without current data from peers, took that for an outage in which registrations expire, and kept removed entries for two seconds; so did every host that followed it after its return.

Ruled out: late reads of the readers (the host had the removal within 5 ms), requests that waited for a slot or a connection.

Change: failed calls show an outage only if peers were heard all the while, with old data, too. A host whose copy was current ignores a relayed expiry grace.

Conclusion: the cause of the DRAIN that the users saw, as far as the wording and the deployment tell.

--- a/crates/geraniummux-host/src/freshness.rs
+++ b/crates/geraniummux-host/src/freshness.rs
@@ -1,4 +1,5 @@
-//! How current this host's copy of the platform's store is, and whether the store had an outage.
+//! How current this host's copy of the platform's store is, and whether the store had an outage or this
+//! host alone did not reach it.
 
 use geraniummux_core::Time;
 use geraniummux_core::fleet::PeerFreshness;
@@ -32,6 +33,10 @@
     pub store_failing_since: Option<Time>,
     /// Until when removed entries may be registrations that expired during an outage of the store.
     pub expiry_grace_until: Time,
+    /// Since when peers have sent updates without a gap; `None` if none has ever sent one.
+    heard_since: Option<Time>,
+    /// When the copy was last out of date, or the host started.
+    stale_until: Time,
 }
 
 impl Freshness {
@@ -46,29 +51,44 @@
             config_behind_since: None,
             store_failing_since: None,
             expiry_grace_until: now,
+            heard_since: None,
+            stale_until: now,
         }
     }
 
     /// Records the end of a call to the store.
     ///
-    /// The store had an outage if this host's calls failed for a while and its peers had no current
-    /// data either. A host that alone was cut off from the store must not treat entries that were
-    /// removed meanwhile as expired ones.
+    /// The store had an outage if this host's calls failed for a while and its peers, which it heard all
+    /// the while, had no current data either. A host that was cut off from the store, or from its peers as
+    /// well, must not treat entries that were removed meanwhile as expired ones.
     pub fn on_store_call(&mut self, now: Time, responded: bool) {
         if !responded {
             self.store_failing_since.get_or_insert(now);
             return;
         }
-        let failed =
-            self.store_failing_since.take().is_some_and(|t| now.since(t) >= OUTAGE_THRESHOLD);
-        if failed && self.peer_freshness(now).age >= OUTAGE_THRESHOLD {
+        let Some(since) = self.store_failing_since.take() else { return };
+        let PeerFreshness { age, silence } = self.peer_freshness(now);
+        let heard_peers = self
+            .heard_since
+            .is_none_or(|t| silence < OUTAGE_THRESHOLD && t <= since + OUTAGE_THRESHOLD);
+        if now.since(since) >= OUTAGE_THRESHOLD && age >= OUTAGE_THRESHOLD && heard_peers {
             self.expiry_grace_until = now + EXPIRY_GRACE_WINDOW;
         }
     }
 
-    /// Records that a peer relays changes in which removed entries may have expired during an outage.
+    /// Records that a peer relays changes in which removed entries may have expired during an outage. That
+    /// can't be if this host's copy was current all the while.
     pub fn extend_expiry_grace(&mut self, now: Time) {
-        self.expiry_grace_until = self.expiry_grace_until.max(now + RELAYED_GRACE_WINDOW);
+        self.record_staleness(now);
+        if now < self.stale_until + EXPIRY_GRACE_WINDOW {
+            self.expiry_grace_until = self.expiry_grace_until.max(now + RELAYED_GRACE_WINDOW);
+        }
+    }
+
+    fn record_staleness(&mut self, now: Time) {
+        if self.age(now) >= OUTAGE_THRESHOLD {
+            self.stale_until = now;
+        }
     }
 
     /// Returns whether entries removed now may be registrations that expired during an outage.
@@ -81,6 +101,16 @@
         self.watching_config && self.watching_targets
     }
 
+    /// Records that an update of a peer was applied whose copy of the store was current at `as_of`.
+    pub fn on_update(&mut self, now: Time, as_of: Time) {
+        self.record_staleness(now);
+        if self.heard_since.is_none() || now.since(self.last_update) >= OUTAGE_THRESHOLD {
+            self.heard_since = Some(now);
+        }
+        self.as_of = self.as_of.max(as_of);
+        self.last_update = now;
+    }
+
     /// Returns how long ago the copy was last known to be current.
     pub fn age(&self, now: Time) -> Duration {
         let behind = self.config_behind_since.map_or(Duration::ZERO, |t| now.since(t));
@@ -98,12 +128,14 @@
 
     /// Records whether the host's own watch of the targets is established.
     pub fn set_watching_targets(&mut self, now: Time, watching: bool) {
+        self.record_staleness(now);
         self.record_watch_end(now, !watching);
         self.watching_targets = watching;
     }
 
     /// Records whether the host's own watch of the configuration is established.
     pub fn set_watching_config(&mut self, now: Time, watching: bool) {
+        self.record_staleness(now);
         self.record_watch_end(now, !watching);
         self.watching_config = watching;
     }
--- a/crates/geraniummux-host/src/replication.rs
+++ b/crates/geraniummux-host/src/replication.rs
@@ -294,9 +294,7 @@
     if applied {
         let now: Time = host.now();
         let mut freshness = host.freshness();
-        let as_of = now - Duration::from_millis(u64::from(update.age_ms));
-        freshness.as_of = freshness.as_of.max(as_of);
-        freshness.last_update = now;
+        freshness.on_update(now, now - Duration::from_millis(u64::from(update.age_ms)));
         freshness.config_revision = freshness.config_revision.max(Some(update.config_revision));
     }
     applied
--- a/crates/geraniummux-host/tests/freshness.rs
+++ b/crates/geraniummux-host/tests/freshness.rs
@@ -49,3 +49,39 @@
     assert!(freshness.in_expiry_grace(at(200)));
     assert!(!freshness.in_expiry_grace(at(1_000)));
 }
+
+/// Guards against targets that left being kept in use (DRAIN) by a host that was cut off from the store and
+/// from all peers, takes that for an outage of the store, and is first heard by hosts that were cut off, too.
+#[test]
+fn on_store_call_cut_off_from_all_is_no_outage() {
+    let mut freshness = Freshness::new(START);
+    freshness.on_store_call(at(1_000), false);
+    freshness.on_update(at(3_900), at(1_000));
+    freshness.on_store_call(at(4_000), true);
+    assert!(!freshness.in_expiry_grace(at(4_000)));
+}
+
+/// Guards against live targets being dropped after an outage of the store, on a host that heard all the
+/// while from its peers that they had no current data either.
+#[test]
+fn on_store_call_outage_for_all_starts_expiry_grace() {
+    let mut freshness = Freshness::new(START);
+    freshness.on_store_call(at(1_000), false);
+    for ms in (1_300..5_000).step_by(300) {
+        freshness.on_update(at(ms), at(1_000));
+    }
+    freshness.on_store_call(at(5_000), true);
+    assert!(freshness.in_expiry_grace(at(5_000)));
+}
+
+/// Guards against targets that left being kept in use (DRAIN) by hosts that had current data all the while,
+/// because a host that was cut off takes that for an outage of the store and relays it.
+#[test]
+fn extend_expiry_grace_current_copy_ignores_it() {
+    let mut freshness = Freshness::new(START);
+    for ms in (300..10_000).step_by(300) {
+        freshness.on_update(at(ms), at(ms));
+    }
+    freshness.extend_expiry_grace(at(10_000));
+    assert!(!freshness.in_expiry_grace(at(10_000)));
+}
