The expiry grace ends when a target that left stops serving

After an outage of the store, a target that left in the three seconds after its return was kept in use for two seconds from the arrival of its removal, that is, a few milliseconds longer than it may get requests (DRAIN: '2005 ms', bound 2000 ms). The same held for hosts that were cut off in a group and took that for an outage.

Cause: the grace of a removed entry began with its removal, although targets register again within two seconds of the end of the outage, and nothing related it to the time for which a target that leaves may be used.

Ruled out: the grace is needed: registrations lapse in an outage and come back.

Change: the grace of an entry ends three seconds after the outage, and after three quarters of the time for which a leaving target may get requests (new setting promises.drain_s, from the platform's bounds).

Conclusion: whatever a host takes for an outage, it keeps a target that left for less than the bound.

--- a/crates/geraniummux-host/src/freshness.rs
+++ b/crates/geraniummux-host/src/freshness.rs
@@ -13,6 +13,9 @@
 const EXPIRY_GRACE_WINDOW: Duration = Duration::from_millis(3_000);
 /// How long the expiry grace lasts on a host after an update that its leader sent within one.
 const RELAYED_GRACE_WINDOW: Duration = Duration::from_millis(300);
+/// Part of the time for which a leaving target may get requests that a removed entry remains in use. The
+/// rest is for the removal to arrive and for requests that were sent before.
+const MAX_GRACE_SHARE_OF_DRAIN: f64 = 0.75;
 
 /// How current this host's copy of the store is, from its own calls and from its peers' updates.
 #[derive(Clone, Debug)]
@@ -72,6 +75,7 @@
             .heard_since
             .is_none_or(|t| silence < OUTAGE_THRESHOLD && t <= since + OUTAGE_THRESHOLD);
         if now.since(since) >= OUTAGE_THRESHOLD && age >= OUTAGE_THRESHOLD && heard_peers {
+            self.stale_until = now;
             self.expiry_grace_until = now + EXPIRY_GRACE_WINDOW;
         }
     }
@@ -126,6 +130,17 @@
         }
     }
 
+    /// Returns for how long an entry that is removed now remains in use: `lapse` in the expiry grace, but not
+    /// beyond its end. The entry may also be that of a target that has left, which gets requests for `drain`
+    /// at most.
+    pub fn grace_of_removed_entry(&self, now: Time, lapse: Duration, drain: Duration) -> Duration {
+        if !self.in_expiry_grace(now) {
+            return Duration::ZERO;
+        }
+        let left = (self.stale_until + EXPIRY_GRACE_WINDOW).since(now);
+        lapse.min(drain.mul_f64(MAX_GRACE_SHARE_OF_DRAIN)).min(left)
+    }
+
     /// Records whether the host's own watch of the targets is established.
     pub fn set_watching_targets(&mut self, now: Time, watching: bool) {
         self.record_staleness(now);
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -286,10 +286,11 @@
     /// Returns false if they are older than this host's revision or start after it.
     pub fn apply_targets(&self, delta: RegistryDelta, from: &str) -> bool {
         let now = self.now();
-        let expiry_grace = if self.freshness().in_expiry_grace(now) {
-            Duration::from_secs_f64(self.settings.load().promises.lapse_s)
-        } else {
-            Duration::ZERO
+        let expiry_grace = {
+            let promises = &self.settings.load().promises;
+            let lapse = Duration::from_secs_f64(promises.lapse_s);
+            let drain = Duration::from_secs_f64(promises.drain_s);
+            self.freshness().grace_of_removed_entry(now, lapse, drain)
         };
         let mut fleet = self.fleet();
         if fleet.registry.revision().is_some_and(|r| r >= delta.to) && delta.changes.is_empty() {
--- a/crates/geraniummux-host/src/settings.rs
+++ b/crates/geraniummux-host/src/settings.rs
@@ -32,6 +32,8 @@
     pub repeat_slack: f64,
     /// Length of the window for extra attempts, in seconds.
     pub repeat_window_s: f64,
+    /// Time for which a target that leaves may still get requests, in seconds.
+    pub drain_s: f64,
     /// Time from SIGTERM to SIGKILL, in seconds.
     pub grace_s: f64,
     /// Longest time for which callers use a host list, in seconds.
@@ -49,6 +51,7 @@
             repeat_ratio: 0.1,
             repeat_slack: 20.0,
             repeat_window_s: 10.0,
+            drain_s: 2.0,
             grace_s: 10.0,
             max_ttl_s: 5.0,
             probes_per_s: 10.0,
@@ -167,6 +170,7 @@
             ("repeat_ratio", p.repeat_ratio, 0.0, 10.0),
             ("repeat_slack", p.repeat_slack, 0.0, 1e6),
             ("repeat_window_s", p.repeat_window_s, 0.1, 3_600.0),
+            ("drain_s", p.drain_s, 0.0, 3_600.0),
             ("grace_s", p.grace_s, 0.5, 3_600.0),
             ("max_ttl_s", p.max_ttl_s, 0.1, 3_600.0),
             ("probes_per_s", p.probes_per_s, 0.0, 1e6),
--- a/crates/geraniummux-host/tests/freshness.rs
+++ b/crates/geraniummux-host/tests/freshness.rs
@@ -85,3 +85,37 @@
     freshness.extend_expiry_grace(at(10_000));
     assert!(!freshness.in_expiry_grace(at(10_000)));
 }
+
+/// Expiry grace, and the time for which a target that leaves may still get requests.
+const LAPSE: Duration = Duration::from_secs(2);
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Guards against a target that leaves after an outage of the store and is kept in use for longer than it
+/// serves (DRAIN), because its entry might be one that expired.
+#[test]
+fn grace_of_removed_entry_ends_before_the_target_stops_serving() {
+    let mut freshness = Freshness::new(START);
+    freshness.on_store_call(at(1_000), false);
+    freshness.on_store_call(at(5_000), true);
+    for ms in (5_000..9_000).step_by(100) {
+        let grace = freshness.grace_of_removed_entry(at(ms), LAPSE, DRAIN);
+        assert!(grace <= Duration::from_millis(1_500), "{ms}: {grace:?}");
+        // Targets register again within two seconds of the end of an outage, and their entries arrive
+        // within one more.
+        assert!(at(ms) + grace <= at(8_000).max(at(ms)), "{ms}: {grace:?}");
+    }
+    assert_eq!(freshness.grace_of_removed_entry(at(5_000), LAPSE, DRAIN).as_millis(), 1_500);
+}
+
+/// Guards against the same on a host that knows of the outage by its stale copy and from its leader.
+#[test]
+fn grace_of_removed_entry_relayed_ends_after_the_outage() {
+    let mut freshness = Freshness::new(START);
+    freshness.on_update(at(1_000), at(1_000));
+    for ms in (5_000..9_000).step_by(100) {
+        freshness.extend_expiry_grace(at(ms));
+        let grace = freshness.grace_of_removed_entry(at(ms), LAPSE, DRAIN);
+        assert!(at(ms) + grace <= at(8_000).max(at(ms)), "{ms}: {grace:?}");
+        freshness.on_update(at(ms), at(ms));
+    }
+}
