Comments: when a limit ends, and a host without peers

Cause: read as a newcomer; the comments left open when an answer ends a limit, and what a host without peers goes by. Checked: formatter and linter; no code changes but the name of a local variable.

--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -328,7 +328,8 @@
         self.leaving || now < self.mismatched_until
     }
 
-    /// Returns how many requests a second the target accepts; `None` if it has no limit.
+    /// Returns how many requests a second the target accepts; `None` if it has no limit, or has answered
+    /// long after it last named one.
     fn limit_per_s(&self) -> Option<f64> {
         let has_ended = self.reported_at.is_some_and(|at| at >= self.demand_at + MAX_LIMIT_AGE);
         self.limit.filter(|_| !has_ended).map(|l| l.per_s())
--- a/crates/geraniummux-host/src/freshness.rs
+++ b/crates/geraniummux-host/src/freshness.rs
@@ -71,6 +71,7 @@
         }
         let Some(since) = self.store_failing_since.take() else { return };
         let PeerFreshness { age, silence } = self.peer_freshness(now);
+        // A host that has never heard a peer goes by its own calls.
         let heard_peers = self
             .heard_since
             .is_none_or(|t| silence < OUTAGE_THRESHOLD && t <= since + OUTAGE_THRESHOLD);
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -320,12 +320,12 @@
             return;
         }
         let now = self.now();
-        let is_changed = {
+        let is_due = {
             let Fleet { registry, demands, .. } = &mut *self.fleet();
             let started = registry.started_unix_ms(target);
             demands.on_answer(now, pool, target, demand, started)
         };
-        if !is_changed {
+        if !is_due {
             return;
         }
         info!(self.log, "target_demand"; "target" => &**target, "pool" => &**pool,
