--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -297,7 +297,10 @@
             return true;
         }
         let (changes, to) = (delta.changes.len(), delta.to);
+        let held = fleet.registry.revision();
         if !fleet.registry.apply(now, delta.clone(), expiry_grace) {
+            warn!(self.log, "targets_refused"; "revision" => to, "held" => held.unwrap_or(0),
+                "changes" => changes, "from" => from, "is_list" => delta.from.is_none());
             return false;
         }
         fleet.retain_delta(delta);
