--- a/crates/geraniummux-standin/src/object_store.rs
+++ b/crates/geraniummux-standin/src/object_store.rs
@@ -2,7 +2,7 @@
 //! writes, deletes and watches objects in memory.
 
 use crate::server::{self, Reply, read_body};
-use http::{Method, Request, StatusCode};
+use http::{HeaderName, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
@@ -11,6 +11,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Header with the era of the store.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 /// Maximum number of changes that are kept for watches; older ones are discarded.
 const MAX_HISTORY_EVENTS: usize = 1_000;
 /// Longest time for which a watch waits for a change.
@@ -24,9 +26,20 @@
     deleted: bool,
 }
 
+/// A copy of a store's objects, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    /// Number of times that the store was restored from a copy, plus 1.
+    era: u64,
     revision: u64,
+    /// Number of calls.
+    calls: u64,
     objects: BTreeMap<(String, String), Value>,
     history: VecDeque<Event>,
     /// Status with which all calls are refused; `None` serves them.
@@ -42,7 +55,7 @@
 
 impl Default for ObjectStore {
     fn default() -> Self {
-        let state = Mutex::new(State { revision: 1, ..State::default() });
+        let state = Mutex::new(State { era: 1, revision: 1, ..State::default() });
         ObjectStore { state, changed: watch::channel(1).0 }
     }
 }
@@ -81,6 +94,28 @@
         self.lock().refusal_status = status;
     }
 
+    /// Returns a copy of all objects.
+    pub fn backup(&self) -> Backup {
+        let state = self.lock();
+        Backup { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Restores the objects of a copy. Later changes are lost, and their revisions are assigned again.
+    pub fn restore(&self, backup: &Backup) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.revision = backup.revision;
+        state.objects = backup.objects.clone();
+        state.history.retain(|e| e.revision <= backup.revision);
+        drop(state);
+        self.changed.send_replace(backup.revision);
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
     /// Discards the history. A watch from before the current revision then gets status 410.
     pub fn compact(&self) {
         self.lock().history.clear();
@@ -105,7 +140,17 @@
         .await;
     }
 
+    /// Handles a call. The response names the era in which it is sent.
     async fn handle(&self, req: Request<Incoming>) -> Reply {
+        self.lock().calls += 1;
+        let mut reply = self.respond(req).await;
+        if let Reply::Send(rsp) = &mut reply {
+            rsp.headers_mut().insert(ERA_HEADER, self.lock().era.into());
+        }
+        reply
+    }
+
+    async fn respond(&self, req: Request<Incoming>) -> Reply {
         if let Some(status) = self.lock().refusal_status {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
             return Reply::text(status, "");
@@ -165,12 +210,12 @@
         }
     }
 
-    /// Returns the changes of a kind after a revision, or status 410 if some of them were discarded. Returns
-    /// `None` if there are none yet.
+    /// Returns the changes of a kind after a revision, or status 410 if some of them were discarded or the
+    /// store does not have that revision. Returns `None` if there are none yet.
     fn events_after(&self, kind: &str, from: u64) -> Option<Reply> {
         let state = self.lock();
         let oldest = state.history.front().map_or(state.revision + 1, |e| e.revision);
-        if from + 1 < oldest && from < state.revision {
+        if from > state.revision || from + 1 < oldest && from < state.revision {
             return Some(Reply::text(StatusCode::GONE, ""));
         }
         let events: Vec<Value> = state
