--- a/crates/geraniummux-core/src/fleet/config_change.rs
+++ b/crates/geraniummux-core/src/fleet/config_change.rs
@@ -2,17 +2,17 @@
 //!
 //! A configuration can have thousands of routes, of which one version changes few.
 
-use super::routes::{CallerLimits, FleetConfig, FleetPool, FleetRoute};
+use super::routes::{CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// Leads from one version of the configuration to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ConfigChange {
-    /// Version that the change applies to; `None` if it holds the whole configuration.
-    pub base: Option<u64>,
-    /// Version after the change.
-    pub version: u64,
+    /// Edition that the change applies to; `None` if it holds the whole configuration.
+    pub base: Option<ConfigEdition>,
+    /// Edition after the change.
+    pub edition: ConfigEdition,
     /// Names of the routes that are gone.
     pub removed: Vec<Arc<str>>,
     /// New and changed routes.
@@ -28,7 +28,7 @@
     pub fn whole(config: &FleetConfig) -> Self {
         ConfigChange {
             base: None,
-            version: config.version,
+            edition: config.edition(),
             removed: Vec::new(),
             routes: config.routes.clone(),
             pools: config.pools.clone(),
@@ -47,8 +47,8 @@
         let is_changed = |r: &&&FleetRoute| find(&old, &r.name).is_none_or(|i| old[i] != **r);
         let is_gone = |r: &&&FleetRoute| find(&new, &r.name).is_none();
         ConfigChange {
-            base: Some(base.version),
-            version: config.version,
+            base: Some(base.edition()),
+            edition: config.edition(),
             removed: old.iter().filter(is_gone).map(|r| r.name.clone()).collect(),
             routes: new.iter().filter(is_changed).map(|r| (**r).clone()).collect(),
             pools: config.pools.clone(),
@@ -56,18 +56,21 @@
         }
     }
 
-    /// Returns the configuration after the change; `None` if `current` is not the version that the
+    /// Returns the configuration after the change; `None` if `current` is not the edition that the
     /// change applies to.
     pub fn apply(self, current: Option<&FleetConfig>) -> Option<FleetConfig> {
-        let ConfigChange { base, version, mut removed, routes, pools, limits } = self;
-        let Some(base) = base else { return Some(FleetConfig { version, routes, pools, limits }) };
-        let current = current.filter(|c| c.version == base)?;
+        let ConfigChange { base, edition, mut removed, routes, pools, limits } = self;
+        let ConfigEdition { version, era } = edition;
+        let Some(base) = base else {
+            return Some(FleetConfig { version, era, routes, pools, limits });
+        };
+        let current = current.filter(|c| c.edition() == base)?;
         removed.extend(routes.iter().map(|r| r.name.clone()));
         removed.sort_unstable();
         let is_kept = |r: &&FleetRoute| removed.binary_search(&r.name).is_err();
         let kept = current.routes.iter().filter(is_kept).cloned();
         let routes = kept.chain(routes).collect();
-        Some(FleetConfig { version, routes, pools, limits })
+        Some(FleetConfig { version, era, routes, pools, limits })
     }
 }
 
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod probes;
 mod readers;
 mod registry;
+mod revision;
 mod routes;
 mod scheduler;
 mod split;
@@ -38,7 +39,10 @@
     Leader, PeerFreshness, Position, ReadSource, ReaderOptions, StoreChecks, leaders, read_source,
 };
 pub use registry::{RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry};
-pub use routes::{CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex};
+pub use revision::Revision;
+pub use routes::{
+    CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex,
+};
 pub use scheduler::{
     RejectReason, RequestKey, Scheduler, SchedulerOptions, SlotDecision, SlotRequest, StaleTarget,
 };
--- a/crates/geraniummux-core/src/fleet/registry.rs
+++ b/crates/geraniummux-core/src/fleet/registry.rs
@@ -4,13 +4,24 @@
 //! A removed entry is normally dropped at once. Registrations of live targets may have expired while
 //! the platform's store was unavailable; their entries are kept for an expiry grace, so that the
 //! targets can register again.
+//!
+//! When the store comes back from a copy, a full list of the new era replaces what was read before, but for
+//! what the copy can't know: targets that have left or are leaving remain so, although the copy lists them
+//! as ready, and targets that the copy lacks are kept for an expiry grace.
 
+use super::revision::Revision;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Default of [`TargetRegistry::set_confirm_after`].
+const DEFAULT_CONFIRM_AFTER: Duration = Duration::from_secs(6);
+/// Time for which a target that has left is remembered; longer than the age of a copy from which the store
+/// comes back.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(600);
+
 /// A target's registration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RegisteredTarget {
@@ -56,50 +67,89 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RegistryDelta {
     /// Revision to which the changes apply; `None` for a full list.
-    pub from: Option<u64>,
+    pub from: Option<Revision>,
     /// Revision after the changes.
-    pub to: u64,
+    pub to: Revision,
     /// The changes, each with the revision of its entry, oldest first.
-    pub changes: Vec<(u64, RegistryChange)>,
+    pub changes: Vec<(Revision, RegistryChange)>,
 }
 
 #[derive(Clone, Debug)]
 struct Entry {
     id: Arc<str>,
-    revision: u64,
+    revision: Revision,
     /// `None` if the entry names no usable target.
     target: Option<RegisteredTarget>,
     /// End of the target's warm-up.
     warm_up_ends: Time,
     /// End of the expiry grace of a removed entry.
     drop_at: Option<Time>,
+    /// For an entry of a target that had left: until when it is unknown whether the entry is only a remnant
+    /// in the copy from which the store came back.
+    unconfirmed_until: Option<Time>,
 }
 
 impl Entry {
     fn started_unix_ms(&self) -> Option<u64> {
         self.target.as_ref().map(|t| t.started_unix_ms)
     }
+
+    fn is_usable(&self, now: Time) -> bool {
+        self.drop_at.is_none_or(|at| now < at) && self.unconfirmed_until.is_none_or(|at| now >= at)
+    }
+}
+
+/// A target whose entry was removed.
+#[derive(Clone, Debug)]
+struct Departed {
+    id: Arc<str>,
+    /// Start of the run that has ended.
+    started_unix_ms: u64,
+    /// Era of the store in which the entry was removed.
+    era: u64,
+    at: Time,
 }
 
 /// One host's copy of the registry.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct TargetRegistry {
-    revision: Option<u64>,
+    revision: Option<Revision>,
     /// Sorted by id.
     entries: Vec<Entry>,
+    /// Sorted by id.
+    departed: Vec<Departed>,
+    confirm_after: Duration,
+}
+
+impl Default for TargetRegistry {
+    fn default() -> Self {
+        TargetRegistry {
+            revision: None,
+            entries: Vec::new(),
+            departed: Vec::new(),
+            confirm_after: DEFAULT_CONFIRM_AFTER,
+        }
+    }
 }
 
 impl TargetRegistry {
+    /// Sets how long the entry of a target that had left must remain registered, after the store came back
+    /// from a copy, until the target is used again, unless it writes the entry. It has to be longer than the
+    /// time in which the store removes the entries of targets that are gone.
+    pub fn set_confirm_after(&mut self, confirm_after: Duration) {
+        self.confirm_after = confirm_after;
+    }
+
     /// Returns the revision of this copy; `None` before the first full list.
-    pub fn revision(&self) -> Option<u64> {
+    pub fn revision(&self) -> Option<Revision> {
         self.revision
     }
 
     /// Applies a delta and returns whether it was applied. A delta is refused if it ends before the
     /// revision of this copy or starts after it.
     ///
-    /// `expiry_grace` is how long removed entries remain usable. It is zero unless the platform's
-    /// store was unavailable, in which case the entries may have expired and may come back.
+    /// `expiry_grace` is how long removed entries remain usable. It is zero unless the platform's store was
+    /// unavailable or came back from a copy, in which case the entries may come back.
     pub fn apply(&mut self, now: Time, delta: RegistryDelta, expiry_grace: Duration) -> bool {
         let current = self.revision;
         if current.is_some_and(|r| delta.to < r) {
@@ -110,6 +160,7 @@
             Some(_) => {}
             None => self.expire_unlisted(now, &delta, expiry_grace),
         }
+        self.departed.retain(|d| now.since(d.at) < DEPARTED_RETENTION);
         for (revision, change) in delta.changes {
             self.apply_change(now, revision, change, expiry_grace);
         }
@@ -139,7 +190,7 @@
     pub fn targets(&self, now: Time) -> impl Iterator<Item = (&RegisteredTarget, bool)> + Clone {
         self.entries
             .iter()
-            .filter(move |e| e.drop_at.is_none_or(|at| now < at))
+            .filter(move |e| e.is_usable(now))
             .filter_map(move |e| Some((e.target.as_ref()?, now < e.warm_up_ends)))
     }
 
@@ -152,7 +203,17 @@
     /// Drops entries whose expiry grace is over. Returns whether there were any.
     pub fn drop_expired(&mut self, now: Time) -> bool {
         let before = self.entries.len();
-        self.entries.retain(|e| e.drop_at.is_none_or(|at| now < at));
+        let mut expired = Vec::new();
+        self.entries.retain(|e| {
+            let keep = e.drop_at.is_none_or(|at| now < at);
+            if !keep {
+                expired.push(e.clone());
+            }
+            keep
+        });
+        for e in expired {
+            self.record_departed(now, &e);
+        }
         self.entries.len() != before
     }
 
@@ -168,6 +229,7 @@
         for e in &mut self.entries {
             if listed.binary_search(&&e.id).is_err() && e.drop_at.is_none() {
                 e.drop_at = Some(now + expiry_grace);
+                e.revision = e.revision.max(Revision::new(list.to.era, 0));
             }
         }
         self.drop_expired(now);
@@ -176,7 +238,7 @@
     fn apply_change(
         &mut self,
         now: Time,
-        revision: u64,
+        revision: Revision,
         change: RegistryChange,
         expiry_grace: Duration,
     ) {
@@ -188,6 +250,7 @@
         let target = match change {
             RegistryChange::Removed(_) => {
                 if let Ok(i) = found {
+                    self.entries[i].revision = revision;
                     self.expire(now, i, expiry_grace);
                 }
                 return;
@@ -195,10 +258,25 @@
             RegistryChange::Put(target) => Some(target),
             RegistryChange::Unusable(_) => None,
         };
-        let warm_up_ends = now + target.as_ref().map_or(Duration::ZERO, |t| t.warm_up);
-        let entry = Entry { id, revision, target, warm_up_ends, drop_at: None };
+        let mut entry = Entry {
+            warm_up_ends: now + target.as_ref().map_or(Duration::ZERO, |t| t.warm_up),
+            id,
+            revision,
+            target,
+            drop_at: None,
+            unconfirmed_until: None,
+        };
+        entry.unconfirmed_until = match found {
+            Ok(i) => self.still_unconfirmed_until(now, &self.entries[i], &entry),
+            Err(_) => self.remnant_until(now, &entry),
+        };
         match found {
+            Ok(i) if is_of_earlier_run(&self.entries[i], &entry) => {
+                // The copy lacks the present run of the target, which may register again.
+                self.expire(now, i, expiry_grace);
+            }
             Ok(i) => {
+                keep_leaving(&self.entries[i], &mut entry);
                 // A target that restarted under the same id warms up again; other changes of the
                 // entry don't affect the warm-up.
                 let restarted = self.entries[i].started_unix_ms() != entry.started_unix_ms();
@@ -210,11 +288,66 @@
         }
     }
 
+    /// Returns until when a new entry may be a remnant of a target that has left: it is listed in an era after
+    /// the one in which the target's entry was removed.
+    fn remnant_until(&self, now: Time, entry: &Entry) -> Option<Time> {
+        let i = self.departed.binary_search_by(|d| d.id.cmp(&entry.id)).ok()?;
+        let d = &self.departed[i];
+        let is_remnant =
+            d.era < entry.revision.era && entry.started_unix_ms()? <= d.started_unix_ms;
+        is_remnant.then(|| now + self.confirm_after)
+    }
+
+    /// Returns until when an entry may still be a remnant, given its former state: until the target writes
+    /// it, or for a while in each era.
+    fn still_unconfirmed_until(&self, now: Time, old: &Entry, new: &Entry) -> Option<Time> {
+        let until = old.unconfirmed_until.filter(|at| now < *at)?;
+        if old.started_unix_ms() != new.started_unix_ms() {
+            return None;
+        }
+        if new.revision.era > old.revision.era {
+            return Some(now + self.confirm_after);
+        }
+        (new.revision == old.revision).then_some(until)
+    }
+
+    fn record_departed(&mut self, now: Time, e: &Entry) {
+        let Some(started_unix_ms) = e.started_unix_ms() else { return };
+        let d = Departed { id: e.id.clone(), started_unix_ms, era: e.revision.era, at: now };
+        match self.departed.binary_search_by(|d| d.id.cmp(&e.id)) {
+            Ok(i) => self.departed[i] = d,
+            Err(i) => self.departed.insert(i, d),
+        }
+    }
+
     fn expire(&mut self, now: Time, i: usize, expiry_grace: Duration) {
         if expiry_grace.is_zero() {
-            self.entries.remove(i);
+            let removed = self.entries.remove(i);
+            self.record_departed(now, &removed);
         } else if self.entries[i].drop_at.is_none() {
             self.entries[i].drop_at = Some(now + expiry_grace);
         }
     }
 }
+
+/// Returns whether the new state of an entry, read from a copy, is that of a run before the present one.
+fn is_of_earlier_run(old: &Entry, new: &Entry) -> bool {
+    match (old.started_unix_ms(), new.started_unix_ms()) {
+        (Some(present), Some(listed)) => {
+            new.revision.era > old.revision.era && listed > 0 && listed < present
+        }
+        _ => false,
+    }
+}
+
+/// Keeps a target leaving that a copy shows as ready. A target that writes its entry in the new era decides
+/// for itself.
+fn keep_leaving(old: &Entry, new: &mut Entry) {
+    let is_written = new.revision.era == old.revision.era && new.revision != old.revision;
+    if let (Some(old), Some(new)) = (&old.target, &mut new.target)
+        && !is_written
+        && old.started_unix_ms == new.started_unix_ms
+    {
+        new.leaving |= old.leaving;
+    }
+}
--- a/crates/geraniummux-core/src/fleet/routes.rs
+++ b/crates/geraniummux-core/src/fleet/routes.rs
@@ -76,11 +76,25 @@
     }
 }
 
+/// Identifies the content of a configuration.
+///
+/// The operator gives each change a higher version. A change that the store lost before it was acknowledged
+/// may be made again with the same version and other content, which then has a later era.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ConfigEdition {
+    /// Version number; a larger one is newer.
+    pub version: u64,
+    /// Era of the store in which the configuration was read; see [`Revision`](super::Revision).
+    pub era: u64,
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct FleetConfig {
     /// Version number; a larger one is newer.
     pub version: u64,
+    /// Era of the store in which the configuration was read.
+    pub era: u64,
     /// All routes.
     pub routes: Vec<FleetRoute>,
     /// All pools.
@@ -89,6 +103,13 @@
     pub limits: CallerLimits,
 }
 
+impl FleetConfig {
+    /// Returns what identifies the content.
+    pub fn edition(&self) -> ConfigEdition {
+        ConfigEdition { version: self.version, era: self.era }
+    }
+}
+
 /// Index of a [`FleetConfig`] for routing requests and finding pools.
 #[derive(Clone, Debug, Default)]
 pub struct RouteIndex {
--- a/crates/geraniummux-core/tests/fleet_config_change.rs
+++ b/crates/geraniummux-core/tests/fleet_config_change.rs
@@ -20,7 +20,7 @@
 
 fn config(version: u64, routes: &[(u8, u64)]) -> FleetConfig {
     let routes = routes.iter().map(|(name, timeout)| route(*name, *timeout)).collect();
-    FleetConfig { version, routes, pools: Vec::new(), limits: CallerLimits::default() }
+    FleetConfig { version, era: 1, routes, pools: Vec::new(), limits: CallerLimits::default() }
 }
 
 fn sorted(mut config: FleetConfig) -> FleetConfig {
--- a/crates/geraniummux-core/tests/fleet_registry.rs
+++ b/crates/geraniummux-core/tests/fleet_registry.rs
@@ -1,7 +1,9 @@
 //! The target registry and its copies on other hosts.
 
 use geraniummux_core::Time;
-use geraniummux_core::fleet::{RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry};
+use geraniummux_core::fleet::{
+    RegisteredTarget, RegistryChange, RegistryDelta, Revision, TargetRegistry,
+};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -30,7 +32,19 @@
 }
 
 fn delta(from: Option<u64>, to: u64, changes: Vec<(u64, RegistryChange)>) -> RegistryDelta {
-    RegistryDelta { from, to, changes }
+    delta_in(1, from, to, changes)
+}
+
+/// Returns a delta of an era of the store.
+fn delta_in(
+    era: u64,
+    from: Option<u64>,
+    to: u64,
+    changes: Vec<(u64, RegistryChange)>,
+) -> RegistryDelta {
+    let at = |number| Revision::new(era, number);
+    let changes = changes.into_iter().map(|(number, change)| (at(number), change)).collect();
+    RegistryDelta { from: from.map(at), to: at(to), changes }
 }
 
 fn ids(registry: &TargetRegistry, now: Time) -> Vec<String> {
@@ -125,6 +139,124 @@
     assert!(!warming_up(NOW + Duration::from_secs(3)));
 }
 
+/// Returns a target that was started at a time.
+fn started(revision: u64, id: &str, leaving: bool, started_unix_ms: u64) -> (u64, RegistryChange) {
+    let target = RegisteredTarget { started_unix_ms, ..target(id, leaving) };
+    (revision, RegistryChange::Put(target))
+}
+
+/// Time after a restore in which the store removes the entries of targets that are gone.
+const CONFIRM_AFTER: Duration = Duration::from_secs(6);
+
+/// Guards against a list of a restored store that is refused since its revision is lower, so that changes of
+/// the new history are missed (CONFIG).
+#[test]
+fn apply_list_of_later_era_replaces_higher_revision() {
+    let mut registry = listed(vec![put(5, "t1")]);
+    assert!(registry.apply(NOW, delta_in(2, None, 7, vec![put(6, "t2")]), Duration::ZERO));
+    assert_eq!(ids(&registry, NOW), ["t2"]);
+    assert_eq!(registry.revision(), Some(Revision::new(2, 7)));
+    assert!(registry.apply(NOW, delta_in(2, Some(7), 8, vec![put(8, "t3")]), Duration::ZERO));
+    assert_eq!(ids(&registry, NOW), ["t2", "t3"]);
+}
+
+/// Guards against an answer or an update of the lost history that arrives after the new one was read.
+#[test]
+fn apply_earlier_era_is_refused() {
+    let mut registry = listed(vec![put(5, "t1")]);
+    registry.apply(NOW, delta_in(2, None, 7, vec![put(5, "t1")]), Duration::ZERO);
+    assert!(!registry.apply(NOW, delta(None, 90, vec![put(90, "t2")]), Duration::ZERO));
+    assert!(!registry.apply(NOW, delta(Some(7), 90, vec![put(90, "t2")]), Duration::ZERO));
+    assert_eq!(ids(&registry, NOW), ["t1"]);
+}
+
+/// Guards against requests to a target that has left and that a copy of the store brings back (DRAIN).
+#[test]
+fn apply_later_era_departed_target_stays_away() {
+    let mut registry = listed(vec![started(5, "t1", false, 100), put(6, "t2")]);
+    registry.apply(NOW, delta(Some(10), 11, vec![removed(11, "t1")]), Duration::ZERO);
+    let list = || delta_in(2, None, 7, vec![started(5, "t1", false, 100), put(6, "t2")]);
+    registry.apply(NOW, list(), EXPIRY_GRACE);
+    assert_eq!(ids(&registry, NOW), ["t2"]);
+    let later = NOW + Duration::from_secs(2);
+    registry.apply(later, list(), EXPIRY_GRACE);
+    assert_eq!(ids(&registry, later), ["t2"]);
+    registry.apply(later, delta_in(2, Some(7), 8, vec![removed(5, "t1")]), Duration::ZERO);
+    assert_eq!(ids(&registry, NOW + CONFIRM_AFTER * 2), ["t2"]);
+}
+
+/// Guards against a target that is not used again although it lives: its registration had only expired
+/// before the store was restored.
+#[test]
+fn apply_later_era_departed_target_returns_with_its_write_or_after_a_while() {
+    let mut registry = listed(vec![started(5, "t1", false, 100), started(6, "t2", false, 100)]);
+    let gone = vec![removed(11, "t1"), removed(12, "t2")];
+    registry.apply(NOW, delta(Some(10), 12, gone), Duration::ZERO);
+    let list = vec![started(5, "t1", false, 100), started(6, "t2", false, 100)];
+    registry.apply(NOW, delta_in(2, None, 7, list), EXPIRY_GRACE);
+    assert!(ids(&registry, NOW).is_empty());
+    let write = vec![started(8, "t1", false, 100)];
+    registry.apply(NOW, delta_in(2, Some(7), 8, write), Duration::ZERO);
+    assert_eq!(ids(&registry, NOW), ["t1"]);
+    assert_eq!(ids(&registry, NOW + CONFIRM_AFTER), ["t1", "t2"]);
+}
+
+/// Guards against a target that was started anew under its identity and is taken for the run that has left.
+#[test]
+fn apply_later_era_later_run_of_departed_target_is_used() {
+    let mut registry = listed(vec![started(5, "t1", false, 100)]);
+    registry.apply(NOW, delta(Some(10), 11, vec![removed(11, "t1")]), Duration::ZERO);
+    let list = vec![started(7, "t1", false, 200)];
+    registry.apply(NOW, delta_in(2, None, 7, list), EXPIRY_GRACE);
+    assert_eq!(ids(&registry, NOW), ["t1"]);
+}
+
+/// Guards against requests to a leaving target that a copy of the store shows as ready (DRAIN).
+#[test]
+fn apply_later_era_leaving_target_stays_leaving() {
+    let mut registry = listed(vec![started(9, "t1", true, 100)]);
+    let leaving = |r: &TargetRegistry| r.targets(NOW).map(|(t, _)| t.leaving).collect::<Vec<_>>();
+    for era in 2..4 {
+        for _ in 0..2 {
+            let list = vec![started(5, "t1", false, 100)];
+            registry.apply(NOW, delta_in(era, None, 7, list), EXPIRY_GRACE);
+            assert_eq!(leaving(&registry), [true], "era {era}");
+        }
+    }
+    let list = vec![started(5, "t1", false, 200)];
+    registry.apply(NOW, delta_in(4, None, 7, list), EXPIRY_GRACE);
+    assert_eq!(leaving(&registry), [false]);
+}
+
+/// Guards against a target that is replaced by an earlier run of it which a copy of the store still lists.
+#[test]
+fn apply_later_era_earlier_run_does_not_replace_the_present_one() {
+    let mut registry = listed(vec![started(9, "t1", false, 200)]);
+    let list = || delta_in(2, None, 7, vec![started(5, "t1", false, 100)]);
+    registry.apply(NOW, list(), EXPIRY_GRACE);
+    registry.apply(NOW, list(), EXPIRY_GRACE);
+    assert_eq!(registry.started_unix_ms("t1"), Some(200));
+    assert_eq!(ids(&registry, NOW), ["t1"]);
+    let gone = NOW + EXPIRY_GRACE;
+    registry.drop_expired(gone);
+    registry.apply(gone, list(), EXPIRY_GRACE);
+    assert!(ids(&registry, gone).is_empty());
+    let write = vec![started(8, "t1", false, 200)];
+    registry.apply(gone, delta_in(2, Some(7), 8, write), Duration::ZERO);
+    assert_eq!(ids(&registry, gone), ["t1"]);
+}
+
+/// Guards against data of unknown age that is kept although the store was read.
+#[test]
+fn apply_list_replaces_data_of_unknown_age() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(NOW, delta_in(0, None, 0, vec![put(0, "t1")]), Duration::ZERO);
+    assert_eq!(ids(&registry, NOW), ["t1"]);
+    registry.apply(NOW, delta_in(2, None, 7, vec![put(6, "t2")]), Duration::ZERO);
+    assert_eq!(ids(&registry, NOW), ["t2"]);
+    assert!(!registry.apply(NOW, delta_in(0, None, 0, vec![put(0, "t1")]), Duration::ZERO));
+}
+
 proptest! {
     /// Guards against copies that differ from the original after any sequence of full lists and
     /// deltas.
--- a/crates/geraniummux-host/src/fleet.rs
+++ b/crates/geraniummux-host/src/fleet.rs
@@ -1,8 +1,8 @@
 //! A host's view of the fleet of targets, its budgets, and what is typical of each route's requests.
 
 use geraniummux_core::fleet::{
-    Demands, ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, SplitState, TableOptions,
-    TargetRegistry, TargetTable,
+    Demands, ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, Revision, SplitState,
+    TableOptions, TargetRegistry, TargetTable,
 };
 use geraniummux_core::quarantine::QuarantineOptions;
 use geraniummux_core::{Quarantine, Time};
@@ -139,7 +139,7 @@
 
     /// Returns the changes that a follower lacks which has the registry as of `revision`: those
     /// retained or, if they don't reach back so far, a full list; `None` if it lacks nothing.
-    pub fn delta_since(&self, revision: Option<u64>) -> Option<RegistryDelta> {
+    pub fn delta_since(&self, revision: Option<Revision>) -> Option<RegistryDelta> {
         let to = self.registry.revision()?;
         if revision.is_some_and(|r| r >= to) {
             return None;
--- a/crates/geraniummux-host/src/freshness.rs
+++ b/crates/geraniummux-host/src/freshness.rs
@@ -2,7 +2,7 @@
 //! host alone did not reach it.
 
 use geraniummux_core::Time;
-use geraniummux_core::fleet::PeerFreshness;
+use geraniummux_core::fleet::{PeerFreshness, Revision};
 use std::time::Duration;
 
 /// How long this host's calls must have failed, without a current update from a peer either, to count
@@ -29,7 +29,7 @@
     /// Whether the host's own watch of the configuration is established.
     pub watching_config: bool,
     /// Revision of the store that the configuration was last read or replicated at.
-    pub config_revision: Option<u64>,
+    pub config_revision: Option<Revision>,
     /// Since when a peer is known to have a newer configuration.
     pub config_behind_since: Option<Time>,
     /// Since when all calls of this host to the store have failed.
@@ -90,6 +90,12 @@
         }
     }
 
+    /// Records that the store came back from a copy. Registrations may expire with the leases of that time.
+    pub fn on_store_restored(&mut self, now: Time) {
+        self.stale_until = now;
+        self.expiry_grace_until = now + EXPIRY_GRACE_WINDOW;
+    }
+
     fn record_staleness(&mut self, now: Time) {
         if self.age(now) >= OUTAGE_THRESHOLD {
             self.stale_until = now;
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -12,8 +12,8 @@
 use crate::upstream::IdleConnections;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
-    Candidate, ConfigChange, ExtraAttempt, ExtraAttemptOptions, Fault, FleetConfig, RegistryDelta,
-    ReportedDemand, RouteIndex, TargetDemand,
+    Candidate, ConfigChange, ConfigEdition, ExtraAttempt, ExtraAttemptOptions, Fault, FleetConfig,
+    RegistryDelta, ReportedDemand, Revision, RouteIndex, TargetDemand,
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::{Member, MemberState, Membership, Time};
@@ -34,6 +34,10 @@
 /// whole configuration.
 const MAX_FORMER_CONFIGS: usize = 6;
 
+/// Heartbeats of a target after which its entry in a restored store shows that it is alive: the store removes
+/// entries after three without a write.
+const CONFIRMING_HEARTBEATS: u32 = 4;
+
 /// Stages of a host from start to stop; a host never returns to an earlier one.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -118,6 +122,9 @@
         let opts = membership_options();
         let process = format!("{}/{}", settings.host, wall.0).into();
         let domain = settings.failure_domain.clone();
+        let mut fleet = Fleet::new(domain, process);
+        let heartbeat = Duration::from_secs_f64(settings.promises.heartbeat_s);
+        fleet.registry.set_confirm_after(CONFIRMING_HEARTBEATS * heartbeat);
         Host {
             clock,
             started: now,
@@ -131,7 +138,7 @@
             routes: ArcSwapOption::empty(),
             config: Mutex::default(),
             former_configs: Mutex::default(),
-            fleet: Mutex::new(Fleet::new(domain, process)),
+            fleet: Mutex::new(fleet),
             members: Mutex::new(Membership::new(now, local_member, seeds, opts, &mut rand::rng())),
             freshness: Mutex::new(Freshness::new(now)),
             phase: watch::channel(Phase::Serving).0,
@@ -236,16 +243,16 @@
         self.callers.load(Ordering::Relaxed)
     }
 
-    /// Puts a configuration in force if its version is higher than the current one's. `from` names the
+    /// Puts a configuration in force if its edition is newer than the current one's. `from` names the
     /// peer that sent it, or is "store".
-    pub fn adopt_config(&self, config: FleetConfig, revision: u64, from: &str) {
+    pub fn adopt_config(&self, config: FleetConfig, revision: Revision, from: &str) {
         let mut current = lock(&self.config);
-        let version = current.as_ref().map_or(0, |c| c.version);
-        if config.version <= version {
+        let was = current.as_ref().map(|c| c.edition()).unwrap_or_default();
+        if config.edition() <= was {
             return;
         }
-        info!(self.log, "config_adopted"; "version" => config.version, "was" => version,
-            "revision" => revision, "from" => from, "routes" => config.routes.len(),
+        info!(self.log, "config_adopted"; "version" => config.version, "was" => was.version,
+            "revision" => %revision, "from" => from, "routes" => config.routes.len(),
             "pools" => config.pools.len());
         self.routes.store(Some(Arc::new(RouteIndex::new(&config))));
         let former = current.replace(Arc::new(config));
@@ -261,12 +268,12 @@
     }
 
     /// Returns the change that leads a follower from its configuration to the one in force: from the
-    /// `version` that it has or, if that is not retained, the whole configuration; `None` if it lacks
+    /// `edition` that it has or, if that is not retained, the whole configuration; `None` if it lacks
     /// nothing.
-    pub fn config_change_since(&self, version: u64) -> Option<ConfigChange> {
-        let config = self.config().filter(|c| c.version > version)?;
+    pub fn config_change_since(&self, edition: ConfigEdition) -> Option<ConfigChange> {
+        let config = self.config().filter(|c| c.edition() > edition)?;
         let formers = lock(&self.former_configs);
-        let base = formers.iter().find(|c| c.version == version);
+        let base = formers.iter().find(|c| c.edition() == edition);
         Some(match base {
             Some(base) => ConfigChange::between(base, &config),
             None => ConfigChange::whole(&config),
@@ -282,16 +289,35 @@
         }
     }
 
+    /// Returns the position in the store's history up to which this host has read or replicated anything.
+    pub fn store_revision(&self) -> Revision {
+        let config = self.freshness().config_revision.unwrap_or_default();
+        self.fleet().registry.revision().unwrap_or_default().max(config)
+    }
+
+    /// Returns how long entries that changes up to `to` remove remain in use.
+    ///
+    /// An entry that is missing from a copy of the store is no sign that its target has left: the target may
+    /// have registered after the copy was made, and registers again.
+    fn expiry_grace(&self, now: Time, to: Revision) -> Duration {
+        let promises = &self.settings.load().promises;
+        let lapse = Duration::from_secs_f64(promises.lapse_s);
+        let drain = Duration::from_secs_f64(promises.drain_s);
+        let held = self.fleet().registry.revision().unwrap_or_default();
+        let mut freshness = self.freshness();
+        if held.era > 0 && to.era > held.era {
+            warn!(self.log, "store_restored"; "revision" => %to, "held" => %held);
+            freshness.on_store_restored(now);
+            return lapse;
+        }
+        freshness.grace_of_removed_entry(now, lapse, drain)
+    }
+
     /// Applies changes to the registry of targets. `from` names the peer that sent them, or is "store".
     /// Returns false if they are older than this host's revision or start after it.
     pub fn apply_targets(&self, delta: RegistryDelta, from: &str) -> bool {
         let now = self.now();
-        let expiry_grace = {
-            let promises = &self.settings.load().promises;
-            let lapse = Duration::from_secs_f64(promises.lapse_s);
-            let drain = Duration::from_secs_f64(promises.drain_s);
-            self.freshness().grace_of_removed_entry(now, lapse, drain)
-        };
+        let expiry_grace = self.expiry_grace(now, delta.to);
         let mut fleet = self.fleet();
         if fleet.registry.revision().is_some_and(|r| r >= delta.to) && delta.changes.is_empty() {
             return true;
@@ -299,15 +325,15 @@
         let (changes, to) = (delta.changes.len(), delta.to);
         let held = fleet.registry.revision();
         if !fleet.registry.apply(now, delta.clone(), expiry_grace) {
-            warn!(self.log, "targets_refused"; "revision" => to, "held" => held.unwrap_or(0),
-                "changes" => changes, "from" => from, "is_list" => delta.from.is_none());
+            warn!(self.log, "targets_refused"; "revision" => %to,
+                "held" => %held.unwrap_or_default(), "changes" => changes, "from" => from, "is_list" => delta.from.is_none());
             return false;
         }
         fleet.retain_delta(delta);
         fleet.update_table(now);
         self.scheduling.update(fleet.registry.targets(now));
         if changes > 0 {
-            info!(self.log, "targets_changed"; "revision" => to, "changes" => changes,
+            info!(self.log, "targets_changed"; "revision" => %to, "changes" => changes,
                 "from" => from, "lapsed" => fleet.registry.expired_count(),
                 "lapse_ms" => expiry_grace.as_millis() as u64);
         }
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -129,26 +129,44 @@
 }
 
 /// Exponential backoff between failed calls.
-struct Backoff(Duration);
+struct Backoff {
+    delay: Duration,
+    /// Whether the last watch failed because the store lacks the history.
+    history_was_gone: bool,
+}
 
 impl Backoff {
-    fn reset(&mut self) {
-        self.0 = MIN_BACKOFF;
+    fn new() -> Self {
+        Backoff { delay: MIN_BACKOFF, history_was_gone: false }
+    }
+
+    /// Records that a list succeeded. A list after which the watch fails again is no progress.
+    fn on_list(&mut self) {
+        if !self.history_was_gone {
+            self.delay = MIN_BACKOFF;
+        }
+    }
+
+    /// Records that a watch succeeded.
+    fn on_watch(&mut self) {
+        *self = Backoff::new();
     }
 
-    /// Waits before the next call. Missing history is no failure of the store and causes no delay.
+    /// Waits before the next call. Missing history is no failure of the store and causes no delay the first
+    /// time.
     async fn wait_after(&mut self, error: &StoreError) {
-        if matches!(error, StoreError::HistoryGone) {
+        let is_history_gone = matches!(error, StoreError::HistoryGone | StoreError::Restored);
+        if is_history_gone && !std::mem::replace(&mut self.history_was_gone, true) {
             return;
         }
         let jitter = rand::rng().random_range(0.75..1.25);
-        tokio::time::sleep(self.0.mul_f64(jitter)).await;
-        self.0 = (self.0 * 2).min(MAX_BACKOFF);
+        tokio::time::sleep(self.delay.mul_f64(jitter)).await;
+        self.delay = (self.delay * 2).min(MAX_BACKOFF);
     }
 }
 
-/// Checks that the store still responds while watches wait. If it does not, ends the watches, as the
-/// store may have dropped them for good.
+/// Checks that the store still responds while watches wait, and in the same era. If not, ends the watches,
+/// as the store may have dropped them for good.
 async fn monitor_store<S>(host: Arc<Host>, store: Arc<S>, store_lost: Arc<Notify>)
 where
     S: Store,
@@ -166,9 +184,12 @@
         let result = timeout(CHECK_TIMEOUT, store.check()).await;
         let result = result.unwrap_or_else(|_| Err(check_timed_out()));
         record_call(&host, "check", result.as_ref().err());
-        if result.is_ok() {
+        if let Ok(era) = result {
             last_responsive_at = sent_at;
-            continue;
+            // A watch that outlived the store's return from a copy waits for changes of a lost history.
+            if era <= host.store_revision().era {
+                continue;
+            }
         }
         host.freshness().lose_watches(last_responsive_at);
         store_lost.notify_waiters();
@@ -180,7 +201,7 @@
     StoreError::Unreachable(String::from("no response to a check"))
 }
 
-/// Waits for the response to a watch; fails if a check gets no response meanwhile.
+/// Waits for the response to a watch; fails if a check gets no response or one of a later era meanwhile.
 async fn until_store_lost<T, F>(store_lost: &Notify, watch: F) -> Result<T, StoreError>
 where
     F: Future<Output = Result<T, StoreError>>,
@@ -195,21 +216,22 @@
 where
     S: Store,
 {
-    let mut backoff = Backoff(MIN_BACKOFF);
+    let mut backoff = Backoff::new();
     loop {
         // A list shows that the store responds; a watch does not, as long as it waits.
         while let Err(e) = list(&host, &*store, Consistency::Latest).await {
             backoff.wait_after(&e).await;
         }
-        backoff.reset();
+        backoff.on_list();
         host.freshness().set_watching_targets(host.now(), true);
         let error = loop {
-            let revision = host.fleet().registry.revision().unwrap_or(0);
+            let revision = host.fleet().registry.revision().unwrap_or_default();
             let result =
                 until_store_lost(&store_lost, store.watch_targets(revision, WATCH_WAIT)).await;
             record_call(&host, "watch_targets", result.as_ref().err());
             match result {
                 Ok(delta) => {
+                    backoff.on_watch();
                     let changed = !delta.changes.is_empty();
                     host.apply_targets(delta, "store");
                     if changed {
@@ -228,20 +250,23 @@
 where
     S: Store,
 {
-    let mut backoff = Backoff(MIN_BACKOFF);
+    let mut backoff = Backoff::new();
     loop {
         while let Err(e) = read_config(&host, &*store, Consistency::Latest).await {
             backoff.wait_after(&e).await;
         }
-        backoff.reset();
+        backoff.on_list();
         host.freshness().set_watching_config(host.now(), true);
         let error = loop {
-            let revision = host.freshness().config_revision.unwrap_or(0);
+            let revision = host.freshness().config_revision.unwrap_or_default();
             let result =
                 until_store_lost(&store_lost, store.watch_config(revision, WATCH_WAIT)).await;
             record_call(&host, "watch_config", result.as_ref().err());
             match result {
-                Ok(update) => apply_config_update(&host, update),
+                Ok(update) => {
+                    backoff.on_watch();
+                    apply_config_update(&host, update);
+                }
                 Err(e) => break e,
             }
         };
@@ -272,7 +297,7 @@
 
 fn apply_config_update(host: &Host, update: ConfigUpdate) {
     if let Some(error) = update.invalid {
-        warn!(host.log, "config_invalid"; "revision" => update.revision, "error" => error,
+        warn!(host.log, "config_invalid"; "revision" => %update.revision, "error" => error,
             "kept" => host.config_version());
     }
     if let Some(config) = update.config {
@@ -300,12 +325,18 @@
     let result = match error {
         None => "ok",
         Some(StoreError::HistoryGone) => "history_gone",
+        Some(StoreError::Restored) => "restored",
         Some(StoreError::Refused(_)) => "refused",
         Some(StoreError::Unreachable(_)) => "unreachable",
         Some(StoreError::Invalid(_)) => "invalid",
     };
     host.metrics.store_call(call, result);
-    let responded = matches!(error, None | Some(StoreError::HistoryGone | StoreError::Invalid(_)));
+    let responded = match error {
+        None | Some(StoreError::HistoryGone | StoreError::Restored | StoreError::Invalid(_)) => {
+            true
+        }
+        Some(StoreError::Refused(_) | StoreError::Unreachable(_)) => false,
+    };
     host.freshness().on_store_call(host.now(), responded);
     if let Some(e) = error {
         warn!(host.log, "store_call_failed"; "call" => call, "error" => e.to_string());
--- a/crates/geraniummux-host/src/replication.rs
+++ b/crates/geraniummux-host/src/replication.rs
@@ -92,8 +92,8 @@
     let mut versions = versions;
     let mut byte = [0];
     info!(host.log, "follower_joined"; "follower" => from,
-        "config_version" => versions.config_version,
-        "targets_revision" => versions.targets_revision.unwrap_or(0));
+        "config_version" => versions.config.version,
+        "targets_revision" => %versions.targets_revision.unwrap_or_default());
     loop {
         changes.borrow_and_update();
         for message in next_messages(host, &mut versions)? {
@@ -118,11 +118,15 @@
     let now = host.now();
     let (age, expiry_grace, config_revision) = {
         let freshness = host.freshness();
-        (freshness.age(now), freshness.in_expiry_grace(now), freshness.config_revision.unwrap_or(0))
+        (
+            freshness.age(now),
+            freshness.in_expiry_grace(now),
+            freshness.config_revision.unwrap_or_default(),
+        )
     };
     let mut messages = Vec::with_capacity(2);
-    if let Some(change) = host.config_change_since(versions.config_version) {
-        versions.config_version = change.version;
+    if let Some(change) = host.config_change_since(versions.config) {
+        versions.config = change.edition;
         let packed = PackedConfigChange::pack(&change).map_err(io::Error::other)?;
         messages.push(Message::ConfigChange(packed));
     }
@@ -203,7 +207,7 @@
 ) -> io::Result<SwitchReason> {
     let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(leader)).await??;
     let versions = ReplicaVersions {
-        config_version: host.config_version(),
+        config: host.config().map(|c| c.edition()).unwrap_or_default(),
         targets_revision: host.fleet().registry.revision(),
     };
     peers::write(host, &mut stream, Message::Follow(versions)).await?;
@@ -233,6 +237,10 @@
             }
             _ => return Err(io::Error::other("the leader sent a message that is not an update")),
         };
+        if update.config_revision.era < host.store_revision().era {
+            // The leader has not read the store since it came back from a copy.
+            return Ok(SwitchReason::LeaderStale);
+        }
         let age = Duration::from_millis(u64::from(update.age_ms));
         if !apply_update(host, update, &envelope.from) {
             return Err(io::Error::other("the changes do not continue from this host's revision"));
@@ -266,15 +274,15 @@
 /// Puts the configuration after a change in force.
 fn apply_config_change(host: &Host, packed: &PackedConfigChange, from: &str) -> io::Result<()> {
     let change = packed.unpack().map_err(io::Error::other)?;
-    let (base, version) = (change.base, change.version);
-    let revision = host.freshness().config_revision.unwrap_or(0);
+    let (base, edition) = (change.base, change.edition);
+    let revision = host.freshness().config_revision.unwrap_or_default();
     match change.apply(host.config().as_deref()) {
         Some(config) => host.adopt_config(config, revision, from),
         // This host got a newer one meanwhile from elsewhere.
-        None if host.config_version() >= version => {}
+        None if host.config().is_some_and(|c| c.edition() >= edition) => {}
         None => {
             return Err(io::Error::other(format!(
-                "a change to version {version} is based on version {base:?}, which is not in force"
+                "a change to {edition:?} is based on {base:?}, which is not in force"
             )));
         }
     }
--- a/crates/geraniummux-host/src/settings.rs
+++ b/crates/geraniummux-host/src/settings.rs
@@ -43,6 +43,8 @@
     /// Expiry grace: time after an outage of the store in which targets may register again whose
     /// registrations expired during the outage, in seconds.
     pub lapse_s: f64,
+    /// Interval at which targets write their registrations, in seconds.
+    pub heartbeat_s: f64,
 }
 
 impl Default for Promises {
@@ -56,6 +58,7 @@
             max_ttl_s: 5.0,
             probes_per_s: 10.0,
             lapse_s: 2.0,
+            heartbeat_s: 1.5,
         }
     }
 }
@@ -175,6 +178,7 @@
             ("max_ttl_s", p.max_ttl_s, 0.1, 3_600.0),
             ("probes_per_s", p.probes_per_s, 0.0, 1e6),
             ("lapse_s", p.lapse_s, 0.0, 60.0),
+            ("heartbeat_s", p.heartbeat_s, 0.01, 600.0),
         ];
         for (field, value, low, high) in ranges {
             if !(low..=high).contains(&value) {
--- a/crates/geraniummux-host/src/store.rs
+++ b/crates/geraniummux-host/src/store.rs
@@ -1,6 +1,6 @@
 //! Read access to the platform's store, which holds the registered targets and the configuration.
 
-use geraniummux_core::fleet::{FleetConfig, RegistryDelta};
+use geraniummux_core::fleet::{FleetConfig, RegistryDelta, Revision};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +11,10 @@
     /// The store no longer has the history since the requested revision; a full list is needed.
     #[error("the store no longer has the history since the requested revision")]
     HistoryGone,
+    /// The store came back from a copy since the requested revision or during the call; a full list is
+    /// needed.
+    #[error("the store came back from a copy")]
+    Restored,
     /// The store refused the call with this HTTP status.
     #[error("the store refused the call with status {0}")]
     Refused(u16),
@@ -26,7 +30,7 @@
 #[derive(Clone, Debug)]
 pub struct ConfigUpdate {
     /// The revision of the store.
-    pub revision: u64,
+    pub revision: Revision,
     /// The configuration; `None` if it does not exist, is invalid, or did not change during a watch.
     pub config: Option<FleetConfig>,
     /// Why the stored configuration is invalid; `None` if it is valid or does not exist.
@@ -37,7 +41,7 @@
 
 impl ConfigUpdate {
     /// Returns an update without a configuration.
-    pub fn unchanged(revision: u64) -> Self {
+    pub fn unchanged(revision: Revision) -> Self {
         ConfigUpdate { revision, config: None, invalid: None, unknown_route_types: Vec::new() }
     }
 }
@@ -56,7 +60,8 @@
 /// Consistency that a read requires.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Consistency {
-    /// The result may be a few seconds old; such a read costs the platform less.
+    /// The result may be a few seconds old, also from before the store came back from a copy. Its revision
+    /// is the default. Such a read costs the platform less.
     Stale,
     /// The result reflects every write that was acknowledged before the call.
     Latest,
@@ -64,8 +69,8 @@
 
 /// Read calls to the store. Each call applies its own time limit.
 pub trait Store: Send + Sync + 'static {
-    /// Checks with the cheapest available call whether the store responds to this host.
-    fn check(&self) -> impl Future<Output = Result<(), StoreError>> + Send;
+    /// Checks with the cheapest available call whether the store responds to this host, and returns its era.
+    fn check(&self) -> impl Future<Output = Result<u64, StoreError>> + Send;
 
     /// Returns all registered targets as a full list.
     fn list_targets(
@@ -82,14 +87,14 @@
     /// Waits up to `wait` for changes of the registered targets after `revision` and returns them.
     fn watch_targets(
         &self,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<RegistryDelta, StoreError>> + Send;
 
     /// Waits up to `wait` for changes of the configuration after `revision` and returns the latest.
     fn watch_config(
         &self,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<ConfigUpdate, StoreError>> + Send;
 }
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use geraniummux_core::fleet::{
     CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RegisteredTarget, RegistryChange,
-    RegistryDelta,
+    RegistryDelta, Revision,
 };
 use geraniummux_host::server::{self, Service};
 use geraniummux_host::{Host, scheduling};
@@ -60,7 +60,7 @@
     }
 }
 
-pub fn registered(pool: &str, addr: SocketAddr) -> (u64, RegistryChange) {
+pub fn registered(pool: &str, addr: SocketAddr) -> (Revision, RegistryChange) {
     let target = RegisteredTarget {
         id: identity(addr).into(),
         pool: pool.into(),
@@ -71,7 +71,7 @@
         warm_up: Duration::ZERO,
         started_unix_ms: 0,
     };
-    (1, RegistryChange::Put(target))
+    (Revision::new(1, 1), RegistryChange::Put(target))
 }
 
 /// Sends a request to the host and returns the status and the body of its response.
@@ -175,13 +175,16 @@
     let once = FleetRoute { idempotent: false, ..route("once", "pool") };
     let config = FleetConfig {
         version: 1,
+        era: 1,
         routes: vec![route("safe", "pool"), once],
         pools: vec![pool],
         limits: CallerLimits::default(),
     };
-    host.adopt_config(config, 1, "store");
+    host.adopt_config(config, Revision::new(1, 1), "store");
     let changes = targets.iter().map(|addr| registered("pool", *addr)).collect();
-    assert!(host.apply_targets(RegistryDelta { from: None, to: 1, changes }, "store"));
+    assert!(
+        host.apply_targets(RegistryDelta { from: None, to: Revision::new(1, 1), changes }, "store")
+    );
     let ip = peer.parse::<SocketAddr>().unwrap().ip();
     let listener = server::listen(Service::Requests, SocketAddr::new(ip, 0)).unwrap();
     let addr = listener.local_addr().unwrap();
--- a/crates/geraniummux-host/tests/endless.rs
+++ b/crates/geraniummux-host/tests/endless.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use common::targets::{COMPLETE_BODY, call, complete_response, read_request, registered, route};
 use geraniummux_core::fleet::{
-    CallerLimits, FleetConfig, FleetPool, RegistryDelta, ResponseLimits,
+    CallerLimits, FleetConfig, FleetPool, RegistryDelta, ResponseLimits, Revision,
 };
 use geraniummux_host::bodies::Bodies;
 use geraniummux_host::server::{self, Service};
@@ -234,16 +234,19 @@
     });
     let config = FleetConfig {
         version: 1,
+        era: 1,
         routes: vec![route("mixed", "mixed"), route("good", "good")],
         pools: pools.to_vec(),
         limits: CallerLimits::default(),
     };
-    host.adopt_config(config, 1, "store");
+    host.adopt_config(config, Revision::new(1, 1), "store");
     let mut changes: Vec<_> = mixed.iter().map(|addr| registered("mixed", *addr)).collect();
     for _ in 0..4 {
         changes.push(registered("good", start_target().await));
     }
-    assert!(host.apply_targets(RegistryDelta { from: None, to: 1, changes }, "store"));
+    assert!(
+        host.apply_targets(RegistryDelta { from: None, to: Revision::new(1, 1), changes }, "store")
+    );
     let listener = server::listen(Service::Requests, "127.9.9.8:0".parse().unwrap()).unwrap();
     let addr = listener.local_addr().unwrap();
     tokio::spawn(server::serve(host.clone(), Service::Requests, listener));
--- a/crates/geraniummux-host/tests/reader.rs
+++ b/crates/geraniummux-host/tests/reader.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use geraniummux_core::fleet::RegistryDelta;
+use geraniummux_core::fleet::{RegistryDelta, Revision};
 use geraniummux_host::store::Consistency;
 use geraniummux_host::{ConfigUpdate, Host, Store, StoreError, reader};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A store that responds until it is silent: then lists and checks never end, and watches fail or
@@ -19,11 +19,11 @@
 }
 
 impl SilentStore {
-    async fn list(&self) -> u64 {
+    async fn list(&self) -> Revision {
         while self.silent.load(Ordering::SeqCst) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        7
+        Revision::new(1, 7)
     }
 
     async fn watch(&self) -> StoreError {
@@ -35,9 +35,8 @@
 }
 
 impl Store for SilentStore {
-    async fn check(&self) -> Result<(), StoreError> {
-        self.list().await;
-        Ok(())
+    async fn check(&self) -> Result<u64, StoreError> {
+        Ok(self.list().await.era)
     }
     async fn list_targets(&self, _: Consistency) -> Result<RegistryDelta, StoreError> {
         Ok(RegistryDelta { from: None, to: self.list().await, changes: Vec::new() })
@@ -45,10 +44,10 @@
     async fn read_config(&self, _: Consistency) -> Result<ConfigUpdate, StoreError> {
         Ok(ConfigUpdate::unchanged(self.list().await))
     }
-    async fn watch_targets(&self, _: u64, _: Duration) -> Result<RegistryDelta, StoreError> {
+    async fn watch_targets(&self, _: Revision, _: Duration) -> Result<RegistryDelta, StoreError> {
         Err(self.watch().await)
     }
-    async fn watch_config(&self, _: u64, _: Duration) -> Result<ConfigUpdate, StoreError> {
+    async fn watch_config(&self, _: Revision, _: Duration) -> Result<ConfigUpdate, StoreError> {
         Err(self.watch().await)
     }
 }
@@ -93,3 +92,64 @@
     until_current(&host).await;
     task.abort();
 }
+
+/// A store that is restored from a copy while a host's watches wait. It ends no watch, and has overtaken the
+/// lost history when it responds again.
+#[derive(Default)]
+struct RestoredStore {
+    is_restored: AtomicBool,
+    /// Revisions from which the targets were watched.
+    watched: Mutex<Vec<Revision>>,
+}
+
+impl RestoredStore {
+    fn revision(&self) -> Revision {
+        match self.is_restored.load(Ordering::SeqCst) {
+            false => Revision::new(1, 7),
+            true => Revision::new(2, 9),
+        }
+    }
+}
+
+impl Store for RestoredStore {
+    async fn check(&self) -> Result<u64, StoreError> {
+        Ok(self.revision().era)
+    }
+    async fn list_targets(&self, _: Consistency) -> Result<RegistryDelta, StoreError> {
+        Ok(RegistryDelta { from: None, to: self.revision(), changes: Vec::new() })
+    }
+    async fn read_config(&self, _: Consistency) -> Result<ConfigUpdate, StoreError> {
+        Ok(ConfigUpdate::unchanged(self.revision()))
+    }
+    async fn watch_targets(
+        &self,
+        from: Revision,
+        _: Duration,
+    ) -> Result<RegistryDelta, StoreError> {
+        self.watched.lock().unwrap().push(from);
+        std::future::pending().await
+    }
+    async fn watch_config(&self, _: Revision, _: Duration) -> Result<ConfigUpdate, StoreError> {
+        std::future::pending().await
+    }
+}
+
+/// Guards against a watch that outlives the store's return from a copy and waits for changes after a revision
+/// of the lost history (CONFIG).
+#[tokio::test]
+async fn reader_store_restored_behind_a_waiting_watch_reads_again() {
+    let host = common::host("127.9.9.9:7009".parse().unwrap(), "[]").await;
+    let store = Arc::new(RestoredStore::default());
+    let task = tokio::spawn(reader::run(host.clone(), store.clone()));
+    until_current(&host).await;
+    store.is_restored.store(true, Ordering::SeqCst);
+    while host.store_revision().era < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    until_current(&host).await;
+    while store.watched.lock().unwrap().len() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(*store.watched.lock().unwrap(), [Revision::new(1, 7), Revision::new(2, 9)]);
+    task.abort();
+}
--- a/crates/geraniummux-host/tests/replication.rs
+++ b/crates/geraniummux-host/tests/replication.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use geraniummux_core::fleet::{CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare};
+use geraniummux_core::fleet::{
+    CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RegistryDelta, Revision,
+};
 use geraniummux_host::{Host, peers, replication};
 use geraniummux_wire::{Codec, Envelope, Message, ReplicaVersions};
 use std::sync::Arc;
@@ -46,7 +48,7 @@
         health_path: "/health".into(),
         max_connections: 100,
     }];
-    FleetConfig { version, routes, pools, limits: CallerLimits::default() }
+    FleetConfig { version, era: 1, routes, pools, limits: CallerLimits::default() }
 }
 
 /// A follower that only counts what it receives.
@@ -93,9 +95,9 @@
     let mut follower = Follower::join(&host, listener).await;
     let wait = Duration::from_secs(20);
     timeout(wait, follower.bytes_until(0)).await.unwrap();
-    host.adopt_config(config(1, ROUTES), 1, "store");
+    host.adopt_config(config(1, ROUTES), Revision::new(1, 1), "store");
     let whole = timeout(wait, follower.bytes_until(1)).await.unwrap();
-    host.adopt_config(config(2, 7), 2, "store");
+    host.adopt_config(config(2, 7), Revision::new(1, 2), "store");
     let change = timeout(wait, follower.bytes_until(2)).await.unwrap();
     let limit = SPREAD_S * LINK_BYTES_PER_S / (FOLLOWERS * HOPS);
     assert!(whole as f64 <= limit, "all routes: {whole} bytes, limit {limit}");
@@ -120,7 +122,8 @@
     let leader = start("host-1", "127.9.9.6:7009", "127.9.9.7:7009").await;
     let follower = start("host-2", "127.9.9.7:7009", "127.9.9.6:7009").await;
     for version in 1..4 {
-        leader.adopt_config(config(version, version as usize), version, "store");
+        let revision = Revision::new(1, version);
+        leader.adopt_config(config(version, version as usize), revision, "store");
         let adopted = async {
             while follower.config_version() < version {
                 tokio::time::sleep(Duration::from_millis(5)).await;
@@ -136,3 +139,58 @@
         assert_eq!(by_name(&ours), by_name(&theirs));
     }
 }
+
+fn list(to: Revision) -> RegistryDelta {
+    RegistryDelta { from: None, to, changes: Vec::new() }
+}
+
+/// Lets a host have read a store without targets.
+fn read_store(host: &Host, config: FleetConfig, revision: Revision) {
+    host.adopt_config(config, revision, "store");
+    host.freshness().config_revision = Some(revision);
+    assert!(host.apply_targets(list(revision), "store"));
+}
+
+/// Guards against a follower that refuses what its leader has read from a restored store, since the revisions
+/// are lower, and against one that lets go of what it has when it then meets a leader of the lost history.
+#[tokio::test]
+async fn follow_leader_of_later_era_is_replicated() {
+    let leader = start("host-1", "127.9.9.10:7009", "127.9.9.11:7009").await;
+    let follower = start("host-2", "127.9.9.11:7009", "127.9.9.10:7009").await;
+    for host in [&leader, &follower] {
+        read_store(host, config(3, 1), Revision::new(1, 90));
+    }
+    // The change of version 3 was lost and made again with other content.
+    read_store(&leader, FleetConfig { era: 2, ..config(3, 2) }, Revision::new(2, 40));
+    let replicated = async {
+        while follower.store_revision() < Revision::new(2, 40)
+            || follower.config().unwrap().edition() < leader.config().unwrap().edition()
+        {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(Duration::from_secs(20), replicated).await.unwrap();
+    let timeouts = |host: &Host| {
+        let config = host.config().unwrap();
+        let route = config.routes.iter().find(|r| &*r.name == "route-00002").unwrap();
+        route.timeout
+    };
+    assert_eq!(timeouts(&follower), Duration::from_millis(900));
+    follower.apply_targets(list(Revision::new(1, 95)), "host-3");
+    assert_eq!(follower.store_revision(), Revision::new(2, 40));
+}
+
+/// Guards against a host that counts as current because its leader does, which has not read the store since
+/// it came back from a copy.
+#[tokio::test]
+async fn follow_leader_of_earlier_era_is_not_current() {
+    let leader = start("host-1", "127.9.9.12:7009", "127.9.9.13:7009").await;
+    let follower = start("host-2", "127.9.9.13:7009", "127.9.9.12:7009").await;
+    assert!(leader.apply_targets(list(Revision::new(1, 90)), "store"));
+    let now = leader.now();
+    leader.freshness().set_watching_targets(now, true);
+    leader.freshness().set_watching_config(now, true);
+    assert!(follower.apply_targets(list(Revision::new(2, 40)), "store"));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!(follower.freshness().peer_freshness(follower.now()).age >= Duration::from_secs(2));
+}
--- a/crates/geraniummux-wire/src/codec.rs
+++ b/crates/geraniummux-wire/src/codec.rs
@@ -18,7 +18,7 @@
 /// First bytes of each frame.
 const MAGIC: [u8; 2] = *b"gm";
 /// Version of the frame format and the messages, in the third byte of each frame.
-const PROTOCOL_VERSION: u8 = 1;
+const PROTOCOL_VERSION: u8 = 2;
 /// Size in bytes of the magic number and the version.
 const HEADER_LEN: usize = 3;
 /// Size in bytes of the truncated HMAC-SHA256 tag.
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -3,7 +3,8 @@
 use crate::packed::PackedConfigChange;
 use geraniummux_core::drain::{LeavingAck, LeavingNotice};
 use geraniummux_core::fleet::{
-    FleetConfig, RegistryDelta, ReportedDemand, SlotDecision, SlotRequest, TargetReport,
+    ConfigEdition, FleetConfig, RegistryDelta, ReportedDemand, Revision, SlotDecision, SlotRequest,
+    TargetReport,
 };
 use geraniummux_core::membership::{Gossip, Member};
 use geraniummux_core::usage::UsageReport;
@@ -164,10 +165,10 @@
 /// Versions of the data that a follower already has.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReplicaVersions {
-    /// Version of the follower's configuration; 0 if it has none.
-    pub config_version: u64,
+    /// The follower's configuration; the default if it has none.
+    pub config: ConfigEdition,
     /// Revision of the follower's target registry; `None` if it has none.
-    pub targets_revision: Option<u64>,
+    pub targets_revision: Option<Revision>,
 }
 
 /// Update that a leader sends to a follower: changes of the replicated data, and how current it is.
@@ -179,7 +180,7 @@
     /// keeps them for the expiry grace.
     pub expiry_grace: bool,
     /// Revision of the store up to which the sender's configuration is current.
-    pub config_revision: u64,
+    pub config_revision: Revision,
     /// The configuration if it is newer than the follower's. Hosts send [`Message::ConfigChange`] instead;
     /// older versions send it here.
     pub config: Option<FleetConfig>,
--- a/crates/geraniummux-wire/tests/codec.rs
+++ b/crates/geraniummux-wire/tests/codec.rs
@@ -2,7 +2,7 @@
 
 use geraniummux_core::drain::{LeavingAck, LeavingNotice};
 use geraniummux_core::fleet::{
-    ConfigChange, FleetConfig, RejectReason, SlotDecision, SlotRequest, TargetReport,
+    ConfigChange, ConfigEdition, FleetConfig, RejectReason, SlotDecision, SlotRequest, TargetReport,
 };
 use geraniummux_core::membership::{Gossip, GossipKind, MembershipAction, MembershipOptions};
 use geraniummux_core::usage::{
@@ -202,7 +202,11 @@
         name().prop_map(|target| Message::IdentityMismatch { target }),
         (any::<u64>(), prop::collection::vec(name(), 0..40)).prop_map(|(version, removed)| {
             let config = FleetConfig { version, ..FleetConfig::default() };
-            let change = ConfigChange { base: Some(1), removed, ..ConfigChange::whole(&config) };
+            let change = ConfigChange {
+                base: Some(ConfigEdition { version: 1, era: 2 }),
+                removed,
+                ..ConfigChange::whole(&config)
+            };
             Message::ConfigChange(PackedConfigChange::pack(&change).unwrap())
         }),
         Just(Message::ReadingStore),
@@ -291,8 +295,8 @@
 fn decode_refusals() {
     let frame = codec().encode_datagram(&sample()).unwrap();
     let mut other = frame.clone();
-    other[2] = 2;
-    assert_eq!(codec().decode_datagram(&other), Err(Error::UnsupportedVersion(2)));
+    other[2] = 1;
+    assert_eq!(codec().decode_datagram(&other), Err(Error::UnsupportedVersion(1)));
     assert_eq!(Codec::new(b"other").decode_datagram(&frame), Err(Error::TagMismatch));
     assert_eq!(codec().decode_datagram(b"GET / HTTP/1.1\r\n\r\n"), Err(Error::NotAFrame));
     let limit = MAX_DATAGRAM_LEN;
