--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -169,6 +169,17 @@
 /// "once" whose requests run once at most. Returns it with its address for callers.
 pub async fn start_host_with(targets: &[SocketAddr], peer: &str) -> (Arc<Host>, SocketAddr) {
     let host = super::host(peer.parse().unwrap(), "[]").await;
+    let changes = targets.iter().map(|addr| registered("pool", *addr)).collect();
+    let addr = serve_pool(&host, changes, peer).await;
+    (host, addr)
+}
+
+/// Lets a host serve the pool "pool" as [`start_host_with`] does, and returns its address for callers.
+pub async fn serve_pool(
+    host: &Arc<Host>,
+    changes: Vec<(Revision, RegistryChange)>,
+    peer: &str,
+) -> SocketAddr {
     host.members().enter_service();
     let pool =
         FleetPool { name: "pool".into(), health_path: "/health".into(), max_connections: 100 };
@@ -181,14 +192,12 @@
         limits: CallerLimits::default(),
     };
     host.adopt_config(config, Revision::new(1, 1), "store");
-    let changes = targets.iter().map(|addr| registered("pool", *addr)).collect();
-    assert!(
-        host.apply_targets(RegistryDelta { from: None, to: Revision::new(1, 1), changes }, "store")
-    );
+    let list = RegistryDelta { from: None, to: Revision::new(1, 1), changes };
+    assert!(host.apply_targets(list, "store"));
     let ip = peer.parse::<SocketAddr>().unwrap().ip();
     let listener = server::listen(Service::Requests, SocketAddr::new(ip, 0)).unwrap();
     let addr = listener.local_addr().unwrap();
     tokio::spawn(server::serve(host.clone(), Service::Requests, listener));
     tokio::spawn(scheduling::run(host.clone()));
-    (host, addr)
+    addr
 }
