Logs: a target that accepts no connection, and whether it was refused

The logs don't tell a host that reaches no target from targets that are down: only the faults are counted. Adds target_unreachable for each failed connection with the target and whether it was refused or timed out; on one host for many targets, and on few hosts, it shows the links of the host.

--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -192,13 +192,20 @@
     host.metrics.connection("target");
     match timeout(CONNECT_TIMEOUT, Connection::open(candidate.addr)).await {
         Ok(Ok(conn)) => Connect::Connected(conn),
-        _ => {
+        failed => {
+            log_unreachable(host, candidate, failed.is_ok());
             host.on_fault(&candidate.id, Fault::Unreachable);
             Connect::Unusable
         }
     }
 }
 
+/// Logs that a target accepted no connection. `refused` tells that it, or the network, said so.
+fn log_unreachable(host: &Host, candidate: &Candidate, refused: bool) {
+    info!(host.log, "target_unreachable"; "target" => &*candidate.id,
+        "addr" => candidate.addr.to_string(), "refused" => refused);
+}
+
 /// Checks by a probe on the connection whether the target is still as fast as when it was selected.
 /// Fails if the connection is unusable.
 async fn probe_before_send(
@@ -421,7 +428,8 @@
     };
     match timeout(CONNECT_TIMEOUT, fresh).await {
         Ok(Ok(response)) => response,
-        _ => {
+        failed => {
+            log_unreachable(&host, &candidate, failed.is_ok());
             host.metrics.probe(&pool.name, "failed");
             host.on_fault(&candidate.id, Fault::Unreachable);
             None
