A host that has lost its links reaches the targets through a peer

Callers kept coming for as long as they kept a host list or a connection.

Cause: a host had one way to a target, its own link, and took the failure of each connection for a fault of that target. Class of fault: one observer's failure attributed to what it observes. It also told its peers and the schedulers, so that sound targets were left out elsewhere.

Ruled out: withdrawal from the host list alone, as callers use a list for up to three times its lifetime. Passing whole requests to a peer's front: it would need a second accounting of attempts, budgets, limits and promises.

Change: when targets in a row accept no connection, a host asks a peer for a tunnel to the target, in its own failure domain first. What the peer reaches and the host does not shows that the host is cut off; it then uses tunnels only, and tries its own links four times a second until two connections in a row are accepted. Tunnels carry bytes: targets, attempts, budgets, limits, at most once, and what an error means stay with the host that took the request. A peer that is cut off, stopping or full refuses, and never asks another in turn. It ends a tunnel between requests when the target must get no more or the peer stops. A response of undeclared length is not complete through a tunnel. A host that finds no path rejects at once, and reports no faults of the targets.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod forecast;
 mod limits;
 mod probes;
+mod reach;
 mod readers;
 mod registry;
 mod revision;
@@ -35,6 +36,7 @@
 pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
 pub use limits::MAX_LIMIT_AGE;
 pub use probes::ProbeBudget;
+pub use reach::{ReachOptions, RelayPeer, Relays, TargetPath, TargetReach};
 pub use readers::{
     Leader, PeerFreshness, Position, ReadSource, ReaderOptions, StoreChecks, leaders, read_source,
 };
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -7,8 +7,10 @@
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerNet};
 use crate::protocol::Protocol;
+use crate::reach::Reach;
 use crate::scheduling::{self, Scheduling};
 use crate::settings::Settings;
+use crate::tunnel::MAX_TUNNELS;
 use crate::upstream::IdleConnections;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
@@ -23,7 +25,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 /// Share of the probes allowed at a target that is reserved for the scheduler of its pool.
 const SCHEDULER_PROBE_SHARE: f64 = 0.6;
@@ -79,6 +81,9 @@
     fleet: Mutex<Fleet>,
     members: Mutex<Membership>,
     freshness: Mutex<Freshness>,
+    reach: Mutex<Reach>,
+    /// One permit for each tunnel that this host may serve for its peers.
+    pub tunnel_permits: Semaphore,
     phase: watch::Sender<Phase>,
     /// By when the requests in flight must have ended, once the host is stopping.
     finish_by: OnceLock<Time>,
@@ -141,6 +146,8 @@
             fleet: Mutex::new(fleet),
             members: Mutex::new(Membership::new(now, local_member, seeds, opts, &mut rand::rng())),
             freshness: Mutex::new(Freshness::new(now)),
+            reach: Mutex::default(),
+            tunnel_permits: Semaphore::new(MAX_TUNNELS),
             phase: watch::channel(Phase::Serving).0,
             finish_by: OnceLock::new(),
             announced_reader: watch::channel(None).0,
@@ -170,6 +177,11 @@
         lock(&self.freshness)
     }
 
+    /// Locks the state of whether this host reaches the targets.
+    pub fn reach(&self) -> MutexGuard<'_, Reach> {
+        lock(&self.reach)
+    }
+
     /// Returns the socket and codec for messages between hosts.
     pub fn net(&self) -> &PeerNet {
         &self.net
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! [`run()`] starts a host, [`Host`] is the state that its tasks share. A request enters at
 //! [`proxy::handle`]; [`scheduling`] obtains its grant, and [`replication`] and [`reader`] keep the
-//! targets and the configuration current.
+//! targets and the configuration current. [`reach`] opens connections to targets, through peers if need be.
 
 #![forbid(unsafe_code)]
 
@@ -22,6 +22,7 @@
 pub mod peers;
 pub mod protocol;
 pub mod proxy;
+pub mod reach;
 pub mod reader;
 pub mod replication;
 pub mod run;
@@ -31,6 +32,7 @@
 pub mod signals;
 pub mod stopping;
 pub mod store;
+pub mod tunnel;
 pub mod upstream;
 
 pub use clock::Clock;
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::host::Host;
 use crate::replication;
 use crate::scheduling::{self, Scheduling};
+use crate::tunnel;
 use anyhow::Context;
 use geraniummux_core::membership::{Gossip, MembershipAction};
 use geraniummux_core::quarantine;
@@ -345,7 +346,10 @@
         Message::Follow(versions) => {
             replication::serve(host, stream, &envelope.from, versions).await
         }
-        _ => Err(io::Error::other("the first message is neither a state nor a request to follow")),
+        Message::OpenTunnel { pool, target } => {
+            tunnel::serve(host, stream, &envelope.from, pool, target).await
+        }
+        _ => Err(io::Error::other("the first message is not one that opens an exchange")),
     }
 }
 
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -217,7 +217,7 @@
                     latency_factor,
                     grant: None,
                 }),
-                Connect::Slowed(_) | Connect::Unusable => None,
+                Connect::Slowed(_) | Connect::Unusable | Connect::NoPath => None,
             };
             Event::HedgeConnected(target, selected)
         };
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -9,6 +9,7 @@
 use super::headers;
 use crate::fleet::Prober;
 use crate::host::Host;
+use crate::reach::{self, CONNECT_TIMEOUT, ConnectError};
 use crate::scheduling::{self, Grant, SlotResult};
 use crate::upstream::{self, Connection, ExchangeError};
 use bytes::Bytes;
@@ -37,8 +38,6 @@
 const FIRST_RESPONSE_WAIT: Duration = Duration::from_millis(30);
 /// Time limit of a probe on an idle connection, after which a new connection is opened.
 const IDLE_PROBE_TIMEOUT: Duration = Duration::from_millis(60);
-/// Time for a target to accept a connection and respond to a probe; taking longer is a fault.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Limits of the body of a response to a probe; it is not used.
 const PROBE_RESPONSE_LIMITS: ResponseLimits =
     ResponseLimits { declared: 16 << 10, undeclared: 16 << 10 };
@@ -119,6 +118,11 @@
                     }
                     Connect::Slowed(report) => grant.set_report(&target, report),
                     Connect::Unusable => {}
+                    Connect::NoPath => {
+                        // Another host may serve the request at once.
+                        let retry_after = Duration::ZERO;
+                        return Selection::Rejected { reason: "cut_off", retry_after };
+                    }
                 }
                 avoid.push(target);
             }
@@ -155,6 +159,8 @@
     Slowed(TargetReport),
     /// The target can't be used.
     Unusable,
+    /// This host is cut off from all targets, and no peer can connect it.
+    NoPath,
 }
 
 /// Connects to a target. A new connection that the target does not accept is recorded as a fault.
@@ -189,21 +195,23 @@
             }
         }
     }
-    host.metrics.connection("target");
-    match timeout(CONNECT_TIMEOUT, Connection::open(candidate.addr)).await {
-        Ok(Ok(conn)) => Connect::Connected(conn),
-        failed => {
-            log_unreachable(host, candidate, failed.is_ok());
-            host.on_fault(&candidate.id, Fault::Unreachable);
-            Connect::Unusable
+    match reach::connect(host, &ctx.pool.name, candidate).await {
+        Ok(conn) => Connect::Connected(conn),
+        Err(e) => {
+            record_connect_error(host, candidate, e);
+            match e {
+                ConnectError::NoPath => Connect::NoPath,
+                ConnectError::Unreachable | ConnectError::Unusable => Connect::Unusable,
+            }
         }
     }
 }
 
-/// Logs that a target accepted no connection. `refused` tells that it, or the network, said so.
-fn log_unreachable(host: &Host, candidate: &Candidate, refused: bool) {
-    info!(host.log, "target_unreachable"; "target" => &*candidate.id,
-        "addr" => candidate.addr.to_string(), "refused" => refused);
+/// Records a fault of a target to which there is no connection. It has none if this host is cut off.
+fn record_connect_error(host: &Host, candidate: &Candidate, error: ConnectError) {
+    if error == ConnectError::Unreachable {
+        host.on_fault(&candidate.id, Fault::Unreachable);
+    }
 }
 
 /// Checks by a probe on the connection whether the target is still as fast as when it was selected.
@@ -421,20 +429,22 @@
             return response;
         }
     }
-    let fresh = async {
-        host.metrics.connection("target");
-        let conn = Connection::open(candidate.addr).await.map_err(|_| ())?;
-        send_probe(&host, &pool, &candidate, conn).await
-    };
-    match timeout(CONNECT_TIMEOUT, fresh).await {
-        Ok(Ok(response)) => response,
-        failed => {
-            log_unreachable(&host, &candidate, failed.is_ok());
-            host.metrics.probe(&pool.name, "failed");
-            host.on_fault(&candidate.id, Fault::Unreachable);
-            None
+    let started = host.now();
+    let probe = match reach::connect(&host, &pool.name, &candidate).await {
+        Ok(conn) => {
+            let connecting =
+                if conn.is_relayed() { Duration::ZERO } else { host.now().since(started) };
+            let limit = CONNECT_TIMEOUT.saturating_sub(connecting);
+            let probe = send_probe(&host, &pool, &candidate, conn);
+            timeout(limit, probe).await.unwrap_or(Err(())).map_err(|()| ConnectError::Unreachable)
         }
-    }
+        Err(e) => Err(e),
+    };
+    probe.unwrap_or_else(|e| {
+        host.metrics.probe(&pool.name, "failed");
+        record_connect_error(&host, &candidate, e);
+        None
+    })
 }
 
 /// Sends one probe. Returns `Err` if the connection is unusable, and `Ok(None)` if the target
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -9,7 +9,7 @@
 use crate::signals::Signals;
 use crate::stopping::Stop;
 use crate::store::Store;
-use crate::{logs, reader, replication, scheduling};
+use crate::{logs, reach, reader, replication, scheduling};
 use anyhow::Context;
 use slog::{Logger, info, warn};
 use std::path::{Path, PathBuf};
@@ -82,6 +82,7 @@
     tokio::spawn(peers::run(host.clone()));
     tokio::spawn(replication::follow(host.clone()));
     tokio::spawn(scheduling::run(host.clone()));
+    tokio::spawn(reach::run(host.clone()));
     tokio::spawn(reader::read_once(host.clone(), store.clone()));
     tokio::spawn(reader::run(host.clone(), store));
     tokio::spawn(run_maintenance(host.clone()));
@@ -99,6 +100,7 @@
         host.upstream.sweep(now, |addr| fleet.table.contains_addr(addr));
         host.metrics.set_state("config_version", host.config_version() as i64);
         host.metrics.set_state("callers", host.caller_count() as i64);
+        host.metrics.set_state("cut_off", i64::from(host.reach().targets.is_cut_off()));
         host.metrics.set_state("knowledge_age_ms", host.freshness().age(now).as_millis() as i64);
     }
 }
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use geraniummux_core::Time;
 use geraniummux_core::fleet::ResponseLimits;
-use http::header::CONNECTION;
+use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body::Body as _;
 use http_body_util::Full;
@@ -37,6 +37,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     allowance: ReadAllowance,
+    /// Whether a peer relays the connection.
+    is_relayed: bool,
 }
 
 impl Drop for Connection {
@@ -54,6 +56,19 @@
     pub async fn open(addr: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
+        Self::on_stream(addr, stream, false).await
+    }
+
+    /// Returns the connection to a target that a peer relays on `stream`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream is broken.
+    pub async fn relayed(addr: SocketAddr, stream: TcpStream) -> io::Result<Self> {
+        Self::on_stream(addr, stream, true).await
+    }
+
+    async fn on_stream(addr: SocketAddr, stream: TcpStream, is_relayed: bool) -> io::Result<Self> {
         let allowance = ReadAllowance::default();
         let stream = LimitedStream { stream, allowance: allowance.clone() };
         let (sender, conn) = http1::Builder::new()
@@ -63,7 +78,7 @@
             .map_err(|e| io::Error::other(e.to_string()))?;
         // The exchange on a connection reports how the connection ended.
         let task = tokio::spawn(async move { drop(conn.await) }).abort_handle();
-        Ok(Connection { addr, sender, task, allowance })
+        Ok(Connection { addr, sender, task, allowance, is_relayed })
     }
 
     /// Returns the target's address.
@@ -71,6 +86,11 @@
         self.addr
     }
 
+    /// Returns whether a peer relays the connection.
+    pub fn is_relayed(&self) -> bool {
+        self.is_relayed
+    }
+
     fn is_open(&self) -> bool {
         !self.sender.is_closed()
     }
@@ -151,6 +171,11 @@
             conn.allowance.set(len + MAX_HEAD_BYTES as u64);
             len
         }
+        // The end of the connection may be that of the peer which relays it, so that it does not show that
+        // the response is complete.
+        None if conn.is_relayed && !parts.headers.contains_key(TRANSFER_ENCODING) => {
+            return Err(ExchangeError::BadResponse);
+        }
         None => limits.undeclared,
     };
     let body = match bodies::collect(body, limit, memory).await {
@@ -303,6 +328,17 @@
         kept.push(Idle { conn, since: now });
     }
 
+    /// Closes all idle connections but those that `keep` names.
+    pub fn retain<F>(&self, keep: F)
+    where
+        F: Fn(&Connection) -> bool,
+    {
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        for (_, kept) in idle.iter_mut() {
+            kept.retain(|i| keep(&i.conn));
+        }
+    }
+
     /// Closes connections that were idle for too long, and those to addresses for which `is_known`
     /// returns false.
     pub fn sweep<F>(&self, now: Time, is_known: F)
--- a/crates/geraniummux-host/tests/reach.rs
+++ b/crates/geraniummux-host/tests/reach.rs
@@ -6,8 +6,8 @@
     Reply, ScriptedTarget, call, complete_response, identity, registered, serve_pool,
 };
 use geraniummux_core::MemberState;
-use geraniummux_core::fleet::{RegistryChange, Revision};
-use geraniummux_host::{Host, peers};
+use geraniummux_core::fleet::{RegistryChange, RegistryDelta, Revision};
+use geraniummux_host::{Host, peers, reach};
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,10 +27,13 @@
     Reply::Keep(complete_response(addr, id))
 }
 
-async fn start_targets() -> Vec<ScriptedTarget> {
+async fn start_targets<F>(reply: F) -> Vec<ScriptedTarget>
+where
+    F: Fn(Option<usize>, SocketAddr, &str) -> Reply + Clone + Send + Sync + 'static,
+{
     let mut out = Vec::new();
     for _ in 0..5 {
-        out.push(ScriptedTarget::start(plain).await);
+        out.push(ScriptedTarget::start(reply.clone()).await);
     }
     out
 }
@@ -48,6 +51,7 @@
     tokio::spawn(peers::serve(host.clone(), listener));
     tokio::spawn(peers::receive(host.clone()));
     tokio::spawn(peers::run(host.clone()));
+    tokio::spawn(reach::run(host.clone()));
     let addr = serve_pool(&host, entries(targets, 1, cut_off), peer).await;
     (host, addr)
 }
@@ -98,7 +102,7 @@
 /// host reaches them (RECOVER).
 #[tokio::test]
 async fn host_without_links_to_targets_serves_through_a_peer() {
-    let targets = start_targets().await;
+    let targets = start_targets(plain).await;
     let (ours, theirs) = ("127.9.9.60:7009", "127.9.9.61:7009");
     let (host, addr) = start("host-1", ours, theirs, &targets, true).await;
     let (peer, _) = start("host-2", theirs, ours, &targets, false).await;
@@ -106,5 +110,100 @@
     served(addr, MAX_UNTIL_KNOWN).await;
     assert_eq!(served(addr, SERVED).await, SERVED);
     let ran: usize = targets.iter().map(ScriptedTarget::count).sum();
-    assert!(ran >= SERVED, "{ran} requests at {}", identity(targets[0].addr));
+    assert!(ran >= SERVED, "{ran} requests");
+}
+
+/// Guards against a host that burdens its peers although its links are back.
+#[tokio::test]
+async fn host_whose_links_return_uses_them() {
+    let targets = start_targets(plain).await;
+    let (ours, theirs) = ("127.9.9.62:7009", "127.9.9.63:7009");
+    let (host, addr) = start("host-1", ours, theirs, &targets, true).await;
+    let (peer, _) = start("host-2", theirs, ours, &targets, false).await;
+    until_members_know_each_other(&[&host, &peer]).await;
+    served(addr, MAX_UNTIL_KNOWN).await;
+    assert!(host.reach().targets.is_cut_off());
+    let changes = entries(&targets, 2, false);
+    let links_return = RegistryDelta { from: None, to: Revision::new(1, 2), changes };
+    assert!(host.apply_targets(links_return, "store"));
+    while host.reach().targets.is_cut_off() {
+        assert_eq!(served(addr, 2).await, 2);
+    }
+    assert_eq!(served(addr, SERVED).await, SERVED);
+}
+
+/// Guards against hosts that are cut off and ask each other in turn: a request takes one hop at most.
+#[tokio::test]
+async fn host_without_links_is_served_only_by_a_peer_with_links() {
+    let targets = start_targets(plain).await;
+    let peers = ["127.9.9.64:7009", "127.9.9.65:7009", "127.9.9.66:7009"];
+    let (first, first_addr) = start("host-1", peers[0], peers[2], &targets, true).await;
+    let (second, second_addr) = start("host-2", peers[1], peers[2], &targets, true).await;
+    let (third, _) = start("host-3", peers[2], peers[0], &targets, false).await;
+    until_members_know_each_other(&[&first, &second, &third]).await;
+    served(first_addr, MAX_UNTIL_KNOWN).await;
+    served(second_addr, MAX_UNTIL_KNOWN).await;
+    assert_eq!(served(first_addr, SERVED).await, SERVED);
+    assert_eq!(served(second_addr, SERVED).await, SERVED);
+    assert!(!third.reach().targets.is_cut_off());
+}
+
+/// Guards against hosts that are all cut off and condemn the targets, or wait for each other until the
+/// deadline.
+#[tokio::test]
+async fn host_without_links_nor_peers_with_links_rejects() {
+    let targets = start_targets(plain).await;
+    let (ours, theirs) = ("127.9.9.67:7009", "127.9.9.68:7009");
+    let (host, addr) = start("host-1", ours, theirs, &targets, true).await;
+    let (peer, _) = start("host-2", theirs, ours, &targets, true).await;
+    until_members_know_each_other(&[&host, &peer]).await;
+    for i in 0..MAX_UNTIL_KNOWN {
+        let (status, _) = call(addr, ["safe", "once"][i % 2], 60_000).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+}
+
+/// Guards against a response that looks complete because the connection of a peer which relays it has ended:
+/// the peer may have ended before the target did (MIXED).
+#[tokio::test]
+async fn host_response_of_undeclared_length_through_a_peer_is_not_complete() {
+    let undeclared = |_: Option<usize>, addr: SocketAddr, id: &str| {
+        let (target, head) = (identity(addr), "HTTP/1.1 200 OK");
+        match id {
+            "none" => Reply::Keep(complete_response(addr, id)),
+            _ => Reply::Close(format!("{head}\r\na: {id}\r\nd: {target}\r\nf: digest\r\n\r\npart")),
+        }
+    };
+    let targets = start_targets(undeclared).await;
+    let (ours, theirs) = ("127.9.9.69:7009", "127.9.9.70:7009");
+    let (host, addr) = start("host-1", ours, theirs, &targets, true).await;
+    let (peer, peer_addr) = start("host-2", theirs, ours, &targets, false).await;
+    until_members_know_each_other(&[&host, &peer]).await;
+    for _ in 0..MAX_UNTIL_KNOWN {
+        let (status, _) = call(addr, "once", TIME_LEFT_MS).await;
+        assert_ne!(status, StatusCode::OK);
+    }
+    assert!(host.reach().targets.is_cut_off());
+    assert_eq!(call(peer_addr, "once", TIME_LEFT_MS).await.0, StatusCode::OK);
+}
+
+/// Guards against requests through a peer to a target of which the peer knows that it leaves (DRAIN).
+#[tokio::test]
+async fn host_tunnel_of_a_target_that_leaves_gets_no_new_request() {
+    let targets = start_targets(plain).await;
+    let (ours, theirs) = ("127.9.9.71:7009", "127.9.9.72:7009");
+    let (host, addr) = start("host-1", ours, theirs, &targets, true).await;
+    let (peer, _) = start("host-2", theirs, ours, &targets, false).await;
+    until_members_know_each_other(&[&host, &peer]).await;
+    while targets[0].count() == 0 {
+        served(addr, 2).await;
+    }
+    let mut changes = entries(&targets, 2, false);
+    let leaving: Arc<str> = identity(targets[0].addr).into();
+    changes.retain(|(_, change)| !matches!(change, RegistryChange::Put(t) if t.id == leaving));
+    let leaves = RegistryDelta { from: None, to: Revision::new(1, 2), changes };
+    assert!(peer.apply_targets(leaves, "store"));
+    let before = targets[0].count();
+    served(addr, SERVED).await;
+    assert_eq!(targets[0].count(), before);
 }
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -156,6 +156,40 @@
         /// The demands, [`MAX_PROBED_TARGETS`] at most.
         demands: Vec<ReportedDemand>,
     },
+    /// TCP: asks for a connection to a target that the sender does not reach. Once it is opened, all further
+    /// bytes on the stream are passed on between the sender and the target.
+    OpenTunnel {
+        /// The pool.
+        pool: Arc<str>,
+        /// Identity of the target.
+        target: Arc<str>,
+    },
+    /// TCP: response to [`Message::OpenTunnel`]: the target has accepted a connection.
+    TunnelOpened,
+    /// TCP: response to [`Message::OpenTunnel`]: there is no connection.
+    TunnelRefused(TunnelRefusal),
+}
+
+/// Why a host opens no tunnel.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TunnelRefusal {
+    /// The host does not reach the target.
+    TargetUnreachable,
+    /// The target must get no requests, or the host does not know it.
+    TargetUnusable,
+    /// The host is cut off from the targets itself, is stopping, or has too many tunnels.
+    Unavailable,
+}
+
+impl TunnelRefusal {
+    /// Returns the name of the reason in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            TunnelRefusal::TargetUnreachable => "target_unreachable",
+            TunnelRefusal::TargetUnusable => "target_unusable",
+            TunnelRefusal::Unavailable => "unavailable",
+        }
+    }
 }
 
 /// Maximum number of targets in one [`Message::ProbeTargets`] or [`Message::TargetReports`], so that
--- a/crates/geraniummux-wire/tests/codec.rs
+++ b/crates/geraniummux-wire/tests/codec.rs
@@ -13,7 +13,7 @@
 use geraniummux_wire::{
     Codec, CrashReport, Envelope, Error, MAX_DATAGRAM_LEN, MAX_PROBED_TARGETS,
     MAX_STREAM_FRAME_LEN, Message, PackedConfigChange, ProbeResult, ProbeResults, ProbedState,
-    State, TargetFaults, stream_frame_len,
+    State, TargetFaults, TunnelRefusal, stream_frame_len,
 };
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -210,6 +210,14 @@
             Message::ConfigChange(PackedConfigChange::pack(&change).unwrap())
         }),
         Just(Message::ReadingStore),
+        (name(), name()).prop_map(|(pool, target)| Message::OpenTunnel { pool, target }),
+        Just(Message::TunnelOpened),
+        prop_oneof![
+            Just(TunnelRefusal::TargetUnreachable),
+            Just(TunnelRefusal::TargetUnusable),
+            Just(TunnelRefusal::Unavailable),
+        ]
+        .prop_map(Message::TunnelRefused),
     ]
 }
 
