--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -77,6 +77,9 @@
         | Message::ConfigChange(_)
         | Message::ReadingStore
         | Message::TargetDemands { .. }
+        | Message::OpenTunnel { .. }
+        | Message::TunnelOpened
+        | Message::TunnelRefused(_)
         | Message::ProbeTargets { .. }
         | Message::TargetReports { .. }
         | Message::GrantEnded { .. } => control.net.count_refused(),
