A peer that may be cut off itself is no witness that a target is down

Cause: a host asked two peers of its own domain first and gave up when both reached the target as little as it did. Both were cut off with it and did not know it.

Change: a peer that has reason to suspect its own links refuses as unavailable, and a peer of the own domain that does not reach the target is no reason to stop asking. A host that is not known to be cut off reports the fault of a target as before.

--- a/crates/geraniummux-core/src/fleet/reach.rs
+++ b/crates/geraniummux-core/src/fleet/reach.rs
@@ -174,7 +174,7 @@
     /// Returns the peers to ask for a connection, one after the other: some in the host's failure domain, as
     /// bytes between domains cost more, then some in others. They are chosen at random, so that all peers
     /// bear about the same load.
-    pub fn choose<R>(&self, now: Time, peers: &[RelayPeer], rng: &mut R) -> Vec<SocketAddr>
+    pub fn choose<R>(&self, now: Time, peers: &[RelayPeer], rng: &mut R) -> Vec<RelayPeer>
     where
         R: Rng + ?Sized,
     {
@@ -185,7 +185,7 @@
         let mut out = Vec::new();
         for same_domain in [true, false] {
             let usable = |p: &&RelayPeer| p.same_domain == same_domain && !is_avoided(p.addr);
-            let mut found: Vec<_> = peers.iter().filter(usable).map(|p| p.addr).collect();
+            let mut found: Vec<_> = peers.iter().filter(usable).copied().collect();
             found.shuffle(rng);
             found.truncate(self.opts.peers_per_try);
             out.extend(found);
--- a/crates/geraniummux-core/tests/fleet_reach.rs
+++ b/crates/geraniummux-core/tests/fleet_reach.rs
@@ -115,8 +115,8 @@
     let all: Vec<_> = peers(6, false).into_iter().chain(peers(6, true)).collect();
     let mut rng = SmallRng::seed_from_u64(1);
     let chosen = Relays::new(ReachOptions::default()).choose(NOW, &all, &mut rng);
-    let is_own = |a: &SocketAddr| peers(6, true).iter().any(|p| p.addr == *a);
-    assert_eq!(chosen.iter().map(is_own).collect::<Vec<_>>(), [true, true, false, false]);
+    let is_own: Vec<bool> = chosen.iter().map(|p| p.same_domain).collect();
+    assert_eq!(is_own, [true, true, false, false]);
 }
 
 /// Guards against a host that asks only peers which are cut off with it: a whole domain may be.
@@ -128,10 +128,10 @@
     let mut asked_in_vain = 0;
     for _ in 0..60 {
         let chosen = relays.choose(NOW, &all, &mut rng);
-        let other = chosen.iter().position(|a| a.ip().to_string().starts_with("127.0.2."));
+        let other = chosen.iter().position(|p| !p.same_domain);
         let other = other.expect("a peer of another domain");
         asked_in_vain += other;
-        chosen[..other].iter().for_each(|a| relays.avoid(NOW, *a));
+        chosen[..other].iter().for_each(|p| relays.avoid(NOW, p.addr));
     }
     assert_eq!(asked_in_vain, 57);
 }
@@ -144,7 +144,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     relays.avoid(NOW, all[0].addr);
     assert!(relays.choose(NOW, &all, &mut rng).is_empty());
-    assert_eq!(relays.choose(NOW + Duration::from_secs(4), &all, &mut rng), [all[0].addr]);
+    assert_eq!(relays.choose(NOW + Duration::from_secs(4), &all, &mut rng), all);
 }
 
 /// Guards against one peer that bears the requests of all hosts that are cut off.
@@ -153,7 +153,7 @@
     let all = peers(10, true);
     let relays = Relays::new(ReachOptions::default());
     let mut rng = SmallRng::seed_from_u64(1);
-    let mut first: Vec<_> = (0..200).map(|_| relays.choose(NOW, &all, &mut rng)[0]).collect();
+    let mut first: Vec<_> = (0..200).map(|_| relays.choose(NOW, &all, &mut rng)[0].addr).collect();
     first.sort();
     first.dedup();
     assert_eq!(first.len(), all.len());
--- a/crates/geraniummux-host/src/reach.rs
+++ b/crates/geraniummux-host/src/reach.rs
@@ -16,9 +16,6 @@
 /// The same while the host has reason to ask a peer instead. A target that is up accepts within a few
 /// milliseconds.
 const SUSPICIOUS_CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
-/// Peers that may fail to reach a target before it counts as unreachable for all. Such a peer may be cut off
-/// and not know it yet.
-const MAX_UNREACHED: usize = 2;
 /// Interval at which a host that is cut off tries to connect directly.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between checks whether the host is cut off.
@@ -118,28 +115,28 @@
 ) -> Result<Connection, ConnectError> {
     let peers = relay_peers(host);
     let chosen = host.reach().relays.choose(host.now(), &peers, &mut rand::rng());
-    let mut unreached = 0;
+    let mut is_unreached = false;
     for peer in chosen {
         host.metrics.connection("tunnel");
-        match tunnel::open(host, peer, pool, target).await {
+        match tunnel::open(host, peer.addr, pool, target).await {
             Ok(conn) => return Ok(conn),
             Err(e) => {
-                info!(host.log, "tunnel_failed"; "peer" => peer.to_string(),
+                info!(host.log, "tunnel_failed"; "peer" => peer.addr.to_string(),
                     "target" => &*target.id, "error" => e.to_string());
                 match e {
                     TunnelError::TargetUnusable => return Err(ConnectError::Unusable),
-                    TunnelError::TargetUnreachable => unreached += 1,
+                    // A peer of the own domain may be cut off with this host and not know it yet.
+                    TunnelError::TargetUnreachable if peer.same_domain => is_unreached = true,
+                    TunnelError::TargetUnreachable => return Err(ConnectError::Unreachable),
                     TunnelError::Unavailable | TunnelError::Broken(_) => {
-                        host.reach().relays.avoid(host.now(), peer);
+                        host.reach().relays.avoid(host.now(), peer.addr);
                     }
                 }
             }
         }
-        if unreached >= MAX_UNREACHED {
-            break;
-        }
     }
-    Err(if unreached > 0 { ConnectError::Unreachable } else { ConnectError::NoPath })
+    let is_cut_off = host.reach().targets.is_cut_off();
+    Err(if is_cut_off && !is_unreached { ConnectError::NoPath } else { ConnectError::Unreachable })
 }
 
 fn relay_peers(host: &Host) -> Vec<RelayPeer> {
--- a/crates/geraniummux-host/src/tunnel.rs
+++ b/crates/geraniummux-host/src/tunnel.rs
@@ -8,7 +8,7 @@
 use crate::host::{Host, Phase};
 use crate::peers;
 use crate::upstream::Connection;
-use geraniummux_core::fleet::Candidate;
+use geraniummux_core::fleet::{Candidate, TargetPath};
 use geraniummux_wire::{Message, TunnelRefusal};
 use slog::info;
 use socket2::{SockRef, TcpKeepalive};
@@ -131,7 +131,13 @@
         }
         _ => {
             reach.targets.on_failed(host.now(), &candidate.id);
-            Err(TunnelRefusal::TargetUnreachable)
+            match reach.targets.path(host.now()) {
+                TargetPath::Direct => Err(TunnelRefusal::TargetUnreachable),
+                // This host may be cut off, too.
+                TargetPath::DirectThenRelayed | TargetPath::Relayed => {
+                    Err(TunnelRefusal::Unavailable)
+                }
+            }
         }
     }
 }
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -50,8 +50,13 @@
 
 /// Returns a host with a name.
 pub async fn named_host(name: &str, peer: SocketAddr, seeds: &str) -> Arc<Host> {
+    host_in("a", name, peer, seeds).await
+}
+
+/// Returns a host in a failure domain.
+pub async fn host_in(domain: &str, name: &str, peer: SocketAddr, seeds: &str) -> Arc<Host> {
     let settings = format!(
-        r#"{{"host": "{name}", "failure_domain": "a", "listen": "127.9.9.1:1", "readiness": "127.9.9.1:2",
+        r#"{{"host": "{name}", "failure_domain": "{domain}", "listen": "127.9.9.1:1", "readiness": "127.9.9.1:2",
             "directory": "127.9.9.1:3", "peer": "{peer}", "peer_key": "{PEER_KEY}",
             "store": "127.9.9.1:5", "seeds": {seeds}}}"#
     );
--- a/crates/geraniummux-host/tests/reach.rs
+++ b/crates/geraniummux-host/tests/reach.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 /// Time that callers have for a request, in milliseconds.
 const TIME_LEFT_MS: u64 = 3_000;
@@ -20,6 +21,8 @@
 const MAX_UNTIL_KNOWN: usize = 10;
 /// Requests that must be served then.
 const SERVED: usize = 40;
+/// Time after which a request that is never served is given up.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
 /// Address without listeners.
 const UNREACHABLE: &str = "127.9.9.99:1";
 
@@ -46,7 +49,10 @@
     targets: &[ScriptedTarget],
     cut_off: bool,
 ) -> (Arc<Host>, SocketAddr) {
-    let host = common::named_host(name, peer.parse().unwrap(), &format!(r#"["{seed}"]"#)).await;
+    // Hosts with links are in a domain of their own.
+    let domain = if cut_off { "a" } else { "b" };
+    let seeds = format!(r#"["{seed}"]"#);
+    let host = common::host_in(domain, name, peer.parse().unwrap(), &seeds).await;
     let listener = TcpListener::bind(peer).await.unwrap();
     tokio::spawn(peers::serve(host.clone(), listener));
     tokio::spawn(peers::receive(host.clone()));
@@ -98,6 +104,12 @@
     served
 }
 
+async fn until_served(addr: SocketAddr) {
+    while served(addr, 1).await == 0 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Guards against a host that has lost its links to all targets and refuses its callers, although another
 /// host reaches them (RECOVER).
 #[tokio::test]
@@ -148,6 +160,21 @@
     assert!(!third.reach().targets.is_cut_off());
 }
 
+/// Guards against a host that takes the targets for unreachable since peers of its failure domain, which are
+/// cut off with it and don't know that, do not reach them (RECOVER).
+#[tokio::test]
+async fn host_without_links_asks_beyond_its_domain() {
+    let targets = start_targets(plain).await;
+    let peers = ["127.9.9.73:7009", "127.9.9.74:7009", "127.9.9.75:7009", "127.9.9.76:7009"];
+    let (first, addr) = start("host-1", peers[0], peers[3], &targets, true).await;
+    let (second, _) = start("host-2", peers[1], peers[3], &targets, true).await;
+    let (third, _) = start("host-3", peers[2], peers[3], &targets, true).await;
+    let (fourth, _) = start("host-4", peers[3], peers[0], &targets, false).await;
+    until_members_know_each_other(&[&first, &second, &third, &fourth]).await;
+    timeout(GIVE_UP_AFTER, until_served(addr)).await.expect("a request that is served");
+    assert_eq!(served(addr, SERVED).await, SERVED);
+}
+
 /// Guards against hosts that are all cut off and condemn the targets, or wait for each other until the
 /// deadline.
 #[tokio::test]
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -177,7 +177,7 @@
     TargetUnreachable,
     /// The target must get no requests, or the host does not know it.
     TargetUnusable,
-    /// The host is cut off from the targets itself, is stopping, or has too many tunnels.
+    /// The host is or may be cut off from the targets itself, is stopping, or has too many tunnels.
     Unavailable,
 }
 
