Soak: the store comes back from copies, beside the other faults

--restores lets the store be restored from copies again and again; the newest configuration and all registrations are written again shortly after, as the operator and the targets do. A generator of its own draws the times, so that the other faults of a seed stay the same.

--- a/crates/geraniummux-soak/src/faults.rs
+++ b/crates/geraniummux-soak/src/faults.rs
@@ -84,6 +84,31 @@
     }
 }
 
+/// Restores the store from copies, one after another, until the run is over. What was written since a copy is
+/// written again shortly after, as the operator and the targets do. The times are drawn from generators of
+/// their own, so that the other faults of a seed stay the same.
+pub async fn restore_store(harness: Arc<Harness>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(32));
+    let mut pause = |range| Duration::from_millis(rng.random_range(range));
+    while !harness.is_over() {
+        let backup = harness.store.backup();
+        tokio::time::sleep(pause(300..4_000)).await;
+        let disruption = harness.begin_disruption();
+        harness.store.set_refusal(Some(503));
+        tokio::time::sleep(pause(0..1_500)).await;
+        harness.store.restore(&backup);
+        harness.store.set_refusal(None);
+        tokio::time::sleep(pause(0..800)).await;
+        harness.republish_config();
+        for i in 0..harness.targets.len() {
+            tokio::time::sleep(pause(0..200)).await;
+            harness.register(i);
+        }
+        drop(disruption);
+        tokio::time::sleep(pause(0..3_000)).await;
+    }
+}
+
 /// Injects a fault, waits until its time is over and clears it.
 pub async fn inject(harness: Arc<Harness>, fault: Fault) {
     match fault {
--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -49,6 +49,8 @@
     pub timed: bool,
     /// Whether targets make demands in their responses: limits, pauses, that they leave.
     pub demands: bool,
+    /// Whether the store is restored from copies.
+    pub restores: bool,
     /// Entry host program to test.
     pub program: PathBuf,
     /// Directory for the settings and logs of the hosts.
@@ -272,7 +274,13 @@
 
     /// Publishes the next version of the configuration, with a route that only this version has.
     pub fn publish_config(&self) {
-        let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
+        self.version.fetch_add(1, Ordering::SeqCst);
+        self.republish_config();
+    }
+
+    /// Writes the newest version of the configuration into the store, which may have lost it.
+    pub fn republish_config(&self) {
+        let version = self.version.load(Ordering::SeqCst);
         let route = |name: &str, prefix: &str, kind: &str| {
             json!({"name": name, "host": "soak.example", "path-prefix": prefix, "route-type": kind,
                 "timeout-s": 1.0, "target-latency-s": 0.3, "priority": 1, "service": "pool",
@@ -346,6 +354,8 @@
         .collect();
     let demands =
         opts.demands.then(|| tokio::spawn(faults::make_demands(harness.clone(), opts.seed)));
+    let restores =
+        opts.restores.then(|| tokio::spawn(faults::restore_store(harness.clone(), opts.seed)));
     let mut rng = StdRng::seed_from_u64(opts.seed);
     let mut injected = Vec::new();
     let end = tokio::time::Instant::now() + opts.fault_duration;
@@ -363,7 +373,7 @@
     harness.publish_config();
     await_config_on_all_hosts(&harness, &mut report).await;
     harness.over.store(true, Ordering::SeqCst);
-    for task in callers.into_iter().chain(demands) {
+    for task in callers.into_iter().chain(demands).chain(restores) {
         task.await?;
     }
     harness.check_hosts();
--- a/crates/geraniummux-soak/src/main.rs
+++ b/crates/geraniummux-soak/src/main.rs
@@ -30,6 +30,9 @@
     /// let targets make demands in their responses: limits, pauses, that they leave
     #[argh(switch)]
     demands: bool,
+    /// restore the store from copies
+    #[argh(switch)]
+    restores: bool,
     /// directory for the hosts' settings and logs (default: a new one in the temporary directory)
     #[argh(option)]
     dir: Option<PathBuf>,
@@ -58,6 +61,7 @@
             callers: args.callers,
             timed: args.timed,
             demands: args.demands,
+            restores: args.restores,
             program: args.program.clone().unwrap_or_else(|| default_program.clone()),
             dir: dir.join(seed.to_string()),
         })
--- a/crates/geraniummux-soak/tests/process.rs
+++ b/crates/geraniummux-soak/tests/process.rs
@@ -31,6 +31,7 @@
         callers: 0,
         timed: false,
         demands: false,
+        restores: false,
         program: program(),
         dir: std::env::temp_dir().join(format!("geraniummux-process-{}-{net}", std::process::id())),
     };
--- a/crates/geraniummux-soak/tests/soak.rs
+++ b/crates/geraniummux-soak/tests/soak.rs
@@ -15,7 +15,15 @@
     path
 }
 
-async fn run_seed(seed: u64, demands: bool) {
+/// Faults that are injected beside those of the seed.
+#[derive(Clone, Copy, PartialEq)]
+enum Beside {
+    Nothing,
+    Demands,
+    Restores,
+}
+
+async fn run_seed(seed: u64, beside: Beside) {
     let opts = Options {
         seed,
         fault_duration: Duration::from_secs(6),
@@ -24,7 +32,8 @@
         callers: 12,
         // Time limits can't be kept on a machine that runs a build at the same time.
         timed: false,
-        demands,
+        demands: beside == Beside::Demands,
+        restores: beside == Beside::Restores,
         program: program(),
         dir: std::env::temp_dir()
             .join(format!("geraniummux-soak-test-{}-{seed}", std::process::id())),
@@ -40,7 +49,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_short_keeps_all_promises() {
     for seed in [1, 2] {
-        run_seed(seed, false).await;
+        run_seed(seed, Beside::Nothing).await;
     }
 }
 
@@ -48,13 +57,20 @@
 /// faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_with_demands_of_targets_keeps_all_promises() {
-    run_seed(3, true).await;
+    run_seed(3, Beside::Demands).await;
+}
+
+/// Guards against violated guarantees while the store comes back from copies again and again, beside the other
+/// faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_with_restores_of_the_store_keeps_all_promises() {
+    run_seed(4, Beside::Restores).await;
 }
 
 /// Guards against the return of the failures that are listed in `seeds.txt`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_failed_seeds_keep_all_promises() {
     for line in REGRESSION_SEEDS.lines().filter(|l| !l.starts_with('#') && !l.is_empty()) {
-        run_seed(line.split_whitespace().next().unwrap().parse().unwrap(), false).await;
+        run_seed(line.split_whitespace().next().unwrap().parse().unwrap(), Beside::Nothing).await;
     }
 }
