A pause that a target asks of a relaying peer is reported to that peer

A target that turns a request away with 503 and Retry-After wants nothing more from the host that connected to it. The host that reads the answer now reports the pause to the peer, which also lets no request start in other tunnels to that target. The bound on pauses moves to where both cases meet.

Evidence: host_pause_that_a_target_asks_of_a_peer_is_kept_by_it; without the report the peer never knows the pause.

--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -19,6 +19,7 @@
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::{Member, MemberState, Membership, Time};
+use geraniummux_wire::Message;
 use slog::{Logger, info, warn};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -36,6 +37,8 @@
 /// whole configuration.
 const MAX_FORMER_CONFIGS: usize = 6;
 
+/// Longest pause that is accepted of a target.
+const MAX_PAUSE: Duration = Duration::from_secs(60);
 /// Heartbeats of a target after which its entry in a restored store shows that it is alive: the store removes
 /// entries after three without a write.
 const CONFIRMING_HEARTBEATS: u32 = 4;
@@ -376,8 +379,21 @@
         scheduling::report_demands(self, pool, vec![report]);
     }
 
-    /// Records that a target accepts nothing from this host for some time.
-    pub fn on_pause(&self, pool: &Arc<str>, target: &Arc<str>, pause: Duration) {
+    /// Records that a target accepts nothing from this host for some time. If `relay` names a peer, the target
+    /// asked that peer, which relayed the request, and the peer is told.
+    pub fn on_pause(
+        &self,
+        pool: &Arc<str>,
+        target: &Arc<str>,
+        pause: Duration,
+        relay: Option<SocketAddr>,
+    ) {
+        let pause = pause.min(MAX_PAUSE);
+        if let Some(peer) = relay {
+            let pause_ms = u32::try_from(pause.as_millis()).unwrap_or(u32::MAX);
+            let (pool, target) = (pool.clone(), target.clone());
+            peers::send(self, &[peer], Message::TargetPause { pool, target, pause_ms });
+        }
         info!(self.log, "target_pause"; "target" => &**target, "pool" => &**pool,
             "pause_ms" => pause.as_millis() as u64);
         self.fleet().demands.on_pause(self.now(), pool, target, pause);
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -124,6 +124,10 @@
         Message::TargetDemands { pool, demands } => {
             scheduling::on_demands(host, &pool, &demands);
         }
+        Message::TargetPause { pool, target, pause_ms } => {
+            let pause = Duration::from_millis(u64::from(pause_ms));
+            host.on_pause(&pool, &target, pause, None);
+        }
         Message::ReadingStore => {
             host.announced_reader.send_replace(Some(addr));
         }
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -48,6 +48,7 @@
     };
     let route = &ctx.route.name;
     let limits = host.bodies.budget().response_limits(route);
+    let relay = conn.relay();
     let result = upstream::exchange(conn, req, limits, ctx.take_response_memory()).await;
     let now = host.now();
     let outcome = match result {
@@ -59,7 +60,7 @@
             let body_bytes = response.body.len() as u64;
             let demand = host.protocol.target_demand(&response.headers);
             if let Some(pause) = headers::retry_after(&response) {
-                host.on_pause(&ctx.pool.name, &target, pause);
+                host.on_pause(&ctx.pool.name, &target, pause, relay);
             }
             let outcome = classify(&ctx, response);
             if is_from_target(&outcome) {
--- a/crates/geraniummux-host/src/proxy/headers.rs
+++ b/crates/geraniummux-host/src/proxy/headers.rs
@@ -30,9 +30,6 @@
     text.trim().parse().ok().map(Duration::from_millis)
 }
 
-/// Longest pause that is accepted of a target.
-const MAX_PAUSE: Duration = Duration::from_secs(60);
-
 /// Returns for how long a target that refuses a request with 503 accepts no others, if it says so.
 pub fn retry_after(response: &TargetResponse) -> Option<Duration> {
     let value = response.headers.get(RETRY_AFTER)?;
@@ -40,8 +37,7 @@
         return None;
     }
     let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    let pause = Duration::try_from_secs_f64(seconds).ok()?;
-    Some(pause.min(MAX_PAUSE))
+    Duration::try_from_secs_f64(seconds).ok()
 }
 
 /// Returns the headers of a request as it is forwarded to a target.
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -460,11 +460,12 @@
         .body(Full::<Bytes>::default());
     let req = req.map_err(|_| ())?;
     let memory = host.bodies.unreserved(&pool.name);
+    let relay = conn.relay();
     let (response, conn) = upstream::exchange(conn, req, PROBE_RESPONSE_LIMITS, memory)
         .await
         .map_err(|_: ExchangeError| ())?;
     if let Some(pause) = headers::retry_after(&response) {
-        host.on_pause(&pool.name, &candidate.id, pause);
+        host.on_pause(&pool.name, &candidate.id, pause, relay);
     }
     let names = host.protocol.headers();
     // A late response to an earlier request carries that request's id instead of this header.
--- a/crates/geraniummux-host/src/tunnel.rs
+++ b/crates/geraniummux-host/src/tunnel.rs
@@ -73,7 +73,7 @@
     };
     let (stream, answer) = timeout(OPEN_TIMEOUT, exchange).await.map_err(io::Error::from)??;
     match answer {
-        Message::TunnelOpened => Ok(Connection::relayed(target.addr, stream).await?),
+        Message::TunnelOpened => Ok(Connection::relayed(target.addr, stream, peer).await?),
         Message::TunnelRefused(TunnelRefusal::TargetUnreachable) => {
             Err(TunnelError::TargetUnreachable)
         }
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -37,8 +37,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     allowance: ReadAllowance,
-    /// Whether a peer relays the connection.
-    is_relayed: bool,
+    /// The peer that relays the connection.
+    relay: Option<SocketAddr>,
 }
 
 impl Drop for Connection {
@@ -56,19 +56,27 @@
     pub async fn open(addr: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        Self::on_stream(addr, stream, false).await
+        Self::on_stream(addr, stream, None).await
     }
 
-    /// Returns the connection to a target that a peer relays on `stream`.
+    /// Returns the connection to a target that the peer `relay` relays on `stream`.
     ///
     /// # Errors
     ///
     /// Fails if the stream is broken.
-    pub async fn relayed(addr: SocketAddr, stream: TcpStream) -> io::Result<Self> {
-        Self::on_stream(addr, stream, true).await
+    pub async fn relayed(
+        addr: SocketAddr,
+        stream: TcpStream,
+        relay: SocketAddr,
+    ) -> io::Result<Self> {
+        Self::on_stream(addr, stream, Some(relay)).await
     }
 
-    async fn on_stream(addr: SocketAddr, stream: TcpStream, is_relayed: bool) -> io::Result<Self> {
+    async fn on_stream(
+        addr: SocketAddr,
+        stream: TcpStream,
+        relay: Option<SocketAddr>,
+    ) -> io::Result<Self> {
         let allowance = ReadAllowance::default();
         let stream = LimitedStream { stream, allowance: allowance.clone() };
         let (sender, conn) = http1::Builder::new()
@@ -78,7 +86,7 @@
             .map_err(|e| io::Error::other(e.to_string()))?;
         // The exchange on a connection reports how the connection ended.
         let task = tokio::spawn(async move { drop(conn.await) }).abort_handle();
-        Ok(Connection { addr, sender, task, allowance, is_relayed })
+        Ok(Connection { addr, sender, task, allowance, relay })
     }
 
     /// Returns the target's address.
@@ -88,7 +96,12 @@
 
     /// Returns whether a peer relays the connection.
     pub fn is_relayed(&self) -> bool {
-        self.is_relayed
+        self.relay.is_some()
+    }
+
+    /// Returns the peer that relays the connection.
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.relay
     }
 
     fn is_open(&self) -> bool {
@@ -173,7 +186,7 @@
         }
         // The end of the connection may be that of the peer which relays it, so that it does not show that
         // the response is complete.
-        None if conn.is_relayed && !parts.headers.contains_key(TRANSFER_ENCODING) => {
+        None if conn.is_relayed() && !parts.headers.contains_key(TRANSFER_ENCODING) => {
             return Err(ExchangeError::BadResponse);
         }
         None => limits.undeclared,
--- a/crates/geraniummux-host/tests/reach.rs
+++ b/crates/geraniummux-host/tests/reach.rs
@@ -234,3 +234,34 @@
     served(addr, SERVED).await;
     assert_eq!(targets[0].count(), before);
 }
+
+/// Guards against requests of a peer to a target which has asked it for a pause, in an answer that the peer only
+/// relayed (BUDGET).
+#[tokio::test]
+async fn host_pause_that_a_target_asks_of_a_peer_is_kept_by_it() {
+    let refusal = |_: Option<usize>, addr: SocketAddr, id: &str| {
+        let (target, head) = (identity(addr), "HTTP/1.1 503 Service Unavailable");
+        match id {
+            "none" => Reply::Keep(complete_response(addr, id)),
+            _ => Reply::Keep(format!(
+                "{head}\r\na: {id}\r\nd: {target}\r\ne: 1\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n"
+            )),
+        }
+    };
+    let targets = start_targets(refusal).await;
+    let (ours, theirs) = ("127.9.9.77:7009", "127.9.9.78:7009");
+    let (host, addr) = start("host-1", ours, theirs, &targets, true).await;
+    let (peer, _) = start("host-2", theirs, ours, &targets, false).await;
+    until_members_know_each_other(&[&host, &peer]).await;
+    let ran = || targets.iter().map(ScriptedTarget::count).sum::<usize>();
+    let asked = async {
+        while ran() == 0 {
+            served(addr, 1).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        while peer.fleet().demands.closed(peer.now(), "pool").is_empty() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(GIVE_UP_AFTER, asked).await.expect("a pause that the peer knows");
+}
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -168,6 +168,15 @@
     TunnelOpened,
     /// TCP: response to [`Message::OpenTunnel`]: there is no connection.
     TunnelRefused(TunnelRefusal),
+    /// UDP: a target refused a request that the receiver relayed, and accepts nothing from it for a while.
+    TargetPause {
+        /// The pool.
+        pool: Arc<str>,
+        /// Identity of the target.
+        target: Arc<str>,
+        /// Length of the pause in milliseconds.
+        pause_ms: u32,
+    },
 }
 
 /// Why a host opens no tunnel.
--- a/crates/geraniummux-wire/tests/codec.rs
+++ b/crates/geraniummux-wire/tests/codec.rs
@@ -212,6 +212,11 @@
         Just(Message::ReadingStore),
         (name(), name()).prop_map(|(pool, target)| Message::OpenTunnel { pool, target }),
         Just(Message::TunnelOpened),
+        (name(), name(), any::<u32>()).prop_map(|(pool, target, pause_ms)| Message::TargetPause {
+            pool,
+            target,
+            pause_ms
+        }),
         prop_oneof![
             Just(TunnelRefusal::TargetUnreachable),
             Just(TunnelRefusal::TargetUnusable),
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -80,6 +80,7 @@
         | Message::OpenTunnel { .. }
         | Message::TunnelOpened
         | Message::TunnelRefused(_)
+        | Message::TargetPause { .. }
         | Message::ProbeTargets { .. }
         | Message::TargetReports { .. }
         | Message::GrantEnded { .. } => control.net.count_refused(),
