Each watch judges by its own position whether the store has a new era

A reader's watch of the targets could wait for up to 12 s in a lost history, and the host count as current, if the configuration had already been read or replicated in the new era: a check compared the store's era with the latest position of either.

Change: checks publish the era in which the store responds; each waiting watch compares it with the revision that it watches from.

Evidence: reader_store_restored_and_partly_replicated_reads_again fails before (no second watch in 20 s) and passes.

--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -4,13 +4,13 @@
 use crate::peers;
 use crate::replication;
 use crate::store::{ConfigUpdate, Consistency, Store, StoreError, UnknownRouteType};
-use geraniummux_core::fleet::{ReadSource, ReaderOptions, StoreChecks, read_source};
+use geraniummux_core::fleet::{ReadSource, ReaderOptions, Revision, StoreChecks, read_source};
 use rand::RngExt;
 use slog::{info, warn};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 /// How long a watch waits for changes. It bounds the time for which it goes unnoticed that the store
@@ -106,11 +106,11 @@
                 }
                 info!(host.log, "reading_store"; "rank" => position.rank,
                     "hosts" => position.hosts, "age_ms" => peer_freshness.age.as_millis() as u64);
-                let store_lost = Arc::new(Notify::new());
-                let (targets, config) = (store_lost.clone(), store_lost.clone());
+                let checked = Arc::new(StoreState::default());
+                let (targets, config) = (checked.clone(), checked.clone());
                 tasks.push(tokio::spawn(watch_targets(host.clone(), store.clone(), targets)));
                 tasks.push(tokio::spawn(watch_config(host.clone(), store.clone(), config)));
-                tasks.push(tokio::spawn(monitor_store(host.clone(), store.clone(), store_lost)));
+                tasks.push(tokio::spawn(monitor_store(host.clone(), store.clone(), checked)));
             }
             (ReadSource::Peers | ReadSource::StoreIfResponsive, true) => {
                 info!(host.log, "reading_peers"; "rank" => position.rank,
@@ -165,9 +165,18 @@
     }
 }
 
-/// Checks that the store still responds while watches wait, and in the same era. If not, ends the watches,
-/// as the store may have dropped them for good.
-async fn monitor_store<S>(host: Arc<Host>, store: Arc<S>, store_lost: Arc<Notify>)
+/// What the checks of the store show to the watches that wait meanwhile.
+#[derive(Default)]
+struct StoreState {
+    /// Notified when the store does not respond to a check.
+    lost: Notify,
+    /// The latest era in which the store responded.
+    era: watch::Sender<u64>,
+}
+
+/// Checks that the store still responds while watches wait, and in the same era. If not, the watches end, as
+/// the store may have dropped them for good.
+async fn monitor_store<S>(host: Arc<Host>, store: Arc<S>, checked: Arc<StoreState>)
 where
     S: Store,
 {
@@ -186,13 +195,11 @@
         record_call(&host, "check", result.as_ref().err());
         if let Ok(era) = result {
             last_responsive_at = sent_at;
-            // A watch that outlived the store's return from a copy waits for changes of a lost history.
-            if era <= host.store_revision().era {
-                continue;
-            }
+            checked.era.send_if_modified(|e| std::mem::replace(e, era.max(*e)) < era);
+            continue;
         }
         host.freshness().lose_watches(last_responsive_at);
-        store_lost.notify_waiters();
+        checked.lost.notify_waiters();
         host.notify_followers();
     }
 }
@@ -201,18 +208,25 @@
     StoreError::Unreachable(String::from("no response to a check"))
 }
 
-/// Waits for the response to a watch; fails if a check gets no response or one of a later era meanwhile.
-async fn until_store_lost<T, F>(store_lost: &Notify, watch: F) -> Result<T, StoreError>
+/// Waits for the response to a watch from a revision. Fails if a check gets no response meanwhile, or one of a
+/// later era: a watch that outlives the store's return from a copy waits for changes of a lost history.
+async fn while_store_responds<T, F>(
+    checked: &StoreState,
+    revision: Revision,
+    watch: F,
+) -> Result<T, StoreError>
 where
     F: Future<Output = Result<T, StoreError>>,
 {
+    let mut era = checked.era.subscribe();
     tokio::select! {
         result = watch => result,
-        () = store_lost.notified() => Err(check_timed_out()),
+        () = checked.lost.notified() => Err(check_timed_out()),
+        Ok(_) = era.wait_for(|e| *e > revision.era) => Err(StoreError::Restored),
     }
 }
 
-async fn watch_targets<S>(host: Arc<Host>, store: Arc<S>, store_lost: Arc<Notify>)
+async fn watch_targets<S>(host: Arc<Host>, store: Arc<S>, checked: Arc<StoreState>)
 where
     S: Store,
 {
@@ -226,8 +240,8 @@
         host.freshness().set_watching_targets(host.now(), true);
         let error = loop {
             let revision = host.fleet().registry.revision().unwrap_or_default();
-            let result =
-                until_store_lost(&store_lost, store.watch_targets(revision, WATCH_WAIT)).await;
+            let watch = store.watch_targets(revision, WATCH_WAIT);
+            let result = while_store_responds(&checked, revision, watch).await;
             record_call(&host, "watch_targets", result.as_ref().err());
             match result {
                 Ok(delta) => {
@@ -246,7 +260,7 @@
     }
 }
 
-async fn watch_config<S>(host: Arc<Host>, store: Arc<S>, store_lost: Arc<Notify>)
+async fn watch_config<S>(host: Arc<Host>, store: Arc<S>, checked: Arc<StoreState>)
 where
     S: Store,
 {
@@ -259,8 +273,8 @@
         host.freshness().set_watching_config(host.now(), true);
         let error = loop {
             let revision = host.freshness().config_revision.unwrap_or_default();
-            let result =
-                until_store_lost(&store_lost, store.watch_config(revision, WATCH_WAIT)).await;
+            let watch = store.watch_config(revision, WATCH_WAIT);
+            let result = while_store_responds(&checked, revision, watch).await;
             record_call(&host, "watch_config", result.as_ref().err());
             match result {
                 Ok(update) => {
--- a/crates/geraniummux-host/tests/reader.rs
+++ b/crates/geraniummux-host/tests/reader.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// A store that responds until it is silent: then lists and checks never end, and watches fail or
 /// never end.
@@ -134,22 +135,44 @@
     }
 }
 
+/// Starts a host that reads such a store, and returns both once its data is current.
+async fn start_reader(peer: &str) -> (Arc<Host>, Arc<RestoredStore>) {
+    let host = common::host(peer.parse().unwrap(), "[]").await;
+    let store = Arc::new(RestoredStore::default());
+    tokio::spawn(reader::run(host.clone(), store.clone()));
+    until_current(&host).await;
+    (host, store)
+}
+
+async fn assert_watched_again(store: &RestoredStore) {
+    let watched = async {
+        while store.watched.lock().unwrap().len() < 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(Duration::from_secs(20), watched).await.expect("a second watch of the targets");
+    assert_eq!(*store.watched.lock().unwrap(), [Revision::new(1, 7), Revision::new(2, 9)]);
+}
+
 /// Guards against a watch that outlives the store's return from a copy and waits for changes after a revision
 /// of the lost history (CONFIG).
 #[tokio::test]
 async fn reader_store_restored_behind_a_waiting_watch_reads_again() {
-    let host = common::host("127.9.9.9:7009".parse().unwrap(), "[]").await;
-    let store = Arc::new(RestoredStore::default());
-    let task = tokio::spawn(reader::run(host.clone(), store.clone()));
-    until_current(&host).await;
+    let (host, store) = start_reader("127.9.9.9:7009").await;
     store.is_restored.store(true, Ordering::SeqCst);
     while host.store_revision().era < 2 {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     until_current(&host).await;
-    while store.watched.lock().unwrap().len() < 2 {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    assert_eq!(*store.watched.lock().unwrap(), [Revision::new(1, 7), Revision::new(2, 9)]);
-    task.abort();
+    assert_watched_again(&store).await;
+}
+
+/// Guards against a watch that is left waiting in the lost history because another part of the host's data is of
+/// the new one already, as a peer has sent it.
+#[tokio::test]
+async fn reader_store_restored_and_partly_replicated_reads_again() {
+    let (host, store) = start_reader("127.9.9.14:7009").await;
+    host.freshness().config_revision = Some(Revision::new(2, 9));
+    store.is_restored.store(true, Ordering::SeqCst);
+    assert_watched_again(&store).await;
 }
