--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -131,6 +131,11 @@
         self.register();
     }
 
+    /// Ends the process, and starts it again after a while.
+    pub fn go_down(&self) {
+        self.crash();
+    }
+
     fn id(&self) -> String {
         self.inner.id.lock().unwrap().clone()
     }
--- /dev/null
+++ b/review/standin/src/cases/load_header.rs
@@ -0,0 +1,91 @@
+//! Faulty backends spoil the load that they name in some of their answers. Later, all backends are sound again and
+//! limit the rate of their requests.
+
+use super::{Context, Deployment, Route, config, send_all};
+use crate::Verdict;
+use crate::backend::Options;
+use std::thread;
+use std::time::Duration;
+
+/// `stability-window-s`.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+/// How long the answers of some backends are spoilt.
+const SPOILT: Duration = Duration::from_millis(5_500);
+/// One answer of so many is spoilt, of half of the backends.
+const SPOILT_ONE_IN: usize = 50;
+/// A load whose last figure has become far too long.
+const SPOILT_LOAD: &str = "1,0,6,100100100100100100100100100100";
+/// Requests a second that each backend takes from all machines together.
+const LIMIT_PER_S: f64 = 10.0;
+/// The span in which the rule counts, and what it allows in it.
+const SPAN: Duration = Duration::from_secs(4);
+const OBSERVED: Duration = Duration::from_secs(12);
+
+pub fn run(cx: &Context) -> Verdict {
+    let mut d = Deployment::new(cx, 3);
+    let routes = [Route { name: "r-lookup", prefix: "/lookup/", kind: "safe", service: "ledger" }];
+    d.store.put("config", "main", &config(7, &routes, &["ledger"]));
+    let backends: Vec<_> = (1..=4)
+        .map(|n| {
+            let opts = Options {
+                service: "ledger",
+                slots: 6,
+                work: Duration::from_millis(40),
+                crash_on: None,
+                down: Duration::ZERO,
+            };
+            d.backend(&format!("ledger-{n}"), opts)
+        })
+        .collect();
+    d.start_hosts();
+    if !d.await_ready() {
+        return Verdict::CouldNotRun;
+    }
+    thread::sleep(STABILITY_WINDOW);
+    let calm = Duration::from_secs(2);
+    let end = d.record.now() + calm + SPOILT + 3 * STABILITY_WINDOW + OBSERVED;
+    let clients = send_all(&d, "/lookup/1", 12, Duration::from_millis(75), end);
+    thread::sleep(calm);
+    if cx.trouble {
+        backends[..2].iter().for_each(|b| b.spoil_load(Some((SPOILT_ONE_IN, SPOILT_LOAD))));
+    }
+    thread::sleep(SPOILT);
+    backends.iter().for_each(|b| b.spoil_load(None));
+    d.record.line("all backends are sound");
+    thread::sleep(2 * STABILITY_WINDOW);
+    for h in &d.hosts {
+        for line in h.log_lines("panicked") {
+            d.record.line(&format!("log of {}: {line}", h.name));
+        }
+        for line in h.log_lines("event=member_changed") {
+            if line.contains("state=Suspect") || line.contains("state=Dead") {
+                d.record.line(&format!("log of {}: {line}", h.name));
+            }
+        }
+    }
+    backends.iter().for_each(|b| b.set_limit(LIMIT_PER_S));
+    let named = d.record.now();
+    clients.join();
+    let allowed = 1.5 * LIMIT_PER_S * SPAN.as_secs_f64() + 5.0;
+    let mut most = 0;
+    let runs = d.runs.lock().unwrap();
+    for n in 1..=4 {
+        let id = format!("ledger-{n}-1");
+        let arrivals: Vec<Duration> = runs
+            .iter()
+            .filter(|r| r.backend == id && r.at >= named + STABILITY_WINDOW)
+            .map(|r| r.at)
+            .collect();
+        let in_span = |from: &Duration| {
+            arrivals.iter().filter(|a| *from <= **a && **a < *from + SPAN).count()
+        };
+        let of_backend = arrivals.iter().map(in_span).max().unwrap_or(0);
+        d.record.line(&format!(
+            "{id}: at most {of_backend} requests in {} s, from {} s after it named its limit; {allowed} are allowed",
+            SPAN.as_secs(),
+            STABILITY_WINDOW.as_secs()
+        ));
+        most = most.max(of_backend);
+    }
+    if most as f64 > allowed { Verdict::Broken } else { Verdict::Held }
+}
--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,6 +1,9 @@
 //! The cases, and what they share.
 
 pub mod foreign_entry;
+pub mod load_header;
+pub mod lost_watch;
+pub mod same_id;
 
 use crate::backend::{Backend, Options, Runs};
 use crate::hosts::{Deploy, Host, free_ports};
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -25,6 +25,9 @@
     };
     let run = match case.as_str() {
         "foreign-entry" => cases::foreign_entry::run,
+        "same-id" => cases::same_id::run,
+        "lost-watch" => cases::lost_watch::run,
+        "load-header" => cases::load_header::run,
         _ => {
             eprintln!("no case {case}");
             return ExitCode::from(2);
