--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # does the same without the disruption.
 export TROUBLE="${TROUBLE:-1}"
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec "$here/../run-case.sh" lost-watch "$here"
+exec "$here/../run-case.sh" late-stop "$here"
--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -16,7 +16,6 @@
     pub at: Duration,
     pub backend: String,
     pub service: String,
-    pub target: String,
     pub id: String,
 }
 
@@ -55,6 +54,8 @@
     answers: AtomicUsize,
     /// `Server-Limit` of its answers.
     limit: Mutex<Option<String>>,
+    /// A path on which requests take longer than on others.
+    slow: Mutex<Option<(&'static str, Duration)>>,
 }
 
 impl Backend {
@@ -78,6 +79,7 @@
                 spoilt: Mutex::default(),
                 answers: AtomicUsize::new(0),
                 limit: Mutex::default(),
+                slow: Mutex::default(),
             }),
         };
         backend.register();
@@ -103,6 +105,11 @@
         *self.inner.spoilt.lock().unwrap() = spoilt;
     }
 
+    /// Sets how long requests with a path take.
+    pub fn set_work_on(&self, path: &'static str, work: Duration) {
+        *self.inner.slow.lock().unwrap() = Some((path, work));
+    }
+
     /// Sets the requests a second that the backend takes from all machines together.
     pub fn set_limit(&self, per_s: f64) {
         self.inner.record.line(&format!("{}: names its Server-Limit: {per_s:.1}", self.id()));
@@ -131,11 +138,6 @@
         self.register();
     }
 
-    /// Ends the process, and starts it again after a while.
-    pub fn go_down(&self) {
-        self.crash();
-    }
-
     fn id(&self) -> String {
         self.inner.id.lock().unwrap().clone()
     }
@@ -201,7 +203,6 @@
             at: inner.record.now(),
             backend: me.clone(),
             service: inner.opts.service.into(),
-            target: request.target().into(),
             id: id.clone(),
         };
         inner.record.line(&format!(
@@ -215,7 +216,8 @@
             return None;
         }
         inner.running.fetch_add(1, Ordering::SeqCst);
-        thread::sleep(inner.opts.work);
+        let slow = inner.slow.lock().unwrap().filter(|(path, _)| *path == request.target());
+        thread::sleep(slow.map_or(inner.opts.work, |(_, work)| work));
         inner.running.fetch_sub(1, Ordering::SeqCst);
         let n = inner.answers.fetch_add(1, Ordering::SeqCst);
         let load = match *inner.spoilt.lock().unwrap() {
--- a/review/standin/src/cases/foreign_entry.rs
+++ b/review/standin/src/cases/foreign_entry.rs
@@ -1,6 +1,6 @@
 //! Another writer leaves an entry among the servers. Then all processes are killed and start again.
 
-use super::{Context, Deployment, Route, config, send_all, served};
+use super::{Context, Deployment, Route, SHORT, config, send_all, served};
 use crate::Verdict;
 use crate::backend::Options;
 use std::thread;
@@ -15,7 +15,13 @@
 
 pub fn run(cx: &Context) -> Verdict {
     let mut d = Deployment::new(cx, 3);
-    let routes = [Route { name: "r-lookup", prefix: "/lookup/", kind: "safe", service: "ledger" }];
+    let routes = [Route {
+        name: "r-lookup",
+        prefix: "/lookup/",
+        kind: "safe",
+        service: "ledger",
+        times: SHORT,
+    }];
     d.store.put("config", "main", &config(7, &routes, &["ledger"]));
     for n in 1..=4 {
         let opts = Options {
--- a/review/standin/src/cases/load_header.rs
+++ b/review/standin/src/cases/load_header.rs
@@ -1,7 +1,7 @@
 //! Faulty backends spoil the load that they name in some of their answers. Later, all backends are sound again and
 //! limit the rate of their requests.
 
-use super::{Context, Deployment, Route, config, send_all};
+use super::{Context, Deployment, Route, SHORT, config, send_all};
 use crate::Verdict;
 use crate::backend::Options;
 use std::thread;
@@ -23,7 +23,13 @@
 
 pub fn run(cx: &Context) -> Verdict {
     let mut d = Deployment::new(cx, 3);
-    let routes = [Route { name: "r-lookup", prefix: "/lookup/", kind: "safe", service: "ledger" }];
+    let routes = [Route {
+        name: "r-lookup",
+        prefix: "/lookup/",
+        kind: "safe",
+        service: "ledger",
+        times: SHORT,
+    }];
     d.store.put("config", "main", &config(7, &routes, &["ledger"]));
     let backends: Vec<_> = (1..=4)
         .map(|n| {
--- a/review/standin/src/cases/lost_watch.rs
+++ b/review/standin/src/cases/lost_watch.rs
@@ -1,7 +1,7 @@
 //! The store loses its answers to the watches that wait for a change of the configuration. Later, calm changes
 //! have to be in force in time all the same.
 
-use super::{Attempt, Context, Deployment, Route, config, send};
+use super::{Attempt, Context, Deployment, Route, SHORT, config, send};
 use crate::Verdict;
 use crate::backend::Options;
 use std::thread;
@@ -24,10 +24,22 @@
 pub fn run(cx: &Context) -> Verdict {
     let mut d = Deployment::new(cx, 3);
     let services = ["ledger", "archive"];
-    let lookup = |service| Route { name: "r-lookup", prefix: "/lookup/", kind: "safe", service };
-    let fetch = |service| Route { name: "r-fetch", prefix: "/fetch/", kind: "safe", service };
-    let survey =
-        || Route { name: "r-survey", prefix: "/survey/", kind: "safe", service: "archive" };
+    let lookup = |service| Route {
+        name: "r-lookup",
+        prefix: "/lookup/",
+        kind: "safe",
+        service,
+        times: SHORT,
+    };
+    let fetch =
+        |service| Route { name: "r-fetch", prefix: "/fetch/", kind: "safe", service, times: SHORT };
+    let survey = || Route {
+        name: "r-survey",
+        prefix: "/survey/",
+        kind: "safe",
+        service: "archive",
+        times: SHORT,
+    };
     d.store.put("config", "main", &config(7, &[lookup("ledger"), fetch("ledger")], &services));
     for service in services {
         for n in 1..=3 {
--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,7 +1,9 @@
 //! The cases, and what they share.
 
 pub mod foreign_entry;
+pub mod late_stop;
 pub mod load_header;
+pub mod lone_host;
 pub mod lost_watch;
 pub mod same_id;
 
@@ -43,11 +45,16 @@
 impl Deployment {
     /// Prepares a deployment of `hosts` hosts, none of which runs yet.
     pub fn new(cx: &Context, hosts: u8) -> Self {
+        Self::with_grace(cx, hosts, 6)
+    }
+
+    /// The same with another `grace-s`.
+    pub fn with_grace(cx: &Context, hosts: u8, grace_s: u32) -> Self {
         let record = Record::create(&cx.folder.join("record.txt")).expect("the record");
         let store = Store::start(&record);
         let ports = free_ports(hosts);
         let hosts = (1..=hosts)
-            .map(|n| Host::new(n, ports, hosts, store.addr(), &cx.temporary, &record))
+            .map(|n| Host::new(n, ports, hosts, store.addr(), &cx.temporary, grace_s, &record))
             .collect();
         Deployment { store, runs: Runs::default(), hosts, deploy: Deploy::read(&cx.root), record }
     }
@@ -83,16 +90,27 @@
     pub prefix: &'static str,
     pub kind: &'static str,
     pub service: &'static str,
+    pub times: Times,
+}
+
+/// Times of a route in seconds.
+#[derive(Clone, Copy)]
+pub struct Times {
+    pub timeout: f64,
+    pub target_latency: f64,
 }
 
+/// Times like those of the small deployments.
+pub const SHORT: Times = Times { timeout: 1.0, target_latency: 0.3 };
+
 /// Returns a configuration document.
 pub fn config(version: u32, routes: &[Route], services: &[&str]) -> String {
     let routes: Vec<String> = routes
         .iter()
         .map(|r| {
             format!(
-                r#"{{"name":"{}","host":"{NAME}","path-prefix":"{}","route-type":"{}","timeout-s":1,"target-latency-s":0.3,"priority":1,"service":"{}","max-attempts":2}}"#,
-                r.name, r.prefix, r.kind, r.service
+                r#"{{"name":"{}","host":"{NAME}","path-prefix":"{}","route-type":"{}","timeout-s":{},"target-latency-s":{},"priority":1,"service":"{}","max-attempts":2}}"#,
+                r.name, r.prefix, r.kind, r.times.timeout, r.times.target_latency, r.service
             )
         })
         .collect();
@@ -117,10 +135,24 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
+/// Time budget of a client.
+const BUDGET: Duration = Duration::from_millis(1_000);
+
 /// Sends one request to a host on a new connection, and records it.
 pub fn send(record: &Record, host: &str, addr: SocketAddr, method: &str, path: &str) -> Attempt {
+    send_with(record, host, addr, method, path, BUDGET)
+}
+
+/// The same with another time budget.
+pub fn send_with(
+    record: &Record,
+    host: &str,
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    budget: Duration,
+) -> Attempt {
     let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
-    let budget = Duration::from_millis(1_000);
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: {NAME}\r\nRequest-Id: {id}\r\nRequest-Deadline-Ms: {}\r\nConnection: close\r\n{}\r\n",
         budget.as_millis(),
--- a/review/standin/src/cases/same_id.rs
+++ b/review/standin/src/cases/same_id.rs
@@ -1,6 +1,6 @@
 //! The backends of a service restart one after the other, each under the id that it had.
 
-use super::{Attempt, Context, Deployment, Route, config, send_all, served};
+use super::{Attempt, Context, Deployment, Route, SHORT, config, send_all, served};
 use crate::Verdict;
 use crate::backend::Options;
 use std::thread;
@@ -21,8 +21,20 @@
 pub fn run(cx: &Context) -> Verdict {
     let mut d = Deployment::new(cx, 3);
     let routes = [
-        Route { name: "r-lookup", prefix: "/lookup/", kind: "safe", service: "ledger" },
-        Route { name: "r-fetch", prefix: "/fetch/", kind: "safe", service: "archive" },
+        Route {
+            name: "r-lookup",
+            prefix: "/lookup/",
+            kind: "safe",
+            service: "ledger",
+            times: SHORT,
+        },
+        Route {
+            name: "r-fetch",
+            prefix: "/fetch/",
+            kind: "safe",
+            service: "archive",
+            times: SHORT,
+        },
     ];
     d.store.put("config", "main", &config(7, &routes, &["ledger", "archive"]));
     let start = |service: &'static str, work: u64| {
--- a/review/standin/src/hosts.rs
+++ b/review/standin/src/hosts.rs
@@ -57,6 +57,7 @@
         hosts: u8,
         store: SocketAddr,
         dir: &Path,
+        grace_s: u32,
         record: &Record,
     ) -> Self {
         let ip = address(n);
@@ -72,7 +73,7 @@
   "peer_key": "geraniummux messages between hosts",
   "store": "{store}",
   "promises": {{
-    "repeat_ratio": 0.2, "repeat_slack": 75, "repeat_window_s": 10, "drain_s": 2, "grace_s": 6,
+    "repeat_ratio": 0.2, "repeat_slack": 75, "repeat_window_s": 10, "drain_s": 2, "grace_s": {grace_s},
     "max_ttl_s": 5, "probes_per_s": 60, "heartbeat_s": 1.5, "lapse_s": 2.0
   }}
 }}
@@ -90,6 +91,20 @@
         Host { name, ip, ports, settings: path, log, pids, child: None, record: record.clone() }
     }
 
+    /// Replaces the seeds in the settings by addresses at which there is nobody any more.
+    pub fn set_gone_seeds(&self) {
+        let text = fs::read_to_string(&self.settings).expect("the settings file");
+        let gone: Vec<String> =
+            (11..=13).map(|i| format!("\"{}:{}\"", address(i), self.ports.peer + 1)).collect();
+        let lines = text.lines().map(|l| match l.contains("\"seeds\"") {
+            true => format!("  \"seeds\": [{}],", gone.join(", ")),
+            false => l.to_string(),
+        });
+        let text = lines.collect::<Vec<_>>().join("\n");
+        fs::write(&self.settings, text).expect("the settings file");
+        self.record.line(&format!("{}: its seeds {} are gone", self.name, gone.join(", ")));
+    }
+
     pub fn start(&mut self, deploy: &Deploy) {
         let log = File::options().create(true).append(true).open(&self.log).expect("the log file");
         let err = log.try_clone().expect("the log file");
@@ -115,10 +130,29 @@
         }
     }
 
+    /// Sends SIGTERM, as the platform does to stop a process.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+            self.record.line(&format!("{}: SIGTERM", self.name));
+        }
+    }
+
     pub fn front(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.ports.listen)
     }
 
+    /// Asks the host which hosts there are. Returns the answer.
+    pub fn resolve(&self) -> String {
+        let addr = SocketAddr::new(self.ip, self.ports.directory);
+        let request =
+            b"GET /resolve?name=ledger.example HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        match crate::http::call(addr, request, std::time::Duration::from_secs(1)) {
+            crate::http::Ended::Answered(m) => String::from_utf8_lossy(&m.body).into_owned(),
+            other => other.describe(),
+        }
+    }
+
     pub fn is_ready(&self) -> bool {
         let addr = SocketAddr::new(self.ip, self.ports.readiness);
         let request = b"GET /ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -27,6 +27,8 @@
         "foreign-entry" => cases::foreign_entry::run,
         "same-id" => cases::same_id::run,
         "lost-watch" => cases::lost_watch::run,
+        "late-stop" => cases::late_stop::run,
+        "lone-host" => cases::lone_host::run,
         "load-header" => cases::load_header::run,
         _ => {
             eprintln!("no case {case}");
