--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -186,7 +186,7 @@
         thread::spawn(move || {
             let mut attempts = Vec::new();
             let mut i = c as usize;
-            while next < until {
+            while next.max(record.now()) < until {
                 thread::sleep(next.saturating_sub(record.now()));
                 let (name, addr) = &fronts[i % fronts.len()];
                 attempts.push(send(&record, name, *addr, "GET", path));
