--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -10,7 +10,6 @@
 temporary=$(mktemp -d) || exit 2
 
 clean_up() {
-    kill "$case" 2>/dev/null
     # Processes that are left if the case was interrupted.
     while read -r pid; do
         case "$(ps -o comm= -p "$pid" 2>/dev/null)" in
@@ -19,7 +18,7 @@
     done < "$temporary/pids" 2>/dev/null
     rm -rf "$temporary"
 }
-trap 'clean_up; exit 2' INT TERM HUP
+trap 'kill "$case" 2>/dev/null; clean_up; exit 2' INT TERM HUP
 
 "$standin" "$1" "$root" "$folder" "$temporary" &
 case=$!
