What a target demands holds for the run that demanded it

Cause: demands were kept by the target's name, and the run that had made one was looked up in the registry when the answer arrived. After the removal of the entry that gave no start, and the next run's was taken in its place; after a restart in place the former run's answer was recorded for the next run. The host repeated the demand to the scheduler, which closed the target to the whole fleet for good, even after that host was gone.

Ruled out: the registry and the scheduler's targets, which tell runs apart; faults and quarantine, which never close all targets.

Change: a run is start and address, fixed when the target is selected. A demand binds its run only, is kept while that run may return, and is reported only while it is registered. A scheduler ignores what was said before its copy had the run, and forgets that a target leaves unless hosts repeat it. Runs that look the same are asked again by a health check. The frames between hosts are unchanged.

Tests: the signatures of Demands changed, so existing tests name the run; no expectation changed.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -30,7 +30,7 @@
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
 pub use config_change::ConfigChange;
-pub use demands::{Demands, ReportedDemand, TargetDemand};
+pub use demands::{Demands, LEAVING_RECHECK_INTERVAL, ReportedDemand, TargetDemand};
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
 pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
@@ -40,7 +40,7 @@
 pub use readers::{
     Leader, PeerFreshness, Position, ReadSource, ReaderOptions, StoreChecks, leaders, read_source,
 };
-pub use registry::{RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry};
+pub use registry::{RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry, TargetRun};
 pub use revision::Revision;
 pub use routes::{
     CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex,
--- a/crates/geraniummux-core/src/fleet/registry.rs
+++ b/crates/geraniummux-core/src/fleet/registry.rs
@@ -22,10 +22,20 @@
 /// comes back.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(600);
 
+/// Identity of one run of a target, which may start again under its name. The start alone does not suffice: it
+/// may be unknown, and clocks may step back.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct TargetRun {
+    /// Start time in milliseconds since the Unix epoch; 0 if unknown.
+    pub started_unix_ms: u64,
+    /// Address at which the run accepts requests.
+    pub addr: SocketAddr,
+}
+
 /// A target's registration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RegisteredTarget {
-    /// Identity of this run of the target.
+    /// Name of the target, which it keeps when it starts again.
     pub id: Arc<str>,
     /// Pool that the target serves.
     pub pool: Arc<str>,
@@ -43,6 +53,13 @@
     pub started_unix_ms: u64,
 }
 
+impl RegisteredTarget {
+    /// Returns the identity of the run that is registered.
+    pub fn run(&self) -> TargetRun {
+        TargetRun { started_unix_ms: self.started_unix_ms, addr: self.addr }
+    }
+}
+
 /// A change of one entry of the registry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum RegistryChange {
@@ -82,6 +99,8 @@
     target: Option<RegisteredTarget>,
     /// End of the target's warm-up.
     warm_up_ends: Time,
+    /// When this copy first had the run; `None` if that was with the first full list.
+    run_since: Option<Time>,
     /// End of the expiry grace of a removed entry.
     drop_at: Option<Time>,
     /// For an entry of a target that had left: until when it is unknown whether the entry is only a remnant
@@ -94,6 +113,10 @@
         self.target.as_ref().map(|t| t.started_unix_ms)
     }
 
+    fn run(&self) -> Option<TargetRun> {
+        self.target.as_ref().map(RegisteredTarget::run)
+    }
+
     fn is_usable(&self, now: Time) -> bool {
         self.drop_at.is_none_or(|at| now < at) && self.unconfirmed_until.is_none_or(|at| now >= at)
     }
@@ -194,10 +217,20 @@
             .filter_map(move |e| Some((e.target.as_ref()?, now < e.warm_up_ends)))
     }
 
-    /// Returns when a registered target was started, in milliseconds since the Unix epoch.
-    pub fn started_unix_ms(&self, target: &str) -> Option<u64> {
+    /// Returns the registered run of a target.
+    pub fn run(&self, target: &str) -> Option<TargetRun> {
+        self.find(target)?.run()
+    }
+
+    /// Returns whether what a target said at `said_at` may be the word of its registered run: this copy had
+    /// that run then, or it is not known since when the run is registered.
+    pub fn may_be_of_registered_run(&self, target: &str, said_at: Time) -> bool {
+        self.find(target).is_some_and(|e| e.run_since.is_none_or(|since| since <= said_at))
+    }
+
+    fn find(&self, target: &str) -> Option<&Entry> {
         let i = self.entries.binary_search_by(|e| (*e.id).cmp(target)).ok()?;
-        self.entries[i].started_unix_ms()
+        Some(&self.entries[i])
     }
 
     /// Drops entries whose expiry grace is over. Returns whether there were any.
@@ -260,6 +293,7 @@
         };
         let mut entry = Entry {
             warm_up_ends: now + target.as_ref().map_or(Duration::ZERO, |t| t.warm_up),
+            run_since: self.revision.map(|_| now),
             id,
             revision,
             target,
@@ -279,10 +313,12 @@
                 keep_leaving(&self.entries[i], &mut entry);
                 // A target that restarted under the same id warms up again; other changes of the
                 // entry don't affect the warm-up.
-                let restarted = self.entries[i].started_unix_ms() != entry.started_unix_ms();
-                let warm_up_ends =
-                    if restarted { entry.warm_up_ends } else { self.entries[i].warm_up_ends };
-                self.entries[i] = Entry { warm_up_ends, ..entry };
+                let old = &self.entries[i];
+                let (warm_up_ends, run_since) = match old.run() == entry.run() {
+                    true => (old.warm_up_ends, old.run_since),
+                    false => (entry.warm_up_ends, entry.run_since),
+                };
+                self.entries[i] = Entry { warm_up_ends, run_since, ..entry };
             }
             Err(i) => self.entries.insert(i, entry),
         }
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -26,7 +26,7 @@
 use super::faults::{FaultOptions, FaultScore};
 use super::forecast::{ForecastOptions, TargetReport, latency_factor};
 use super::limits::{LimitOutlook, MAX_LIMIT_AGE, RateBucket};
-use super::registry::RegisteredTarget;
+use super::registry::{RegisteredTarget, TargetRun};
 use super::warm::WarmConnections;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -301,9 +301,9 @@
     faults: FaultScore,
     /// End of the time without requests after another target has answered at this one's address.
     mismatched_until: Time,
-    started_unix_ms: u64,
-    /// Whether the target has said that it is leaving.
-    leaving: bool,
+    run: TargetRun,
+    /// Until when the target is taken to be leaving, unless a host says so again.
+    leaving_until: Time,
     /// Requests that the target accepts at present, if it limits their rate.
     limit: Option<RateBucket>,
     /// When the target's last answer was given that says whether it is leaving or has a limit.
@@ -325,7 +325,7 @@
 impl Target {
     /// Returns whether the target accepts no requests, whatever its load.
     fn is_closed(&self, now: Time) -> bool {
-        self.leaving || now < self.mismatched_until
+        now < self.leaving_until || now < self.mismatched_until
     }
 
     /// Returns how many requests a second the target accepts; `None` if it has no limit, or has answered
@@ -412,6 +412,9 @@
 /// Interval at which requests are rejected whose turn would come too late, since finding them costs a
 /// pass over all waiting requests.
 const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time after which a target is no longer taken to be leaving because a host said so. Hosts that know a target to
+/// be leaving repeat it each second while they send requests to its pool.
+const LEAVING_RETENTION: Duration = Duration::from_secs(5);
 /// Interval at which slots are freed whose requests have passed their deadlines.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(10);
 /// Maximum number of targets at which a request is in flight: the first, and that of its hedge.
@@ -511,7 +514,7 @@
             });
             let previous = old.binary_search_by(|o| o.id.cmp(&t.id)).ok().map(|i| &mut old[i]);
             self.targets.push(match previous {
-                Some(p) if p.started_unix_ms == t.started_unix_ms => Target {
+                Some(p) if p.run == t.run() => Target {
                     id: p.id.clone(),
                     domain,
                     in_flight: std::mem::take(&mut p.in_flight),
@@ -530,8 +533,8 @@
                     untracked: 0.0,
                     faults: FaultScore::default(),
                     mismatched_until: Time::default(),
-                    started_unix_ms: t.started_unix_ms,
-                    leaving: false,
+                    run: t.run(),
+                    leaving_until: Time::default(),
                     limit: None,
                     demand_at: Time::default(),
                     outlook: Outlook::default(),
@@ -651,12 +654,14 @@
     pub fn on_demand(&mut self, now: Time, report: &ReportedDemand) {
         let Some(i) = self.find(&report.target) else { return };
         let (t, said_at) = (&mut self.targets[i], now - report.age);
+        if report.demand.leaving {
+            t.leaving_until = t.leaving_until.max(now + LEAVING_RETENTION);
+        }
         // Reports of several hosts arrive in any order.
         if said_at <= t.demand_at {
             return;
         }
         t.demand_at = said_at;
-        t.leaving |= report.demand.leaving;
         let per_s = report.demand.limit_per_s.map(|l| l * self.limit_share);
         match (&mut t.limit, per_s) {
             (Some(limit), Some(per_s)) => limit.set_per_s(now, per_s),
--- a/crates/geraniummux-core/src/fleet/table.rs
+++ b/crates/geraniummux-core/src/fleet/table.rs
@@ -6,7 +6,7 @@
 
 use super::faults::{FaultOptions, FaultScore};
 use super::forecast::{ForecastOptions, TargetReport, latency_factor};
-use super::registry::RegisteredTarget;
+use super::registry::{RegisteredTarget, TargetRun};
 use crate::time::Time;
 use rand::{Rng, RngExt};
 use std::net::SocketAddr;
@@ -53,10 +53,10 @@
 /// A target to ask for its load.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
-    /// Identity of the target.
+    /// Name of the target.
     pub id: Arc<str>,
-    /// Address of the target.
-    pub addr: SocketAddr,
+    /// Run of the target, with its address.
+    pub run: TargetRun,
 }
 
 /// Assessment of a target for one more request.
@@ -73,7 +73,7 @@
 struct Target {
     pool: Arc<str>,
     id: Arc<str>,
-    addr: SocketAddr,
+    run: TargetRun,
     remote: bool,
     warming_up: bool,
     /// The last report and its time. Requests that this host has sent since are added to it.
@@ -98,7 +98,7 @@
     }
 
     /// Replaces the targets by the registered ones that are not leaving; the flag of each one is
-    /// whether it is warming up. Targets that stay at their address keep their load and faults.
+    /// whether it is warming up. Targets that have not started again keep their load and faults.
     pub fn update<'a, I>(&mut self, registered: I)
     where
         I: Iterator<Item = (&'a RegisteredTarget, bool)>,
@@ -109,11 +109,11 @@
                 .binary_search_by(|o| (&o.pool, &o.id).cmp(&(&t.pool, &t.id)))
                 .ok()
                 .map(|i| &old[i])
-                .filter(|o| o.addr == t.addr);
+                .filter(|o| o.run == t.run());
             self.targets.push(Target {
                 pool: t.pool.clone(),
                 id: t.id.clone(),
-                addr: t.addr,
+                run: t.run(),
                 remote: t.failure_domain != self.failure_domain,
                 warming_up,
                 report: previous.and_then(|p| p.report),
@@ -141,7 +141,7 @@
 
     /// Returns whether any target in the table has this address.
     pub fn contains_addr(&self, addr: SocketAddr) -> bool {
-        self.targets.iter().any(|t| t.addr == addr)
+        self.targets.iter().any(|t| t.run.addr == addr)
     }
 
     /// Returns up to `count` targets to ask for their load, the one with the lowest expected cost
@@ -271,6 +271,6 @@
 
 impl Target {
     fn candidate(&self) -> Candidate {
-        Candidate { id: self.id.clone(), addr: self.addr }
+        Candidate { id: self.id.clone(), run: self.run }
     }
 }
--- a/crates/geraniummux-core/tests/fleet_limits.rs
+++ b/crates/geraniummux-core/tests/fleet_limits.rs
@@ -4,7 +4,7 @@
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
     Demands, MAX_LIMIT_AGE, RegisteredTarget, RejectReason, ReportedDemand, RequestKey, Scheduler,
-    SchedulerOptions, SlotDecision, SlotRequest, TargetDemand, TargetReport,
+    SchedulerOptions, SlotDecision, SlotRequest, TargetDemand, TargetReport, TargetRun,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -24,6 +24,10 @@
 /// Time after an answer with the limit from which the requests of its receiver count.
 const TOLD: Duration = Duration::from_millis(500);
 
+fn target_run() -> TargetRun {
+    TargetRun { started_unix_ms: 0, addr: "127.0.0.1:1".parse().unwrap() }
+}
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -196,7 +200,7 @@
         let (told, at) = self.reported[host];
         if told < generation || now.since(at) >= REFRESH {
             self.reported[host] = (generation, now);
-            for report in self.hosts[host].reports(now, POOL) {
+            for report in self.hosts[host].reports(now, POOL, |_| Some(target_run())) {
                 self.schedulers[s].on_demand(now, &report);
             }
         }
@@ -210,7 +214,7 @@
             time_left: ms(1_000),
             latency_target_left: ms(400),
             hedgeable: true,
-            avoid: self.hosts[host].closed(now, POOL),
+            avoid: self.hosts[host].closed(now, POOL, |_| Some(target_run())),
         };
         self.schedulers[s].on_request(now, key, request)
     }
@@ -234,7 +238,7 @@
 
     fn select_without_scheduler(&mut self, now: Time, host: usize) {
         let demands = &mut self.hosts[host];
-        let limited = demands.limited(now, POOL);
+        let limited = demands.limited(now, POOL, |_| Some(target_run()));
         let free: Vec<usize> =
             (0..self.names.len()).filter(|i| !limited.contains(&self.names[*i])).collect();
         if !free.is_empty() {
@@ -246,7 +250,8 @@
         let mut order = (0..self.names.len()).map(|i| (first + i) % self.names.len());
         let names = &self.names;
         let (rng, hosts) = (&mut self.rng, self.scenario.hosts);
-        let found = order.find(|i| demands.try_take_share(now, &names[*i], hosts, rng.random()));
+        let found = order
+            .find(|i| demands.try_take_share(now, &names[*i], target_run(), hosts, rng.random()));
         match found {
             Some(target) => self.send(now, host, target, None),
             None => self.out.rejected += 1,
@@ -274,7 +279,8 @@
             let limit_per_s = is_limited.then_some(self.scenario.limit_per_s);
             let demand = TargetDemand { limit_per_s, leaving: false };
             let name = self.names[target].clone();
-            let changed = self.hosts[host].on_answer(now, &POOL.into(), &name, demand, Some(0));
+            let changed =
+                self.hosts[host].on_answer(now, now, &POOL.into(), &name, target_run(), demand);
             if is_limited {
                 self.told[host][target].get_or_insert(now);
             }
--- a/crates/geraniummux-core/tests/fleet_registry.rs
+++ b/crates/geraniummux-core/tests/fleet_registry.rs
@@ -145,6 +145,27 @@
     (revision, RegistryChange::Put(target))
 }
 
+/// Guards against a limit or a leave that a target's former run stated, as a host repeats it, being taken for the
+/// word of the registered run (Starved).
+#[test]
+fn may_be_of_registered_run_is_not_what_was_said_before() {
+    let later = NOW + Duration::from_secs(9);
+    let may_be =
+        |registry: &TargetRegistry, said_at| registry.may_be_of_registered_run("t1", said_at);
+    let mut registry = listed(vec![started(5, "t1", false, 100)]);
+    assert!(may_be(&registry, Time::ZERO), "registered before the first list");
+    assert!(registry.apply(NOW, delta(Some(10), 11, vec![removed(11, "t1")]), Duration::ZERO));
+    assert!(!may_be(&registry, NOW), "not registered");
+    let next = started(12, "t1", false, 50);
+    assert!(registry.apply(later, delta(Some(11), 12, vec![next]), Duration::ZERO));
+    assert!(!may_be(&registry, later - Duration::from_millis(1)));
+    assert!(may_be(&registry, later));
+    let changed = started(13, "t1", true, 50);
+    let much_later = later + Duration::from_secs(9);
+    assert!(registry.apply(much_later, delta(Some(12), 13, vec![changed]), Duration::ZERO));
+    assert!(may_be(&registry, later), "the run has only changed its entry");
+}
+
 /// Time after a restore in which the store removes the entries of targets that are gone.
 const CONFIRM_AFTER: Duration = Duration::from_secs(6);
 
@@ -235,7 +256,7 @@
     let list = || delta_in(2, None, 7, vec![started(5, "t1", false, 100)]);
     registry.apply(NOW, list(), EXPIRY_GRACE);
     registry.apply(NOW, list(), EXPIRY_GRACE);
-    assert_eq!(registry.started_unix_ms("t1"), Some(200));
+    assert_eq!(registry.run("t1").map(|run| run.started_unix_ms), Some(200));
     assert_eq!(ids(&registry, NOW), ["t1"]);
     let gone = NOW + EXPIRY_GRACE;
     registry.drop_expired(gone);
--- a/crates/geraniummux-host/src/fleet.rs
+++ b/crates/geraniummux-host/src/fleet.rs
@@ -1,8 +1,8 @@
 //! A host's view of the fleet of targets, its budgets, and what is typical of each route's requests.
 
 use geraniummux_core::fleet::{
-    Demands, ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, Revision, SplitState,
-    TableOptions, TargetRegistry, TargetTable,
+    Demands, ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, ReportedDemand, Revision,
+    SplitState, TableOptions, TargetRegistry, TargetTable,
 };
 use geraniummux_core::quarantine::QuarantineOptions;
 use geraniummux_core::{Quarantine, Time};
@@ -89,6 +89,14 @@
         }
     }
 
+    /// Returns what the targets of a pool demand, for its scheduler.
+    pub fn demand_reports(&self, now: Time, pool: &str) -> Vec<ReportedDemand> {
+        if self.demands.is_empty() {
+            return Vec::new();
+        }
+        self.demands.reports(now, pool, |target| self.registry.run(target))
+    }
+
     /// Returns the state of a route's traffic split between pools.
     pub fn split(&mut self, route: &Arc<str>) -> &mut SplitState {
         entry(&mut self.splits, route, SplitState::default)
@@ -170,7 +178,7 @@
         let Fleet { registry, table, demands, .. } = self;
         table.update(registry.targets(now));
         if !demands.is_empty() {
-            demands.retain(now, |target| registry.started_unix_ms(target));
+            demands.retain(now, |target| registry.run(target));
         }
     }
 }
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -357,24 +357,35 @@
         true
     }
 
-    /// Records what a target demands with a response to a request or a probe, and reports changes to the
-    /// scheduler of the pool.
-    pub fn on_demand(self: &Arc<Self>, pool: &Arc<str>, target: &Arc<str>, demand: TargetDemand) {
+    /// Records what a target demands with a response to a request or a probe that was sent to `candidate` at
+    /// `sent_at`, and reports changes to the scheduler of the pool.
+    pub fn on_demand(
+        self: &Arc<Self>,
+        pool: &Arc<str>,
+        candidate: &Candidate,
+        sent_at: Time,
+        demand: TargetDemand,
+    ) {
         if demand == TargetDemand::default() && self.fleet().demands.is_empty() {
             return;
         }
         let now = self.now();
-        let is_due = {
+        let Candidate { id: target, run } = candidate;
+        let (is_due, is_registered) = {
             let Fleet { registry, demands, .. } = &mut *self.fleet();
-            let started = registry.started_unix_ms(target);
-            demands.on_answer(now, pool, target, demand, started)
+            let is_due = demands.on_answer(now, sent_at, pool, target, *run, demand);
+            (is_due, registry.run(target) == Some(*run))
         };
         if !is_due {
             return;
         }
         info!(self.log, "target_demand"; "target" => &**target, "pool" => &**pool,
             "limit_per_s" => demand.limit_per_s.unwrap_or(f64::INFINITY),
-            "leaving" => demand.leaving);
+            "leaving" => demand.leaving, "started" => run.started_unix_ms,
+            "registered" => is_registered);
+        if !is_registered {
+            return;
+        }
         let report = ReportedDemand { target: target.clone(), demand, age: Duration::ZERO };
         scheduling::report_demands(self, pool, vec![report]);
     }
@@ -384,10 +395,11 @@
     pub fn on_pause(
         &self,
         pool: &Arc<str>,
-        target: &Arc<str>,
+        candidate: &Candidate,
         pause: Duration,
         relay: Option<SocketAddr>,
     ) {
+        let Candidate { id: target, run } = candidate;
         let pause = pause.min(MAX_PAUSE);
         if let Some(peer) = relay {
             let pause_ms = u32::try_from(pause.as_millis()).unwrap_or(u32::MAX);
@@ -396,17 +408,22 @@
         }
         info!(self.log, "target_pause"; "target" => &**target, "pool" => &**pool,
             "pause_ms" => pause.as_millis() as u64);
-        self.fleet().demands.on_pause(self.now(), pool, target, pause);
+        self.fleet().demands.on_pause(self.now(), pool, target, *run, pause);
+    }
+
+    /// Records that a target asked this host for a pause, in a response that a peer got through this host.
+    pub fn on_relayed_pause(&self, pool: &Arc<str>, target: &Arc<str>, pause: Duration) {
+        // A target that is not registered gets no requests.
+        let Some(run) = self.fleet().registry.run(target) else { return };
+        self.on_pause(pool, &Candidate { id: target.clone(), run }, pause, None);
     }
 
     /// Returns a target as a candidate if it may be sent requests of the pool at present.
     pub fn candidate(&self, pool: &str, target: &str) -> Option<Candidate> {
         let now = self.now();
         let fleet = self.fleet();
-        if fleet.demands.is_closed(now, target) {
-            return None;
-        }
-        fleet.table.candidate(pool, target)
+        let candidate = fleet.table.candidate(pool, target)?;
+        (!fleet.demands.is_closed(now, target, candidate.run)).then_some(candidate)
     }
 
     /// Returns the number of hosts that share the limits of targets, this one among them.
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -126,7 +126,7 @@
         }
         Message::TargetPause { pool, target, pause_ms } => {
             let pause = Duration::from_millis(u64::from(pause_ms));
-            host.on_pause(&pool, &target, pause, None);
+            host.on_relayed_pause(&pool, &target, pause);
         }
         Message::ReadingStore => {
             host.announced_reader.send_replace(Some(addr));
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -35,7 +35,8 @@
 
 /// Sends a request to the selected target, waits for the response and records the outcome.
 pub async fn send(ctx: Arc<RequestContext>, selected: SelectedTarget) -> FinishedAttempt {
-    let SelectedTarget { target, conn, latency_factor, .. } = selected;
+    let SelectedTarget { candidate, conn, latency_factor, .. } = selected;
+    let target = candidate.id.clone();
     let host = &ctx.host;
     let mut report = None;
     let sent_at = host.now();
@@ -60,11 +61,11 @@
             let body_bytes = response.body.len() as u64;
             let demand = host.protocol.target_demand(&response.headers);
             if let Some(pause) = headers::retry_after(&response) {
-                host.on_pause(&ctx.pool.name, &target, pause, relay);
+                host.on_pause(&ctx.pool.name, &candidate, pause, relay);
             }
             let outcome = classify(&ctx, response);
             if is_from_target(&outcome) {
-                host.on_demand(&ctx.pool.name, &target, demand);
+                host.on_demand(&ctx.pool.name, &candidate, sent_at, demand);
             }
             if matches!(outcome, AttemptOutcome::Responded(_)) {
                 host.bodies.budget().on_response(route, body_bytes);
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -9,6 +9,8 @@
 mod response;
 pub(crate) mod selection;
 
+pub use selection::recheck_leaving;
+
 use crate::bodies::{self, BodyError};
 use crate::host::{Host, Phase};
 use crate::stopping;
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -163,7 +163,7 @@
         match event {
             Event::TargetSelected(Selection::Selected(selected)) => {
                 self.selecting = false;
-                self.send(selected);
+                self.send(*selected);
                 None
             }
             Event::TargetSelected(Selection::Rejected { reason, retry_after }) => {
@@ -211,12 +211,9 @@
         self.hedge_at = None;
         let connect = async move {
             let selected = match selection::connect(&ctx, &target, latency_factor).await {
-                Connect::Connected(conn) => Some(SelectedTarget {
-                    target: target.clone(),
-                    conn,
-                    latency_factor,
-                    grant: None,
-                }),
+                Connect::Connected(candidate, conn) => {
+                    Some(SelectedTarget { candidate, conn, latency_factor, grant: None })
+                }
                 Connect::Slowed(_) | Connect::Unusable | Connect::NoPath => None,
             };
             Event::HedgeConnected(target, selected)
@@ -236,9 +233,9 @@
         let expected = self.ctx.service_time.mul_f64(selected.latency_factor);
         let addr = selected.conn.addr();
         self.executed_attempts += 1;
-        self.tried.push(selected.target.clone());
+        self.tried.push(selected.candidate.id.clone());
         self.in_flight.push(AttemptInFlight {
-            target: selected.target.clone(),
+            target: selected.candidate.id.clone(),
             addr,
             sent_at: now,
             expected,
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -7,7 +7,7 @@
 
 use super::context::RequestContext;
 use super::headers;
-use crate::fleet::Prober;
+use crate::fleet::{Fleet, Prober};
 use crate::host::Host;
 use crate::reach::{self, CONNECT_TIMEOUT, ConnectError};
 use crate::scheduling::{self, Grant, SlotResult};
@@ -50,8 +50,8 @@
 
 /// A target that is selected for a request.
 pub struct SelectedTarget {
-    /// Identity of the target.
-    pub target: Arc<str>,
+    /// The target.
+    pub candidate: Candidate,
     /// The connection on which to send the request.
     pub conn: Connection,
     /// Expected latency as a multiple of the typical service time.
@@ -64,7 +64,7 @@
 /// Result of the selection of a target.
 pub enum Selection {
     /// A target is selected.
-    Selected(SelectedTarget),
+    Selected(Box<SelectedTarget>),
     /// The request is rejected.
     Rejected {
         /// The reason, for logs.
@@ -107,14 +107,14 @@
                 // The last grant is used even if the target has become slow.
                 let limit = if tries < MAX_GRANTS_TRIED { latency_factor } else { f64::INFINITY };
                 match connect(&ctx, &target, limit).await {
-                    Connect::Connected(conn) => {
+                    Connect::Connected(candidate, conn) => {
                         let grant = Some(grant);
-                        return Selection::Selected(SelectedTarget {
-                            target,
+                        return Selection::Selected(Box::new(SelectedTarget {
+                            candidate,
                             conn,
                             latency_factor,
                             grant,
-                        });
+                        }));
                     }
                     Connect::Slowed(report) => grant.set_report(&target, report),
                     Connect::Unusable => {}
@@ -146,15 +146,16 @@
 /// them.
 fn closed_targets(ctx: &RequestContext) -> Vec<Arc<str>> {
     let now = ctx.host.now();
-    let mut closed = ctx.host.fleet().demands.closed(now, &ctx.pool.name);
+    let fleet = ctx.host.fleet();
+    let mut closed = fleet.demands.closed(now, &ctx.pool.name, |t| fleet.registry.run(t));
     closed.truncate(MAX_CLOSED_TARGETS);
     closed
 }
 
 /// Result of the connection to a target.
 pub enum Connect {
-    /// A connection on which the request can be sent.
-    Connected(Connection),
+    /// A connection to the target on which the request can be sent.
+    Connected(Candidate, Connection),
     /// The target has become slow, as its report shows.
     Slowed(TargetReport),
     /// The target can't be used.
@@ -174,8 +175,10 @@
         return Connect::Unusable;
     };
     let result = connect_candidate(ctx, &candidate, granted).await;
-    // The target may have started to leave meanwhile.
-    if matches!(result, Connect::Connected(_)) && host.candidate(&ctx.pool.name, target).is_none() {
+    // The target may have started to leave meanwhile, or have started again.
+    if matches!(result, Connect::Connected(..))
+        && host.candidate(&ctx.pool.name, target) != Some(candidate)
+    {
         return Connect::Unusable;
     }
     result
@@ -183,12 +186,12 @@
 
 async fn connect_candidate(ctx: &RequestContext, candidate: &Candidate, granted: f64) -> Connect {
     let host = &ctx.host;
-    if let Some((conn, idle)) = host.upstream.take_idle(host.now(), candidate.addr) {
+    if let Some((conn, idle)) = host.upstream.take_idle(host.now(), candidate.run.addr) {
         if ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
-            return Connect::Connected(conn);
+            return Connect::Connected(candidate.clone(), conn);
         }
         // A probe may count against a target's limit, and a new connection doesn't.
-        if !host.fleet().demands.is_limited(host.now(), &candidate.id) {
+        if !host.fleet().demands.is_limited(host.now(), &candidate.id, candidate.run) {
             let probe = probe_before_send(ctx, candidate, conn, granted);
             if let Ok(Ok(result)) = timeout(IDLE_PROBE_TIMEOUT, probe).await {
                 return result;
@@ -196,7 +199,7 @@
         }
     }
     match reach::connect(host, &ctx.pool.name, candidate).await {
-        Ok(conn) => Connect::Connected(conn),
+        Ok(conn) => Connect::Connected(candidate.clone(), conn),
         Err(e) => {
             record_connect_error(host, candidate, e);
             match e {
@@ -230,7 +233,7 @@
     // Only the speed counts: the scheduler knows best how many requests the target has, and may grant
     // one more than it has slots.
     if !has_slowed(granted, response.report.slowdown) {
-        return Ok(Connect::Connected(response.conn));
+        return Ok(Connect::Connected(response.candidate, response.conn));
     }
     info!(host.log, "target_slowed"; "id" => ctx.id(), "target" => &*candidate.id,
         "granted" => granted, "slowdown" => response.report.slowdown);
@@ -252,6 +255,30 @@
     Some(response.report)
 }
 
+/// Probes the targets that said some time ago that they are leaving and are still registered. Their next runs
+/// may not differ from them in the registry.
+pub fn recheck_leaving(host: &Arc<Host>) {
+    let due = {
+        let Fleet { registry, demands, table, .. } = &mut *host.fleet();
+        let due = demands.take_due_rechecks(host.now(), |t| registry.run(t));
+        let candidate = |(pool, id): (Arc<str>, Arc<str>)| {
+            let candidate = table.candidate(&pool, &id)?;
+            Some((candidate, pool))
+        };
+        due.into_iter().filter_map(candidate).collect::<Vec<_>>()
+    };
+    for (candidate, pool) in due {
+        let pool = host.routes().and_then(|routes| routes.pool(&pool).cloned());
+        let Some(pool) = pool else { continue };
+        let host = host.clone();
+        tokio::spawn(async move {
+            if let Some(response) = probe_target(host.clone(), pool, candidate).await {
+                host.upstream.put_idle(host.now(), response.conn);
+            }
+        });
+    }
+}
+
 /// Selects a target that is not among `tried` by probing some for their load.
 async fn select_by_probing(ctx: Arc<RequestContext>, tried: Vec<Arc<str>>) -> Selection {
     let host = &ctx.host;
@@ -302,19 +329,18 @@
         };
         match admit(&demand, &best.report, latency_factor, rand::random(), &rules) {
             AdmissionDecision::Send => {
-                let id = best.candidate.id;
-                // The target may have started to leave during the probe.
-                if host.candidate(&ctx.pool.name, &id).is_none() {
+                let ProbeResponse { candidate, conn, .. } = best;
+                // The target may have started to leave during the probe, or have started again.
+                if host.candidate(&ctx.pool.name, &candidate.id).as_ref() != Some(&candidate) {
                     continue;
                 }
-                host.fleet().table.on_sent(&id);
-                let conn = best.conn;
-                return Selection::Selected(SelectedTarget {
-                    target: id,
+                host.fleet().table.on_sent(&candidate.id);
+                return Selection::Selected(Box::new(SelectedTarget {
+                    candidate,
                     conn,
                     latency_factor,
                     grant: None,
-                });
+                }));
             }
             AdmissionDecision::Hold(pause) => {
                 host.upstream.put_idle(now, best.conn);
@@ -341,20 +367,20 @@
     let pool = &ctx.pool.name;
     let now = ctx.host.now();
     let hosts = ctx.host.host_count();
-    let mut fleet = ctx.host.fleet();
+    let Fleet { registry, demands, table, .. } = &mut *ctx.host.fleet();
     let mut avoid = tried.to_vec();
-    avoid.extend(fleet.demands.closed(now, pool));
-    let limited = fleet.demands.limited(now, pool);
+    avoid.extend(demands.closed(now, pool, |t| registry.run(t)));
+    let limited = demands.limited(now, pool, |t| registry.run(t));
     let reserved = avoid.len();
     avoid.extend(limited.iter().cloned());
-    let found = fleet.table.candidates(now, pool, &avoid, count, &mut rand::rng());
+    let found = table.candidates(now, pool, &avoid, count, &mut rand::rng());
     if !found.is_empty() || limited.is_empty() {
         return found;
     }
     avoid.truncate(reserved);
-    let found = fleet.table.candidates(now, pool, &avoid, usize::MAX, &mut rand::rng());
-    let demands = &mut fleet.demands;
-    let mut is_allowed = |c: &Candidate| demands.try_take_share(now, &c.id, hosts, rand::random());
+    let found = table.candidates(now, pool, &avoid, usize::MAX, &mut rand::rng());
+    let mut is_allowed =
+        |c: &Candidate| demands.try_take_share(now, &c.id, c.run, hosts, rand::random());
     let allowed = found.into_iter().find(|c| is_allowed(c));
     allowed.into_iter().collect()
 }
@@ -423,7 +449,7 @@
     candidate: Candidate,
 ) -> Option<ProbeResponse> {
     let now = host.now();
-    if let Some((conn, _)) = host.upstream.take_idle(now, candidate.addr) {
+    if let Some((conn, _)) = host.upstream.take_idle(now, candidate.run.addr) {
         let probe = send_probe(&host, &pool, &candidate, conn);
         if let Ok(Ok(response)) = timeout(IDLE_PROBE_TIMEOUT, probe).await {
             return response;
@@ -456,16 +482,17 @@
     conn: Connection,
 ) -> Result<Option<ProbeResponse>, ()> {
     let req = Request::get(&*pool.health_path)
-        .header(header::HOST, candidate.addr.to_string())
+        .header(header::HOST, candidate.run.addr.to_string())
         .body(Full::<Bytes>::default());
     let req = req.map_err(|_| ())?;
     let memory = host.bodies.unreserved(&pool.name);
     let relay = conn.relay();
+    let sent_at = host.now();
     let (response, conn) = upstream::exchange(conn, req, PROBE_RESPONSE_LIMITS, memory)
         .await
         .map_err(|_: ExchangeError| ())?;
     if let Some(pause) = headers::retry_after(&response) {
-        host.on_pause(&pool.name, &candidate.id, pause, relay);
+        host.on_pause(&pool.name, candidate, pause, relay);
     }
     let names = host.protocol.headers();
     // A late response to an earlier request carries that request's id instead of this header.
@@ -475,12 +502,12 @@
         host.metrics.probe(&pool.name, "other_target");
         host.on_identity_mismatch(&candidate.id);
         info!(host.log, "address_reused"; "target" => &*candidate.id,
-            "addr" => candidate.addr.to_string(), "answering" => format!("{answering:?}"));
+            "addr" => candidate.run.addr.to_string(), "answering" => format!("{answering:?}"));
         return Ok(None);
     }
     host.metrics.probe(&pool.name, response.status.as_str());
     let demand = host.protocol.target_demand(&response.headers);
-    host.on_demand(&pool.name, &candidate.id, demand);
+    host.on_demand(&pool.name, candidate, sent_at, demand);
     let report = host.protocol.target_report(&response.headers);
     if let Some(report) = report {
         host.fleet().table.on_report(now, &candidate.id, report);
--- a/crates/geraniummux-host/src/reach.rs
+++ b/crates/geraniummux-host/src/reach.rs
@@ -89,7 +89,7 @@
     limit: Duration,
 ) -> Option<Connection> {
     host.metrics.connection("target");
-    let result = timeout(limit, Connection::open(target.addr)).await;
+    let result = timeout(limit, Connection::open(target.run.addr)).await;
     let now = host.now();
     match result {
         Ok(Ok(conn)) => {
@@ -101,7 +101,7 @@
         }
         failed => {
             info!(host.log, "target_unreachable"; "target" => &*target.id,
-                "addr" => target.addr.to_string(), "refused" => failed.is_ok());
+                "addr" => target.run.addr.to_string(), "refused" => failed.is_ok());
             host.reach().targets.on_failed(now, &target.id);
             None
         }
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerNet};
 use crate::protocol::Protocol;
+use crate::proxy;
 use crate::server::{self, Service};
 use crate::settings::Settings;
 use crate::signals::Signals;
@@ -96,6 +97,7 @@
         let now = host.now();
         host.tick(now);
         host.upstream.set_idle_limit(host.idle_connection_limit());
+        proxy::recheck_leaving(&host);
         let fleet = host.fleet();
         host.upstream.sweep(now, |addr| fleet.table.contains_addr(addr));
         host.metrics.set_state("config_version", host.config_version() as i64);
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -101,7 +101,7 @@
             info!(host.log, "scheduling_pool"; "pool" => &**pool);
             let mut scheduler = Scheduler::new(SchedulerOptions::default());
             scheduler.update(targets_of(fleet.registry.targets(now), pool));
-            for demand in fleet.demands.reports(now, pool) {
+            for demand in fleet.demand_reports(now, pool) {
                 scheduler.on_demand(now, &demand);
             }
             pools.insert(
@@ -359,10 +359,7 @@
 /// be lost, and another host may have become the scheduler.
 fn refresh_demands(host: &Arc<Host>, scheduler: SocketAddr, pool: &Arc<str>) {
     let now = host.now();
-    let demands = {
-        let fleet = host.fleet();
-        if fleet.demands.is_empty() { Vec::new() } else { fleet.demands.reports(now, pool) }
-    };
+    let demands = host.fleet().demand_reports(now, pool);
     if demands.is_empty() {
         return;
     }
@@ -402,11 +399,18 @@
     }
 }
 
-/// Records what targets demanded, if this host schedules their pool.
+/// Records what targets demanded, if this host schedules their pool. A report may be about a run of the target
+/// before the registered one, as it names only the target.
 pub fn on_demands(host: &Arc<Host>, pool: &Arc<str>, demands: &[ReportedDemand]) {
     let now = host.now();
+    let may_hold = {
+        let fleet = host.fleet();
+        let may_hold =
+            |d: &&ReportedDemand| fleet.registry.may_be_of_registered_run(&d.target, now - d.age);
+        demands.iter().filter(may_hold).cloned().collect::<Vec<_>>()
+    };
     host.scheduling
-        .with_scheduler(host, pool, |s| demands.iter().for_each(|d| s.on_demand(now, d)));
+        .with_scheduler(host, pool, |s| may_hold.iter().for_each(|d| s.on_demand(now, d)));
 }
 
 fn mark_unresponsive(host: &Host, scheduler: SocketAddr) {
--- a/crates/geraniummux-host/src/tunnel.rs
+++ b/crates/geraniummux-host/src/tunnel.rs
@@ -73,7 +73,7 @@
     };
     let (stream, answer) = timeout(OPEN_TIMEOUT, exchange).await.map_err(io::Error::from)??;
     match answer {
-        Message::TunnelOpened => Ok(Connection::relayed(target.addr, stream, peer).await?),
+        Message::TunnelOpened => Ok(Connection::relayed(target.run.addr, stream, peer).await?),
         Message::TunnelRefused(TunnelRefusal::TargetUnreachable) => {
             Err(TunnelError::TargetUnreachable)
         }
@@ -120,7 +120,7 @@
     }
     let candidate = host.candidate(pool, target).ok_or(TunnelRefusal::TargetUnusable)?;
     host.metrics.connection("target");
-    let result = timeout(TARGET_TIMEOUT, TcpStream::connect(candidate.addr)).await;
+    let result = timeout(TARGET_TIMEOUT, TcpStream::connect(candidate.run.addr)).await;
     let mut reach = host.reach();
     match result {
         Ok(Ok(upstream)) => {
--- a/crates/geraniummux-host/tests/demands.rs
+++ b/crates/geraniummux-host/tests/demands.rs
@@ -2,9 +2,16 @@
 
 mod common;
 
-use common::targets::{Reply, ScriptedTarget, call, complete_response, identity, start_host_with};
+use common::targets::{
+    Reply, ScriptedTarget, call, complete_response, identity, registered, serve_pool,
+    start_host_with,
+};
 use futures_util::future::join_all;
+use geraniummux_core::fleet::{
+    LEAVING_RECHECK_INTERVAL, RegisteredTarget, RegistryChange, RegistryDelta, Revision,
+};
 use geraniummux_host::Host;
+use geraniummux_host::proxy;
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -177,3 +184,99 @@
     let allowed = 1.5 * LIMIT_PER_S * window.as_secs_f64() + 5.0;
     assert!(most as f64 <= allowed, "{most} of {allowed}");
 }
+
+/// A change of the target's registration after a response of its first run has said that it leaves.
+enum Restart {
+    /// The first run is at work while its registration ends; the next run has this start.
+    AfterRemoval(u64),
+    /// The next run, with this start, registers while the first one is at work.
+    InPlace(u64),
+}
+
+fn registration(addr: SocketAddr, started_unix_ms: u64) -> RegistryChange {
+    let (_, change) = registered("pool", addr);
+    let RegistryChange::Put(target) = change else { unreachable!() };
+    RegistryChange::Put(RegisteredTarget { started_unix_ms, ..target })
+}
+
+fn change_targets(host: &Host, revision: u64, change: RegistryChange) {
+    let (from, to) = (Revision::new(1, revision - 1), Revision::new(1, revision));
+    let delta = RegistryDelta { from: Some(from), to, changes: vec![(to, change)] };
+    assert!(host.apply_targets(delta, "store"));
+}
+
+/// Guards against a target that is never used again because its former run said that it leaves (Starved):
+/// with an answer that arrived after its registration had ended, or after the next run had registered, whose
+/// start may be earlier if the clock has stepped back.
+#[tokio::test]
+async fn host_target_restarted_under_its_name_is_used_again() {
+    const STARTED: u64 = 1_000;
+    let cases = [
+        Restart::AfterRemoval(2_000),
+        Restart::AfterRemoval(500),
+        Restart::InPlace(2_000),
+        Restart::InPlace(500),
+    ];
+    for (n, case) in cases.into_iter().enumerate() {
+        let target = ScriptedTarget::start(|n, addr, id| match n {
+            Some(0) => {
+                let Reply::Keep(text) = with_header(addr, id, "leaving: 1") else { unreachable!() };
+                Reply::Later(Duration::from_millis(400), text)
+            }
+            _ => plain(n, addr, id),
+        })
+        .await;
+        let peer = format!("127.9.9.{}:7009", 45 + n);
+        let host = common::host(peer.parse().unwrap(), "[]").await;
+        let first = (Revision::new(1, 1), registration(target.addr, STARTED));
+        let addr = serve_pool(&host, vec![first], &peer).await;
+        let while_at_work = async {
+            while target.count() == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            match case {
+                Restart::AfterRemoval(_) => {
+                    let id = identity(target.addr).into();
+                    change_targets(&host, 2, RegistryChange::Removed(id));
+                }
+                Restart::InPlace(start) => {
+                    change_targets(&host, 2, registration(target.addr, start));
+                }
+            }
+        };
+        let ((status, _), ()) = tokio::join!(call(addr, "once", TIME_LEFT_MS), while_at_work);
+        assert_eq!(status, StatusCode::OK, "case {n}");
+        if let Restart::AfterRemoval(start) = case {
+            change_targets(&host, 3, registration(target.addr, start));
+        }
+        for _ in 0..3 {
+            let (status, _) = call(addr, "once", TIME_LEFT_MS).await;
+            assert_eq!(status, StatusCode::OK, "case {n}: after the restart");
+        }
+    }
+}
+
+/// Guards against a target that is never used again because a run of it said that it leaves, if the next run
+/// has the same start and address, as where starts are not registered (Starved).
+#[tokio::test]
+async fn host_restarted_target_that_looks_the_same_is_used_again() {
+    let target = ScriptedTarget::start(|n, addr, id| match n {
+        Some(0) => with_header(addr, id, "leaving: 1"),
+        _ => plain(n, addr, id),
+    })
+    .await;
+    let (host, addr) = start_host_with(&[target.addr], "127.9.9.49:7009").await;
+    assert_eq!(call(addr, "once", TIME_LEFT_MS).await.0, StatusCode::OK);
+    let closed = call(addr, "once", TIME_LEFT_MS).await.0;
+    assert_eq!(closed, StatusCode::SERVICE_UNAVAILABLE, "before the restart");
+    change_targets(&host, 2, RegistryChange::Removed(identity(target.addr).into()));
+    change_targets(&host, 3, registration(target.addr, 0));
+    tokio::time::sleep(LEAVING_RECHECK_INTERVAL).await;
+    proxy::recheck_leaving(&host);
+    // A scheduler that was told by a host holds what it was told a while longer.
+    let restarted = Instant::now();
+    while call(addr, "once", TIME_LEFT_MS).await.0 != StatusCode::OK {
+        assert!(restarted.elapsed() < Duration::from_secs(30), "the target is never used again");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
--- a/crates/geraniummux-host/tests/reach.rs
+++ b/crates/geraniummux-host/tests/reach.rs
@@ -259,7 +259,11 @@
             served(addr, 1).await;
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        while peer.fleet().demands.closed(peer.now(), "pool").is_empty() {
+        let is_paused = || {
+            let fleet = peer.fleet();
+            !fleet.demands.closed(peer.now(), "pool", |t| fleet.registry.run(t)).is_empty()
+        };
+        while !is_paused() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     };
