A stopping host sends on no request that may outlast it

Cause: a request was accepted if four times the typical service time of its route fitted into the rest of the grace period, which says nothing of the request at hand. Requests that waited for a slot at the SIGTERM were not checked at all.

Ruled out: a wrong exit time (9.6 s of 10 s, as intended) and slow targets (all were idle and sound).

Change: a stopping host sends a request to a target only if its deadline is before the exit; others, also those that wait for a slot, are refused at once with 503 and Retry-After 0. A tunnel of a stopping host does not end between two parts of a response.

--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -148,7 +148,7 @@
         }
     };
     let service_time = Duration::from_secs_f64(typical.service_time_s);
-    if !stopping::ends_before_exit(host, host.now(), deadline, service_time) {
+    if !stopping::ends_before_exit(host, deadline) {
         return Err(Unserved::elsewhere("stopping"));
     }
     let mut fleet = host.fleet();
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -7,6 +7,7 @@
 use crate::host::Phase;
 use crate::peers;
 use crate::scheduling::Grant;
+use crate::stopping;
 use crate::upstream::TargetResponse;
 use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
@@ -20,6 +21,7 @@
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Attempts that targets refused without executing the request, after which it is not retried.
 const MAX_NOT_EXECUTED_ATTEMPTS: u32 = 3;
@@ -83,8 +85,7 @@
     let deadline = tokio::time::sleep(ctx.time_left(now));
     tokio::pin!(deadline);
     let mut phases = host.phases();
-    let exiting = phases.wait_for(|p| *p == Phase::Exiting);
-    tokio::pin!(exiting);
+    let mut phase = Phase::Serving;
     let rsp = loop {
         let hedge_delay = active.hedge_at.map(|at| at.since(host.now()));
         tokio::select! {
@@ -98,9 +99,15 @@
                 active.reason = "deadline";
                 break active.failure_response();
             }
-            _ = &mut exiting => {
-                active.reason = "stopping";
-                break active.failure_response();
+            later = later_phase(&mut phases, phase) => {
+                phase = later;
+                if phase == Phase::Exiting {
+                    active.reason = "stopping";
+                    break active.failure_response();
+                }
+                if let Some(rsp) = active.on_stopping() {
+                    break rsp;
+                }
             }
             (target, latency_factor) = next_hedge_grant(&mut active.grants) => active.on_hedge_grant(target, latency_factor),
             () = sleep(hedge_delay) => active.start_hedge(),
@@ -117,6 +124,12 @@
     }
 }
 
+/// Waits until the host is in a later phase than `current`, and returns that.
+async fn later_phase(phases: &mut watch::Receiver<Phase>, current: Phase) -> Phase {
+    // The host owns the sender, and outlives its requests.
+    phases.wait_for(|p| *p > current).await.map_or(Phase::Exiting, |p| *p)
+}
+
 /// Waits until the scheduler grants a hedge.
 async fn next_hedge_grant(grants: &mut [Grant]) -> (Arc<str>, f64) {
     std::future::poll_fn(|cx| {
@@ -163,6 +176,9 @@
         match event {
             Event::TargetSelected(Selection::Selected(selected)) => {
                 self.selecting = false;
+                if self.in_flight.is_empty() && !self.ends_before_exit() {
+                    return self.on_stopping();
+                }
                 self.send(*selected);
                 None
             }
@@ -195,6 +211,22 @@
         }
     }
 
+    fn ends_before_exit(&self) -> bool {
+        stopping::ends_before_exit(&self.ctx.host, self.ctx.deadline)
+    }
+
+    /// Returns the response for the caller if the host is stopping, no target is at work on the request, and one
+    /// might not be done with it before the exit.
+    fn on_stopping(&mut self) -> Option<Response<Full<Bytes>>> {
+        if !self.in_flight.is_empty() || self.ends_before_exit() {
+            return None;
+        }
+        self.reason = "stopping";
+        // Another host can serve the request at once.
+        self.rejection = Some((self.reason, Duration::ZERO));
+        Some(self.failure_response())
+    }
+
     /// Connects to the target of a hedge that the scheduler granted, if another attempt is allowed.
     fn on_hedge_grant(&mut self, target: Arc<str>, latency_factor: f64) {
         let ctx = self.ctx.clone();
@@ -317,6 +349,7 @@
             && self.executed_attempts < ctx.route.max_attempts
             && self.not_executed_attempts < MAX_NOT_EXECUTED_ATTEMPTS
             && ctx.time_left(now) > ctx.service_time / 2
+            && self.ends_before_exit()
             && !ctx.host.fleet().quarantine.is_blocked(now, ctx.fingerprint);
         if !allowed {
             return;
--- a/crates/geraniummux-host/src/stopping.rs
+++ b/crates/geraniummux-host/src/stopping.rs
@@ -1,5 +1,5 @@
 //! Stops a host gracefully: callers move to other hosts, then the requests in flight finish. A request
-//! that may not end in time is not accepted, since it would be cut.
+//! whose deadline is after the exit is not sent to a target, since it might be cut; another host can serve it.
 
 use crate::host::{Host, Phase};
 use crate::peers;
@@ -13,9 +13,6 @@
 /// Time before the exit at which the requests still in flight are answered, so that their callers get a
 /// response instead of a closed connection.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
-/// Multiple of its typical service time that a request is given to end. It covers targets at a quarter of
-/// their usual speed.
-const FINISH_FACTOR: f64 = 4.0;
 /// Share of the grace period in which callers are still served while they move to other hosts. The
 /// rest suffices to finish the requests that were accepted until then.
 const SERVE_SHARE_OF_GRACE: f64 = 0.45;
@@ -34,10 +31,10 @@
     pub fn begin(host: &Arc<Host>, grace: Duration) -> Self {
         info!(host.log, "stopping"; "callers" => host.caller_count(),
             "grace_ms" => grace.as_millis() as u64);
-        host.enter_phase(Phase::Leaving);
-        peers::leave(host);
         let stop = Stop { started: host.now(), grace };
         host.set_finish_by(stop.exit_at() - RESPONSE_MARGIN);
+        host.enter_phase(Phase::Leaving);
+        peers::leave(host);
         stop
     }
 
@@ -68,8 +65,7 @@
     }
 }
 
-/// Returns whether a request that is due at `deadline` is expected to end before the host exits.
-pub fn ends_before_exit(host: &Host, now: Time, deadline: Time, service_time: Duration) -> bool {
-    let needed = deadline.since(now).min(service_time.mul_f64(FINISH_FACTOR));
-    host.finish_by().is_none_or(|at| now + needed <= at)
+/// Returns whether a request that is due at `deadline` ends before the host exits, however long its target takes.
+pub fn ends_before_exit(host: &Host, deadline: Time) -> bool {
+    host.finish_by().is_none_or(|at| deadline <= at)
 }
--- a/crates/geraniummux-host/src/tunnel.rs
+++ b/crates/geraniummux-host/src/tunnel.rs
@@ -8,6 +8,7 @@
 use crate::host::{Host, Phase};
 use crate::peers;
 use crate::upstream::Connection;
+use geraniummux_core::Time;
 use geraniummux_core::fleet::{Candidate, TargetPath};
 use geraniummux_wire::{Message, TunnelRefusal};
 use slog::info;
@@ -15,7 +16,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -27,6 +28,8 @@
 const TARGET_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of tunnels that a host serves at the same time.
 pub const MAX_TUNNELS: usize = 256;
+/// Time without bytes from the target after which its response counts as complete when this host stops.
+const RESPONSE_QUIET_TIME: Duration = Duration::from_millis(200);
 /// Size of the buffer of each direction in bytes.
 const BUFFER_LEN: usize = 8 << 10;
 /// TCP keepalive of tunnels, which end when the host at the other end has lost power: idle time before the
@@ -158,6 +161,8 @@
     };
     // Whether the last bytes came from the host, which has sent a request.
     let in_request = AtomicBool::new(false);
+    // When the last bytes came from the target, in microseconds of the host's clock.
+    let responded_at = AtomicU64::new(0);
     let ended = {
         let (mut from_host, mut to_host) = stream.split();
         let (mut from_target, mut to_target) = upstream.split();
@@ -183,12 +188,17 @@
                     Err(_) => return Ok(End::TargetReset),
                 };
                 in_request.store(false, Ordering::Relaxed);
+                responded_at.store(host.now().as_micros(), Ordering::Relaxed);
                 to_host.write_all(&buf[..len]).await?;
             }
         };
         let stopped = async {
             stopping.await;
-            while in_request.load(Ordering::Relaxed) {
+            let is_responding = || {
+                let last = Time::from_micros(responded_at.load(Ordering::Relaxed));
+                host.now().since(last) < RESPONSE_QUIET_TIME
+            };
+            while in_request.load(Ordering::Relaxed) || is_responding() {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
             End::Host
--- a/crates/geraniummux-host/tests/stopping.rs
+++ b/crates/geraniummux-host/tests/stopping.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -102,3 +102,64 @@
     assert!(response.starts_with("HTTP/1.1 503"), "{response}");
     assert_eq!(target.count(), 1);
 }
+
+/// Guards against requests that a stopping host passes on because they usually take less than the time that is
+/// left, and cuts while a slow target is at work (LOST). Those that are due before the exit are served.
+#[tokio::test]
+async fn stop_request_that_is_due_after_the_exit_is_refused() {
+    const LONG_GRACE: Duration = Duration::from_secs(4);
+    let (host, addr, target) = start_host("127.9.9.73:7009").await;
+    Stop::begin(&host, LONG_GRACE);
+    for (n, route) in ["safe", "once"].into_iter().enumerate() {
+        let (status, _) = call_as(addr, route, &format!("r-{n}"), TIME_LEFT_MS).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{route}");
+    }
+    assert_eq!(target.count(), 1);
+    let (status, _) = call_as(addr, "once", "r-due", 500).await;
+    assert_eq!(
+        status,
+        StatusCode::GATEWAY_TIMEOUT,
+        "the target is given the time that the caller has"
+    );
+    assert_eq!(target.count(), 2);
+}
+
+/// Guards against requests that wait for a slot when their host stops, are passed on late in the grace period, and
+/// cut at the exit (LOST). Other hosts can serve them at once.
+#[tokio::test]
+async fn stop_waiting_request_is_refused_at_once() {
+    const LONG_GRACE: Duration = Duration::from_secs(4);
+    let target = ScriptedTarget::start(|n, addr, id| match n {
+        None | Some(0) => Reply::Keep(complete_response(addr, id)),
+        Some(_) => Reply::Later(Duration::from_millis(800), complete_response(addr, id)),
+    })
+    .await;
+    let (host, addr) = start_host_with(&[target.addr], "127.9.9.74:7009").await;
+    assert_eq!(call_as(addr, "once", "r-first", TIME_LEFT_MS).await.0, StatusCode::OK);
+    let ids: Vec<String> = (0..12).map(|n| format!("r-{n}")).collect();
+    let calls = ids.iter().map(|id| async move {
+        let status = call_as(addr, "once", id, TIME_LEFT_MS).await.0;
+        (status, Instant::now())
+    });
+    let stop = async {
+        while target.count() < 4 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        // What is under way at this moment reaches the target.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        Stop::begin(&host, LONG_GRACE);
+        target.count()
+    };
+    let (responses, count) = tokio::join!(join_all(calls), stop);
+    assert_eq!(target.count(), count, "requests are passed on after the stop has begun");
+    let served = responses.iter().filter(|(status, _)| *status == StatusCode::OK);
+    let first_served = served.map(|(_, at)| *at).min().unwrap();
+    for (id, (status, at)) in ids.iter().zip(responses) {
+        if target.requests.lock().unwrap().contains(id) {
+            assert_eq!(status, StatusCode::OK, "{id}");
+        } else {
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{id}");
+            assert!(at < first_served, "{id} waits until a slot is free");
+        }
+    }
+}
