Repeated SIGTERMs no longer cut requests in flight

What callers saw: when SIGTERM was sent to a host again while it stopped, all requests in flight ended without a response, whether their targets were at work or not (LOST).

Change: further SIGTERMs are logged and change nothing. If the settings file has changed since it was last read, it is read before the stop begins, which goes by its grace period.

--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -123,6 +123,10 @@
             }
         }
     }
+    if modified(&path) != last_modified {
+        // The grace period may have changed.
+        read_settings(&path, &host, "stop");
+    }
     shut_down(&host, stop).await;
 }
 
@@ -146,14 +150,21 @@
     }
 }
 
-/// Stops the host gracefully. A second SIGTERM while callers move to other hosts ends the process at once.
+/// Stops the host gracefully. Further SIGTERMs change nothing, as they must not cut requests in flight.
 async fn shut_down(host: &Arc<Host>, mut signal: Signal) {
     let grace = Duration::from_secs_f64(host.settings.load().promises.grace_s);
     let stop = Stop::begin(host, grace);
-    tokio::select! {
-        () = stop.until_callers_have_moved() => stop.drain(host).await,
-        _ = signal.recv() => {
-            warn!(host.log, "stopped_at_once"; "callers" => host.caller_count());
+    let stopped = async {
+        stop.until_callers_have_moved().await;
+        stop.drain(host).await;
+    };
+    tokio::pin!(stopped);
+    loop {
+        tokio::select! {
+            () = &mut stopped => return,
+            Some(()) = signal.recv() => {
+                info!(host.log, "stopping_already"; "callers" => host.caller_count());
+            }
         }
     }
 }
--- a/crates/geraniummux-soak/tests/process.rs
+++ b/crates/geraniummux-soak/tests/process.rs
@@ -86,6 +86,32 @@
     assert_eq!(harness.process_failures(), Vec::<String>::new());
 }
 
+/// Guards against a repeated SIGTERM that aborts requests in flight (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_repeated_finishes_requests() {
+    let harness = std::sync::Arc::new(start_harness(13).await);
+    for target in &harness.targets {
+        target.set_service_ms(700);
+    }
+    let requests: Vec<_> = (0..6)
+        .map(|n| {
+            let harness = harness.clone();
+            tokio::spawn(async move { send(&harness, 0, &format!("again-{n}"), n % 2 == 0).await })
+        })
+        .collect();
+    while (0..6).any(|n| harness.run_counts.runs(&format!("again-{n}")) == 0) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for _ in 0..4 {
+        assert!(harness.signal(0, Signal::SIGTERM));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for outcome in requests {
+        assert_eq!(outcome.await.unwrap(), SERVED);
+    }
+    assert_eq!(harness.process_failures(), Vec::<String>::new());
+}
+
 /// Guards against a SIGHUP that terminates the process or closes connections.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reload_keeps_connections() {
