Figures of targets and peers are bounded where they are decoded

Some requests ended with a closed connection although they were run.

Cause: any finite figure was accepted and reached Duration::from_secs_f64, which panics on overflow, in the task that receives peers' messages or in that of a caller's connection.

Ruled out: lost messages and a wrong membership; the peers' datagrams arrived at a socket that nobody read. Other decoders: registrations, configurations and settings check their ranges.

Change: figures out of range are none, whether targets or peers state them; they are counted and logged once a minute for each source. Durations are scaled within bounds, sums of counts saturate, and a fault weight that is no number is 0. A limit that can't be read no longer ends the one that was named before. The messages between hosts are unchanged.

Tests: target_report and target_demand return why a header is refused; the cases of target_demand_limit that had to give no limit now have to be refused, which is stricter.

--- a/crates/geraniummux-core/src/fleet/admission.rs
+++ b/crates/geraniummux-core/src/fleet/admission.rs
@@ -9,6 +9,7 @@
 //! request that is not expected to be answered before its deadline is rejected at once.
 
 use super::forecast::TargetReport;
+use crate::time::scaled;
 use std::time::Duration;
 
 /// What an admission decision needs to know of a request.
@@ -109,9 +110,9 @@
     }
     let reject = |reason| {
         let share = rules.retry_after_share * (0.5 + 0.5 * random);
-        AdmissionDecision::Reject { reason, retry_after: input.time_left.mul_f64(share) }
+        AdmissionDecision::Reject { reason, retry_after: scaled(input.time_left, share) }
     };
-    let expected = input.service_time.mul_f64(latency_factor);
+    let expected = scaled(input.service_time, latency_factor);
     if expected > input.time_left {
         return reject(AdmissionRejectReason::TooLate);
     }
@@ -121,7 +122,7 @@
     if expected <= latency_target_left && queue_has_room(queue_share) {
         return AdmissionDecision::Send;
     }
-    if input.elapsed < input.latency_target.mul_f64(rules.max_hold_share) {
+    if input.elapsed < scaled(input.latency_target, rules.max_hold_share) {
         return AdmissionDecision::Hold(rules.hold_interval);
     }
     if queue_has_room(rules.late_queue_share) {
--- a/crates/geraniummux-core/src/fleet/faults.rs
+++ b/crates/geraniummux-core/src/fleet/faults.rs
@@ -86,7 +86,8 @@
 
     /// Adds the weight of a fault that this host or a peer observed.
     pub fn add(&mut self, now: Time, weight: f64, opts: &FaultOptions) {
-        self.score = (self.at(now, opts) + weight).min(4.0 * opts.eject_at);
+        // `max` takes a weight that is no number for 0.
+        self.score = (self.at(now, opts) + weight.max(0.0)).min(4.0 * opts.eject_at);
         self.at = now;
     }
 
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod bodies;
+mod bounds;
 mod config_change;
 mod demands;
 mod extra_attempts;
@@ -29,6 +30,7 @@
     AdmissionDecision, AdmissionInput, AdmissionRejectReason, AdmissionRules, admit,
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
+pub use bounds::{MAX_SLOTS, is_plausible_fault_weight};
 pub use config_change::ConfigChange;
 pub use demands::{Demands, LEAVING_RECHECK_INTERVAL, ReportedDemand, TargetDemand};
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -28,7 +28,7 @@
 use super::limits::{LimitOutlook, MAX_LIMIT_AGE, RateBucket};
 use super::registry::{RegisteredTarget, TargetRun};
 use super::warm::WarmConnections;
-use crate::time::Time;
+use crate::time::{Time, scaled, seconds};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -280,7 +280,7 @@
         let worked = now.since(self.granted_at).as_secs_f64() / self.slowdown.max(1.0);
         let remaining = (service_time - worked).max(service_time * MIN_REMAINING_WORK) * slowdown;
         let may_hedge = self.request.hedgeable && !self.is_hedged && now < self.latency_deadline;
-        may_hedge && now + Duration::from_secs_f64(remaining) > self.latency_deadline
+        may_hedge && now + seconds(remaining) > self.latency_deadline
     }
 }
 
@@ -371,7 +371,7 @@
         self.slowdown = report.slowdown;
         self.slots = report.slots.max(1);
         self.reported_at = Some(now);
-        let at_target = report.running + report.waiting;
+        let at_target = report.running.saturating_add(report.waiting);
         self.untracked = f64::from(at_target.saturating_sub(self.in_flight.len() as u32));
         self.outlook.at = None;
     }
@@ -395,7 +395,7 @@
 
     /// Returns the report that the target is expected to make now.
     fn expected_report(&self) -> TargetReport {
-        let load = self.in_flight.len() as u32 + self.outlook.untracked;
+        let load = self.outlook.untracked.saturating_add(self.in_flight.len() as u32);
         TargetReport {
             running: load.min(self.slots),
             waiting: load.saturating_sub(self.slots),
@@ -452,7 +452,7 @@
     /// Returns whether the request can still be answered within its latency target by a target that
     /// takes `slowdown` times the typical service time.
     fn can_be_in_time(&self, now: Time, slowdown: f64) -> bool {
-        now + self.request.service_time.mul_f64(slowdown) <= self.latency_deadline()
+        now + scaled(self.request.service_time, slowdown) <= self.latency_deadline()
     }
 }
 
@@ -785,8 +785,8 @@
         let eject_at = self.opts.faults.eject_at;
         let ejected_count =
             self.targets.iter().filter(|t| t.outlook.fault_score >= eject_at).count();
-        let slots: u32 = self.targets.iter().map(|t| t.usable_slots()).sum();
-        let crowded_above = (self.opts.crowded_share * f64::from(slots)).max(1.0);
+        let slots: f64 = self.targets.iter().map(|t| f64::from(t.usable_slots())).sum();
+        let crowded_above = (self.opts.crowded_share * slots).max(1.0);
         let is_crowded = self.waiting.len() as f64 > crowded_above;
         let mut pass = Pass {
             now,
@@ -813,7 +813,8 @@
         let report = t.expected_report();
         let fault_score = t.outlook.fault_score;
         Forecast {
-            has_room: report.running + report.waiting < report.slots + pass.overcommit
+            has_room: report.running.saturating_add(report.waiting)
+                < report.slots.saturating_add(pass.overcommit)
                 && !t.is_closed(pass.now)
                 && t.is_within_limit(pass.now),
             ejected: pass.may_eject && fault_score >= self.opts.faults.eject_at,
@@ -879,7 +880,7 @@
         let pass = self.pass(now);
         let (best, latency_factor) = self.best_target(&pass, w)?;
         let in_time =
-            w.request.service_time.mul_f64(latency_factor) <= w.request.latency_target_left;
+            scaled(w.request.service_time, latency_factor) <= w.request.latency_target_left;
         in_time.then(|| (self.targets[best].id.clone(), latency_factor))
     }
 
@@ -905,7 +906,7 @@
             } else {
                 self.remote_penalty(&w.request) * self.opts.local_preference
             };
-            let rank = w.latency_deadline() + w.request.service_time.mul_f64(preference);
+            let rank = w.latency_deadline() + scaled(w.request.service_time, preference);
             (!w.can_be_in_time(pass.now, 1.0), w.request.priority, rank)
         });
         order
@@ -924,11 +925,11 @@
         }
         let is_late = !w.can_be_in_time(now, 1.0);
         if let Some((i, latency_factor)) = self.best_target(pass, w) {
-            let expected = w.request.service_time.mul_f64(latency_factor);
+            let expected = scaled(w.request.service_time, latency_factor);
             // A target with a free slot that is too slow at present is skipped while another target
             // may still answer in time.
             let in_time = w.can_be_in_time(now, latency_factor);
-            if in_time || is_late && expected.mul_f64(pass.late_deadline_margin) <= left {
+            if in_time || is_late && scaled(expected, pass.late_deadline_margin) <= left {
                 // While others wait, each slot goes to the request that it suits best.
                 let (i, latency_factor) = if self.waiting.len() == 1 {
                     self.prefer_open_connection(pass, w, i)
@@ -945,7 +946,7 @@
             return Some(self.reject(now, w, RejectReason::Limited));
         }
         let is_hopeless =
-            is_late && left < w.request.service_time.mul_f64(pass.late_deadline_margin);
+            is_late && left < scaled(w.request.service_time, pass.late_deadline_margin);
         is_hopeless.then(|| self.reject(now, w, RejectReason::TooLate))
     }
 
@@ -1037,6 +1038,6 @@
 
     fn reject(&self, now: Time, w: &Waiting, reason: RejectReason) -> SlotDecision {
         let left = w.deadline().since(now);
-        SlotDecision::Reject { reason, retry_after: left.mul_f64(self.opts.retry_after_share) }
+        SlotDecision::Reject { reason, retry_after: scaled(left, self.opts.retry_after_share) }
     }
 }
--- a/crates/geraniummux-core/src/fleet/table.rs
+++ b/crates/geraniummux-core/src/fleet/table.rs
@@ -203,9 +203,9 @@
             && let Some((_, report)) = &mut t.report
         {
             if report.free_slots() > 0 {
-                report.running += 1;
+                report.running = report.running.saturating_add(1);
             } else {
-                report.waiting += 1;
+                report.waiting = report.waiting.saturating_add(1);
             }
         }
     }
--- a/crates/geraniummux-core/src/membership.rs
+++ b/crates/geraniummux-core/src/membership.rs
@@ -566,7 +566,7 @@
         let name_conflict = other_addr && m.incarnation == self.local.incarnation;
         let refutable = m.incarnation == self.local.incarnation && m.state > self.local.state;
         if m.incarnation > self.local.incarnation || name_conflict || refutable {
-            self.local.incarnation = m.incarnation + 1;
+            self.local.incarnation = m.incarnation.saturating_add(1);
             self.queue_broadcast(self.local.name.clone());
         }
     }
--- a/crates/geraniummux-core/src/time.rs
+++ b/crates/geraniummux-core/src/time.rs
@@ -40,7 +40,7 @@
     type Output = Time;
 
     fn add(self, rhs: Duration) -> Time {
-        Time(self.0.saturating_add(rhs.as_micros() as u64))
+        Time(self.0.saturating_add(whole_micros(rhs)))
     }
 }
 
@@ -48,10 +48,28 @@
     type Output = Time;
 
     fn sub(self, rhs: Duration) -> Time {
-        Time(self.0.saturating_sub(rhs.as_micros() as u64))
+        Time(self.0.saturating_sub(whole_micros(rhs)))
     }
 }
 
+fn whole_micros(d: Duration) -> u64 {
+    u64::try_from(d.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Longest duration that [`seconds`] and [`scaled`] return. Sums of a few such durations don't overflow.
+const LONGEST: Duration = Duration::from_secs(u32::MAX as u64);
+
+/// Returns a duration of `s` seconds: zero if that is negative or no number, and at most about 136 years.
+pub fn seconds(s: f64) -> Duration {
+    // `max` returns the other operand if one is no number.
+    Duration::from_secs_f64(s.max(0.0).min(LONGEST.as_secs_f64()))
+}
+
+/// Returns a multiple of a duration, within the bounds of [`seconds`].
+pub fn scaled(d: Duration, factor: f64) -> Duration {
+    seconds(d.as_secs_f64() * factor)
+}
+
 /// A wall-clock instant in milliseconds since the Unix epoch.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -2,11 +2,12 @@
 
 use crate::bodies::Bodies;
 use crate::clock::Clock;
+use crate::figures::RefusedFigures;
 use crate::fleet::{Fleet, Prober};
 use crate::freshness::Freshness;
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerNet};
-use crate::protocol::Protocol;
+use crate::protocol::{InvalidHeader, Protocol};
 use crate::reach::Reach;
 use crate::scheduling::{self, Scheduling};
 use crate::settings::Settings;
@@ -15,13 +16,15 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
     Candidate, ConfigChange, ConfigEdition, ExtraAttempt, ExtraAttemptOptions, Fault, FleetConfig,
-    RegistryDelta, ReportedDemand, Revision, RouteIndex, TargetDemand,
+    RegistryDelta, ReportedDemand, Revision, RouteIndex, TargetDemand, TargetReport,
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::{Member, MemberState, Membership, Time};
 use geraniummux_wire::Message;
+use http::HeaderMap;
 use slog::{Logger, info, warn};
 use std::collections::VecDeque;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -85,6 +88,7 @@
     members: Mutex<Membership>,
     freshness: Mutex<Freshness>,
     reach: Mutex<Reach>,
+    refused_figures: Mutex<RefusedFigures>,
     /// One permit for each tunnel that this host may serve for its peers.
     pub tunnel_permits: Semaphore,
     phase: watch::Sender<Phase>,
@@ -150,6 +154,7 @@
             members: Mutex::new(Membership::new(now, local_member, seeds, opts, &mut rand::rng())),
             freshness: Mutex::new(Freshness::new(now)),
             reach: Mutex::default(),
+            refused_figures: Mutex::default(),
             tunnel_permits: Semaphore::new(MAX_TUNNELS),
             phase: watch::channel(Phase::Serving).0,
             finish_by: OnceLock::new(),
@@ -357,6 +362,35 @@
         true
     }
 
+    /// Returns the load that a target reports in a response's headers, if it does and that can be true.
+    pub fn target_report(&self, target: &Arc<str>, headers: &HeaderMap) -> Option<TargetReport> {
+        self.valid(target, self.protocol.target_report(headers)).flatten()
+    }
+
+    /// Returns what a target demands in a response's headers, unless that can't be true.
+    pub fn target_demand(&self, target: &Arc<str>, headers: &HeaderMap) -> Option<TargetDemand> {
+        self.valid(target, self.protocol.target_demand(headers))
+    }
+
+    fn valid<T>(&self, target: &Arc<str>, header: Result<T, InvalidHeader>) -> Option<T> {
+        match header {
+            Ok(value) => Some(value),
+            Err(e) => {
+                self.on_refused_figure(target, e);
+                None
+            }
+        }
+    }
+
+    /// Records that a target or a peer stated a figure that can't be true.
+    pub fn on_refused_figure<E>(&self, source: &Arc<str>, error: E)
+    where
+        E: Display,
+    {
+        self.metrics.refused_figure();
+        lock(&self.refused_figures).record(self.now(), &self.log, source, error);
+    }
+
     /// Records what a target demands with a response to a request or a probe that was sent to `candidate` at
     /// `sent_at`, and reports changes to the scheduler of the pool.
     pub fn on_demand(
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod bodies;
 pub mod clock;
 pub mod directory;
+pub mod figures;
 pub mod fleet;
 pub mod freshness;
 pub mod host;
@@ -37,7 +38,7 @@
 
 pub use clock::Clock;
 pub use host::Host;
-pub use protocol::{CallerLocation, HeaderNames, Protocol};
+pub use protocol::{CallerLocation, HeaderNames, InvalidHeader, Protocol};
 pub use run::run;
 pub use settings::Settings;
 pub use store::{ConfigUpdate, Store, StoreError, UnknownRouteType};
--- a/crates/geraniummux-host/src/metrics.rs
+++ b/crates/geraniummux-host/src/metrics.rs
@@ -22,6 +22,7 @@
     store_calls: IntCounterVec,
     peer_messages: IntCounterVec,
     unknown_route_types: IntCounter,
+    refused_figures: IntCounter,
     state: IntGaugeVec,
 }
 
@@ -62,9 +63,13 @@
                 "geraniummux_unknown_route_types_total",
                 "Routes of unknown types in new configurations",
             )?,
+            refused_figures: IntCounter::new(
+                "geraniummux_refused_figures_total",
+                "Figures of targets and peers that can't be true",
+            )?,
             state: IntGaugeVec::new(Opts::new("geraniummux_state", "State of the host"), &["of"])?,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 9] = [
+        let all: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.attempts.clone()),
@@ -73,6 +78,7 @@
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.peer_messages.clone()),
             Box::new(metrics.unknown_route_types.clone()),
+            Box::new(metrics.refused_figures.clone()),
             Box::new(metrics.state.clone()),
         ];
         for metric in all {
@@ -112,6 +118,11 @@
         self.peer_messages.with_label_values(&[kind]).inc();
     }
 
+    /// Records a figure of a target or a peer that was refused.
+    pub fn refused_figure(&self) {
+        self.refused_figures.inc();
+    }
+
     /// Records routes of a new configuration whose type is unknown.
     pub fn unknown_route_type(&self, routes: usize) {
         self.unknown_route_types.inc_by(routes as u64);
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -1,6 +1,7 @@
 //! Messages between entry hosts: membership, faults of targets, crash reports and scheduling over UDP;
 //! state synchronization and replication over TCP.
 
+use crate::figures;
 use crate::host::Host;
 use crate::replication;
 use crate::scheduling::{self, Scheduling};
@@ -113,6 +114,11 @@
 fn on_datagram(host: &Arc<Host>, addr: SocketAddr, envelope: Envelope) {
     let Envelope { from, incarnation, generation, message } = envelope;
     host.on_peer_config_version(generation);
+    let (message, is_altered) = figures::plausible(message);
+    if is_altered {
+        host.on_refused_figure(&from, "a figure in a message is out of range");
+    }
+    let Some(message) = message else { return };
     match message {
         Message::Gossip(gossip) => on_gossip(host, &from, incarnation, addr, gossip),
         Message::Faults(faults) => {
--- a/crates/geraniummux-host/src/protocol.rs
+++ b/crates/geraniummux-host/src/protocol.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use geraniummux_core::fleet::{TargetDemand, TargetReport};
-use http::{HeaderMap, HeaderName, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Uri};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,16 +32,34 @@
     pub failure_domain: Option<Arc<str>>,
 }
 
+/// A header of a target's response whose value is not one that a sound target sends.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{name}: {value:?} is out of range or can't be read")]
+pub struct InvalidHeader {
+    /// Name of the header.
+    pub name: HeaderName,
+    /// Its value.
+    pub value: HeaderValue,
+}
+
 /// Platform-specific formats of the traffic with callers and targets.
 pub trait Protocol: Send + Sync + 'static {
     /// Returns the names of platform-specific headers.
     fn headers(&self) -> &HeaderNames;
 
-    /// Parses the load that a target reports in a response's headers.
-    fn target_report(&self, headers: &HeaderMap) -> Option<TargetReport>;
+    /// Parses the load that a target reports in a response's headers; `None` if it reports none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the header can't be read or its figures are not plausible.
+    fn target_report(&self, headers: &HeaderMap) -> Result<Option<TargetReport>, InvalidHeader>;
 
     /// Parses what a target demands of all hosts in a response's headers.
-    fn target_demand(&self, headers: &HeaderMap) -> TargetDemand;
+    ///
+    /// # Errors
+    ///
+    /// Fails if a header can't be read or its figure is not plausible, unless the target is leaving.
+    fn target_demand(&self, headers: &HeaderMap) -> Result<TargetDemand, InvalidHeader>;
 
     /// Returns whether a request to the readiness address is a readiness check.
     fn is_readiness_request(&self, uri: &Uri) -> bool;
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -5,6 +5,7 @@
 use super::selection::SelectedTarget;
 use crate::upstream::{self, ExchangeError, TargetResponse};
 use geraniummux_core::fleet::{Fault, TargetReport};
+use geraniummux_core::time::scaled;
 use http::{Request, StatusCode, Version};
 use http_body_util::Full;
 use slog::info;
@@ -54,17 +55,19 @@
     let now = host.now();
     let outcome = match result {
         Ok((response, conn)) => {
-            report = host.protocol.target_report(&response.headers);
+            report = host.target_report(&target, &response.headers);
             if let Some(report) = report {
                 host.fleet().table.on_report(now, &target, report);
             }
             let body_bytes = response.body.len() as u64;
-            let demand = host.protocol.target_demand(&response.headers);
+            let demand = host.target_demand(&target, &response.headers);
             if let Some(pause) = headers::retry_after(&response) {
                 host.on_pause(&ctx.pool.name, &candidate, pause, relay);
             }
             let outcome = classify(&ctx, response);
-            if is_from_target(&outcome) {
+            if let Some(demand) = demand
+                && is_from_target(&outcome)
+            {
                 host.on_demand(&ctx.pool.name, &candidate, sent_at, demand);
             }
             if matches!(outcome, AttemptOutcome::Responded(_)) {
@@ -117,7 +120,7 @@
     };
     host.metrics.attempt(&ctx.pool.name, result);
     info!(host.log, "send"; "id" => ctx.id(), "target" => &*target, "result" => result,
-        "stretch" => latency_factor, "expected_ms" => ctx.service_time.mul_f64(latency_factor).as_millis() as u64,
+        "stretch" => latency_factor, "expected_ms" => scaled(ctx.service_time, latency_factor).as_millis() as u64,
         "took_ms" => now.since(sent_at).as_millis() as u64,
         "slowdown" => report.map_or(0.0, |r| r.slowdown));
     FinishedAttempt { target, outcome, report }
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -18,6 +18,7 @@
 use context::RequestContext;
 use geraniummux_core::Fingerprint;
 use geraniummux_core::fleet::{AdmissionRules, FleetRoute, RouteIndex};
+use geraniummux_core::time::{scaled, seconds};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -85,7 +86,7 @@
     /// different times, so that they don't meet the same shortage together.
     fn retry_later(reason: &'static str, time_left: Duration) -> Self {
         let share = AdmissionRules::default().retry_after_share;
-        let delay = time_left.mul_f64(share * (0.5 + 0.5 * rand::random::<f64>()));
+        let delay = scaled(time_left, share * (0.5 + 0.5 * rand::random::<f64>()));
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Unserved { status, reason, retry_after: Some(delay) }
     }
@@ -147,7 +148,7 @@
             Err(_) => return Err(Unserved::local(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
         }
     };
-    let service_time = Duration::from_secs_f64(typical.service_time_s);
+    let service_time = seconds(typical.service_time_s);
     if !stopping::ends_before_exit(host, deadline) {
         return Err(Unserved::elsewhere("stopping"));
     }
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -14,6 +14,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{ExtraAttempt, Fault};
+use geraniummux_core::time::scaled;
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use slog::info;
@@ -262,7 +263,7 @@
     fn send(&mut self, mut selected: SelectedTarget) {
         self.grants.extend(selected.grant.take());
         let now = self.ctx.host.now();
-        let expected = self.ctx.service_time.mul_f64(selected.latency_factor);
+        let expected = scaled(self.ctx.service_time, selected.latency_factor);
         let addr = selected.conn.addr();
         self.executed_attempts += 1;
         self.tried.push(selected.candidate.id.clone());
@@ -275,8 +276,8 @@
         let may_hedge =
             self.ctx.route.idempotent && self.executed_attempts < self.ctx.route.max_attempts;
         self.hedge_at = may_hedge.then(|| {
-            let earliest = self.ctx.route.latency_target.mul_f64(MIN_HEDGE_DELAY_SHARE);
-            now + expected.mul_f64(HEDGE_LATENCY_FACTOR).max(earliest)
+            let earliest = scaled(self.ctx.route.latency_target, MIN_HEDGE_DELAY_SHARE);
+            now + scaled(expected, HEDGE_LATENCY_FACTOR).max(earliest)
         });
         let ctx = self.ctx.clone();
         self.events
@@ -403,7 +404,7 @@
         let ctx = &self.ctx;
         let now = ctx.host.now();
         for attempt in &self.in_flight {
-            if now.since(attempt.sent_at) > attempt.expected.mul_f64(SILENT_LATENCY_FACTOR) {
+            if now.since(attempt.sent_at) > scaled(attempt.expected, SILENT_LATENCY_FACTOR) {
                 ctx.host.on_fault(&attempt.target, Fault::Silent);
             }
         }
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -19,6 +19,7 @@
     AdmissionDecision, AdmissionInput, AdmissionRules, Candidate, Fault, FleetPool, ResponseLimits,
     SlotRequest, TargetReport, admit, has_slowed,
 };
+use geraniummux_core::time::scaled;
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use slog::info;
@@ -292,7 +293,7 @@
             // This occurs only while a request is held for a free slot; it is held on, since the
             // budget for probes is exhausted.
             tokio::time::sleep(rules.hold_interval).await;
-            let max_hold = ctx.route.latency_target.mul_f64(rules.max_hold_share);
+            let max_hold = scaled(ctx.route.latency_target, rules.max_hold_share);
             min_probes = usize::from(ctx.elapsed(host.now()) >= max_hold);
             continue;
         }
@@ -388,7 +389,7 @@
 fn rejection(reason: &'static str, ctx: &RequestContext) -> Selection {
     let left = ctx.time_left(ctx.host.now());
     let share = AdmissionRules::default().retry_after_share;
-    Selection::Rejected { reason, retry_after: left.mul_f64(share) }
+    Selection::Rejected { reason, retry_after: scaled(left, share) }
 }
 
 /// Returns the index of the best target's response, and the expected latency there as a multiple of the
@@ -506,9 +507,10 @@
         return Ok(None);
     }
     host.metrics.probe(&pool.name, response.status.as_str());
-    let demand = host.protocol.target_demand(&response.headers);
-    host.on_demand(&pool.name, candidate, sent_at, demand);
-    let report = host.protocol.target_report(&response.headers);
+    if let Some(demand) = host.target_demand(&candidate.id, &response.headers) {
+        host.on_demand(&pool.name, candidate, sent_at, demand);
+    }
+    let report = host.target_report(&candidate.id, &response.headers);
     if let Some(report) = report {
         host.fleet().table.on_report(now, &candidate.id, report);
     }
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -12,6 +12,7 @@
     RegisteredTarget, ReportedDemand, RequestKey, Scheduler, SchedulerOptions, SlotDecision,
     SlotRequest, StaleTarget, TargetReport,
 };
+use geraniummux_core::time::scaled;
 use geraniummux_core::{MemberState, Time};
 use geraniummux_wire::{MAX_PROBED_TARGETS, Message};
 use slog::{info, warn};
@@ -282,7 +283,7 @@
 
 impl DecisionTimeout {
     fn new(latency_target: Duration) -> Self {
-        let whole = latency_target.mul_f64(DECISION_SHARE_OF_TARGET).max(MIN_DECISION_TIMEOUT);
+        let whole = scaled(latency_target, DECISION_SHARE_OF_TARGET).max(MIN_DECISION_TIMEOUT);
         // A second message covers the loss of the first one, if there is time for it.
         let sends = if whole >= 2 * MIN_DECISION_TIMEOUT { 2 } else { 1 };
         DecisionTimeout { limit: whole / sends, sends }
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use geraniummux_core::fleet::{TargetDemand, TargetReport};
 use geraniummux_host::metrics::Metrics;
 use geraniummux_host::peers::PeerNet;
-use geraniummux_host::{CallerLocation, HeaderNames, Host, Protocol, Settings};
+use geraniummux_host::{CallerLocation, HeaderNames, Host, InvalidHeader, Protocol, Settings};
 use http::{HeaderMap, HeaderName, Uri};
 use slog::{Discard, Logger, o};
 use std::net::SocketAddr;
@@ -22,15 +22,15 @@
     fn headers(&self) -> &HeaderNames {
         &self.0
     }
-    fn target_report(&self, _: &HeaderMap) -> Option<TargetReport> {
-        None
+    fn target_report(&self, _: &HeaderMap) -> Result<Option<TargetReport>, InvalidHeader> {
+        Ok(None)
     }
-    fn target_demand(&self, headers: &HeaderMap) -> TargetDemand {
+    fn target_demand(&self, headers: &HeaderMap) -> Result<TargetDemand, InvalidHeader> {
         let limit = headers.get("limit").and_then(|v| v.to_str().ok());
-        TargetDemand {
+        Ok(TargetDemand {
             limit_per_s: limit.and_then(|v| v.parse().ok()),
             leaving: headers.contains_key("leaving"),
-        }
+        })
     }
     fn is_readiness_request(&self, _: &Uri) -> bool {
         true
--- a/crates/geraniummux-host/tests/scheduling.rs
+++ b/crates/geraniummux-host/tests/scheduling.rs
@@ -2,13 +2,19 @@
 
 mod common;
 
-use geraniummux_core::fleet::{RejectReason, SlotDecision, SlotRequest};
+use common::targets::registered;
+use geraniummux_core::fleet::{
+    RegistryDelta, RejectReason, ReportedDemand, Revision, SlotDecision, SlotRequest, TargetDemand,
+    TargetReport,
+};
 use geraniummux_host::peers;
 use geraniummux_host::scheduling::{self, SlotResult};
-use geraniummux_wire::{Codec, Envelope, MAX_DATAGRAM_LEN, Message};
+use geraniummux_wire::{Codec, Envelope, MAX_DATAGRAM_LEN, Message, TargetFaults};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::time::timeout;
 
 fn slot_request() -> SlotRequest {
     SlotRequest {
@@ -67,3 +73,89 @@
     assert_eq!(reason, RejectReason::NoTarget);
     task.abort();
 }
+
+/// A peer that speaks to a scheduler by itself.
+struct Peer {
+    codec: Codec,
+    socket: UdpSocket,
+    scheduler: SocketAddr,
+}
+
+impl Peer {
+    async fn start(scheduler: SocketAddr) -> Self {
+        let socket = UdpSocket::bind(SocketAddr::new(scheduler.ip(), 0)).await.unwrap();
+        Peer { codec: Codec::new(common::PEER_KEY.as_bytes()), socket, scheduler }
+    }
+
+    async fn send(&self, message: Message) {
+        let envelope = Envelope { from: "stranger".into(), incarnation: 1, generation: 0, message };
+        let datagram = self.codec.encode_datagram(&envelope).unwrap();
+        self.socket.send_to(&datagram, self.scheduler).await.unwrap();
+    }
+
+    /// Requests a slot for a request that may be hedged, and returns the decision.
+    async fn request(&self, number: u64) -> SlotDecision {
+        let pool = "pool".into();
+        let request = SlotRequest { hedgeable: true, ..slot_request() };
+        self.send(Message::SlotRequest { number, pool, request }).await;
+        let mut buf = [0; MAX_DATAGRAM_LEN];
+        loop {
+            let received = timeout(Duration::from_secs(10), self.socket.recv_from(&mut buf)).await;
+            let (len, _) = received.expect("the host does not hear its peers").unwrap();
+            match self.codec.decode_datagram(&buf[..len]).unwrap().message {
+                Message::SlotDecision { number: n, decision } if n == number => return decision,
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Guards against a host that no longer hears its peers after one of them has passed on what a faulty target
+/// stated, and goes on as the only scheduler of its pools (LIMIT).
+#[tokio::test]
+async fn receive_figures_out_of_range_are_refused() {
+    let scheduler: SocketAddr = "127.9.9.5:7009".parse().unwrap();
+    let host = common::host(scheduler, "[]").await;
+    let targets: Vec<SocketAddr> =
+        vec!["127.9.9.5:1".parse().unwrap(), "127.9.9.5:2".parse().unwrap()];
+    let changes = targets.iter().map(|addr| registered("pool", *addr)).collect();
+    let list = RegistryDelta { from: None, to: Revision::new(1, 1), changes };
+    assert!(host.apply_targets(list, "store"));
+    let task = tokio::spawn(peers::receive(host));
+    let peer = Peer::start(scheduler).await;
+    let pool: Arc<str> = "pool".into();
+    let mut at = Vec::new();
+    for number in 0..4 {
+        let SlotDecision::Grant { target, .. } = peer.request(number).await else { panic!() };
+        at.push(target);
+    }
+    // Two requests at least run at one of the targets.
+    let first = at.iter().position(|t| at.iter().filter(|other| *other == t).count() > 1).unwrap();
+    let target = at[first].clone();
+    let figures = |slowdown| TargetReport { running: 1, waiting: u32::MAX, slots: 4, slowdown };
+    let demand = TargetDemand { limit_per_s: Some(f64::NAN), leaving: false };
+    let demands = vec![ReportedDemand { target: target.clone(), demand, age: Duration::MAX }];
+    let spoilt = SlotRequest { service_time: Duration::MAX, ..slot_request() };
+    let boundless = Some((target.clone(), TargetReport { waiting: 0, ..figures(1e28) }));
+    let number = first as u64;
+    for message in [
+        Message::GrantEnded { number, pool: pool.clone(), report: boundless },
+        Message::TargetReports {
+            pool: pool.clone(),
+            reports: vec![(target.clone(), figures(f64::NAN))],
+        },
+        Message::TargetDemands { pool: pool.clone(), demands },
+        Message::Faults(vec![TargetFaults { target: target.clone(), weight: f32::NAN }]),
+        Message::SlotRequest { number: 90, pool: pool.clone(), request: spoilt },
+        Message::SlotDecision {
+            number: 91,
+            decision: SlotDecision::Grant { target: target.clone(), latency_factor: f64::INFINITY },
+        },
+    ] {
+        peer.send(message).await;
+    }
+    let decision = peer.request(92).await;
+    assert!(matches!(decision, SlotDecision::Grant { .. }), "{decision:?}");
+    assert!(!task.is_finished());
+    task.abort();
+}
