Tasks of a host that end are logged, counted and started again

A panic in the task of a caller's connection closed it without a response.

Cause: run started ten detached tasks and the reader three more; nothing waited for any of them.

Change: tasks::spawn runs each of them, logs and counts its end, starts it again with a growing delay, and keeps the host from being ready meanwhile. A panic by one datagram or one request ends with that. The reader's watches end with it, so that a reader that starts again has no second set of them.

Ruled out: ending the process on any panic; all requests in flight would end with it, although the state behind the locks is sound enough to go on.

--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -99,6 +99,17 @@
     /// Incremented with each change that has to be sent to followers.
     replica_changes: watch::Sender<u64>,
     callers: AtomicUsize,
+    /// Number of long-lived tasks that have ended and not been started again.
+    tasks_down: AtomicUsize,
+}
+
+/// Counts a task as down until dropped.
+pub struct TaskDownGuard(Arc<Host>);
+
+impl Drop for TaskDownGuard {
+    fn drop(&mut self) {
+        self.0.tasks_down.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Counts a caller's connection until dropped.
@@ -161,6 +172,7 @@
             announced_reader: watch::channel(None).0,
             replica_changes: watch::channel(0).0,
             callers: AtomicUsize::new(0),
+            tasks_down: AtomicUsize::new(0),
             settings: ArcSwap::from_pointee(settings),
         }
     }
@@ -210,10 +222,11 @@
         self.routes.load().as_ref().map_or(0, |r| r.version)
     }
 
-    /// Returns whether the host can serve requests: it is not stopping and has a configuration and a
-    /// list of targets.
+    /// Returns whether the host can serve requests: it is not stopping, all its tasks run, and it has a
+    /// configuration and a list of targets.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == Phase::Serving
+            && self.tasks_down.load(Ordering::Relaxed) == 0
             && self.routes.load().is_some()
             && self.fleet().registry.revision().is_some()
     }
@@ -252,6 +265,12 @@
         self.replica_changes.subscribe()
     }
 
+    /// Counts a task as down until the guard is dropped.
+    pub fn mark_task_down(self: &Arc<Self>) -> TaskDownGuard {
+        self.tasks_down.fetch_add(1, Ordering::Relaxed);
+        TaskDownGuard(self.clone())
+    }
+
     /// Counts a caller's connection until the guard is dropped.
     pub fn register_caller(self: &Arc<Self>) -> CallerGuard {
         self.callers.fetch_add(1, Ordering::Relaxed);
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod signals;
 pub mod stopping;
 pub mod store;
+pub mod tasks;
 pub mod tunnel;
 pub mod upstream;
 
--- a/crates/geraniummux-host/src/metrics.rs
+++ b/crates/geraniummux-host/src/metrics.rs
@@ -23,6 +23,7 @@
     peer_messages: IntCounterVec,
     unknown_route_types: IntCounter,
     refused_figures: IntCounter,
+    task_ends: IntCounterVec,
     state: IntGaugeVec,
 }
 
@@ -67,9 +68,10 @@
                 "geraniummux_refused_figures_total",
                 "Figures of targets and peers that can't be true",
             )?,
+            task_ends: counter("task_ends_total", "Ends of tasks that have to run", &["task"])?,
             state: IntGaugeVec::new(Opts::new("geraniummux_state", "State of the host"), &["of"])?,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 10] = [
+        let all: [Box<dyn prometheus::core::Collector>; 11] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.attempts.clone()),
@@ -79,6 +81,7 @@
             Box::new(metrics.peer_messages.clone()),
             Box::new(metrics.unknown_route_types.clone()),
             Box::new(metrics.refused_figures.clone()),
+            Box::new(metrics.task_ends.clone()),
             Box::new(metrics.state.clone()),
         ];
         for metric in all {
@@ -118,6 +121,11 @@
         self.peer_messages.with_label_values(&[kind]).inc();
     }
 
+    /// Records the end of a task that has to run.
+    pub fn task_ended(&self, task: &str) {
+        self.task_ends.with_label_values(&[task]).inc();
+    }
+
     /// Records a figure of a target or a peer that was refused.
     pub fn refused_figure(&self) {
         self.refused_figures.inc();
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -5,6 +5,7 @@
 use crate::host::Host;
 use crate::replication;
 use crate::scheduling::{self, Scheduling};
+use crate::tasks;
 use crate::tunnel;
 use anyhow::Context;
 use geraniummux_core::membership::{Gossip, MembershipAction};
@@ -15,9 +16,10 @@
     Codec, CrashReport, Envelope, MAX_DATAGRAM_LEN, Message, State, TargetFaults, stream_frame_len,
 };
 use rand::seq::SliceRandom;
-use slog::{info, warn};
+use slog::{error, info, warn};
 use std::io;
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -100,7 +102,13 @@
         match host.net().codec.decode_datagram(&buf[..len]) {
             Ok(envelope) => {
                 host.metrics.peer_message("received");
-                on_datagram(&host, addr, envelope);
+                // What one message causes must not cost those after it.
+                let handled = catch_unwind(AssertUnwindSafe(|| on_datagram(&host, addr, envelope)));
+                if let Err(panic) = handled {
+                    host.metrics.peer_message("failed");
+                    error!(host.log, "datagram_failed"; "from" => addr.to_string(),
+                        "cause" => tasks::panic_message(&*panic));
+                }
             }
             Err(e) => {
                 host.metrics.peer_message("refused");
@@ -325,7 +333,7 @@
 }
 
 /// Accepts connections of peers until the task is dropped.
-pub async fn serve(host: Arc<Host>, listener: TcpListener) {
+pub async fn serve(host: Arc<Host>, listener: Arc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, addr)) => {
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -39,6 +39,11 @@
     rsp
 }
 
+/// Returns the response to a request that failed in this host, and may have run.
+pub fn failed_response() -> Response<Full<Bytes>> {
+    response::local(StatusCode::BAD_GATEWAY)
+}
+
 async fn respond(host: &Arc<Host>, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let (parts, body) = req.into_parts();
     let Some(index) = host.routes() else {
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -4,6 +4,7 @@
 use crate::peers;
 use crate::replication;
 use crate::store::{ConfigUpdate, Consistency, Store, StoreError, UnknownRouteType};
+use crate::tasks;
 use geraniummux_core::fleet::{ReadSource, ReaderOptions, Revision, StoreChecks, read_source};
 use rand::RngExt;
 use slog::{info, warn};
@@ -11,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// How long a watch waits for changes. It bounds the time for which it goes unnoticed that the store
@@ -63,7 +65,7 @@
 {
     let opts = ReaderOptions::default();
     let started = host.now();
-    let mut tasks: Vec<tokio::task::JoinHandle<()>> = Vec::new();
+    let mut watches = Watches::default();
     let mut checks = StoreChecks::new(opts);
     // Until when other hosts are told that this one reads the store, and when next.
     let (mut announce_until, mut next_announcement) = (started, started);
@@ -75,7 +77,7 @@
         }
         let position = replication::ReaderOrder::of(&host.members()).position;
         let peer_freshness = host.freshness().peer_freshness(now);
-        let is_reading = !tasks.is_empty();
+        let is_reading = !watches.0.is_empty();
         let mut source = read_source(position.rank, peer_freshness, is_reading, &opts);
         match source {
             ReadSource::StoreIfResponsive if now.since(started) < STARTUP_CHECK_DELAY => {
@@ -108,16 +110,23 @@
                     "hosts" => position.hosts, "age_ms" => peer_freshness.age.as_millis() as u64);
                 let checked = Arc::new(StoreState::default());
                 let (targets, config) = (checked.clone(), checked.clone());
-                tasks.push(tokio::spawn(watch_targets(host.clone(), store.clone(), targets)));
-                tasks.push(tokio::spawn(watch_config(host.clone(), store.clone(), config)));
-                tasks.push(tokio::spawn(monitor_store(host.clone(), store.clone(), checked)));
+                let (h, s) = (host.clone(), store.clone());
+                watches.0.push(tasks::spawn(&host, "watch_targets", move || {
+                    watch_targets(h.clone(), s.clone(), targets.clone())
+                }));
+                let (h, s) = (host.clone(), store.clone());
+                watches.0.push(tasks::spawn(&host, "watch_config", move || {
+                    watch_config(h.clone(), s.clone(), config.clone())
+                }));
+                let (h, s) = (host.clone(), store.clone());
+                watches.0.push(tasks::spawn(&host, "monitor_store", move || {
+                    monitor_store(h.clone(), s.clone(), checked.clone())
+                }));
             }
             (ReadSource::Peers | ReadSource::StoreIfResponsive, true) => {
                 info!(host.log, "reading_peers"; "rank" => position.rank,
                     "hosts" => position.hosts, "age_ms" => peer_freshness.age.as_millis() as u64);
-                for task in tasks.drain(..) {
-                    task.abort();
-                }
+                watches = Watches::default();
                 let mut freshness = host.freshness();
                 freshness.set_watching_targets(now, false);
                 freshness.set_watching_config(now, false);
@@ -128,6 +137,16 @@
     }
 }
 
+/// The tasks that watch the store; they end when this is dropped.
+#[derive(Default)]
+struct Watches(Vec<JoinHandle<()>>);
+
+impl Drop for Watches {
+    fn drop(&mut self) {
+        self.0.iter().for_each(JoinHandle::abort);
+    }
+}
+
 /// Exponential backoff between failed calls.
 struct Backoff {
     delay: Duration,
@@ -230,6 +249,7 @@
 where
     S: Store,
 {
+    host.freshness().set_watching_targets(host.now(), false);
     let mut backoff = Backoff::new();
     loop {
         // A list shows that the store responds; a watch does not, as long as it waits.
@@ -264,6 +284,7 @@
 where
     S: Store,
 {
+    host.freshness().set_watching_config(host.now(), false);
     let mut backoff = Backoff::new();
     loop {
         while let Err(e) = read_config(&host, &*store, Consistency::Latest).await {
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -10,7 +10,7 @@
 use crate::signals::Signals;
 use crate::stopping::Stop;
 use crate::store::Store;
-use crate::{logs, reach, reader, replication, scheduling};
+use crate::{logs, reach, reader, replication, scheduling, tasks};
 use anyhow::Context;
 use slog::{Logger, info, warn};
 use std::path::{Path, PathBuf};
@@ -71,22 +71,35 @@
     listeners.extend(settings.metrics.map(|addr| (Service::Metrics, addr)));
     for (service, addr) in listeners {
         let listener = server::listen(service, addr)?;
-        tokio::spawn(server::serve(host.clone(), service, listener));
+        let (h, listener) = (host.clone(), Arc::new(listener));
+        tasks::spawn(&host, service.as_str(), move || {
+            server::serve(h.clone(), service, listener.clone())
+        });
     }
     let peers = tokio::net::TcpListener::bind(settings.peer).await;
     let peers = peers.with_context(|| format!("peer: can't listen on {}", settings.peer))?;
     info!(host.log, "started"; "listen" => settings.listen.to_string(),
         "peer" => settings.peer.to_string(), "store" => settings.store.to_string(),
         "failure_domain" => &*settings.failure_domain);
-    tokio::spawn(peers::serve(host.clone(), peers));
-    tokio::spawn(peers::receive(host.clone()));
-    tokio::spawn(peers::run(host.clone()));
-    tokio::spawn(replication::follow(host.clone()));
-    tokio::spawn(scheduling::run(host.clone()));
-    tokio::spawn(reach::run(host.clone()));
+    let (h, peers) = (host.clone(), Arc::new(peers));
+    tasks::spawn(&host, "serve_peers", move || peers::serve(h.clone(), peers.clone()));
+    // The tasks that need nothing but the host.
+    macro_rules! spawn {
+        ($name:literal, $task:path) => {{
+            let h = host.clone();
+            tasks::spawn(&host, $name, move || $task(h.clone()));
+        }};
+    }
+    spawn!("receive_datagrams", peers::receive);
+    spawn!("membership", peers::run);
+    spawn!("follow", replication::follow);
+    spawn!("scheduling", scheduling::run);
+    spawn!("reach", reach::run);
+    spawn!("maintenance", run_maintenance);
+    // Whatever it can't read is read by the reader or comes from a peer.
     tokio::spawn(reader::read_once(host.clone(), store.clone()));
-    tokio::spawn(reader::run(host.clone(), store));
-    tokio::spawn(run_maintenance(host.clone()));
+    let h = host.clone();
+    tasks::spawn(&host, "reader", move || reader::run(h.clone(), store.clone()));
     until_stopped(path, host, signals).await;
     Ok(())
 }
--- a/crates/geraniummux-host/src/server.rs
+++ b/crates/geraniummux-host/src/server.rs
@@ -1,19 +1,21 @@
 //! Listeners for connections from callers and from the platform.
 
 use crate::host::{Host, Phase};
-use crate::{directory, proxy};
+use crate::{directory, proxy, tasks};
 use anyhow::Context;
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::warn;
+use slog::{error, warn};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,7 +49,8 @@
 }
 
 impl Service {
-    fn as_str(self) -> &'static str {
+    /// Returns the name of the service in logs and metrics.
+    pub fn as_str(self) -> &'static str {
         match self {
             Service::Requests => "requests",
             Service::Directory => "directory",
@@ -76,7 +79,7 @@
 
 /// Accepts and serves connections until the task is dropped. The listener for callers' requests
 /// stops accepting when the host starts to drain.
-pub async fn serve(host: Arc<Host>, service: Service, listener: TcpListener) {
+pub async fn serve(host: Arc<Host>, service: Service, listener: Arc<TcpListener>) {
     let mut phases = host.phases();
     loop {
         let accepted = tokio::select! {
@@ -136,7 +139,15 @@
     req: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     Ok(match service {
-        Service::Requests => proxy::handle(host, req).await,
+        Service::Requests => {
+            let log = host.log.clone();
+            let handled = AssertUnwindSafe(proxy::handle(host, req)).catch_unwind().await;
+            handled.unwrap_or_else(|panic| {
+                error!(log, "request_failed"; "cause" => tasks::panic_message(&*panic));
+                // The request may have run.
+                proxy::failed_response()
+            })
+        }
         Service::Directory => directory::hosts(&host, &req),
         Service::Readiness => directory::readiness(&host, &req),
         Service::Metrics => directory::metrics(&host),
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -55,6 +55,17 @@
 
 /// Returns a host in a failure domain.
 pub async fn host_in(domain: &str, name: &str, peer: SocketAddr, seeds: &str) -> Arc<Host> {
+    host_with_log(domain, name, peer, seeds, Logger::root(Discard, o!())).await
+}
+
+/// Returns a host that logs to `log`.
+pub async fn host_with_log(
+    domain: &str,
+    name: &str,
+    peer: SocketAddr,
+    seeds: &str,
+    log: Logger,
+) -> Arc<Host> {
     let settings = format!(
         r#"{{"host": "{name}", "failure_domain": "{domain}", "listen": "127.9.9.1:1", "readiness": "127.9.9.1:2",
             "directory": "127.9.9.1:3", "peer": "{peer}", "peer_key": "{PEER_KEY}",
@@ -71,6 +82,5 @@
         digest: name("f"),
     };
     let net = PeerNet::open(peer, &settings.peer_key).await.unwrap();
-    let log = Logger::root(Discard, o!());
     Arc::new(Host::new(settings, log, Metrics::new().unwrap(), Arc::new(NoProtocol(names)), net))
 }
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use slog::{Discard, Drain, Logger, Never, OwnedKVList, Record, o};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -197,7 +198,32 @@
     let ip = peer.parse::<SocketAddr>().unwrap().ip();
     let listener = server::listen(Service::Requests, SocketAddr::new(ip, 0)).unwrap();
     let addr = listener.local_addr().unwrap();
-    tokio::spawn(server::serve(host.clone(), Service::Requests, listener));
+    tokio::spawn(server::serve(host.clone(), Service::Requests, Arc::new(listener)));
     tokio::spawn(scheduling::run(host.clone()));
     addr
 }
+
+/// A log that panics in the task that writes a certain message to it.
+pub struct PanicOn(&'static str);
+
+impl PanicOn {
+    /// Returns a log that panics on `message`.
+    pub fn message(message: &'static str) -> Logger {
+        Logger::root(PanicOn(message), o!())
+    }
+
+    /// Returns a log that never panics.
+    pub fn nothing() -> Logger {
+        Logger::root(Discard, o!())
+    }
+}
+
+impl Drain for PanicOn {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        assert!(record.msg().to_string() != self.0, "caused by the test");
+        Ok(())
+    }
+}
--- a/crates/geraniummux-host/tests/endless.rs
+++ b/crates/geraniummux-host/tests/endless.rs
@@ -249,7 +249,7 @@
     );
     let listener = server::listen(Service::Requests, "127.9.9.8:0".parse().unwrap()).unwrap();
     let addr = listener.local_addr().unwrap();
-    tokio::spawn(server::serve(host.clone(), Service::Requests, listener));
+    tokio::spawn(server::serve(host.clone(), Service::Requests, Arc::new(listener)));
     tokio::spawn(scheduling::run(host.clone()));
     (host, addr)
 }
--- a/crates/geraniummux-host/tests/reach.rs
+++ b/crates/geraniummux-host/tests/reach.rs
@@ -54,7 +54,7 @@
     let seeds = format!(r#"["{seed}"]"#);
     let host = common::host_in(domain, name, peer.parse().unwrap(), &seeds).await;
     let listener = TcpListener::bind(peer).await.unwrap();
-    tokio::spawn(peers::serve(host.clone(), listener));
+    tokio::spawn(peers::serve(host.clone(), Arc::new(listener)));
     tokio::spawn(peers::receive(host.clone()));
     tokio::spawn(peers::run(host.clone()));
     tokio::spawn(reach::run(host.clone()));
--- a/crates/geraniummux-host/tests/replication.rs
+++ b/crates/geraniummux-host/tests/replication.rs
@@ -60,7 +60,7 @@
 impl Follower {
     async fn join(host: &Arc<Host>, listener: TcpListener) -> Self {
         let addr = listener.local_addr().unwrap();
-        tokio::spawn(peers::serve(host.clone(), listener));
+        tokio::spawn(peers::serve(host.clone(), Arc::new(listener)));
         let mut stream = TcpStream::connect(addr).await.unwrap();
         let codec = Codec::new(common::PEER_KEY.as_bytes());
         let message = Message::Follow(ReplicaVersions::default());
@@ -109,7 +109,7 @@
 async fn start(name: &str, peer: &str, seed: &str) -> Arc<Host> {
     let host = common::named_host(name, peer.parse().unwrap(), &format!(r#"["{seed}"]"#)).await;
     let listener = TcpListener::bind(peer).await.unwrap();
-    tokio::spawn(peers::serve(host.clone(), listener));
+    tokio::spawn(peers::serve(host.clone(), Arc::new(listener)));
     tokio::spawn(peers::receive(host.clone()));
     tokio::spawn(peers::run(host.clone()));
     tokio::spawn(replication::follow(host.clone()));
