A target that sends on after complete answers is left out

What callers saw: nothing but a slower link: a target whose answers are sound and that sends bytes without end after each of them got as many requests as the others, and its bytes took the hosts' links until each connection was closed (report of other operators).

Cause: surplus bytes end the connection after the exchange is complete, and nobody learns of it.

Ruled out: memory.

Change: when a connection ends with unread bytes, the host reads on, at most 64 KiB and 0.3 s; that many after a complete response are the fault Endless.

--- a/crates/geraniummux-host/src/reach.rs
+++ b/crates/geraniummux-host/src/reach.rs
@@ -2,9 +2,9 @@
 
 use crate::host::Host;
 use crate::tunnel::{self, TunnelError};
-use crate::upstream::Connection;
+use crate::upstream::{Connection, OnEndlessSurplus};
 use geraniummux_core::MemberState;
-use geraniummux_core::fleet::{Candidate, RelayPeer, Relays, TargetPath, TargetReach};
+use geraniummux_core::fleet::{Candidate, Fault, RelayPeer, Relays, TargetPath, TargetReach};
 use rand::seq::IteratorRandom;
 use slog::{info, warn};
 use std::sync::Arc;
@@ -89,7 +89,7 @@
     limit: Duration,
 ) -> Option<Connection> {
     host.metrics.connection("target");
-    let result = timeout(limit, Connection::open(target.run.addr)).await;
+    let result = timeout(limit, Connection::open(target.run.addr, on_surplus(host, target))).await;
     let now = host.now();
     match result {
         Ok(Ok(conn)) => {
@@ -108,6 +108,16 @@
     }
 }
 
+/// Returns what records that a target goes on sending after a complete response.
+pub fn on_surplus(host: &Arc<Host>, target: &Candidate) -> OnEndlessSurplus {
+    let (host, id) = (Arc::downgrade(host), target.id.clone());
+    Box::new(move || {
+        if let Some(host) = host.upgrade() {
+            host.on_fault(&id, Fault::Endless);
+        }
+    })
+}
+
 async fn connect_through_peer(
     host: &Arc<Host>,
     pool: &Arc<str>,
--- a/crates/geraniummux-host/src/tunnel.rs
+++ b/crates/geraniummux-host/src/tunnel.rs
@@ -7,6 +7,7 @@
 
 use crate::host::{Host, Phase};
 use crate::peers;
+use crate::reach;
 use crate::upstream::Connection;
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{Candidate, TargetPath};
@@ -76,7 +77,10 @@
     };
     let (stream, answer) = timeout(OPEN_TIMEOUT, exchange).await.map_err(io::Error::from)??;
     match answer {
-        Message::TunnelOpened => Ok(Connection::relayed(target.run.addr, stream, peer).await?),
+        Message::TunnelOpened => {
+            let on_surplus = reach::on_surplus(host, target);
+            Ok(Connection::relayed(target.run.addr, stream, peer, on_surplus).await?)
+        }
         Message::TunnelRefused(TunnelRefusal::TargetUnreachable) => {
             Err(TunnelError::TargetUnreachable)
         }
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -10,16 +10,18 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::timeout;
 
 /// Maximum number of idle connections per target; a host rarely has more requests in flight there.
 const MAX_IDLE_PER_TARGET: usize = 6;
@@ -31,6 +33,15 @@
 /// framing of chunks.
 const FRAMING_FACTOR: u64 = 2;
 
+/// Bytes after a complete response from which a target counts as sending them without end. Fewer, such as a
+/// response that is sent twice, only cost the connection.
+const ENDLESS_SURPLUS_BYTES: usize = 64 << 10;
+/// Time in which these bytes have to arrive. The connection is closed after that.
+const SURPLUS_WAIT: Duration = Duration::from_millis(300);
+
+/// Called once if a target goes on sending after a complete response.
+pub type OnEndlessSurplus = Box<dyn FnOnce() + Send>;
+
 /// A connection to a target. It is closed when dropped.
 pub struct Connection {
     addr: SocketAddr,
@@ -53,10 +64,10 @@
     /// # Errors
     ///
     /// Fails if the target does not accept the connection.
-    pub async fn open(addr: SocketAddr) -> io::Result<Self> {
+    pub async fn open(addr: SocketAddr, on_surplus: OnEndlessSurplus) -> io::Result<Self> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        Self::on_stream(addr, stream, None).await
+        Self::on_stream(addr, stream, None, on_surplus).await
     }
 
     /// Returns the connection to a target that the peer `relay` relays on `stream`.
@@ -68,17 +79,24 @@
         addr: SocketAddr,
         stream: TcpStream,
         relay: SocketAddr,
+        on_surplus: OnEndlessSurplus,
     ) -> io::Result<Self> {
-        Self::on_stream(addr, stream, Some(relay)).await
+        Self::on_stream(addr, stream, Some(relay), on_surplus).await
     }
 
     async fn on_stream(
         addr: SocketAddr,
         stream: TcpStream,
         relay: Option<SocketAddr>,
+        on_surplus: OnEndlessSurplus,
     ) -> io::Result<Self> {
         let allowance = ReadAllowance::default();
-        let stream = LimitedStream { stream, allowance: allowance.clone() };
+        let stream = LimitedStream {
+            stream,
+            allowance: allowance.clone(),
+            surplus: 0,
+            on_surplus: Some(on_surplus),
+        };
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -165,7 +183,7 @@
     memory: BodyMemory,
 ) -> Result<(TargetResponse, Option<Connection>), ExchangeError> {
     let framed = limits.undeclared.saturating_mul(FRAMING_FACTOR);
-    conn.allowance.set(framed + MAX_HEAD_BYTES as u64);
+    conn.allowance.begin_response(framed + MAX_HEAD_BYTES as u64);
     if conn.sender.ready().await.is_err() {
         return Err(ExchangeError::NotSent);
     }
@@ -200,35 +218,105 @@
         }
         Err(BodyError::Broken) => return Err(ExchangeError::BadResponse),
     };
+    conn.allowance.end_response();
     let response = TargetResponse { status: parts.status, headers: parts.headers, body };
     let closes = has_token(response.headers.get(CONNECTION), "close");
     let conn = (!closes && conn.is_open()).then_some(conn);
     Ok((response, conn))
 }
 
-/// Number of bytes that may still be read from a connection.
+/// What may still be read from a connection.
 #[derive(Clone, Debug, Default)]
-struct ReadAllowance(Arc<AtomicU64>);
+struct ReadAllowance(Arc<Allowed>);
+
+#[derive(Debug, Default)]
+struct Allowed {
+    bytes: AtomicU64,
+    /// Whether the last response is complete, so that nothing is due.
+    is_complete: AtomicBool,
+}
 
 impl ReadAllowance {
+    fn begin_response(&self, bytes: u64) {
+        self.0.is_complete.store(false, Ordering::Relaxed);
+        self.set(bytes);
+    }
+
+    fn end_response(&self) {
+        self.0.is_complete.store(true, Ordering::Relaxed);
+    }
+
+    fn is_complete(&self) -> bool {
+        self.0.is_complete.load(Ordering::Relaxed)
+    }
+
     fn set(&self, bytes: u64) {
-        self.0.store(bytes, Ordering::Relaxed);
+        self.0.bytes.store(bytes, Ordering::Relaxed);
     }
 
     fn is_exhausted(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == 0
+        self.0.bytes.load(Ordering::Relaxed) == 0
     }
 
     fn spend(&self, bytes: u64) {
-        let left = self.0.load(Ordering::Relaxed);
+        let left = self.0.bytes.load(Ordering::Relaxed);
         self.set(left.saturating_sub(bytes));
     }
 }
 
-/// A stream of which no more is read than its allowance.
+/// A stream of which no more is read than its allowance. If unread bytes have arrived when it is dropped, it finds out
+/// whether a target sends them without end after a complete response.
 struct LimitedStream {
     stream: TcpStream,
     allowance: ReadAllowance,
+    /// Bytes that were read after a complete response.
+    surplus: usize,
+    on_surplus: Option<OnEndlessSurplus>,
+}
+
+impl Drop for LimitedStream {
+    fn drop(&mut self) {
+        if self.surplus == 0 {
+            self.surplus = self.stream.try_read(&mut [0; 1]).unwrap_or(0);
+        }
+        let runtime = tokio::runtime::Handle::try_current();
+        // The stream itself is closed here; its duplicate is read on for a while.
+        let duplicate = || {
+            let socket = SockRef::from(&self.stream).try_clone()?;
+            TcpStream::from_std(socket.into())
+        };
+        if self.surplus > 0
+            && let Ok(runtime) = runtime
+            && let Ok(stream) = duplicate()
+            && let Some(on_surplus) = self.on_surplus.take()
+        {
+            let allowance = self.allowance.clone();
+            runtime.spawn(measure_surplus(stream, allowance, self.surplus, on_surplus));
+        }
+    }
+}
+
+/// Reads what a target goes on to send, and reports it if there is no end to it although its response is complete.
+/// That is known only now, as the connection may end before the exchange has taken the response.
+async fn measure_surplus(
+    mut stream: TcpStream,
+    allowance: ReadAllowance,
+    mut surplus: usize,
+    report: OnEndlessSurplus,
+) {
+    let mut buf = vec![0; 8 << 10];
+    let reading = async {
+        while surplus < ENDLESS_SURPLUS_BYTES {
+            match stream.read(&mut buf).await {
+                Ok(0) | Err(_) => return false,
+                Ok(len) => surplus += len,
+            }
+        }
+        true
+    };
+    if timeout(SURPLUS_WAIT, reading).await == Ok(true) && allowance.is_complete() {
+        report();
+    }
 }
 
 impl AsyncRead for LimitedStream {
@@ -241,6 +329,9 @@
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let read = buf.filled().len() - filled;
         self.allowance.spend(read as u64);
+        if self.allowance.is_complete() {
+            self.surplus += read;
+        }
         if read > 0 && self.allowance.is_exhausted() {
             let e = io::Error::new(io::ErrorKind::InvalidData, "the response is too long");
             return Poll::Ready(Err(e));
--- a/crates/geraniummux-host/tests/endless.rs
+++ b/crates/geraniummux-host/tests/endless.rs
@@ -188,7 +188,7 @@
         for form in FORMS {
             let behavior = Behavior { form, complete_first, slow: false };
             let target = EndlessTarget::start(behavior).await;
-            let mut conn = Connection::open(target.addr).await.unwrap();
+            let mut conn = Connection::open(target.addr, Box::new(|| ())).await.unwrap();
             for _ in 0..complete_first {
                 let memory = bodies.unreserved(&"r".into());
                 let (rsp, kept) = exchange(conn, request(), LIMITS, memory).await.unwrap();
@@ -216,7 +216,7 @@
     let target = start_target().await;
     let len = COMPLETE_BODY.len() as u64;
     for (limit, expected) in [(len, None), (len - 1, Some(ExchangeError::TooLarge))] {
-        let conn = Connection::open(target).await.unwrap();
+        let conn = Connection::open(target, Box::new(|| ())).await.unwrap();
         let memory = bodies.unreserved(&"r".into());
         let limits = ResponseLimits { declared: limit, undeclared: 0 };
         assert_eq!(exchange(conn, request(), limits, memory).await.err(), expected);
@@ -314,3 +314,80 @@
     });
     futures_util::future::join_all(calls).await;
 }
+
+/// Starts a target that sends `surplus` bytes after each complete response, or bytes without end. Returns its
+/// address and the number of responses to requests and probes.
+async fn start_target_with_surplus(surplus: Option<usize>) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.9.9.7:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let responses = Arc::new(AtomicUsize::new(0));
+    let count = responses.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = count.clone();
+            tokio::spawn(async move {
+                let Some(id) = read_request(&mut stream).await else { return };
+                count.fetch_add(1, Ordering::SeqCst);
+                stream.write_all(complete_response(addr, &id).as_bytes()).await.unwrap();
+                let block = vec![b'x'; 8_192];
+                let mut left = surplus.unwrap_or(MAX_SENT_BYTES);
+                while left > 0 {
+                    let len = left.min(block.len());
+                    if stream.write_all(&block[..len]).await.is_err() {
+                        return;
+                    }
+                    left -= len;
+                }
+                assert!(surplus.is_some(), "the connection is still open");
+                // The host closes the connection.
+                while read_request(&mut stream).await.is_some() {}
+            });
+        }
+    });
+    (addr, responses)
+}
+
+/// Guards against a target that goes on to get requests although it sends bytes without end after each complete
+/// response, which take the link of the host; one that sends some surplus bytes is no such target.
+#[tokio::test]
+async fn exchange_surplus_without_end_is_reported() {
+    let bodies = Bodies::new(16 << 20);
+    for (surplus, expected) in [(None, true), (Some(0), false), (Some(100), false)] {
+        let (target, _) = start_target_with_surplus(surplus).await;
+        let reported = Arc::new(AtomicUsize::new(0));
+        // A target whose surplus arrives after the connection was closed is found out by a later response.
+        for _ in 0..20 {
+            let r = reported.clone();
+            let report = Box::new(move || {
+                r.fetch_add(1, Ordering::SeqCst);
+            });
+            let conn = Connection::open(target, report).await.unwrap();
+            let memory = bodies.unreserved(&"r".into());
+            let (rsp, conn) = exchange(conn, request(), LIMITS, memory).await.unwrap();
+            assert_eq!(rsp.body, COMPLETE_BODY);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            drop(conn);
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(reported.load(Ordering::SeqCst) > 0, expected, "{surplus:?}");
+    }
+}
+
+/// Guards against the same on a host: requests go to the other targets of the pool.
+#[tokio::test]
+async fn host_target_with_surplus_without_end_is_left_out() {
+    const ROUNDS: usize = 50;
+    // More than one of the sound targets runs.
+    const AT_ONCE: usize = 6;
+    let (endless, responses) = start_target_with_surplus(None).await;
+    let targets = [endless, start_target().await, start_target().await];
+    let (_host, addr) = start_host(&targets, "127.9.9.31:7009").await;
+    for _ in 0..ROUNDS {
+        let calls = (0..AT_ONCE).map(|_| call(addr, "mixed", 4_000));
+        for (status, body) in futures_util::future::join_all(calls).await {
+            assert_eq!((status, &*body), (StatusCode::OK, COMPLETE_BODY.as_bytes()));
+        }
+    }
+    let responses = responses.load(Ordering::SeqCst);
+    assert!(responses <= ROUNDS * AT_ONCE / 10, "{responses} responses of the endless target");
+}
--- a/crates/geraniummux-host/tests/reach.rs
+++ b/crates/geraniummux-host/tests/reach.rs
@@ -269,3 +269,34 @@
     };
     timeout(GIVE_UP_AFTER, asked).await.expect("a pause that the peer knows");
 }
+
+/// Guards against a target whose bytes without end pass through a peer: the request ends, and both hosts go on serving.
+#[tokio::test]
+async fn host_endless_target_through_a_peer_is_cut_off() {
+    // Far more than a response of this route may have, and than the buffers of a connection.
+    const HEADERS: usize = 4 << 20;
+    let mut targets = start_targets(plain).await;
+    targets.truncate(3);
+    let endless = ScriptedTarget::start(|n, addr, id| match n {
+        None => plain(n, addr, id),
+        Some(_) => Reply::Close(format!("HTTP/1.1 200 OK\r\n{}", "x-more: 1\r\n".repeat(HEADERS))),
+    })
+    .await;
+    let faulty = endless.requests.clone();
+    targets.push(endless);
+    let (ours, theirs) = ("127.9.9.90:7009", "127.9.9.91:7009");
+    let (host, addr) = start("host-1", ours, theirs, &targets, true).await;
+    let (peer, relay) = start("host-2", theirs, ours, &targets, false).await;
+    until_members_know_each_other(&[&host, &peer]).await;
+    timeout(GIVE_UP_AFTER, until_served(addr)).await.expect("no request is served");
+    // The host selects targets itself, so that all get requests.
+    host.members().leave();
+    let asked = async {
+        while faulty.lock().unwrap().is_empty() {
+            served(addr, 2).await;
+        }
+    };
+    timeout(GIVE_UP_AFTER, asked).await.expect("the endless target gets no request");
+    assert_eq!(served(addr, SERVED).await, SERVED);
+    assert_eq!(served(relay, SERVED).await, SERVED);
+}
