--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -9,7 +9,7 @@
 use geraniummux_standin::object_store::ObjectStore;
 use geraniummux_standin::registered_target::{LateRun, RegisteredTarget, RunCounts};
 use http::{Request, StatusCode, header};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -53,6 +53,8 @@
     pub restores: bool,
     /// Entry host program to test.
     pub program: PathBuf,
+    /// Program of every second host, for a fleet of two builds; `program` if absent.
+    pub other_program: Option<PathBuf>,
     /// Directory for the settings and logs of the hosts.
     pub dir: PathBuf,
 }
@@ -161,7 +163,9 @@
         let net = (64 + (opts.seed % 128) as u8, (opts.seed / 128 % 250) as u8);
         for i in 0..opts.hosts {
             let link = Link::open("127.0.0.1:0".parse()?, store_addr).await?;
-            hosts.push(HostProcess::new(&opts.dir, &opts.program, net, i, link.addr)?);
+            let other = opts.other_program.as_ref().filter(|_| i % 2 == 1);
+            let program = other.unwrap_or(&opts.program);
+            hosts.push(HostProcess::new(&opts.dir, program, net, i, link.addr)?);
             store_links.push(link);
         }
         Ok(Harness {
@@ -310,6 +314,18 @@
         lock(&self.process_failures).clone()
     }
 
+    /// Waits until a host names all hosts in its directory. Returns whether it did so within `CONFIG_POLLS` polls.
+    pub async fn await_whole_directory(&self, directory_addr: SocketAddr) -> bool {
+        for _ in 0..CONFIG_POLLS {
+            let hosts = get_directory(directory_addr).await.unwrap_or_default();
+            if self.request_addrs.iter().all(|addr| hosts.contains(&format!("\"{addr}\""))) {
+                return true;
+            }
+            tokio::time::sleep(CONFIG_POLL_INTERVAL).await;
+        }
+        false
+    }
+
     /// Waits until a host serves the newest configuration and no longer the one before it. Returns whether
     /// it did so within `CONFIG_POLLS` polls.
     pub async fn await_newest_config(&self, request_addr: SocketAddr) -> bool {
@@ -326,6 +342,18 @@
     }
 }
 
+/// Returns the body of the response to a GET request for the directory, if there is one within 1 s.
+async fn get_directory(directory_addr: SocketAddr) -> Option<String> {
+    let req = Request::get("/resolve?name=soak.example").body(Full::default()).ok()?;
+    let mut sender = callers::connect(directory_addr).await.ok()?;
+    let response = async {
+        let rsp = sender.send_request(req).await.ok()?;
+        rsp.into_body().collect().await.ok()
+    };
+    let body = tokio::time::timeout(Duration::from_secs(1), response).await.ok()??.to_bytes();
+    Some(String::from_utf8_lossy(&body).into_owned())
+}
+
 /// Returns the status of the response to a GET request, if there is one within 1 s.
 async fn get_status(request_addr: SocketAddr, path: &str) -> Option<StatusCode> {
     let req = Request::get(path)
@@ -372,6 +400,7 @@
     }
     harness.publish_config();
     await_config_on_all_hosts(&harness, &mut report).await;
+    await_whole_directories(&harness, &mut report).await;
     harness.over.store(true, Ordering::SeqCst);
     for task in callers.into_iter().chain(demands).chain(restores) {
         task.await?;
@@ -383,6 +412,16 @@
     Ok(report)
 }
 
+/// Checks that each host comes to name all hosts in its directory, so that they all know each other.
+async fn await_whole_directories(harness: &Harness, report: &mut Report) {
+    for directory_addr in &harness.directory_addrs {
+        report.checks += 1;
+        if !harness.await_whole_directory(*directory_addr).await {
+            report.violations.push(format!("{directory_addr} does not name all hosts"));
+        }
+    }
+}
+
 /// Checks that all hosts come to serve the newest configuration.
 async fn await_config_on_all_hosts(harness: &Harness, report: &mut Report) {
     for request_addr in &harness.request_addrs {
--- a/crates/geraniummux-soak/src/main.rs
+++ b/crates/geraniummux-soak/src/main.rs
@@ -39,6 +39,9 @@
     /// entry host program to test (default: geraniummux-host beside this program)
     #[argh(option)]
     program: Option<PathBuf>,
+    /// program of every second host, to test a fleet of two builds
+    #[argh(option)]
+    other_program: Option<PathBuf>,
     /// also check guarantees that set a time limit; needs a machine that is not overloaded
     #[argh(switch)]
     timed: bool,
@@ -63,6 +66,7 @@
             demands: args.demands,
             restores: args.restores,
             program: args.program.clone().unwrap_or_else(|| default_program.clone()),
+            other_program: args.other_program.clone(),
             dir: dir.join(seed.to_string()),
         })
         .await?;
--- a/crates/geraniummux-soak/tests/process.rs
+++ b/crates/geraniummux-soak/tests/process.rs
@@ -33,6 +33,7 @@
         demands: false,
         restores: false,
         program: program(),
+        other_program: None,
         dir: std::env::temp_dir().join(format!("geraniummux-process-{}-{net}", std::process::id())),
     };
     let harness = Harness::start(&opts).await.unwrap();
--- a/crates/geraniummux-soak/tests/soak.rs
+++ b/crates/geraniummux-soak/tests/soak.rs
@@ -35,6 +35,7 @@
         demands: beside == Beside::Demands,
         restores: beside == Beside::Restores,
         program: program(),
+        other_program: None,
         dir: std::env::temp_dir()
             .join(format!("geraniummux-soak-test-{}-{seed}", std::process::id())),
     };
