--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -177,11 +177,7 @@
         match event {
             Event::TargetSelected(Selection::Selected(selected)) => {
                 self.selecting = false;
-                if self.in_flight.is_empty() && !self.ends_before_exit() {
-                    return self.on_stopping();
-                }
-                self.send(*selected);
-                None
+                self.send(*selected)
             }
             Event::TargetSelected(Selection::Rejected { reason, retry_after }) => {
                 self.selecting = false;
@@ -193,9 +189,11 @@
                 self.selecting = false;
                 match selected {
                     Some(selected) => self.send(selected),
-                    None => self.decline_hedge(&target),
+                    None => {
+                        self.decline_hedge(&target);
+                        self.finish_if_idle()
+                    }
                 }
-                self.finish_if_idle()
             }
             Event::AttemptEnded(FinishedAttempt { target, outcome, report }) => {
                 if let (Some(report), Some(grant)) = (report, self.grants.last_mut()) {
@@ -260,7 +258,13 @@
         }
     }
 
-    fn send(&mut self, mut selected: SelectedTarget) {
+    /// Sends the request to a target. Returns the response for the caller instead if the target might not be done with
+    /// it before the host exits, and none is at work on it yet.
+    fn send(&mut self, mut selected: SelectedTarget) -> Option<Response<Full<Bytes>>> {
+        let rejected = self.on_stopping();
+        if rejected.is_some() {
+            return rejected;
+        }
         self.grants.extend(selected.grant.take());
         let now = self.ctx.host.now();
         let expected = scaled(self.ctx.service_time, selected.latency_factor);
@@ -282,6 +286,7 @@
         let ctx = self.ctx.clone();
         self.events
             .push(async move { Event::AttemptEnded(attempt::send(ctx, selected).await) }.boxed());
+        None
     }
 
     fn on_outcome(
