Tasks are spawned with the host; one peer for the tests of two files

The functions of most tasks take nothing but the host, so that tasks::spawn passes it and the macro in run goes. The tests of tasks and scheduling share the peer that speaks to a host by itself. Behaviour is unchanged; the bind of a listener goes into the Arc that the task takes.

--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -110,18 +110,15 @@
                     "hosts" => position.hosts, "age_ms" => peer_freshness.age.as_millis() as u64);
                 let checked = Arc::new(StoreState::default());
                 let (targets, config) = (checked.clone(), checked.clone());
-                let (h, s) = (host.clone(), store.clone());
-                watches.0.push(tasks::spawn(&host, "watch_targets", move || {
-                    watch_targets(h.clone(), s.clone(), targets.clone())
-                }));
-                let (h, s) = (host.clone(), store.clone());
-                watches.0.push(tasks::spawn(&host, "watch_config", move || {
-                    watch_config(h.clone(), s.clone(), config.clone())
-                }));
-                let (h, s) = (host.clone(), store.clone());
-                watches.0.push(tasks::spawn(&host, "monitor_store", move || {
-                    monitor_store(h.clone(), s.clone(), checked.clone())
-                }));
+                let s = store.clone();
+                let task = move |host| watch_targets(host, s.clone(), targets.clone());
+                watches.0.push(tasks::spawn(&host, "watch_targets", task));
+                let s = store.clone();
+                let task = move |host| watch_config(host, s.clone(), config.clone());
+                watches.0.push(tasks::spawn(&host, "watch_config", task));
+                let s = store.clone();
+                let task = move |host| monitor_store(host, s.clone(), checked.clone());
+                watches.0.push(tasks::spawn(&host, "monitor_store", task));
             }
             (ReadSource::Peers | ReadSource::StoreIfResponsive, true) => {
                 info!(host.log, "reading_peers"; "rank" => position.rank,
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -71,35 +71,26 @@
     listeners.extend(settings.metrics.map(|addr| (Service::Metrics, addr)));
     for (service, addr) in listeners {
         let listener = server::listen(service, addr)?;
-        let (h, listener) = (host.clone(), Arc::new(listener));
-        tasks::spawn(&host, service.as_str(), move || {
-            server::serve(h.clone(), service, listener.clone())
-        });
+        let listener = Arc::new(listener);
+        let task = move |host| server::serve(host, service, listener.clone());
+        tasks::spawn(&host, service.as_str(), task);
     }
     let peers = tokio::net::TcpListener::bind(settings.peer).await;
     let peers = peers.with_context(|| format!("peer: can't listen on {}", settings.peer))?;
     info!(host.log, "started"; "listen" => settings.listen.to_string(),
         "peer" => settings.peer.to_string(), "store" => settings.store.to_string(),
         "failure_domain" => &*settings.failure_domain);
-    let (h, peers) = (host.clone(), Arc::new(peers));
-    tasks::spawn(&host, "serve_peers", move || peers::serve(h.clone(), peers.clone()));
-    // The tasks that need nothing but the host.
-    macro_rules! spawn {
-        ($name:literal, $task:path) => {{
-            let h = host.clone();
-            tasks::spawn(&host, $name, move || $task(h.clone()));
-        }};
-    }
-    spawn!("receive_datagrams", peers::receive);
-    spawn!("membership", peers::run);
-    spawn!("follow", replication::follow);
-    spawn!("scheduling", scheduling::run);
-    spawn!("reach", reach::run);
-    spawn!("maintenance", run_maintenance);
+    let peers = Arc::new(peers);
+    tasks::spawn(&host, "serve_peers", move |host| peers::serve(host, peers.clone()));
+    tasks::spawn(&host, "receive_datagrams", peers::receive);
+    tasks::spawn(&host, "membership", peers::run);
+    tasks::spawn(&host, "follow", replication::follow);
+    tasks::spawn(&host, "scheduling", scheduling::run);
+    tasks::spawn(&host, "reach", reach::run);
+    tasks::spawn(&host, "maintenance", run_maintenance);
     // Whatever it can't read is read by the reader or comes from a peer.
     tokio::spawn(reader::read_once(host.clone(), store.clone()));
-    let h = host.clone();
-    tasks::spawn(&host, "reader", move || reader::run(h.clone(), store.clone()));
+    tasks::spawn(&host, "reader", move |host| reader::run(host, store.clone()));
     until_stopped(path, host, signals).await;
     Ok(())
 }
--- a/crates/geraniummux-host/src/tasks.rs
+++ b/crates/geraniummux-host/src/tasks.rs
@@ -25,7 +25,7 @@
 /// the one before has left.
 pub fn spawn<F, T>(host: &Arc<Host>, name: &'static str, task: F) -> JoinHandle<()>
 where
-    F: Fn() -> T + Send + 'static,
+    F: Fn(Arc<Host>) -> T + Send + 'static,
     T: Future<Output = ()> + Send + 'static,
 {
     let host = host.clone();
@@ -33,7 +33,7 @@
         let mut delay = MIN_RESTART_DELAY;
         loop {
             let started: Time = host.now();
-            let ended = AssertUnwindSafe(task()).catch_unwind().await;
+            let ended = AssertUnwindSafe(task(host.clone())).catch_unwind().await;
             if host.phase() >= Phase::Draining && ended.is_ok() {
                 return;
             }
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! Sets up a host on loopback without a store, callers or targets.
 
+pub mod peer;
 pub mod targets;
 
 use bytes::Bytes;
--- a/crates/geraniummux-host/tests/scheduling.rs
+++ b/crates/geraniummux-host/tests/scheduling.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::peer::{Peer, slot_request};
 use common::targets::registered;
 use geraniummux_core::fleet::{
     RegistryDelta, RejectReason, ReportedDemand, Revision, SlotDecision, SlotRequest, TargetDemand,
@@ -14,20 +15,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::timeout;
-
-fn slot_request() -> SlotRequest {
-    SlotRequest {
-        failure_domain: "a".into(),
-        priority: 0,
-        service_time: Duration::from_millis(10),
-        body_bytes: 0,
-        time_left: Duration::from_secs(1),
-        latency_target_left: Duration::from_secs(1),
-        hedgeable: false,
-        avoid: Vec::new(),
-    }
-}
 
 /// Guards against hosts that don't know each other yet and each schedule the whole pool, when all hosts
 /// start at once under load: targets then receive several times as many requests as they can run.
@@ -74,42 +61,6 @@
     task.abort();
 }
 
-/// A peer that speaks to a scheduler by itself.
-struct Peer {
-    codec: Codec,
-    socket: UdpSocket,
-    scheduler: SocketAddr,
-}
-
-impl Peer {
-    async fn start(scheduler: SocketAddr) -> Self {
-        let socket = UdpSocket::bind(SocketAddr::new(scheduler.ip(), 0)).await.unwrap();
-        Peer { codec: Codec::new(common::PEER_KEY.as_bytes()), socket, scheduler }
-    }
-
-    async fn send(&self, message: Message) {
-        let envelope = Envelope { from: "stranger".into(), incarnation: 1, generation: 0, message };
-        let datagram = self.codec.encode_datagram(&envelope).unwrap();
-        self.socket.send_to(&datagram, self.scheduler).await.unwrap();
-    }
-
-    /// Requests a slot for a request that may be hedged, and returns the decision.
-    async fn request(&self, number: u64) -> SlotDecision {
-        let pool = "pool".into();
-        let request = SlotRequest { hedgeable: true, ..slot_request() };
-        self.send(Message::SlotRequest { number, pool, request }).await;
-        let mut buf = [0; MAX_DATAGRAM_LEN];
-        loop {
-            let received = timeout(Duration::from_secs(10), self.socket.recv_from(&mut buf)).await;
-            let (len, _) = received.expect("the host does not hear its peers").unwrap();
-            match self.codec.decode_datagram(&buf[..len]).unwrap().message {
-                Message::SlotDecision { number: n, decision } if n == number => return decision,
-                _ => {}
-            }
-        }
-    }
-}
-
 /// Guards against a host that no longer hears its peers after one of them has passed on what a faulty target
 /// stated, and goes on as the only scheduler of its pools (LIMIT).
 #[tokio::test]
--- a/crates/geraniummux-host/tests/tasks.rs
+++ b/crates/geraniummux-host/tests/tasks.rs
@@ -2,17 +2,17 @@
 
 mod common;
 
+use common::peer::Peer;
 use common::targets::{PanicOn, registered, serve_pool};
-use geraniummux_core::fleet::{SlotDecision, SlotRequest};
+use geraniummux_core::fleet::SlotDecision;
 use geraniummux_host::{Host, peers, tasks};
-use geraniummux_wire::{Codec, Envelope, MAX_DATAGRAM_LEN, Message};
+use geraniummux_wire::Message;
 use http::StatusCode;
 use slog::Logger;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
 /// Time after which a test gives up waiting.
@@ -46,7 +46,7 @@
     for panics in [true, false] {
         let (starts, ends) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(2)));
         let (s, e) = (starts.clone(), ends.clone());
-        let task = tasks::spawn(&host, "test", move || {
+        let task = tasks::spawn(&host, "test", move |_| {
             let (s, e) = (s.clone(), e.clone());
             async move {
                 s.fetch_add(1, Ordering::Relaxed);
@@ -74,32 +74,11 @@
     let peer = "127.9.9.81:7009";
     let (host, _) = serving_host(peer, PanicOn::message("target_pause")).await;
     tokio::spawn(peers::receive(host.clone()));
-    let socket = UdpSocket::bind("127.9.9.81:0").await.unwrap();
-    let codec = Codec::new(common::PEER_KEY.as_bytes());
-    let send = async |message| {
-        let envelope = Envelope { from: "stranger".into(), incarnation: 1, generation: 0, message };
-        socket.send_to(&codec.encode_datagram(&envelope).unwrap(), peer).await.unwrap();
-    };
+    let peer = Peer::start(peer.parse().unwrap()).await;
     let target = common::targets::identity("127.9.9.7:1".parse().unwrap()).into();
-    send(Message::TargetPause { pool: "pool".into(), target, pause_ms: 10 }).await;
-    let request = SlotRequest {
-        failure_domain: "a".into(),
-        priority: 0,
-        service_time: Duration::from_millis(10),
-        body_bytes: 0,
-        time_left: Duration::from_secs(1),
-        latency_target_left: Duration::from_secs(1),
-        hedgeable: false,
-        avoid: Vec::new(),
-    };
-    send(Message::SlotRequest { number: 7, pool: "pool".into(), request }).await;
-    let mut buf = [0; MAX_DATAGRAM_LEN];
-    let received = timeout(GIVE_UP_AFTER, socket.recv_from(&mut buf)).await;
-    let (len, _) = received.expect("the host does not hear its peers").unwrap();
-    let reply = codec.decode_datagram(&buf[..len]).unwrap().message;
-    let Message::SlotDecision { number: 7, decision: SlotDecision::Grant { .. } } = reply else {
-        panic!("{reply:?}");
-    };
+    peer.send(Message::TargetPause { pool: "pool".into(), target, pause_ms: 10 }).await;
+    let decision = peer.request(7).await;
+    assert!(matches!(decision, SlotDecision::Grant { .. }), "{decision:?}");
 }
 
 /// Guards against a request whose connection ends without a response because its task has panicked (LOST).
