Log which scheduler decided on which request, and whether it may run again

What callers saw: a request that must run once ran twice; the logs could not tell who had asked for the second run, nor for which request of which process.

Change: hedge and repeat lines say whether the request is idempotent, and a hedge names the number of its slot request. Schedulers log the hedges that they grant. A host logs and counts decisions that belong to no request of its own, or come from another scheduler than the one that was asked. The slot requests that await decisions move into a module of their own; decisions are believed as before.

--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -114,6 +114,18 @@
     },
 }
 
+impl SlotDecision {
+    /// Returns the name of the decision in logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            SlotDecision::Grant { .. } => "grant",
+            SlotDecision::Wait => "wait",
+            SlotDecision::Hedge { .. } => "hedge",
+            SlotDecision::Reject { .. } => "reject",
+        }
+    }
+}
+
 /// A target without a recent load report.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StaleTarget {
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod peers;
+pub mod pending;
 pub mod protocol;
 pub mod proxy;
 pub mod reach;
--- a/crates/geraniummux-host/src/metrics.rs
+++ b/crates/geraniummux-host/src/metrics.rs
@@ -21,6 +21,7 @@
     connections: IntCounterVec,
     store_calls: IntCounterVec,
     peer_messages: IntCounterVec,
+    slot_decisions: IntCounterVec,
     unknown_route_types: IntCounter,
     refused_figures: IntCounter,
     task_ends: IntCounterVec,
@@ -60,6 +61,11 @@
             connections: counter("connections_total", "New connections by peer", &["kind"])?,
             store_calls: counter("store_calls_total", "Calls to the store", &["call", "result"])?,
             peer_messages: counter("peer_messages_total", "Messages to and from peers", &["kind"])?,
+            slot_decisions: counter(
+                "slot_decisions_total",
+                "Decisions of schedulers by what became of them",
+                &["result"],
+            )?,
             unknown_route_types: IntCounter::new(
                 "geraniummux_unknown_route_types_total",
                 "Routes of unknown types in new configurations",
@@ -71,7 +77,7 @@
             task_ends: counter("task_ends_total", "Ends of tasks that have to run", &["task"])?,
             state: IntGaugeVec::new(Opts::new("geraniummux_state", "State of the host"), &["of"])?,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 11] = [
+        let all: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.attempts.clone()),
@@ -79,6 +85,7 @@
             Box::new(metrics.connections.clone()),
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.peer_messages.clone()),
+            Box::new(metrics.slot_decisions.clone()),
             Box::new(metrics.unknown_route_types.clone()),
             Box::new(metrics.refused_figures.clone()),
             Box::new(metrics.task_ends.clone()),
@@ -121,6 +128,11 @@
         self.peer_messages.with_label_values(&[kind]).inc();
     }
 
+    /// Records what became of a decision of a scheduler.
+    pub fn slot_decision(&self, result: &str) {
+        self.slot_decisions.with_label_values(&[result]).inc();
+    }
+
     /// Records the end of a task that has to run.
     pub fn task_ended(&self, task: &str) {
         self.task_ends.with_label_values(&[task]).inc();
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -152,7 +152,7 @@
             scheduling::on_slot_request(host, &from, addr, number, &pool, request);
         }
         Message::SlotDecision { number, decision } => {
-            scheduling::on_slot_decision(host, number, decision)
+            scheduling::on_slot_decision(host, addr, number, decision)
         }
         Message::GrantDeclined { number, pool, target } => {
             scheduling::on_grant_declined(host, &from, number, &pool, &target);
--- /dev/null
+++ b/crates/geraniummux-host/src/pending.rs
@@ -0,0 +1,76 @@
+//! Slot requests of this host that await decisions of schedulers.
+
+use geraniummux_core::fleet::SlotDecision;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+
+/// A slot request that awaits decisions.
+struct PendingSlot {
+    number: u64,
+    /// Address of the scheduler that was asked.
+    scheduler: SocketAddr,
+    decisions: UnboundedSender<SlotDecision>,
+}
+
+/// The slot requests that await decisions.
+#[derive(Default)]
+pub struct PendingSlots {
+    next_number: AtomicU64,
+    /// Sorted by number.
+    slots: Mutex<Vec<PendingSlot>>,
+}
+
+/// What became of a decision that arrived.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Delivery {
+    /// The request that awaits it has it.
+    Delivered,
+    /// No request with its number awaits decisions.
+    UnknownNumber,
+    /// It was sent by another scheduler than the one that the request has asked.
+    OtherScheduler,
+}
+
+impl Delivery {
+    /// Returns the name of the result in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Delivery::Delivered => "delivered",
+            Delivery::UnknownNumber => "unknown_number",
+            Delivery::OtherScheduler => "other_scheduler",
+        }
+    }
+}
+
+impl PendingSlots {
+    /// Adds a slot request to the scheduler at an address. Returns its number and its decisions.
+    pub fn open(&self, scheduler: SocketAddr) -> (u64, UnboundedReceiver<SlotDecision>) {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = mpsc::unbounded_channel();
+        self.lock().push(PendingSlot { number, scheduler, decisions: tx });
+        (number, rx)
+    }
+
+    /// Removes a slot request.
+    pub fn close(&self, number: u64) {
+        self.lock().retain(|s| s.number != number);
+    }
+
+    /// Passes a decision of the scheduler at `from` to the request that awaits it.
+    pub fn deliver(&self, from: SocketAddr, number: u64, decision: SlotDecision) -> Delivery {
+        let slots = self.lock();
+        let Ok(i) = slots.binary_search_by_key(&number, |s| s.number) else {
+            return Delivery::UnknownNumber;
+        };
+        let slot = &slots[i];
+        // The receiver is gone if the request has ended; its scheduler has been notified of that.
+        let _ = slot.decisions.send(decision);
+        if slot.scheduler == from { Delivery::Delivered } else { Delivery::OtherScheduler }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<PendingSlot>> {
+        self.slots.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -6,7 +6,7 @@
 use super::selection::{self, Connect, SelectedTarget, Selection};
 use crate::host::Phase;
 use crate::peers;
-use crate::scheduling::Grant;
+use crate::scheduling::{Grant, HedgeGrant};
 use crate::stopping;
 use crate::upstream::TargetResponse;
 use bytes::Bytes;
@@ -110,7 +110,7 @@
                     break rsp;
                 }
             }
-            (target, latency_factor) = next_hedge_grant(&mut active.grants) => active.on_hedge_grant(target, latency_factor),
+            hedge = next_hedge_grant(&mut active.grants) => active.on_hedge_grant(hedge),
             () = sleep(hedge_delay) => active.start_hedge(),
         }
     };
@@ -132,7 +132,7 @@
 }
 
 /// Waits until the scheduler grants a hedge.
-async fn next_hedge_grant(grants: &mut [Grant]) -> (Arc<str>, f64) {
+async fn next_hedge_grant(grants: &mut [Grant]) -> HedgeGrant {
     std::future::poll_fn(|cx| {
         for grant in grants.iter_mut() {
             if let Poll::Ready(hedge) = grant.poll_hedge(cx) {
@@ -227,12 +227,14 @@
     }
 
     /// Connects to the target of a hedge that the scheduler granted, if another attempt is allowed.
-    fn on_hedge_grant(&mut self, target: Arc<str>, latency_factor: f64) {
+    fn on_hedge_grant(&mut self, hedge: HedgeGrant) {
+        let HedgeGrant { number, target, latency_factor } = hedge;
         let ctx = self.ctx.clone();
         let wanted = !self.selecting && self.executed_attempts < ctx.route.max_attempts;
         let granted = wanted && ctx.host.try_extra_attempt(&ctx.pool.name, ExtraAttempt::Hedge);
         info!(ctx.host.log, "hedge"; "id" => ctx.id(), "granted" => granted,
-            "by" => "scheduler", "target" => &*target,
+            "by" => "scheduler", "number" => number, "target" => &*target,
+            "idempotent" => ctx.route.idempotent,
             "waited_ms" => ctx.elapsed(ctx.host.now()).as_millis() as u64);
         if !granted {
             self.decline_hedge(&target);
@@ -362,6 +364,7 @@
         }
         let granted = ctx.host.try_extra_attempt(&ctx.pool.name, ExtraAttempt::Retry);
         info!(ctx.host.log, "repeat"; "id" => ctx.id(), "after" => self.reason,
+            "idempotent" => ctx.route.idempotent,
             "granted" => granted, "time_left_ms" => ctx.time_left(now).as_millis() as u64);
         if granted {
             self.select_target();
@@ -378,6 +381,7 @@
         }
         let granted = ctx.host.try_extra_attempt(&ctx.pool.name, ExtraAttempt::Hedge);
         info!(ctx.host.log, "hedge"; "id" => ctx.id(), "granted" => granted, "by" => "time",
+            "idempotent" => ctx.route.idempotent,
             "waited_ms" => now.since(ctx.started).as_millis() as u64);
         if granted {
             self.select_target();
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -6,6 +6,7 @@
 use crate::fleet::Prober;
 use crate::host::Host;
 use crate::peers;
+use crate::pending::{Delivery, PendingSlots};
 use crate::proxy::selection;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::fleet::{
@@ -18,7 +19,6 @@
 use slog::{info, warn};
 use std::cmp::Reverse;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -73,9 +73,7 @@
 pub struct Scheduling {
     /// Sorted by pool.
     pools: Mutex<Vec<ScheduledPool>>,
-    /// Sorted by the request's number.
-    pending: Mutex<Vec<(u64, mpsc::UnboundedSender<SlotDecision>)>>,
-    next_number: AtomicU64,
+    pending: PendingSlots,
     /// Addresses to which the decisions for other hosts are sent, sorted by host. The membership does
     /// not suffice, as this host may not know a member yet that has just started.
     reply_addrs: Mutex<Vec<(Arc<str>, SocketAddr)>>,
@@ -187,13 +185,23 @@
     decisions: mpsc::UnboundedReceiver<SlotDecision>,
 }
 
+/// A slot for a hedge that a scheduler has granted.
+#[derive(Clone, Debug)]
+pub struct HedgeGrant {
+    /// Number of the slot request whose grant is hedged.
+    pub number: u64,
+    /// Identity of the target.
+    pub target: Arc<str>,
+    /// Expected latency there as a multiple of the typical service time.
+    pub latency_factor: f64,
+}
+
 impl Grant {
-    /// Polls for a hedge that the scheduler grants while the first attempt is running: the target, and
-    /// the expected latency there as a multiple of the typical service time.
-    pub fn poll_hedge(&mut self, cx: &mut Context<'_>) -> Poll<(Arc<str>, f64)> {
+    /// Polls for a hedge that the scheduler grants while the first attempt is running.
+    pub fn poll_hedge(&mut self, cx: &mut Context<'_>) -> Poll<HedgeGrant> {
         while let Poll::Ready(Some(decision)) = self.decisions.poll_recv(cx) {
             if let SlotDecision::Hedge { target, latency_factor } = decision {
-                return Poll::Ready((target, latency_factor));
+                return Poll::Ready(HedgeGrant { number: self.number, target, latency_factor });
             }
         }
         Poll::Pending
@@ -220,7 +228,7 @@
 impl Drop for Grant {
     fn drop(&mut self) {
         let host = &self.host;
-        lock(&host.scheduling.pending).retain(|(n, _)| *n != self.number);
+        host.scheduling.pending.close(self.number);
         let report = self.report.take();
         if self.scheduler == host.settings.load().peer {
             let me = host.settings.load().host.clone();
@@ -310,9 +318,7 @@
         return SlotResult::Unavailable;
     }
     refresh_demands(host, scheduler, pool);
-    let number = host.scheduling.next_number.fetch_add(1, Ordering::Relaxed);
-    let (tx, decisions) = mpsc::unbounded_channel();
-    lock(&host.scheduling.pending).push((number, tx));
+    let (number, decisions) = host.scheduling.pending.open(scheduler);
     // From here on, dropping the grant notifies the scheduler if the request ends without being sent.
     let mut grant = Grant {
         host: host.clone(),
@@ -488,19 +494,26 @@
     send_decisions(host, decisions);
 }
 
-/// Passes a scheduler's decision to the request of this host that awaits it.
-pub fn on_slot_decision(host: &Host, number: u64, decision: SlotDecision) {
-    let pending = lock(&host.scheduling.pending);
-    if let Ok(i) = pending.binary_search_by_key(&number, |(n, _)| *n) {
-        // The receiver is gone if the request has ended; its scheduler has been notified of that.
-        let _ = pending[i].1.send(decision);
+/// Passes a decision of the scheduler at `from` to the request of this host that awaits it.
+pub fn on_slot_decision(host: &Host, from: SocketAddr, number: u64, decision: SlotDecision) {
+    let kind = decision.as_str();
+    let delivery = host.scheduling.pending.deliver(from, number, decision);
+    host.metrics.slot_decision(delivery.as_str());
+    if delivery != Delivery::Delivered {
+        info!(host.log, "decision_unmatched"; "reason" => delivery.as_str(),
+            "from" => from.to_string(), "number" => number, "decision" => kind);
     }
 }
 
 fn send_decisions(host: &Arc<Host>, decisions: Vec<(RequestKey, SlotDecision)>) {
     for (key, decision) in decisions {
-        if key.host == host.settings.load().host {
-            on_slot_decision(host, key.number, decision);
+        if let SlotDecision::Hedge { target, .. } = &decision {
+            info!(host.log, "hedge_granted"; "to" => &*key.host, "number" => key.number,
+                "target" => &**target);
+        }
+        let settings = host.settings.load();
+        if key.host == settings.host {
+            on_slot_decision(host, settings.peer, key.number, decision);
             continue;
         }
         let Some(addr) = host.scheduling.reply_addr(&key.host) else {
