Failing test: a host restarts beside a frozen scheduler and runs requests twice

What callers saw: requests that must run once ran twice (TWICE).

Cause: not changed here.

Change: a test with real processes plays the sequence in two forms, and fails. The stand-in of a target reports a slowdown, and the time limits of the routes are an option of the soak (--long).

--- a/crates/geraniummux-soak/src/callers.rs
+++ b/crates/geraniummux-soak/src/callers.rs
@@ -16,8 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Deadline that a caller sends with each request.
-const REQUEST_DEADLINE: Duration = Duration::from_millis(1_200);
+/// Time that callers have for a request beyond the timeout of its route.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(200);
 /// Time for which a caller still waits for the response after the deadline has passed.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(800);
 /// Time limit for opening a connection and for each step of a directory lookup.
@@ -113,12 +113,13 @@
 ) -> RequestRecord {
     let body = if idempotent { Bytes::new() } else { Bytes::from(id.repeat(20)) };
     let (method, path) = if idempotent { ("GET", "/read/x") } else { ("POST", "/write/x") };
+    let deadline = harness.route_times().timeout + DEADLINE_MARGIN;
     let req = Request::builder()
         .method(method)
         .uri(path)
         .header(header::HOST, "soak.example")
         .header("request-id", id)
-        .header("request-deadline-ms", REQUEST_DEADLINE.as_millis() as u64)
+        .header("request-deadline-ms", deadline.as_millis() as u64)
         .body(Full::new(body.clone()));
     let stopping_before = harness.only_graceful_stop(host);
     let exchange = async {
@@ -128,20 +129,19 @@
         let (parts, body) = rsp.into_parts();
         anyhow::Ok((parts, body.collect().await?.to_bytes()))
     };
-    let (outcome, response_error) =
-        match timeout(REQUEST_DEADLINE + RESPONSE_MARGIN, exchange).await {
-            Ok(Ok((parts, response))) => {
-                let id_matches =
-                    parts.headers.get("request-id").is_some_and(|v| v.as_bytes() == id.as_bytes());
-                let body_matches = response == response_body(id, &body);
-                let is_wrong = parts.status.is_success() && !(id_matches && body_matches);
-                (
-                    Outcome::Response(parts.status),
-                    is_wrong.then(|| format!("{id}: response truncated or of another request")),
-                )
-            }
-            _ => (Outcome::NoResponse, None),
-        };
+    let (outcome, response_error) = match timeout(deadline + RESPONSE_MARGIN, exchange).await {
+        Ok(Ok((parts, response))) => {
+            let id_matches =
+                parts.headers.get("request-id").is_some_and(|v| v.as_bytes() == id.as_bytes());
+            let body_matches = response == response_body(id, &body);
+            let is_wrong = parts.status.is_success() && !(id_matches && body_matches);
+            (
+                Outcome::Response(parts.status),
+                is_wrong.then(|| format!("{id}: response truncated or of another request")),
+            )
+        }
+        _ => (Outcome::NoResponse, None),
+    };
     let only_graceful_stop = stopping_before && harness.only_graceful_stop(host);
     RequestRecord { id: id.to_owned(), idempotent, outcome, response_error, only_graceful_stop }
 }
--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -32,6 +32,24 @@
 /// Pause between polls for the newest configuration.
 const CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time limits of the routes.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteTimes {
+    /// Time after which a request has failed.
+    pub timeout: Duration,
+    /// Time in which a request should be answered.
+    pub latency_target: Duration,
+}
+
+impl RouteTimes {
+    /// Time limits of routes whose requests are short.
+    pub const SHORT: RouteTimes =
+        RouteTimes { timeout: Duration::from_secs(1), latency_target: Duration::from_millis(300) };
+    /// Time limits of routes whose requests outlast the restart of a host.
+    pub const LONG: RouteTimes =
+        RouteTimes { timeout: Duration::from_secs(8), latency_target: Duration::from_secs(4) };
+}
+
 /// Settings of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -51,6 +69,8 @@
     pub demands: bool,
     /// Whether the store is restored from copies.
     pub restores: bool,
+    /// Time limits of all routes.
+    pub route_times: RouteTimes,
     /// Entry host program to test.
     pub program: PathBuf,
     /// Program of every second host, for a fleet of two builds; `program` if absent.
@@ -89,6 +109,7 @@
     /// Whether callers are to stop.
     over: AtomicBool,
     timed: bool,
+    route_times: RouteTimes,
 }
 
 /// Marks a disruption as active until it is dropped.
@@ -185,6 +206,7 @@
             version: AtomicU64::new(0),
             over: AtomicBool::new(false),
             timed: opts.timed,
+            route_times: opts.route_times,
         })
     }
 
@@ -238,6 +260,16 @@
         std::mem::take(&mut *lock(&self.finished))
     }
 
+    /// Returns the time limits of all routes.
+    pub fn route_times(&self) -> RouteTimes {
+        self.route_times
+    }
+
+    /// Returns what a host has logged, over all its processes; empty if it can't be read.
+    pub fn log_of(&self, i: usize) -> String {
+        std::fs::read_to_string(lock(&self.hosts[i]).log_path()).unwrap_or_default()
+    }
+
     /// Sends a signal to a host process. Returns whether it was running.
     pub fn signal(&self, i: usize, signal: Signal) -> bool {
         lock(&self.hosts[i]).signal(signal).is_ok()
@@ -285,10 +317,11 @@
     /// Writes the newest version of the configuration into the store, which may have lost it.
     pub fn republish_config(&self) {
         let version = self.version.load(Ordering::SeqCst);
+        let times = self.route_times;
         let route = |name: &str, prefix: &str, kind: &str| {
             json!({"name": name, "host": "soak.example", "path-prefix": prefix, "route-type": kind,
-                "timeout-s": 1.0, "target-latency-s": 0.3, "priority": 1, "service": "pool",
-                "max-attempts": 2})
+                "timeout-s": times.timeout.as_secs_f64(), "priority": 1, "service": "pool",
+                "target-latency-s": times.latency_target.as_secs_f64(), "max-attempts": 2})
         };
         let added = format!("/v{version}/");
         let spec = json!({"version": format!("{version:08x}"),
--- a/crates/geraniummux-soak/src/hosts.rs
+++ b/crates/geraniummux-soak/src/hosts.rs
@@ -77,6 +77,11 @@
         SocketAddr::new(self.ip, DIRECTORY_PORT)
     }
 
+    /// Returns the path of the log file.
+    pub fn log_path(&self) -> &Path {
+        &self.log
+    }
+
     /// Starts the process; its output is appended to the host's log file.
     ///
     /// # Errors
--- a/crates/geraniummux-soak/src/lib.rs
+++ b/crates/geraniummux-soak/src/lib.rs
@@ -14,5 +14,5 @@
 pub mod hosts;
 pub mod report;
 
-pub use harness::{Options, run};
+pub use harness::{Options, RouteTimes, run};
 pub use report::Report;
--- a/crates/geraniummux-soak/src/main.rs
+++ b/crates/geraniummux-soak/src/main.rs
@@ -1,7 +1,7 @@
 //! Runs the soak test with a range of seeds and reports the guarantees that were violated.
 
 use argh::FromArgs;
-use geraniummux_soak::{Options, run};
+use geraniummux_soak::{Options, RouteTimes, run};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -33,6 +33,9 @@
     /// restore the store from copies
     #[argh(switch)]
     restores: bool,
+    /// give requests seconds instead of a second, so that they outlast the restart of a host
+    #[argh(switch)]
+    long: bool,
     /// directory for the hosts' settings and logs (default: a new one in the temporary directory)
     #[argh(option)]
     dir: Option<PathBuf>,
@@ -65,6 +68,7 @@
             timed: args.timed,
             demands: args.demands,
             restores: args.restores,
+            route_times: if args.long { RouteTimes::LONG } else { RouteTimes::SHORT },
             program: args.program.clone().unwrap_or_else(|| default_program.clone()),
             other_program: args.other_program.clone(),
             dir: dir.join(seed.to_string()),
--- a/crates/geraniummux-soak/tests/process.rs
+++ b/crates/geraniummux-soak/tests/process.rs
@@ -1,25 +1,19 @@
 //! Single faults injected into real entry host processes.
 
-use geraniummux_soak::Options;
+mod common;
+
+use common::{program, send};
 use geraniummux_soak::callers::{self, Outcome};
 use geraniummux_soak::harness::Harness;
+use geraniummux_soak::{Options, RouteTimes};
 use geraniummux_standin::link::LinkFault;
 use geraniummux_standin::registered_target::Demand;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use nix::sys::signal::Signal;
-use std::path::PathBuf;
 use std::process::Command;
 use std::time::Duration;
 
-/// Returns the path of the entry host program, which cargo builds next to the tests.
-fn program() -> PathBuf {
-    let exe = std::env::current_exe().unwrap();
-    let path = exe.parent().and_then(|p| p.parent()).unwrap().join("geraniummux-host");
-    assert!(path.exists(), "{} is missing: cargo build -p geraniummux-adapter", path.display());
-    path
-}
-
 /// Starts two hosts and two targets, and waits until both hosts serve. `net` gives each test of this file
 /// its own loopback network.
 async fn start_harness(net: u64) -> Harness {
@@ -32,6 +26,7 @@
         timed: false,
         demands: false,
         restores: false,
+        route_times: RouteTimes::SHORT,
         program: program(),
         other_program: None,
         dir: std::env::temp_dir().join(format!("geraniummux-process-{}-{net}", std::process::id())),
@@ -43,15 +38,6 @@
     harness
 }
 
-/// Sends one request to a host and checks that a response, if any, is complete.
-async fn send(harness: &Harness, host: usize, id: &str, idempotent: bool) -> Outcome {
-    let request_addr = harness.request_addrs()[host];
-    let Ok(mut sender) = callers::connect(request_addr).await else { return Outcome::NoResponse };
-    let record = callers::send(harness, &mut sender, request_addr, id, idempotent).await;
-    assert_eq!(record.response_error, None);
-    record.outcome
-}
-
 async fn get(addr: std::net::SocketAddr, path: &str) -> (StatusCode, String) {
     let mut sender = callers::connect(addr).await.unwrap();
     let rsp = sender.send_request(Request::get(path).body(Full::default()).unwrap()).await.unwrap();
--- a/crates/geraniummux-soak/tests/soak.rs
+++ b/crates/geraniummux-soak/tests/soak.rs
@@ -1,20 +1,14 @@
 //! Short runs of the soak test with fixed seeds and with the regression seeds.
 
-use geraniummux_soak::{Options, run};
-use std::path::PathBuf;
+mod common;
+
+use common::program;
+use geraniummux_soak::{Options, RouteTimes, run};
 use std::time::Duration;
 
 /// Seeds that have failed before, one per line, each with the cause of the failure.
 const REGRESSION_SEEDS: &str = include_str!("../seeds.txt");
 
-/// Returns the path of the entry host program, which cargo builds next to the tests.
-fn program() -> PathBuf {
-    let exe = std::env::current_exe().unwrap();
-    let path = exe.parent().and_then(|p| p.parent()).unwrap().join("geraniummux-host");
-    assert!(path.exists(), "{} is missing: cargo build -p geraniummux-adapter", path.display());
-    path
-}
-
 /// Faults that are injected beside those of the seed.
 #[derive(Clone, Copy, PartialEq)]
 enum Beside {
@@ -34,6 +28,7 @@
         timed: false,
         demands: beside == Beside::Demands,
         restores: beside == Beside::Restores,
+        route_times: RouteTimes::SHORT,
         program: program(),
         other_program: None,
         dir: std::env::temp_dir()
--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -18,6 +18,8 @@
 const SLOTS: u32 = 6;
 /// Maximum number of requests that wait for a slot; further ones are refused.
 const MAX_QUEUED: u32 = 12;
+/// Slowdown that a target reports while it is as fast as usual, in percent.
+const USUAL_SLOWDOWN_PERCENT: u32 = 100;
 /// Suffix of paths on which a target closes the connection as soon as it runs the request, like a target
 /// that crashes.
 pub const CRASH_PATH_SUFFIX: &str = "/poison";
@@ -56,6 +58,7 @@
     running: AtomicU32,
     waiting: AtomicU32,
     service_ms: AtomicU64,
+    slowdown_percent: AtomicU32,
     leaving: AtomicBool,
     /// When the target began to leave, and for how long it may still get requests from then on.
     leaving_since: Mutex<Option<(Instant, Duration)>>,
@@ -101,6 +104,7 @@
             running: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
             service_ms: AtomicU64::new(service_ms),
+            slowdown_percent: AtomicU32::new(USUAL_SLOWDOWN_PERCENT),
             leaving: AtomicBool::new(false),
             leaving_since: Mutex::default(),
             late_runs: Mutex::default(),
@@ -143,6 +147,12 @@
         self.service_ms.store(service_ms, Ordering::Relaxed);
     }
 
+    /// Sets the slowdown that the target reports, in percent of its usual speed; it does not change the
+    /// service time.
+    pub fn set_slowdown_percent(&self, percent: u32) {
+        self.slowdown_percent.store(percent, Ordering::Relaxed);
+    }
+
     /// Sets whether the target is leaving. `allowed` is the time for which a leaving target may still get
     /// requests; later ones are recorded as [late runs](LateRun).
     pub fn set_leaving(&self, leaving: bool, allowed: Duration) {
@@ -233,9 +243,10 @@
 
     fn response(&self, status: StatusCode, id: &str, body: Bytes) -> Response<Full<Bytes>> {
         let load = format!(
-            "{},{},{SLOTS},100",
+            "{},{},{SLOTS},{}",
             self.running.load(Ordering::Relaxed),
-            self.waiting.load(Ordering::Relaxed)
+            self.waiting.load(Ordering::Relaxed),
+            self.slowdown_percent.load(Ordering::Relaxed)
         );
         let rsp = Response::builder()
             .status(status)
