A request that must run once gets no second attempt, whoever asks for one

What callers saw: requests that must run once ran twice (TWICE).

Cause: three places start further attempts. The retry and the timed hedge asked whether the request is idempotent; the hedge that a scheduler grants did not, since the scheduler had been told whether the request may be hedged. A decision that was meant for another request therefore ran this one a second time.

Ruled out: retries.

Change: Executions (core) is the one gate: an attempt can only be sent with a permit, which it gives by the request alone. A request that is not idempotent gets none while an attempt is under way, nor after one that a target may have executed. All three places ask it first, so that a hedge is declined before a connection is opened.

Conclusion: no message can make such a request run again. That decisions of another scheduler, on another request, are believed is a fault of its own and is not changed here.

--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -4,7 +4,7 @@
 use super::headers;
 use super::selection::SelectedTarget;
 use crate::upstream::{self, ExchangeError, TargetResponse};
-use geraniummux_core::fleet::{Fault, TargetReport};
+use geraniummux_core::fleet::{AttemptPermit, Fault, TargetReport};
 use geraniummux_core::time::scaled;
 use http::{Request, StatusCode, Version};
 use http_body_util::Full;
@@ -32,10 +32,16 @@
     pub outcome: AttemptOutcome,
     /// The load that the target reported with its response.
     pub report: Option<TargetReport>,
+    /// The permit with which it was sent.
+    pub permit: AttemptPermit,
 }
 
 /// Sends a request to the selected target, waits for the response and records the outcome.
-pub async fn send(ctx: Arc<RequestContext>, selected: SelectedTarget) -> FinishedAttempt {
+pub async fn send(
+    ctx: Arc<RequestContext>,
+    selected: SelectedTarget,
+    permit: AttemptPermit,
+) -> FinishedAttempt {
     let SelectedTarget { candidate, conn, latency_factor, .. } = selected;
     let target = candidate.id.clone();
     let host = &ctx.host;
@@ -46,6 +52,7 @@
             target,
             outcome: AttemptOutcome::NotExecuted("unsendable"),
             report,
+            permit,
         };
     };
     let route = &ctx.route.name;
@@ -123,7 +130,7 @@
         "stretch" => latency_factor, "expected_ms" => scaled(ctx.service_time, latency_factor).as_millis() as u64,
         "took_ms" => now.since(sent_at).as_millis() as u64,
         "slowdown" => report.map_or(0.0, |r| r.slowdown));
-    FinishedAttempt { target, outcome, report }
+    FinishedAttempt { target, outcome, report, permit }
 }
 
 fn forwarded_request(ctx: &RequestContext, target: &str) -> Option<Request<Full<bytes::Bytes>>> {
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -13,11 +13,11 @@
 use futures_util::future::{BoxFuture, FutureExt};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::Time;
-use geraniummux_core::fleet::{ExtraAttempt, Fault};
+use geraniummux_core::fleet::{Executions, ExtraAttempt, Fault};
 use geraniummux_core::time::scaled;
 use http::{Response, StatusCode};
 use http_body_util::Full;
-use slog::info;
+use slog::{info, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::task::Poll;
@@ -60,11 +60,8 @@
     /// Grants of the pool's scheduler.
     grants: Vec<Grant>,
     hedge_at: Option<Time>,
-    /// Attempts that targets may have executed.
-    executed_attempts: u32,
-    not_executed_attempts: u32,
-    /// Whether an attempt failed that the target may have executed.
-    may_have_executed: bool,
+    /// Decides whether another attempt may start.
+    executions: Executions,
     /// The last server error with which a target responded.
     failure: Option<TargetResponse>,
     rejection: Option<(&'static str, Duration)>,
@@ -146,6 +143,7 @@
 
 impl ActiveRequest {
     fn new(ctx: Arc<RequestContext>) -> Self {
+        let executions = Executions::new(ctx.route.idempotent, ctx.route.max_attempts);
         ActiveRequest {
             ctx,
             events: FuturesUnordered::new(),
@@ -154,9 +152,7 @@
             selecting: false,
             grants: Vec::new(),
             hedge_at: None,
-            executed_attempts: 0,
-            not_executed_attempts: 0,
-            may_have_executed: false,
+            executions,
             failure: None,
             rejection: None,
             reason: "",
@@ -195,7 +191,9 @@
                     }
                 }
             }
-            Event::AttemptEnded(FinishedAttempt { target, outcome, report }) => {
+            Event::AttemptEnded(FinishedAttempt { target, outcome, report, permit }) => {
+                let may_have_executed = !matches!(outcome, AttemptOutcome::NotExecuted(_));
+                self.executions.end(permit, may_have_executed);
                 if let (Some(report), Some(grant)) = (report, self.grants.last_mut()) {
                     grant.set_report(&target, report);
                 }
@@ -230,7 +228,7 @@
     fn on_hedge_grant(&mut self, hedge: HedgeGrant) {
         let HedgeGrant { number, target, latency_factor } = hedge;
         let ctx = self.ctx.clone();
-        let wanted = !self.selecting && self.executed_attempts < ctx.route.max_attempts;
+        let wanted = !self.selecting && self.executions.may_start();
         let granted = wanted && ctx.host.try_extra_attempt(&ctx.pool.name, ExtraAttempt::Hedge);
         info!(ctx.host.log, "hedge"; "id" => ctx.id(), "granted" => granted,
             "by" => "scheduler", "number" => number, "target" => &*target,
@@ -267,11 +265,17 @@
         if rejected.is_some() {
             return rejected;
         }
+        let Some(permit) = self.executions.start() else {
+            let ctx = &self.ctx;
+            warn!(ctx.host.log, "attempt_refused"; "id" => ctx.id(),
+                "target" => &*selected.candidate.id, "idempotent" => ctx.route.idempotent);
+            ctx.host.upstream.put_idle(ctx.host.now(), selected.conn);
+            return self.finish_if_idle();
+        };
         self.grants.extend(selected.grant.take());
         let now = self.ctx.host.now();
         let expected = scaled(self.ctx.service_time, selected.latency_factor);
         let addr = selected.conn.addr();
-        self.executed_attempts += 1;
         self.tried.push(selected.candidate.id.clone());
         self.in_flight.push(AttemptInFlight {
             target: selected.candidate.id.clone(),
@@ -279,15 +283,14 @@
             sent_at: now,
             expected,
         });
-        let may_hedge =
-            self.ctx.route.idempotent && self.executed_attempts < self.ctx.route.max_attempts;
-        self.hedge_at = may_hedge.then(|| {
+        self.hedge_at = self.executions.may_start().then(|| {
             let earliest = scaled(self.ctx.route.latency_target, MIN_HEDGE_DELAY_SHARE);
             now + scaled(expected, HEDGE_LATENCY_FACTOR).max(earliest)
         });
         let ctx = self.ctx.clone();
-        self.events
-            .push(async move { Event::AttemptEnded(attempt::send(ctx, selected).await) }.boxed());
+        self.events.push(
+            async move { Event::AttemptEnded(attempt::send(ctx, selected, permit).await) }.boxed(),
+        );
         None
     }
 
@@ -308,7 +311,6 @@
                 if !idempotent && response::promises_no_execution(response.status) =>
             {
                 // The target did not declare that it has not executed the request.
-                self.may_have_executed = true;
                 self.reason = "unproven_refusal";
             }
             AttemptOutcome::Responded(response) => {
@@ -316,13 +318,8 @@
                 self.retract_crash_reports(addr);
                 return Some(response::relayed(response));
             }
-            AttemptOutcome::NotExecuted(reason) => {
-                self.executed_attempts -= 1;
-                self.not_executed_attempts += 1;
-                self.reason = reason;
-            }
+            AttemptOutcome::NotExecuted(reason) => self.reason = reason,
             AttemptOutcome::Lost(reason) => {
-                self.may_have_executed = true;
                 self.reason = reason;
                 if let Some(addr) = addr.filter(|_| reason == "no_answer") {
                     peers::send_crash_report(&self.ctx.host, self.ctx.fingerprint, addr, false);
@@ -350,12 +347,10 @@
     fn retry(&mut self) {
         let ctx = self.ctx.clone();
         let now = ctx.host.now();
-        let retryable = ctx.route.idempotent || !self.may_have_executed;
-        let allowed = retryable
+        let allowed = self.executions.may_start()
             && self.in_flight.is_empty()
             && !self.selecting
-            && self.executed_attempts < ctx.route.max_attempts
-            && self.not_executed_attempts < MAX_NOT_EXECUTED_ATTEMPTS
+            && self.executions.not_executed() < MAX_NOT_EXECUTED_ATTEMPTS
             && ctx.time_left(now) > ctx.service_time / 2
             && self.ends_before_exit()
             && !ctx.host.fleet().quarantine.is_blocked(now, ctx.fingerprint);
@@ -376,7 +371,8 @@
         self.hedge_at = None;
         let ctx = self.ctx.clone();
         let now = ctx.host.now();
-        if self.selecting || ctx.time_left(now) < ctx.service_time {
+        let allowed = self.executions.may_start() && !self.selecting;
+        if !allowed || ctx.time_left(now) < ctx.service_time {
             return;
         }
         let granted = ctx.host.try_extra_attempt(&ctx.pool.name, ExtraAttempt::Hedge);
@@ -402,7 +398,7 @@
         if !self.in_flight.is_empty() {
             return response::local(StatusCode::GATEWAY_TIMEOUT);
         }
-        if self.may_have_executed {
+        if self.executions.may_have_executed() {
             return response::local(StatusCode::BAD_GATEWAY);
         }
         let (_, retry_after) = self.rejection.unwrap_or_default();
@@ -421,7 +417,7 @@
         let status = rsp.status();
         let outcome = match status {
             s if s.is_success() => "served",
-            StatusCode::SERVICE_UNAVAILABLE if !self.may_have_executed => "refused",
+            StatusCode::SERVICE_UNAVAILABLE if !self.executions.may_have_executed() => "refused",
             _ => "failed",
         };
         ctx.host.metrics.request(&ctx.route.name, outcome, took);
--- a/crates/geraniummux-host/tests/common/peer.rs
+++ b/crates/geraniummux-host/tests/common/peer.rs
@@ -5,6 +5,8 @@
 
 use super::PEER_KEY;
 use geraniummux_core::fleet::{SlotDecision, SlotRequest};
+use geraniummux_core::{Member, MemberState};
+use geraniummux_host::Host;
 use geraniummux_wire::{Codec, Envelope, MAX_DATAGRAM_LEN, Message};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,6 +16,9 @@
 /// Time after which a host that does not answer is taken not to hear its peers.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
 
+/// Name of the peer.
+const NAME: &str = "stranger";
+
 /// Returns a request for a slot that is not hedgeable.
 pub fn slot_request() -> SlotRequest {
     SlotRequest {
@@ -28,40 +33,88 @@
     }
 }
 
-/// A peer that speaks to a scheduler by itself.
+/// Capacity of a peer that is the scheduler of all pools.
+const SCHEDULER_CAPACITY: u32 = u32::MAX;
+
+/// A peer that exchanges messages with a host by itself.
 pub struct Peer {
     codec: Codec,
     socket: UdpSocket,
-    scheduler: SocketAddr,
+    host: SocketAddr,
 }
 
 impl Peer {
     /// Starts a peer at the address of the host.
-    pub async fn start(scheduler: SocketAddr) -> Self {
-        let socket = UdpSocket::bind(SocketAddr::new(scheduler.ip(), 0)).await.unwrap();
-        Peer { codec: Codec::new(PEER_KEY.as_bytes()), socket, scheduler }
+    pub async fn start(host: SocketAddr) -> Self {
+        let socket = UdpSocket::bind(SocketAddr::new(host.ip(), 0)).await.unwrap();
+        Peer { codec: Codec::new(PEER_KEY.as_bytes()), socket, host }
+    }
+
+    /// Makes this peer the scheduler of all pools of the host.
+    pub fn become_scheduler(&self, host: &Host) {
+        let addr = self.socket.local_addr().unwrap();
+        let member = Member {
+            name: NAME.into(),
+            addr,
+            http_addr: addr,
+            failure_domain: "a".into(),
+            capacity: SCHEDULER_CAPACITY,
+            incarnation: 1,
+            state: MemberState::Alive,
+        };
+        host.members().merge(host.now(), vec![member]);
     }
 
     /// Sends a message to the host.
     pub async fn send(&self, message: Message) {
-        let envelope = Envelope { from: "stranger".into(), incarnation: 1, generation: 0, message };
+        self.send_as(1, message).await;
+    }
+
+    /// Sends a message to the host in an incarnation of this peer.
+    pub async fn send_as(&self, incarnation: u64, message: Message) {
+        let envelope = Envelope { from: NAME.into(), incarnation, generation: 0, message };
         let datagram = self.codec.encode_datagram(&envelope).unwrap();
-        self.socket.send_to(&datagram, self.scheduler).await.unwrap();
+        self.socket.send_to(&datagram, self.host).await.unwrap();
     }
 
-    /// Requests a slot for a request that may be hedged, and returns the decision.
-    pub async fn request(&self, number: u64) -> SlotDecision {
-        let pool = "pool".into();
-        let request = SlotRequest { hedgeable: true, ..slot_request() };
-        self.send(Message::SlotRequest { number, pool, request }).await;
+    /// Sends a decision on a slot request of the host.
+    pub async fn decide(&self, number: u64, decision: SlotDecision) {
+        self.send(Message::SlotDecision { number, decision }).await;
+    }
+
+    /// Waits for a message of the host for which `pick` returns a value.
+    pub async fn receive<T, F>(&self, pick: F) -> T
+    where
+        F: Fn(Message) -> Option<T>,
+    {
         let mut buf = [0; MAX_DATAGRAM_LEN];
         loop {
             let received = timeout(GIVE_UP_AFTER, self.socket.recv_from(&mut buf)).await;
-            let (len, _) = received.expect("the host does not hear its peers").unwrap();
-            match self.codec.decode_datagram(&buf[..len]).unwrap().message {
-                Message::SlotDecision { number: n, decision } if n == number => return decision,
-                _ => {}
+            let (len, _) = received.expect("the host does not send the message").unwrap();
+            if let Some(picked) = pick(self.codec.decode_datagram(&buf[..len]).unwrap().message) {
+                return picked;
             }
         }
     }
+
+    /// Waits for the next slot request of the host, and returns its number.
+    pub async fn next_slot_request(&self) -> u64 {
+        self.receive(|message| match message {
+            Message::SlotRequest { number, .. } => Some(number),
+            _ => None,
+        })
+        .await
+    }
+
+    /// Requests a slot for a request that may be hedged, and returns the decision.
+    pub async fn request(&self, number: u64) -> SlotDecision {
+        let pool = "pool".into();
+        let request = SlotRequest { hedgeable: true, ..slot_request() };
+        self.send(Message::SlotRequest { number, pool, request }).await;
+        self.receive(|message| match message {
+            Message::SlotDecision { number: n, decision } if n == number => Some(decision),
+            _ => None,
+        })
+        .await
+    }
 }
--- /dev/null
+++ b/crates/geraniummux-host/tests/hedges.rs
@@ -0,0 +1,81 @@
+//! Hedges that a scheduler grants while a request runs at its first target.
+
+mod common;
+
+use common::peer::Peer;
+use common::targets::{Reply, ScriptedTarget, call, complete_response, identity, start_host_with};
+use geraniummux_core::fleet::SlotDecision;
+use geraniummux_host::{Host, peers};
+use geraniummux_wire::Message;
+use http::StatusCode;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which a target works on a request, in which messages arrive several times over.
+const SERVICE_TIME: Duration = Duration::from_millis(500);
+/// Time that callers have for a request, in milliseconds.
+const TIME_LEFT_MS: u64 = 4_000;
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+fn slow(number: Option<usize>, addr: SocketAddr, id: &str) -> Reply {
+    match number {
+        Some(_) => Reply::Later(SERVICE_TIME, complete_response(addr, id)),
+        None => Reply::Keep(complete_response(addr, id)),
+    }
+}
+
+/// Starts a host with two slow targets, and a peer that schedules its pools.
+async fn start(peer: &str) -> (Arc<Host>, SocketAddr, Peer, [ScriptedTarget; 2]) {
+    let targets = [ScriptedTarget::start(slow).await, ScriptedTarget::start(slow).await];
+    let (host, addr) = start_host_with(&[targets[0].addr, targets[1].addr], peer).await;
+    tokio::spawn(peers::receive(host.clone()));
+    let scheduler = Peer::start(peer.parse().unwrap()).await;
+    scheduler.become_scheduler(&host);
+    (host, addr, scheduler, targets)
+}
+
+fn grant(target: &ScriptedTarget) -> SlotDecision {
+    SlotDecision::Grant { target: identity(target.addr).into(), latency_factor: 1.0 }
+}
+
+fn hedge(target: &ScriptedTarget) -> SlotDecision {
+    SlotDecision::Hedge { target: identity(target.addr).into(), latency_factor: 1.0 }
+}
+
+async fn until_count(target: &ScriptedTarget, count: usize) {
+    while target.count() < count {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against a hedge that a scheduler grants for a request which must run once (TWICE).
+#[tokio::test]
+async fn hedge_of_a_request_that_runs_once_is_declined() {
+    let (_host, addr, scheduler, targets) = start("127.9.9.100:7009").await;
+    let request = tokio::spawn(call(addr, "once", TIME_LEFT_MS));
+    let number = scheduler.next_slot_request().await;
+    scheduler.decide(number, grant(&targets[0])).await;
+    until_count(&targets[0], 1).await;
+    scheduler.decide(number, hedge(&targets[1])).await;
+    assert_eq!(request.await.unwrap().0, StatusCode::OK);
+    assert_eq!(targets.each_ref().map(ScriptedTarget::count), [1, 0]);
+    let declined = scheduler.receive(|message| match message {
+        Message::GrantDeclined { number, target, .. } => Some((number, target)),
+        _ => None,
+    });
+    assert_eq!(declined.await, (number, identity(targets[1].addr).into()));
+}
+
+/// Guards against a host that makes no hedges at all.
+#[tokio::test]
+async fn hedge_of_an_idempotent_request_is_made() {
+    let (_host, addr, scheduler, targets) = start("127.9.9.101:7009").await;
+    let request = tokio::spawn(call(addr, "safe", TIME_LEFT_MS));
+    let number = scheduler.next_slot_request().await;
+    scheduler.decide(number, grant(&targets[0])).await;
+    until_count(&targets[0], 1).await;
+    scheduler.decide(number, hedge(&targets[1])).await;
+    assert_eq!(request.await.unwrap().0, StatusCode::OK);
+    assert_eq!(targets.each_ref().map(ScriptedTarget::count), [1, 1]);
+}
