Decisions of a scheduler that was not asked are ignored

What callers saw: a frozen scheduler that went on after another had taken over decided on requests that had asked the other one: refused them, sent them to targets that it granted to requests of a dead process, or had them hedged.

Cause: a decision was delivered by the number alone, whoever sent it.

Change: a pending slot request accepts decisions only from the address of the scheduler that it was sent to. Others are logged and counted as before.

Evidence: hedge_of_another_scheduler_is_ignored failed on the parent (the rejection of the other host ended the request, so that its target got none) and passes now; the tests of scheduling and hedges pass.

--- a/crates/geraniummux-host/src/pending.rs
+++ b/crates/geraniummux-host/src/pending.rs
@@ -64,10 +64,12 @@
         let Ok(i) = slots.binary_search_by_key(&number, |s| s.number) else {
             return Delivery::UnknownNumber;
         };
-        let slot = &slots[i];
+        if slots[i].scheduler != from {
+            return Delivery::OtherScheduler;
+        }
         // The receiver is gone if the request has ended; its scheduler has been notified of that.
-        let _ = slot.decisions.send(decision);
-        if slot.scheduler == from { Delivery::Delivered } else { Delivery::OtherScheduler }
+        let _ = slots[i].decisions.send(decision);
+        Delivery::Delivered
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<PendingSlot>> {
--- a/crates/geraniummux-host/tests/hedges.rs
+++ b/crates/geraniummux-host/tests/hedges.rs
@@ -4,18 +4,21 @@
 
 use common::peer::Peer;
 use common::targets::{Reply, ScriptedTarget, call, complete_response, identity, start_host_with};
-use geraniummux_core::fleet::SlotDecision;
+use geraniummux_core::fleet::{RejectReason, SlotDecision};
 use geraniummux_host::{Host, peers};
 use geraniummux_wire::Message;
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// Time for which a target works on a request, in which messages arrive several times over.
 const SERVICE_TIME: Duration = Duration::from_millis(500);
 /// Time that callers have for a request, in milliseconds.
 const TIME_LEFT_MS: u64 = 4_000;
+/// Time after which a request that does not reach its target is given up.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 fn slow(number: Option<usize>, addr: SocketAddr, id: &str) -> Reply {
@@ -44,9 +47,12 @@
 }
 
 async fn until_count(target: &ScriptedTarget, count: usize) {
-    while target.count() < count {
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
+    let reached = async {
+        while target.count() < count {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(GIVE_UP_AFTER, reached).await.expect("the target gets too few requests");
 }
 
 /// Guards against a hedge that a scheduler grants for a request which must run once (TWICE).
@@ -79,3 +85,22 @@
     assert_eq!(request.await.unwrap().0, StatusCode::OK);
     assert_eq!(targets.each_ref().map(ScriptedTarget::count), [1, 1]);
 }
+
+/// Guards against decisions of a host that the request's slot was not requested from: it may decide on a
+/// request of a former process of this host that had the same number.
+#[tokio::test]
+async fn hedge_of_another_scheduler_is_ignored() {
+    let peer = "127.9.9.102:7009";
+    let (_host, addr, scheduler, targets) = start(peer).await;
+    let other = Peer::start(peer.parse().unwrap()).await;
+    let request = tokio::spawn(call(addr, "safe", TIME_LEFT_MS));
+    let number = scheduler.next_slot_request().await;
+    let reject =
+        SlotDecision::Reject { reason: RejectReason::NoTarget, retry_after: Duration::ZERO };
+    other.decide(number, reject).await;
+    scheduler.decide(number, grant(&targets[0])).await;
+    until_count(&targets[0], 1).await;
+    other.decide(number, hedge(&targets[1])).await;
+    assert_eq!(request.await.unwrap().0, StatusCode::OK);
+    assert_eq!(targets.each_ref().map(ScriptedTarget::count), [1, 0]);
+}
