Numbers of slot requests differ between the processes of a host

What callers saw: requests that must run once ran twice (TWICE). Also, the end of a grant of a former process frees the slot of a request of the present one, so that its target gets more than it has slots for.

Cause: each process numbers its slot requests from 0, and schedulers tell them apart by host and number only. After a restart, requests of the dead process that a scheduler still holds have the names of new ones. The class of fault: a number that one process hands out and another one keeps, without the run that it belongs to.

Change: the upper half of a number is drawn when the process starts. The messages stay the same, so that older builds on either side understand them.

Conclusion: the chance that two processes share their numbers is 1 in 2^32, and then the permit of the request still forbids a second run.

--- a/crates/geraniummux-host/src/pending.rs
+++ b/crates/geraniummux-host/src/pending.rs
@@ -14,8 +14,13 @@
     decisions: UnboundedSender<SlotDecision>,
 }
 
+/// Bits of a number that count the requests of a process; those above tell processes apart.
+const COUNTER_BITS: u32 = 32;
+
 /// The slot requests that await decisions.
-#[derive(Default)]
+///
+/// Schedulers know a request by its host and its number, and may still know requests of a process of this host
+/// that was killed. The numbers of a process therefore begin at random.
 pub struct PendingSlots {
     next_number: AtomicU64,
     /// Sorted by number.
@@ -44,6 +49,13 @@
     }
 }
 
+impl Default for PendingSlots {
+    fn default() -> Self {
+        let first = u64::from(rand::random::<u32>()) << COUNTER_BITS;
+        PendingSlots { next_number: AtomicU64::new(first), slots: Mutex::default() }
+    }
+}
+
 impl PendingSlots {
     /// Adds a slot request to the scheduler at an address. Returns its number and its decisions.
     pub fn open(&self, scheduler: SocketAddr) -> (u64, UnboundedReceiver<SlotDecision>) {
