Slot requests of several threads are kept in the order of their numbers

Cause: numbers were drawn before the lock of the sorted list was taken, so that two threads could enter out of order and the binary search missed them.

Change: numbers are drawn under the lock; removal searches like delivery.

--- a/crates/geraniummux-host/src/pending.rs
+++ b/crates/geraniummux-host/src/pending.rs
@@ -2,7 +2,6 @@
 
 use geraniummux_core::fleet::SlotDecision;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
@@ -21,10 +20,12 @@
 ///
 /// Schedulers know a request by its host and its number, and may still know requests of a process of this host
 /// that was killed. The numbers of a process therefore begin at random.
-pub struct PendingSlots {
-    next_number: AtomicU64,
-    /// Sorted by number.
-    slots: Mutex<Vec<PendingSlot>>,
+pub struct PendingSlots(Mutex<Pending>);
+
+struct Pending {
+    next_number: u64,
+    /// Sorted by number, as numbers are drawn under the same lock.
+    slots: Vec<PendingSlot>,
 }
 
 /// What became of a decision that arrived.
@@ -52,27 +53,32 @@
 impl Default for PendingSlots {
     fn default() -> Self {
         let first = u64::from(rand::random::<u32>()) << COUNTER_BITS;
-        PendingSlots { next_number: AtomicU64::new(first), slots: Mutex::default() }
+        PendingSlots(Mutex::new(Pending { next_number: first, slots: Vec::new() }))
     }
 }
 
 impl PendingSlots {
     /// Adds a slot request to the scheduler at an address. Returns its number and its decisions.
     pub fn open(&self, scheduler: SocketAddr) -> (u64, UnboundedReceiver<SlotDecision>) {
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = mpsc::unbounded_channel();
-        self.lock().push(PendingSlot { number, scheduler, decisions: tx });
+        let mut pending = self.lock();
+        let number = pending.next_number;
+        pending.next_number += 1;
+        pending.slots.push(PendingSlot { number, scheduler, decisions: tx });
         (number, rx)
     }
 
     /// Removes a slot request.
     pub fn close(&self, number: u64) {
-        self.lock().retain(|s| s.number != number);
+        let mut pending = self.lock();
+        if let Ok(i) = pending.slots.binary_search_by_key(&number, |s| s.number) {
+            pending.slots.remove(i);
+        }
     }
 
     /// Passes a decision of the scheduler at `from` to the request that awaits it.
     pub fn deliver(&self, from: SocketAddr, number: u64, decision: SlotDecision) -> Delivery {
-        let slots = self.lock();
+        let slots = &self.lock().slots;
         let Ok(i) = slots.binary_search_by_key(&number, |s| s.number) else {
             return Delivery::UnknownNumber;
         };
@@ -84,7 +90,7 @@
         Delivery::Delivered
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<PendingSlot>> {
-        self.slots.lock().unwrap_or_else(|e| e.into_inner())
+    fn lock(&self) -> MutexGuard<'_, Pending> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
