A slot that is granted to an unknown request is returned to the scheduler

What callers saw: after a scheduler was frozen while a host was killed, its targets counted as busy with the requests of the dead process until these would have ended, up to the timeout of their routes, and others waited or were rejected meanwhile.

Cause: the end of a request is reported by its own process only. Decisions for requests that a host does not know were dropped.

Change: the host returns such a grant with the message that also ends a normal one, which older schedulers understand.

Evidence: grant_of_an_unknown_request_is_returned failed on the parent (no message in 20 s) and passes now; hedges, pending and scheduling pass.

--- a/crates/geraniummux-core/src/fleet/registry.rs
+++ b/crates/geraniummux-core/src/fleet/registry.rs
@@ -222,6 +222,11 @@
         self.find(target)?.run()
     }
 
+    /// Returns the pool of a registered target.
+    pub fn pool(&self, target: &str) -> Option<&Arc<str>> {
+        self.find(target)?.target.as_ref().map(|t| &t.pool)
+    }
+
     /// Returns whether what a target said at `said_at` may be the word of its registered run: this copy had
     /// that run then, or it is not known since when the run is registered.
     pub fn may_be_of_registered_run(&self, target: &str, said_at: Time) -> bool {
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -229,15 +229,24 @@
     fn drop(&mut self) {
         let host = &self.host;
         host.scheduling.pending.close(self.number);
-        let report = self.report.take();
-        if self.scheduler == host.settings.load().peer {
-            let me = host.settings.load().host.clone();
-            on_grant_ended(host, &me, self.number, &self.pool, report);
-        } else {
-            let message =
-                Message::GrantEnded { number: self.number, pool: self.pool.clone(), report };
-            peers::send(host, &[self.scheduler], message);
-        }
+        end_grant(host, self.scheduler, self.number, &self.pool, self.report.take());
+    }
+}
+
+/// Notifies a scheduler that a request has ended, with the load that its target reported last.
+fn end_grant(
+    host: &Arc<Host>,
+    scheduler: SocketAddr,
+    number: u64,
+    pool: &Arc<str>,
+    report: Option<(Arc<str>, TargetReport)>,
+) {
+    if scheduler == host.settings.load().peer {
+        let me = host.settings.load().host.clone();
+        on_grant_ended(host, &me, number, pool, report);
+    } else {
+        let message = Message::GrantEnded { number, pool: pool.clone(), report };
+        peers::send(host, &[scheduler], message);
     }
 }
 
@@ -494,14 +503,26 @@
     send_decisions(host, decisions);
 }
 
-/// Passes a decision of the scheduler at `from` to the request of this host that awaits it.
-pub fn on_slot_decision(host: &Host, from: SocketAddr, number: u64, decision: SlotDecision) {
+/// Passes a decision of the scheduler at `from` to the request of this host that awaits it. If there is none, a
+/// slot that it grants is returned: the request has ended, or its process was killed.
+pub fn on_slot_decision(host: &Arc<Host>, from: SocketAddr, number: u64, decision: SlotDecision) {
     let kind = decision.as_str();
+    let granted = match &decision {
+        SlotDecision::Grant { target, .. } | SlotDecision::Hedge { target, .. } => {
+            Some(target.clone())
+        }
+        SlotDecision::Wait | SlotDecision::Reject { .. } => None,
+    };
     let delivery = host.scheduling.pending.deliver(from, number, decision);
     host.metrics.slot_decision(delivery.as_str());
-    if delivery != Delivery::Delivered {
-        info!(host.log, "decision_unmatched"; "reason" => delivery.as_str(),
-            "from" => from.to_string(), "number" => number, "decision" => kind);
+    if delivery == Delivery::Delivered {
+        return;
+    }
+    info!(host.log, "decision_unmatched"; "reason" => delivery.as_str(),
+        "from" => from.to_string(), "number" => number, "decision" => kind);
+    let pool = granted.and_then(|target| host.fleet().registry.pool(&target).cloned());
+    if let Some(pool) = pool {
+        end_grant(host, from, number, &pool, None);
     }
 }
 
--- a/crates/geraniummux-host/tests/hedges.rs
+++ b/crates/geraniummux-host/tests/hedges.rs
@@ -104,3 +104,18 @@
     assert_eq!(request.await.unwrap().0, StatusCode::OK);
     assert_eq!(targets.each_ref().map(ScriptedTarget::count), [1, 0]);
 }
+
+/// Guards against slots that a scheduler keeps for requests which its host does not know (any more), such as
+/// those of a killed process: their targets would count as busy until the deadlines.
+#[tokio::test]
+async fn grant_of_an_unknown_request_is_returned() {
+    let (_host, _, scheduler, targets) = start("127.9.9.103:7009").await;
+    for (number, decision) in [(7, grant(&targets[0])), (8, hedge(&targets[1]))] {
+        scheduler.decide(number, decision).await;
+        let ended = scheduler.receive(|message| match message {
+            Message::GrantEnded { number, pool, .. } => Some((number, pool)),
+            _ => None,
+        });
+        assert_eq!(ended.await, (number, "pool".into()));
+    }
+}
