A scheduler grants nothing for requests of a host's former process

What callers saw: requests that must run once ran twice (TWICE), if the host that restarts runs a build which believes decisions by their number alone.

Cause: the scheduler keeps requests by host and number, and the incarnation that each message names was not looked at. Requests of a killed process kept their right to a hedge, and were granted when they were read late.

Change: slot requests of an incarnation before the latest known are ignored. Once a host is known to run in another incarnation, from its own messages or from gossip, its requests in flight get no hedges, and those that wait are forgotten.

Evidence: on_slot_request_of_a_former_process_is_ignored fails without the two checks (a grant for request 2, hedges for 1 and 2) and passes with them.

--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -651,6 +651,17 @@
         self.schedule(now)
     }
 
+    /// Records that a host runs in another incarnation. Its process may have been killed, and may give the numbers
+    /// of requests in flight to others: these get no hedges any more. Those that wait are forgotten; a host
+    /// sends the requests that are still of interest again.
+    pub fn on_new_incarnation(&mut self, host: &str) {
+        self.waiting.retain(|w| *w.key.host != *host);
+        let in_flight = self.targets.iter_mut().flat_map(|t| &mut t.in_flight);
+        for r in in_flight.filter(|r| *r.key.host == *host) {
+            r.request.hedgeable = false;
+        }
+    }
+
     /// Records a target's report.
     pub fn on_report(&mut self, now: Time, target: &str, report: &TargetReport) {
         let Some(i) = self.find(target) else { return };
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -4,13 +4,13 @@
 use crate::figures;
 use crate::host::Host;
 use crate::replication;
-use crate::scheduling::{self, Scheduling};
+use crate::scheduling::{self, Requester, Scheduling};
 use crate::tasks;
 use crate::tunnel;
 use anyhow::Context;
 use geraniummux_core::membership::{Gossip, MembershipAction};
 use geraniummux_core::quarantine;
-use geraniummux_core::{Fingerprint, MemberState, Time};
+use geraniummux_core::{Fingerprint, Member, MemberState, Time};
 use geraniummux_wire::codec::STREAM_PREFIX_LEN;
 use geraniummux_wire::{
     Codec, CrashReport, Envelope, MAX_DATAGRAM_LEN, Message, State, TargetFaults, stream_frame_len,
@@ -149,7 +149,8 @@
             on_crash_report(host, &format!("{from}/{incarnation}"), &crash_report)
         }
         Message::SlotRequest { number, pool, request } => {
-            scheduling::on_slot_request(host, &from, addr, number, &pool, request);
+            let from = Requester { host: from, incarnation, addr };
+            scheduling::on_slot_request(host, &from, number, &pool, request);
         }
         Message::SlotDecision { number, decision } => {
             scheduling::on_slot_decision(host, addr, number, decision)
@@ -193,6 +194,7 @@
                 });
             }
             MembershipAction::Changed { member, previous } => {
+                scheduling::on_incarnation(host, &member.name, member.incarnation);
                 info!(host.log, "member_changed"; "member" => &*member.name,
                     "state" => format!("{:?}", member.state), "was" => format!("{previous:?}"),
                     "incarnation" => member.incarnation);
@@ -395,10 +397,15 @@
     State { members: host.members().snapshot(), leaving: Vec::new(), quarantine }
 }
 
+/// Takes over records of members.
+pub fn learn_members(host: &Arc<Host>, members: Vec<Member>) {
+    let actions = host.members().merge(host.now(), members);
+    perform_actions(host, actions);
+}
+
 fn merge(host: &Arc<Host>, state: State) {
     let now: Time = host.now();
-    let actions = host.members().merge(now, state.members);
-    perform_actions(host, actions);
+    learn_members(host, state.members);
     match serde_json::from_slice::<Vec<quarantine::Block>>(&state.quarantine) {
         Ok(blocks) => host.fleet().quarantine.merge_snapshot(now, &blocks),
         Err(e) => warn!(host.log, "blocks_not_read"; "error" => e.to_string()),
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -68,15 +68,26 @@
     probe_credit: f64,
 }
 
+/// A host that requests slots.
+#[derive(Clone, Debug)]
+pub struct Requester {
+    /// Name of the host.
+    pub host: Arc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Address to which the decisions are sent.
+    pub addr: SocketAddr,
+}
+
 /// Slot requests of this host that await decisions, and the pools that this host schedules.
 #[derive(Default)]
 pub struct Scheduling {
     /// Sorted by pool.
     pools: Mutex<Vec<ScheduledPool>>,
     pending: PendingSlots,
-    /// Addresses to which the decisions for other hosts are sent, sorted by host. The membership does
-    /// not suffice, as this host may not know a member yet that has just started.
-    reply_addrs: Mutex<Vec<(Arc<str>, SocketAddr)>>,
+    /// Hosts that have requested slots, sorted by name. The membership does not suffice, as this host may not
+    /// know a member yet that has just started.
+    requesters: Mutex<Vec<Requester>>,
     /// When the demands of targets were last reported to a scheduler, sorted by pool.
     demands_reported: Mutex<Vec<(Arc<str>, SocketAddr, Time)>>,
     /// Schedulers that did not respond, with the time until which no slot requests are sent to them.
@@ -119,18 +130,39 @@
         f(&mut pools[i].scheduler)
     }
 
-    fn set_reply_addr(&self, host: &Arc<str>, addr: SocketAddr) {
-        let mut reply_addrs = lock(&self.reply_addrs);
-        match reply_addrs.binary_search_by(|(h, _)| h.cmp(host)) {
-            Ok(i) => reply_addrs[i].1 = addr,
-            Err(i) => reply_addrs.insert(i, (host.clone(), addr)),
+    /// Records a host that requests slots. Returns whether an earlier incarnation of it has requested some.
+    fn set_requester(&self, from: &Requester) -> bool {
+        let mut requesters = lock(&self.requesters);
+        match requesters.binary_search_by(|r| r.host.cmp(&from.host)) {
+            Ok(i) => {
+                let before = std::mem::replace(&mut requesters[i], from.clone());
+                before.incarnation < from.incarnation
+            }
+            Err(i) => {
+                requesters.insert(i, from.clone());
+                false
+            }
         }
     }
 
+    /// Returns the latest incarnation of a host that has requested slots.
+    fn requester_incarnation(&self, host: &str) -> Option<u64> {
+        let requesters = lock(&self.requesters);
+        let i = requesters.binary_search_by(|r| (*r.host).cmp(host)).ok()?;
+        Some(requesters[i].incarnation)
+    }
+
     fn reply_addr(&self, host: &Arc<str>) -> Option<SocketAddr> {
-        let reply_addrs = lock(&self.reply_addrs);
-        let i = reply_addrs.binary_search_by(|(h, _)| h.cmp(host)).ok()?;
-        Some(reply_addrs[i].1)
+        let requesters = lock(&self.requesters);
+        let i = requesters.binary_search_by(|r| r.host.cmp(host)).ok()?;
+        Some(requesters[i].addr)
+    }
+
+    /// Ends what earlier incarnations of a host have requested, in all pools.
+    fn end_former_requests(&self, host: &str) {
+        for scheduled in lock(&self.pools).iter_mut() {
+            scheduled.scheduler.on_new_incarnation(host);
+        }
     }
 
     fn add_probe_credit(&self, pool: &Arc<str>) {
@@ -445,8 +477,12 @@
     request: SlotRequest,
 ) {
     if scheduler == host.settings.load().peer {
-        let me = host.settings.load().host.clone();
-        on_slot_request(host, &me, scheduler, number, pool, request);
+        let me = {
+            let members = host.members();
+            let local = members.local_member();
+            Requester { host: local.name.clone(), incarnation: local.incarnation, addr: scheduler }
+        };
+        on_slot_request(host, &me, number, pool, request);
     } else {
         peers::send(
             host,
@@ -456,23 +492,40 @@
     }
 }
 
-/// Handles a slot request of the host `from`, whose decisions are sent to `addr`.
+/// Handles a slot request. One that an earlier incarnation of the host has sent is ignored: its process may have been
+/// killed, and the present one may give the number to another request.
 pub fn on_slot_request(
     host: &Arc<Host>,
-    from: &Arc<str>,
-    addr: SocketAddr,
+    from: &Requester,
     number: u64,
     pool: &Arc<str>,
     request: SlotRequest,
 ) {
+    let member = host.members().peer(&from.host).map(|m| m.incarnation);
+    let latest = member.max(host.scheduling.requester_incarnation(&from.host));
+    if latest.is_some_and(|latest| from.incarnation < latest) {
+        info!(host.log, "slot_request_outdated"; "from" => &*from.host, "number" => number,
+            "incarnation" => from.incarnation, "latest" => latest);
+        return;
+    }
     let now = host.now();
-    host.scheduling.set_reply_addr(from, addr);
-    let key = RequestKey { host: from.clone(), number };
+    if host.scheduling.set_requester(from) {
+        host.scheduling.end_former_requests(&from.host);
+    }
+    let key = RequestKey { host: from.host.clone(), number };
     let decisions = host.scheduling.with_scheduler(host, pool, |s| s.on_request(now, key, request));
     host.scheduling.add_probe_credit(pool);
     send_decisions(host, decisions);
 }
 
+/// Handles the news that a host runs in an incarnation.
+pub fn on_incarnation(host: &Host, name: &str, incarnation: u64) {
+    let requested = host.scheduling.requester_incarnation(name);
+    if requested.is_some_and(|requested| requested < incarnation) {
+        host.scheduling.end_former_requests(name);
+    }
+}
+
 /// Handles the end of a request of the host `from`, with the load that its target reported last.
 pub fn on_grant_ended(
     host: &Arc<Host>,
@@ -565,7 +618,7 @@
         let mut pools = lock(&host.scheduling.pools);
         pools.retain(|d| now.since(d.last_request) < POOL_IDLE_TIMEOUT);
         if pools.is_empty() {
-            lock(&host.scheduling.reply_addrs).clear();
+            lock(&host.scheduling.requesters).clear();
         }
         for scheduled in pools.iter_mut() {
             scheduled.scheduler.set_limit_share(limit_share);
--- a/crates/geraniummux-host/tests/common/peer.rs
+++ b/crates/geraniummux-host/tests/common/peer.rs
@@ -6,9 +6,10 @@
 use super::PEER_KEY;
 use geraniummux_core::fleet::{SlotDecision, SlotRequest};
 use geraniummux_core::{Member, MemberState};
-use geraniummux_host::Host;
+use geraniummux_host::{Host, peers};
 use geraniummux_wire::{Codec, Envelope, MAX_DATAGRAM_LEN, Message};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
@@ -51,7 +52,12 @@
     }
 
     /// Makes this peer the scheduler of all pools of the host.
-    pub fn become_scheduler(&self, host: &Host) {
+    pub fn become_scheduler(&self, host: &Arc<Host>) {
+        self.become_member(host, 1);
+    }
+
+    /// Lets the host know this peer in an incarnation, as one that schedules all pools.
+    pub fn become_member(&self, host: &Arc<Host>, incarnation: u64) {
         let addr = self.socket.local_addr().unwrap();
         let member = Member {
             name: NAME.into(),
@@ -59,10 +65,10 @@
             http_addr: addr,
             failure_domain: "a".into(),
             capacity: SCHEDULER_CAPACITY,
-            incarnation: 1,
+            incarnation,
             state: MemberState::Alive,
         };
-        host.members().merge(host.now(), vec![member]);
+        peers::learn_members(host, vec![member]);
     }
 
     /// Sends a message to the host.
@@ -111,8 +117,23 @@
         let pool = "pool".into();
         let request = SlotRequest { hedgeable: true, ..slot_request() };
         self.send(Message::SlotRequest { number, pool, request }).await;
+        self.next_decision(number).await
+    }
+
+    /// Waits for the decision of the host on a request.
+    pub async fn next_decision(&self, number: u64) -> SlotDecision {
+        loop {
+            let (n, decision) = self.any_decision().await;
+            if n == number {
+                return decision;
+            }
+        }
+    }
+
+    /// Waits for any decision of the host, and returns it with the number of the request.
+    pub async fn any_decision(&self) -> (u64, SlotDecision) {
         self.receive(|message| match message {
-            Message::SlotDecision { number: n, decision } if n == number => Some(decision),
+            Message::SlotDecision { number, decision } => Some((number, decision)),
             _ => None,
         })
         .await
--- a/crates/geraniummux-host/tests/scheduling.rs
+++ b/crates/geraniummux-host/tests/scheduling.rs
@@ -110,3 +110,50 @@
     assert!(!task.is_finished());
     task.abort();
 }
+
+/// Guards against a scheduler that grants hedges and slots for requests of a killed process, whose host may have given
+/// their numbers to other requests (TWICE): an older build does so after each restart.
+#[tokio::test]
+async fn on_slot_request_of_a_former_process_is_ignored() {
+    let scheduler: SocketAddr = "127.9.9.6:7009".parse().unwrap();
+    let host = common::host(scheduler, "[]").await;
+    let targets: [SocketAddr; 2] = ["127.9.9.6:1".parse().unwrap(), "127.9.9.6:2".parse().unwrap()];
+    let changes = targets.iter().map(|addr| registered("pool", *addr)).collect();
+    let list = RegistryDelta { from: None, to: Revision::new(1, 1), changes };
+    assert!(host.apply_targets(list, "store"));
+    let task = tokio::spawn(peers::receive(host.clone()));
+    let peer = Peer::start(scheduler).await;
+    let pool: Arc<str> = "pool".into();
+    let request = |hedgeable| SlotRequest {
+        hedgeable,
+        service_time: Duration::from_millis(500),
+        ..slot_request()
+    };
+    let ask = async |incarnation, number, hedgeable| {
+        let message =
+            Message::SlotRequest { number, pool: pool.clone(), request: request(hedgeable) };
+        peer.send_as(incarnation, message).await;
+    };
+    ask(1, 1, true).await;
+    let SlotDecision::Grant { target, .. } = peer.next_decision(1).await else { panic!() };
+    // The host learns of the next process from another one, then a message of the former one arrives late.
+    peer.become_member(&host, 2);
+    ask(1, 2, true).await;
+    let reports = |slowdown| Message::TargetReports {
+        pool: pool.clone(),
+        reports: vec![(
+            target.clone(),
+            TargetReport { running: 1, waiting: 0, slots: 4, slowdown },
+        )],
+    };
+    for slowdown in [1.0, 4.0] {
+        peer.send(reports(slowdown)).await;
+    }
+    ask(2, 3, false).await;
+    let mut decisions = Vec::new();
+    while decisions.last().is_none_or(|(number, _)| *number != 3) {
+        decisions.push(peer.any_decision().await);
+    }
+    assert!(matches!(decisions[..], [(3, SlotDecision::Grant { .. })]), "{decisions:?}");
+    task.abort();
+}
