Tests of hosts without links: each target has an address of its own

Cause: the test. On the host that is cut off, all targets had the same unreachable address, by which idle connections are kept. A probe or request for one target took the tunnel to another one (address_reused in the log), so that the endless target got all three attempts of one request, under three names. Registered targets have different addresses; another one that answers is found by its identity and refuses the request with 421.

Ruled out: the budget for extra attempts (repeat granted=true each time) and tunnels that the peer refused.

Change: the targets keep their ports, which nothing listens on at the unreachable network address.

--- a/crates/geraniummux-host/tests/reach.rs
+++ b/crates/geraniummux-host/tests/reach.rs
@@ -9,7 +9,7 @@
 use geraniummux_core::fleet::{RegistryChange, RegistryDelta, Revision};
 use geraniummux_host::{Host, peers, reach};
 use http::StatusCode;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -23,8 +23,8 @@
 const SERVED: usize = 40;
 /// Time after which a request that is never served is given up.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
-/// Address without listeners.
-const UNREACHABLE: &str = "127.9.9.99:1";
+/// Network address without listeners.
+const UNREACHABLE: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 9, 9, 99));
 
 fn plain(_: Option<usize>, addr: SocketAddr, id: &str) -> Reply {
     Reply::Keep(complete_response(addr, id))
@@ -71,7 +71,8 @@
         let (_, change) = registered("pool", target.addr);
         let RegistryChange::Put(mut target) = change else { unreachable!() };
         if cut_off {
-            target.addr = UNREACHABLE.parse().unwrap();
+            // Each target keeps an address of its own, by which connections are kept.
+            target.addr.set_ip(UNREACHABLE);
         }
         (Revision::new(1, number), RegistryChange::Put(target))
     };
