Soak: hosts restart in series while another one is frozen

What was seen: the soak checks that requests run once, but never found that a restart beside a frozen scheduler breaks it.

Cause: its requests have a second, so that none outlasts a restart; each host is restarted once in a while and not in series, a frozen host is any host; and targets never report a slowdown, so that schedulers grant no hedges.

The polls for the configuration have four fifths of the timeout of their routes, as before with the short routes. A short seeded run is part of the tests. Waiting for the end of a process no longer takes the next process for it, which hung a run if two faults hit one host.

--- a/crates/geraniummux-soak/src/faults.rs
+++ b/crates/geraniummux-soak/src/faults.rs
@@ -8,6 +8,13 @@
 use rand::{RngExt, SeedableRng};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
+
+/// Service times while hosts restart beside a frozen one, in milliseconds.
+const SLOW_SERVICE_MS: std::ops::Range<u64> = 200..900;
+/// Slowdowns that targets report, in percent.
+const USUAL_PERCENT: u32 = 100;
+const SLOW_PERCENT: u32 = 400;
 
 /// A fault, with the index of the host or target that it affects and how long it lasts.
 #[derive(Clone, Debug)]
@@ -109,6 +116,41 @@
     }
 }
 
+/// Restarts one host again and again while another one, often the scheduler of the pool, is frozen, until
+/// `end`. When it goes on, requests are under way at targets of which half report that they have become slow.
+/// What happens is drawn from a generator of its own, so that the other faults of a seed stay the same.
+pub async fn restart_beside_frozen(harness: Arc<Harness>, seed: u64, end: Instant) {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(16));
+    let hosts = harness.request_addrs().len();
+    while Instant::now() < end {
+        let scheduler = harness.last_scheduler().filter(|_| rng.random_bool(0.7));
+        let frozen = scheduler.unwrap_or_else(|| rng.random_range(0..hosts));
+        let restarted = (frozen + rng.random_range(1..hosts)) % hosts;
+        let disruption = harness.begin_disruption();
+        harness.set_service_ms(rng.random_range(SLOW_SERVICE_MS));
+        harness.signal(frozen, Signal::SIGSTOP);
+        for _ in 0..rng.random_range(1..4) {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(5..1_500))).await;
+            harness.signal(restarted, Signal::SIGKILL);
+            harness.restart(restarted, Duration::ZERO).await;
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(1_200..3_500))).await;
+        harness.signal(frozen, Signal::SIGCONT);
+        for _ in 0..rng.random_range(1..5) {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(50..400))).await;
+            let slow = rng.random_range(0..2);
+            for (i, target) in harness.targets.iter().enumerate() {
+                let percent = if i % 2 == slow { SLOW_PERCENT } else { USUAL_PERCENT };
+                target.set_slowdown_percent(percent);
+            }
+        }
+        harness.targets.iter().for_each(|t| t.set_slowdown_percent(USUAL_PERCENT));
+        harness.set_service_ms(crate::harness::SERVICE_TIME_MS);
+        drop(disruption);
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+    }
+}
+
 /// Injects a fault, waits until its time is over and clears it.
 pub async fn inject(harness: Arc<Harness>, fault: Fault) {
     match fault {
--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -50,6 +50,11 @@
         RouteTimes { timeout: Duration::from_secs(8), latency_target: Duration::from_secs(4) };
 }
 
+/// Deadline of such a poll, as a share of the timeout of its route.
+const POLL_DEADLINE_SHARE: f64 = 0.8;
+/// Time after its deadline for which the response to a poll is awaited.
+const POLL_MARGIN: Duration = Duration::from_millis(200);
+
 /// Settings of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -69,6 +74,8 @@
     pub demands: bool,
     /// Whether the store is restored from copies.
     pub restores: bool,
+    /// Whether one host is restarted in series while another one is frozen.
+    pub restarts: bool,
     /// Time limits of all routes.
     pub route_times: RouteTimes,
     /// Entry host program to test.
@@ -265,6 +272,21 @@
         self.route_times
     }
 
+    /// Sets the service time of all targets, in milliseconds.
+    pub fn set_service_ms(&self, service_ms: u64) {
+        self.targets.iter().for_each(|t| t.set_service_ms(service_ms));
+    }
+
+    /// Returns the host that began to schedule the pool last, as far as the logs tell.
+    pub fn last_scheduler(&self) -> Option<usize> {
+        let began_at = |i: &usize| {
+            let log = self.log_of(*i);
+            let line = log.lines().rfind(|l| l.contains("event=scheduling_pool"))?;
+            line.split_whitespace().next().map(str::to_owned)
+        };
+        (0..self.hosts.len()).filter(|i| began_at(i).is_some()).max_by_key(began_at)
+    }
+
     /// Returns what a host has logged, over all its processes; empty if it can't be read.
     pub fn log_of(&self, i: usize) -> String {
         std::fs::read_to_string(lock(&self.hosts[i]).log_path()).unwrap_or_default()
@@ -277,7 +299,12 @@
 
     /// Waits for a host process to exit, and starts it again after a pause.
     pub async fn restart(&self, i: usize, pause: Duration) {
-        while lock(&self.hosts[i]).poll().0 {
+        let starts = lock(&self.hosts[i]).starts();
+        let is_same_process = || {
+            let mut host = lock(&self.hosts[i]);
+            host.starts() == starts && host.poll().0
+        };
+        while is_same_process() {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         tokio::time::sleep(pause).await;
@@ -364,8 +391,9 @@
     pub async fn await_newest_config(&self, request_addr: SocketAddr) -> bool {
         let version = self.version.load(Ordering::SeqCst);
         for _ in 0..CONFIG_POLLS {
-            let new = get_status(request_addr, &format!("/v{version}/x")).await;
-            let old = get_status(request_addr, &format!("/v{}/x", version - 1)).await;
+            let time_left = self.route_times.timeout.mul_f64(POLL_DEADLINE_SHARE);
+            let new = get_status(request_addr, &format!("/v{version}/x"), time_left).await;
+            let old = get_status(request_addr, &format!("/v{}/x", version - 1), time_left).await;
             if new == Some(StatusCode::OK) && old == Some(StatusCode::NOT_FOUND) {
                 return true;
             }
@@ -387,16 +415,20 @@
     Some(String::from_utf8_lossy(&body).into_owned())
 }
 
-/// Returns the status of the response to a GET request, if there is one within 1 s.
-async fn get_status(request_addr: SocketAddr, path: &str) -> Option<StatusCode> {
+/// Returns the status of the response to a GET request with the given deadline, if there is one shortly after it.
+async fn get_status(
+    request_addr: SocketAddr,
+    path: &str,
+    time_left: Duration,
+) -> Option<StatusCode> {
     let req = Request::get(path)
         .header(header::HOST, "soak.example")
         .header("request-id", format!("look-{:x}", rand::random::<u64>()))
-        .header("request-deadline-ms", 800)
+        .header("request-deadline-ms", time_left.as_millis() as u64)
         .body(Full::default())
         .ok()?;
     let mut sender = callers::connect(request_addr).await.ok()?;
-    let rsp = tokio::time::timeout(Duration::from_secs(1), sender.send_request(req)).await;
+    let rsp = tokio::time::timeout(time_left + POLL_MARGIN, sender.send_request(req)).await;
     Some(rsp.ok()?.ok()?.status())
 }
 
@@ -420,6 +452,10 @@
     let mut rng = StdRng::seed_from_u64(opts.seed);
     let mut injected = Vec::new();
     let end = tokio::time::Instant::now() + opts.fault_duration;
+    if opts.restarts {
+        let restarts = faults::restart_beside_frozen(harness.clone(), opts.seed, end);
+        injected.push(tokio::spawn(restarts));
+    }
     while tokio::time::Instant::now() < end {
         let fault = faults::draw(&mut rng, usize::from(opts.hosts), opts.targets);
         report.faults.push(format!("{fault:?}"));
--- a/crates/geraniummux-soak/src/hosts.rs
+++ b/crates/geraniummux-soak/src/hosts.rs
@@ -26,6 +26,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Number of processes started so far.
+    starts: u32,
     /// Whether the soak test sent a signal that ends the process.
     exit_expected: bool,
 }
@@ -63,6 +65,7 @@
             settings: path,
             log: dir.join(format!("host-{i}.log")),
             child: None,
+            starts: 0,
             exit_expected: false,
         })
     }
@@ -97,10 +100,16 @@
             .spawn()
             .with_context(|| format!("starting {}; is it built?", self.program.display()))?;
         self.child = Some(child);
+        self.starts += 1;
         self.exit_expected = false;
         Ok(())
     }
 
+    /// Returns the number of processes started so far.
+    pub fn starts(&self) -> u32 {
+        self.starts
+    }
+
     /// Sends a signal to the process. After SIGTERM or SIGKILL its exit is expected.
     ///
     /// # Errors
--- a/crates/geraniummux-soak/src/main.rs
+++ b/crates/geraniummux-soak/src/main.rs
@@ -33,6 +33,9 @@
     /// restore the store from copies
     #[argh(switch)]
     restores: bool,
+    /// restart one host in series while another one is frozen
+    #[argh(switch)]
+    restarts: bool,
     /// give requests seconds instead of a second, so that they outlast the restart of a host
     #[argh(switch)]
     long: bool,
@@ -68,6 +71,7 @@
             timed: args.timed,
             demands: args.demands,
             restores: args.restores,
+            restarts: args.restarts,
             route_times: if args.long { RouteTimes::LONG } else { RouteTimes::SHORT },
             program: args.program.clone().unwrap_or_else(|| default_program.clone()),
             other_program: args.other_program.clone(),
--- a/crates/geraniummux-soak/tests/process.rs
+++ b/crates/geraniummux-soak/tests/process.rs
@@ -26,6 +26,7 @@
         timed: false,
         demands: false,
         restores: false,
+        restarts: false,
         route_times: RouteTimes::SHORT,
         program: program(),
         other_program: None,
--- a/crates/geraniummux-soak/tests/restart.rs
+++ b/crates/geraniummux-soak/tests/restart.rs
@@ -40,6 +40,7 @@
         timed: false,
         demands: false,
         restores: false,
+        restarts: false,
         route_times,
         program: std::env::var_os("GERANIUMMUX_PROGRAM").map_or_else(program, Into::into),
         other_program: std::env::var_os("GERANIUMMUX_OTHER_PROGRAM").map(Into::into),
--- a/crates/geraniummux-soak/tests/soak.rs
+++ b/crates/geraniummux-soak/tests/soak.rs
@@ -15,6 +15,7 @@
     Nothing,
     Demands,
     Restores,
+    Restarts,
 }
 
 async fn run_seed(seed: u64, beside: Beside) {
@@ -28,7 +29,8 @@
         timed: false,
         demands: beside == Beside::Demands,
         restores: beside == Beside::Restores,
-        route_times: RouteTimes::SHORT,
+        restarts: beside == Beside::Restarts,
+        route_times: if beside == Beside::Restarts { RouteTimes::LONG } else { RouteTimes::SHORT },
         program: program(),
         other_program: None,
         dir: std::env::temp_dir()
@@ -63,6 +65,13 @@
     run_seed(4, Beside::Restores).await;
 }
 
+/// Guards against requests that run twice (TWICE) because a host restarts again and again while the scheduler is frozen,
+/// beside the other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_with_restarts_beside_frozen_hosts_keeps_all_promises() {
+    run_seed(5, Beside::Restarts).await;
+}
+
 /// Guards against the return of the failures that are listed in `seeds.txt`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_failed_seeds_keep_all_promises() {
