Test: a configuration that comes while a request runs gives it no second run

The request keeps the route that it arrived on, so that a hedge is declined.

Evidence: hedge_of_a_request_whose_route_becomes_idempotent_is_declined passes.

--- a/crates/geraniummux-host/tests/hedges.rs
+++ b/crates/geraniummux-host/tests/hedges.rs
@@ -4,7 +4,7 @@
 
 use common::peer::Peer;
 use common::targets::{Reply, ScriptedTarget, call, complete_response, identity, start_host_with};
-use geraniummux_core::fleet::{RejectReason, SlotDecision};
+use geraniummux_core::fleet::{FleetConfig, RejectReason, Revision, SlotDecision};
 use geraniummux_host::{Host, peers};
 use geraniummux_wire::Message;
 use http::StatusCode;
@@ -73,6 +73,24 @@
     assert_eq!(declined.await, (number, identity(targets[1].addr).into()));
 }
 
+/// Guards against a new configuration that changes what a request in flight may do: the route that it arrived on
+/// allowed one run (TWICE).
+#[tokio::test]
+async fn hedge_of_a_request_whose_route_becomes_idempotent_is_declined() {
+    let (host, addr, scheduler, targets) = start("127.9.9.104:7009").await;
+    let request = tokio::spawn(call(addr, "once", TIME_LEFT_MS));
+    let number = scheduler.next_slot_request().await;
+    scheduler.decide(number, grant(&targets[0])).await;
+    until_count(&targets[0], 1).await;
+    let mut config = FleetConfig::clone(&host.config().unwrap());
+    config.version += 1;
+    config.routes.iter_mut().for_each(|r| r.idempotent = true);
+    host.adopt_config(config, Revision::new(1, 2), "store");
+    scheduler.decide(number, hedge(&targets[1])).await;
+    assert_eq!(request.await.unwrap().0, StatusCode::OK);
+    assert_eq!(targets.each_ref().map(ScriptedTarget::count), [1, 0]);
+}
+
 /// Guards against a host that makes no hedges at all.
 #[tokio::test]
 async fn hedge_of_an_idempotent_request_is_made() {
