Soak: restarted processes live about as long as their predecessors

Change: the host is restarted before the other one is frozen too, killed within 150 ms of the freeze, and gets about as much time again.

--- a/crates/geraniummux-soak/src/faults.rs
+++ b/crates/geraniummux-soak/src/faults.rs
@@ -116,9 +116,10 @@
     }
 }
 
-/// Restarts one host again and again while another one, often the scheduler of the pool, is frozen, until
-/// `end`. When it goes on, requests are under way at targets of which half report that they have become slow.
-/// What happens is drawn from a generator of its own, so that the other faults of a seed stay the same.
+/// Restarts one host twice or more until `end`, the first time before another host, often the scheduler of the pool, is
+/// frozen, and then while it is. The processes live about as long, so that they have sent about as many requests.
+/// When the frozen host goes on, requests are under way at targets of which half report that they have
+/// become slow. What happens is drawn from a generator of its own, so that the other faults of a seed stay the same.
 pub async fn restart_beside_frozen(harness: Arc<Harness>, seed: u64, end: Instant) {
     let mut rng = StdRng::seed_from_u64(seed.rotate_left(16));
     let hosts = harness.request_addrs().len();
@@ -126,15 +127,17 @@
         let scheduler = harness.last_scheduler().filter(|_| rng.random_bool(0.7));
         let frozen = scheduler.unwrap_or_else(|| rng.random_range(0..hosts));
         let restarted = (frozen + rng.random_range(1..hosts)) % hosts;
+        let life = rng.random_range(1_300..2_500);
         let disruption = harness.begin_disruption();
         harness.set_service_ms(rng.random_range(SLOW_SERVICE_MS));
+        kill_and_restart(&harness, restarted).await;
+        tokio::time::sleep(Duration::from_millis(life)).await;
         harness.signal(frozen, Signal::SIGSTOP);
-        for _ in 0..rng.random_range(1..4) {
-            tokio::time::sleep(Duration::from_millis(rng.random_range(5..1_500))).await;
-            harness.signal(restarted, Signal::SIGKILL);
-            harness.restart(restarted, Duration::ZERO).await;
+        for _ in 0..rng.random_range(1..3) {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(5..150))).await;
+            kill_and_restart(&harness, restarted).await;
         }
-        tokio::time::sleep(Duration::from_millis(rng.random_range(1_200..3_500))).await;
+        tokio::time::sleep(Duration::from_millis(life + rng.random_range(0..600))).await;
         harness.signal(frozen, Signal::SIGCONT);
         for _ in 0..rng.random_range(1..5) {
             tokio::time::sleep(Duration::from_millis(rng.random_range(50..400))).await;
@@ -147,10 +150,15 @@
         harness.targets.iter().for_each(|t| t.set_slowdown_percent(USUAL_PERCENT));
         harness.set_service_ms(crate::harness::SERVICE_TIME_MS);
         drop(disruption);
-        tokio::time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..1_000))).await;
     }
 }
 
+async fn kill_and_restart(harness: &Harness, i: usize) {
+    harness.signal(i, Signal::SIGKILL);
+    harness.restart(i, Duration::ZERO).await;
+}
+
 /// Injects a fault, waits until its time is over and clears it.
 pub async fn inject(harness: Arc<Harness>, fault: Fault) {
     match fault {
