Soak: slow targets report a slowdown that makes requests late

What was seen: with a slowdown of 4, requests of half a second are still in time within a target of four seconds, so that schedulers granted few hedges.

Change: slow targets report 15 times the usual time.

--- a/crates/geraniummux-soak/src/faults.rs
+++ b/crates/geraniummux-soak/src/faults.rs
@@ -14,7 +14,7 @@
 const SLOW_SERVICE_MS: std::ops::Range<u64> = 200..900;
 /// Slowdowns that targets report, in percent.
 const USUAL_PERCENT: u32 = 100;
-const SLOW_PERCENT: u32 = 400;
+const SLOW_PERCENT: u32 = 1_500;
 
 /// A fault, with the index of the host or target that it affects and how long it lasts.
 #[derive(Clone, Debug)]
