Executions keeps no flag that nothing reads

Cause: the gate derives the number of attempts from whether the request is idempotent; the flag and its getter had no user.

Change: both are removed. Behaviour is the same.

Evidence: tests of fleet_executions pass unchanged; clippy is clean.

--- a/crates/geraniummux-core/src/fleet/executions.rs
+++ b/crates/geraniummux-core/src/fleet/executions.rs
@@ -8,7 +8,6 @@
 /// The attempts of one request.
 #[derive(Debug)]
 pub struct Executions {
-    idempotent: bool,
     max_attempts: u32,
     under_way: u32,
     /// Attempts that have ended and that targets may have executed.
@@ -27,7 +26,7 @@
     /// and otherwise one.
     pub fn new(idempotent: bool, max_attempts: u32) -> Self {
         let max_attempts = if idempotent { max_attempts.max(1) } else { 1 };
-        Executions { idempotent, max_attempts, under_way: 0, executed: 0, not_executed: 0 }
+        Executions { max_attempts, under_way: 0, executed: 0, not_executed: 0 }
     }
 
     /// Returns whether another attempt may start.
@@ -54,11 +53,6 @@
         }
     }
 
-    /// Returns whether the request may be executed more than once.
-    pub fn is_idempotent(&self) -> bool {
-        self.idempotent
-    }
-
     /// Returns whether a target may have executed an attempt that has ended.
     pub fn may_have_executed(&self) -> bool {
         self.executed > 0
