--- a/crates/geraniummux-host/tests/hedges.rs
+++ b/crates/geraniummux-host/tests/hedges.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use bytes::Bytes;
 use common::peer::Peer;
 use common::targets::{Reply, ScriptedTarget, call, complete_response, identity, start_host_with};
 use geraniummux_core::fleet::{FleetConfig, RejectReason, Revision, SlotDecision};
@@ -11,6 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// Time for which a target works on a request, in which messages arrive several times over.
@@ -55,14 +57,26 @@
     timeout(GIVE_UP_AFTER, reached).await.expect("the target gets too few requests");
 }
 
+/// Sends a request on a route and grants it the first target. Returns it with the number of its slot request once it
+/// runs there.
+async fn run_at_first(
+    addr: SocketAddr,
+    route: &'static str,
+    scheduler: &Peer,
+    targets: &[ScriptedTarget; 2],
+) -> (JoinHandle<(StatusCode, Bytes)>, u64) {
+    let request = tokio::spawn(call(addr, route, TIME_LEFT_MS));
+    let number = scheduler.next_slot_request().await;
+    scheduler.decide(number, grant(&targets[0])).await;
+    until_count(&targets[0], 1).await;
+    (request, number)
+}
+
 /// Guards against a hedge that a scheduler grants for a request which must run once (TWICE).
 #[tokio::test]
 async fn hedge_of_a_request_that_runs_once_is_declined() {
     let (_host, addr, scheduler, targets) = start("127.9.9.100:7009").await;
-    let request = tokio::spawn(call(addr, "once", TIME_LEFT_MS));
-    let number = scheduler.next_slot_request().await;
-    scheduler.decide(number, grant(&targets[0])).await;
-    until_count(&targets[0], 1).await;
+    let (request, number) = run_at_first(addr, "once", &scheduler, &targets).await;
     scheduler.decide(number, hedge(&targets[1])).await;
     assert_eq!(request.await.unwrap().0, StatusCode::OK);
     assert_eq!(targets.each_ref().map(ScriptedTarget::count), [1, 0]);
@@ -78,10 +92,7 @@
 #[tokio::test]
 async fn hedge_of_a_request_whose_route_becomes_idempotent_is_declined() {
     let (host, addr, scheduler, targets) = start("127.9.9.104:7009").await;
-    let request = tokio::spawn(call(addr, "once", TIME_LEFT_MS));
-    let number = scheduler.next_slot_request().await;
-    scheduler.decide(number, grant(&targets[0])).await;
-    until_count(&targets[0], 1).await;
+    let (request, number) = run_at_first(addr, "once", &scheduler, &targets).await;
     let mut config = FleetConfig::clone(&host.config().unwrap());
     config.version += 1;
     config.routes.iter_mut().for_each(|r| r.idempotent = true);
@@ -95,10 +106,7 @@
 #[tokio::test]
 async fn hedge_of_an_idempotent_request_is_made() {
     let (_host, addr, scheduler, targets) = start("127.9.9.101:7009").await;
-    let request = tokio::spawn(call(addr, "safe", TIME_LEFT_MS));
-    let number = scheduler.next_slot_request().await;
-    scheduler.decide(number, grant(&targets[0])).await;
-    until_count(&targets[0], 1).await;
+    let (request, number) = run_at_first(addr, "safe", &scheduler, &targets).await;
     scheduler.decide(number, hedge(&targets[1])).await;
     assert_eq!(request.await.unwrap().0, StatusCode::OK);
     assert_eq!(targets.each_ref().map(ScriptedTarget::count), [1, 1]);
