Logs of attempts name the connection and the status

Change: `send` has status, conn and conn_messages_before; a response with the id of a request where a probe's is due is logged. No decision changes.

--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -58,10 +58,13 @@
     let route = &ctx.route.name;
     let limits = host.bodies.budget().response_limits(route);
     let relay = conn.relay();
+    let (conn_number, messages_before) = (conn.number(), conn.messages());
+    let mut status = None;
     let result = upstream::exchange(conn, req, limits, ctx.take_response_memory()).await;
     let now = host.now();
     let outcome = match result {
         Ok((response, conn)) => {
+            status = Some(response.status.as_u16());
             report = host.target_report(&target, &response.headers);
             if let Some(report) = report {
                 host.fleet().table.on_report(now, &target, report);
@@ -127,6 +130,7 @@
     };
     host.metrics.attempt(&ctx.pool.name, result);
     info!(host.log, "send"; "id" => ctx.id(), "target" => &*target, "result" => result,
+        "status" => status.unwrap_or(0), "conn" => conn_number, "conn_messages_before" => messages_before,
         "stretch" => latency_factor, "expected_ms" => scaled(ctx.service_time, latency_factor).as_millis() as u64,
         "took_ms" => now.since(sent_at).as_millis() as u64,
         "slowdown" => report.map_or(0.0, |r| r.slowdown));
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -497,6 +497,11 @@
     }
     let names = host.protocol.headers();
     // A late response to an earlier request carries that request's id instead of this header.
+    let answered_id = response.headers.get(&names.request_id);
+    if answered_id.is_some() {
+        info!(host.log, "probe_answered_with_request_id"; "target" => &*candidate.id,
+            "id" => format!("{answered_id:?}"), "status" => response.status.as_u16());
+    }
     let Some(answering) = response.headers.get(&names.answering_target) else { return Err(()) };
     let now = host.now();
     if answering.as_bytes() != candidate.id.as_bytes() {
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -50,6 +50,10 @@
     allowance: ReadAllowance,
     /// The peer that relays the connection.
     relay: Option<SocketAddr>,
+    /// Differs from those of this host's other connections to targets; for logs.
+    number: u64,
+    /// Requests and probes that were passed to the connection.
+    messages: u32,
 }
 
 impl Drop for Connection {
@@ -104,7 +108,9 @@
             .map_err(|e| io::Error::other(e.to_string()))?;
         // The exchange on a connection reports how the connection ended.
         let task = tokio::spawn(async move { drop(conn.await) }).abort_handle();
-        Ok(Connection { addr, sender, task, allowance, relay })
+        static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+        Ok(Connection { addr, sender, task, allowance, relay, number, messages: 0 })
     }
 
     /// Returns the target's address.
@@ -122,6 +128,16 @@
         self.relay
     }
 
+    /// Returns the number by which logs name the connection.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns how many requests and probes were passed to the connection.
+    pub fn messages(&self) -> u32 {
+        self.messages
+    }
+
     fn is_open(&self) -> bool {
         !self.sender.is_closed()
     }
@@ -187,6 +203,7 @@
     if conn.sender.ready().await.is_err() {
         return Err(ExchangeError::NotSent);
     }
+    conn.messages += 1;
     let rsp = match conn.sender.try_send_request(req).await {
         Ok(rsp) => rsp,
         Err(e) if e.message().is_some() => return Err(ExchangeError::NotSent),
