--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -24,15 +24,30 @@
 /// Body of a complete response.
 pub const COMPLETE_BODY: &str = "complete";
 
-/// Reads one request head, and returns its id; `None` if the connection is closed.
-pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+/// The head of a request.
+pub struct Head(String);
+
+impl Head {
+    /// Returns the value of the first header with this name.
+    pub fn value(&self, name: &str) -> Option<&str> {
+        let mut lines = self.0.lines();
+        lines.find_map(|l| l.strip_prefix(name)?.strip_prefix(": "))
+    }
+}
+
+/// Reads one request head; `None` if the connection is closed.
+pub async fn read_head(stream: &mut TcpStream) -> Option<Head> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
-    let head = String::from_utf8(head).unwrap();
-    let id = head.lines().find_map(|l| l.strip_prefix("a: "));
-    Some(id.unwrap_or("none").to_owned())
+    Some(Head(String::from_utf8(head).unwrap()))
+}
+
+/// Reads one request head, and returns its id; `None` if the connection is closed.
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let head = read_head(stream).await?;
+    Some(head.value("a").unwrap_or("none").to_owned())
 }
 
 /// Returns the identity of the target at an address.
