Stand-in: targets that replace others and write refusals again

What callers saw: one request that is not idempotent was refused with the promise that it had not run, and ran (REFUSED).

Cause: not part of this change. The hypothesis to be played is that the copy of a refusal is taken for the response to a later attempt of the same request. No stand-in for registered targets could write such a copy, or start again under another id at the address that it has.

Change: RegisteredTarget reads and writes HTTP/1.1 itself, as a server library writes no response that is not due. It can start again under another id (connections reset, requests ended) or take another id on open connections; refuse after a delay or when a hold ends, with 421 or with 503 and the declaration, with or without its id; and write each refusal once more when the request, another one or a probe arrives on the connection, at once, later, or in two parts. Run counts tell by which targets a request ran. The harness can replace a target, with or without the former entry.

Ruled out: a change of what targets did before.

Conclusion: the forms of the incident can be played with real processes.

--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -323,7 +323,32 @@
         let zone = ["zone-a", "zone-b"][i % 2];
         let registration =
             target.registration("pool", &self.target_links[i].addr.to_string(), zone);
-        self.store.put("servers", &target.id, registration);
+        self.store.put("servers", &target.id(), registration);
+    }
+
+    /// Removes the registration of a target from the store.
+    pub fn unregister(&self, id: &str) {
+        self.store.delete("servers", id);
+    }
+
+    /// Makes a target one that has started again at its address under another id: its connections are reset, and the
+    /// entry of the former one stays. Returns the former id.
+    pub fn start_again_as(&self, i: usize, id: &str) -> String {
+        let former = self.targets[i].id();
+        self.targets[i].start_again_as(id);
+        self.target_links[i].reset();
+        former
+    }
+
+    /// Starts a target again at its address under another id, and registers it after `delay`. The entry of the former one
+    /// is removed then, unless `keeps_former` is set.
+    pub async fn replace(&self, i: usize, id: &str, delay: Duration, keeps_former: bool) {
+        let former = self.start_again_as(i, id);
+        tokio::time::sleep(delay).await;
+        self.register(i);
+        if !keeps_former {
+            self.unregister(&former);
+        }
     }
 
     /// Registers a target as leaving, and as ready again after `span`.
--- a/crates/geraniummux-standin/src/lib.rs
+++ b/crates/geraniummux-standin/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 pub mod caller;
+mod http1;
 pub mod link;
 pub mod object_store;
 pub mod platform;
--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -1,18 +1,19 @@
 //! A stand-in for a target that is registered in the platform's store. It reports its load, refuses
 //! requests for other targets, and records each request that it runs.
 
-use crate::server::{self, Reply, read_body};
+use crate::http1;
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use serde_json::{Value, json};
 use std::collections::HashMap;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
 
 /// Number of requests that a target runs concurrently.
 const SLOTS: u32 = 6;
@@ -26,25 +27,26 @@
 /// Time limit for waiting and running if a request has no `request-deadline-ms` header, in milliseconds.
 const DEFAULT_TIMEOUT_MS: u64 = 10_000;
 
-/// Number of runs of each request, over all targets.
+/// Runs of each request, over all targets.
 #[derive(Debug, Default)]
 pub struct RunCounts {
-    runs_by_id: Mutex<HashMap<String, u32>>,
+    /// Ids of the targets that began to run a request, by its id.
+    targets_by_id: Mutex<HashMap<String, Vec<String>>>,
 }
 
 impl RunCounts {
-    fn record(&self, id: &str) {
-        *self
-            .runs_by_id
-            .lock()
-            .unwrap_or_else(|e| e.into_inner())
-            .entry(id.to_owned())
-            .or_default() += 1;
+    fn record(&self, id: &str, target: String) {
+        lock(&self.targets_by_id).entry(id.to_owned()).or_default().push(target);
     }
 
     /// Returns how often the request with this identity ran.
     pub fn runs(&self, id: &str) -> u32 {
-        self.runs_by_id.lock().unwrap_or_else(|e| e.into_inner()).get(id).copied().unwrap_or(0)
+        self.targets(id).len() as u32
+    }
+
+    /// Returns the ids of the targets that ran the request with this identity, one for each run.
+    pub fn targets(&self, id: &str) -> Vec<String> {
+        lock(&self.targets_by_id).get(id).cloned().unwrap_or_default()
     }
 }
 
@@ -52,7 +54,7 @@
 #[derive(Debug)]
 pub struct RegisteredTarget {
     /// Identity of the target, sent in the `instance-id` header.
-    pub id: String,
+    id: Mutex<String>,
     run_counts: Arc<RunCounts>,
     slots: Semaphore,
     running: AtomicU32,
@@ -67,6 +69,131 @@
     run_count: AtomicU32,
     /// Number of starts, as the time of the last one.
     starts: AtomicU64,
+    /// Incremented to reset all open connections.
+    resets: watch::Sender<u64>,
+    refusals: Mutex<Refusals>,
+    /// Whether refusals are held back.
+    holds_refusals: watch::Sender<bool>,
+    /// Number of requests that the target refused or is about to refuse.
+    refused_count: AtomicU32,
+    copy_count: AtomicU32,
+}
+
+/// How a target refuses requests, and whether it writes its refusals once more.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusals {
+    delay: Duration,
+    refuses_all: bool,
+    declares: bool,
+    names_target: bool,
+    copy: Option<RefusalCopy>,
+}
+
+impl Default for Refusals {
+    fn default() -> Self {
+        Refusals {
+            delay: Duration::ZERO,
+            refuses_all: false,
+            declares: false,
+            names_target: true,
+            copy: None,
+        }
+    }
+}
+
+impl Refusals {
+    /// Returns these settings with refusals that are written `delay` after the request has arrived.
+    #[must_use]
+    pub fn with_delay(self, delay: Duration) -> Self {
+        Refusals { delay, ..self }
+    }
+
+    /// Returns these settings for a target that refuses all requests and not only those for others.
+    #[must_use]
+    pub fn with_all_requests(self) -> Self {
+        Refusals { refuses_all: true, ..self }
+    }
+
+    /// Returns these settings for a target that answers requests for others like those that it refuses itself:
+    /// with 503 and the declaration that they have not run, in place of 421.
+    #[must_use]
+    pub fn with_declaration_only(self) -> Self {
+        Refusals { declares: true, ..self }
+    }
+
+    /// Returns these settings with refusals that have no `instance-id` header.
+    #[must_use]
+    pub fn without_target_id(self) -> Self {
+        Refusals { names_target: false, ..self }
+    }
+
+    /// Returns these settings for a target that writes each refusal once more on its connection.
+    #[must_use]
+    pub fn with_copy(self, copy: RefusalCopy) -> Self {
+        Refusals { copy: Some(copy), ..self }
+    }
+}
+
+/// When a target writes a refusal once more on the same connection.
+#[derive(Clone, Copy, Debug)]
+pub struct RefusalCopy {
+    trigger: CopyTrigger,
+    delay: Duration,
+    pause: Duration,
+}
+
+impl RefusalCopy {
+    /// Returns a copy that is written as soon as the message `trigger` has arrived, before the response to it.
+    pub fn new(trigger: CopyTrigger) -> Self {
+        RefusalCopy { trigger, delay: Duration::ZERO, pause: Duration::ZERO }
+    }
+
+    /// Returns a copy that is written `delay` later; the target works on the message meanwhile.
+    #[must_use]
+    pub fn with_delay(self, delay: Duration) -> Self {
+        RefusalCopy { delay, ..self }
+    }
+
+    /// Returns a copy that is written in two parts with this pause between them.
+    #[must_use]
+    pub fn in_two_parts(self, pause: Duration) -> Self {
+        RefusalCopy { pause, ..self }
+    }
+}
+
+/// The message on the connection of a refusal after which the copy is written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CopyTrigger {
+    /// The request that was refused, when it is sent again.
+    SameRequest,
+    /// The next request with another id.
+    OtherRequest,
+    /// The next probe.
+    Probe,
+    /// The next message of any kind.
+    Any,
+}
+
+/// A refusal that may be written once more.
+struct Refusal {
+    id: String,
+    bytes: Vec<u8>,
+}
+
+impl Refusal {
+    fn is_due(&self, trigger: CopyTrigger, req: &Request<Bytes>) -> bool {
+        let is_same = header(req.headers(), "request-id") == self.id;
+        match trigger {
+            CopyTrigger::SameRequest => !is_probe(req) && is_same,
+            CopyTrigger::OtherRequest => !is_probe(req) && !is_same,
+            CopyTrigger::Probe => is_probe(req),
+            CopyTrigger::Any => true,
+        }
+    }
+}
+
+fn is_probe(req: &Request<Bytes>) -> bool {
+    req.uri().path() == "/health"
 }
 
 /// What a target says in its responses beside its load.
@@ -98,7 +225,7 @@
     /// Returns a target whose requests each occupy a slot for `service_ms`.
     pub fn new(id: &str, service_ms: u64, run_counts: Arc<RunCounts>) -> Arc<Self> {
         Arc::new(RegisteredTarget {
-            id: id.to_owned(),
+            id: Mutex::new(id.to_owned()),
             run_counts,
             slots: Semaphore::new(SLOTS as usize),
             running: AtomicU32::new(0),
@@ -111,12 +238,55 @@
             demand: Mutex::default(),
             run_count: AtomicU32::new(0),
             starts: AtomicU64::new(1),
+            resets: watch::channel(0).0,
+            refusals: Mutex::default(),
+            holds_refusals: watch::channel(false).0,
+            refused_count: AtomicU32::new(0),
+            copy_count: AtomicU32::new(0),
         })
     }
 
+    /// Returns the identity of the target.
+    pub fn id(&self) -> String {
+        lock(&self.id).clone()
+    }
+
+    /// Makes the target one that has started again at its address under another identity: its connections
+    /// are reset and their requests end.
+    pub fn start_again_as(&self, id: &str) {
+        self.set_id(id);
+        self.restart();
+        self.resets.send_modify(|n| *n += 1);
+    }
+
+    /// Gives the target another identity; its connections and requests live on.
+    pub fn set_id(&self, id: &str) {
+        id.clone_into(&mut lock(&self.id));
+    }
+
+    /// Sets how the target refuses requests.
+    pub fn set_refusals(&self, refusals: Refusals) {
+        *lock(&self.refusals) = refusals;
+    }
+
+    /// Sets whether the target holds its refusals back; the delay of each begins afterwards.
+    pub fn hold_refusals(&self, holds: bool) {
+        self.holds_refusals.send_replace(holds);
+    }
+
+    /// Returns the number of requests that the target refused or is about to refuse.
+    pub fn refused_count(&self) -> u32 {
+        self.refused_count.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of refusals that the target wrote once more.
+    pub fn copy_count(&self) -> u32 {
+        self.copy_count.load(Ordering::Relaxed)
+    }
+
     /// Sets what the target says in its responses beside its load.
     pub fn set_demand(&self, demand: Demand) {
-        *self.demand.lock().unwrap_or_else(|e| e.into_inner()) = demand;
+        *lock(&self.demand) = demand;
     }
 
     /// Makes the next registration that of a target that has started again under its identity.
@@ -126,7 +296,7 @@
     }
 
     fn demand(&self) -> Demand {
-        *self.demand.lock().unwrap_or_else(|e| e.into_inner())
+        *lock(&self.demand)
     }
 
     /// Returns the number of requests that ran at this target.
@@ -157,40 +327,126 @@
     /// requests; later ones are recorded as [late runs](LateRun).
     pub fn set_leaving(&self, leaving: bool, allowed: Duration) {
         self.leaving.store(leaving, Ordering::Relaxed);
-        *self.leaving_since.lock().unwrap_or_else(|e| e.into_inner()) =
-            leaving.then(|| (Instant::now(), allowed));
+        *lock(&self.leaving_since) = leaving.then(|| (Instant::now(), allowed));
     }
 
     /// Accepts connections and serves their requests until the task is dropped.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
-        server::serve(listener, move |req| {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                // The process may be out of file descriptors; a later attempt may succeed.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
             let target = self.clone();
-            async move { target.handle(req).await }
-        })
-        .await;
+            let mut resets = self.resets.subscribe();
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = target.serve_connection(stream) => {}
+                    _ = resets.changed() => {}
+                }
+            });
+        }
     }
 
-    async fn handle(&self, req: Request<Incoming>) -> Reply {
-        if req.uri().path() == "/health" {
-            return Reply::Send(self.response(StatusCode::OK, "", Bytes::new()));
+    async fn serve_connection(&self, stream: TcpStream) {
+        // Without this option, responses are only slower.
+        let _ = stream.set_nodelay(true);
+        let (reader, mut writer) = stream.into_split();
+        let mut reader = BufReader::new(reader);
+        let mut refused: Option<Refusal> = None;
+        // A connection error affects only this connection.
+        while let Ok(Some(req)) = http1::read_request(&mut reader).await {
+            let copy = lock(&self.refusals).copy;
+            let due = copy.filter(|c| refused.as_ref().is_some_and(|r| r.is_due(c.trigger, &req)));
+            let due = due.and_then(|copy| Some((copy, refused.take()?)));
+            let is_last = header(req.headers(), "connection").eq_ignore_ascii_case("close");
+            let refusal = tokio::select! {
+                refusal = self.respond(&mut writer, req, due) => refusal,
+                // A target drops a request whose connection is closed.
+                () = http1::closed(&mut reader) => return,
+            };
+            match refusal {
+                Ok(refusal) if !is_last => refused = refusal.or(refused),
+                _ => return,
+            }
+        }
+    }
+
+    /// Handles a request and writes the response, and the copy of a refusal when it is due. Returns the response if it
+    /// is a refusal.
+    async fn respond(
+        &self,
+        writer: &mut OwnedWriteHalf,
+        req: Request<Bytes>,
+        due: Option<(RefusalCopy, Refusal)>,
+    ) -> std::io::Result<Option<Refusal>> {
+        let id = header(req.headers(), "request-id").to_owned();
+        let mut response = None;
+        let mut handled = pin!(self.handle(req));
+        if let Some((copy, refusal)) = due {
+            let mut delay = pin!(tokio::time::sleep(copy.delay));
+            if !copy.delay.is_zero() {
+                tokio::select! {
+                    rsp = &mut handled => response = Some(rsp),
+                    () = &mut delay => {}
+                }
+            }
+            if let Some(Some(rsp)) = &response {
+                writer.write_all(&http1::encode(rsp)).await?;
+                delay.await;
+            }
+            let (first, second) = refusal.bytes.split_at(refusal.bytes.len() / 2);
+            writer.write_all(first).await?;
+            tokio::time::sleep(copy.pause).await;
+            writer.write_all(second).await?;
+            self.copy_count.fetch_add(1, Ordering::Relaxed);
+        }
+        let is_written = response.is_some();
+        let response = match response {
+            Some(rsp) => rsp,
+            None => handled.await,
+        };
+        let Some(rsp) = response else {
+            return Err(std::io::Error::other("connection closed by the target"));
+        };
+        let bytes = http1::encode(&rsp);
+        if !is_written {
+            writer.write_all(&bytes).await?;
+        }
+        let is_refusal = rsp.status() == StatusCode::MISDIRECTED_REQUEST
+            || rsp.headers().contains_key("not-executed");
+        Ok((is_refusal && !id.is_empty()).then_some(Refusal { id, bytes }))
+    }
+
+    /// Handles a request. Returns the response, or `None` if the connection is to be closed without one.
+    async fn handle(&self, req: Request<Bytes>) -> Option<Response<Bytes>> {
+        if is_probe(&req) {
+            return Some(self.response(StatusCode::OK, "", Bytes::new()));
         }
         let (parts, body) = req.into_parts();
         let id = header(&parts.headers, "request-id").to_owned();
         let expected = header(&parts.headers, "target-instance");
-        if !expected.is_empty() && expected != self.id {
-            return Reply::Send(self.response(StatusCode::MISDIRECTED_REQUEST, &id, Bytes::new()));
+        let refusals = *lock(&self.refusals);
+        if !expected.is_empty() && expected != self.id() {
+            if refusals.declares {
+                return Some(self.refuse(&id).await);
+            }
+            self.delay_refusal(refusals).await;
+            let rsp = self.response(StatusCode::MISDIRECTED_REQUEST, &id, Bytes::new());
+            return Some(named(rsp, refusals));
         }
         if parts.uri.path().ends_with(CRASH_PATH_SUFFIX) {
             self.record_run(&id);
-            return Reply::Close;
+            return None;
         }
         let timeout_ms =
             header(&parts.headers, "request-deadline-ms").parse().unwrap_or(DEFAULT_TIMEOUT_MS);
-        let body = read_body(body).await;
-        if self.waiting.load(Ordering::Relaxed) >= MAX_QUEUED
+        if refusals.refuses_all
+            || self.waiting.load(Ordering::Relaxed) >= MAX_QUEUED
             || matches!(self.demand(), Demand::Pause(_))
         {
-            return self.refusal(&id);
+            return Some(self.refuse(&id).await);
         }
         let run = async {
             let waiting = CountGuard::new(&self.waiting);
@@ -202,46 +458,60 @@
                 .await;
             drop(slot);
         };
-        match tokio::time::timeout(Duration::from_millis(timeout_ms), run).await {
+        Some(match tokio::time::timeout(Duration::from_millis(timeout_ms), run).await {
             Ok(()) if self.demand() == Demand::RepeatedRefusal => self.refusal(""),
-            Ok(()) => Reply::Send(self.response(StatusCode::OK, &id, response_body(&id, &body))),
-            Err(_) => Reply::Send(self.response(StatusCode::GATEWAY_TIMEOUT, &id, Bytes::new())),
+            Ok(()) => self.response(StatusCode::OK, &id, response_body(&id, &body)),
+            Err(_) => self.response(StatusCode::GATEWAY_TIMEOUT, &id, Bytes::new()),
+        })
+    }
+
+    /// Refuses a request with the declaration that it has not run.
+    async fn refuse(&self, id: &str) -> Response<Bytes> {
+        let refusals = *lock(&self.refusals);
+        self.delay_refusal(refusals).await;
+        named(self.refusal(id), refusals)
+    }
+
+    async fn delay_refusal(&self, refusals: Refusals) {
+        self.refused_count.fetch_add(1, Ordering::Relaxed);
+        // This can't fail: the sender lives as long as the target.
+        let _ = self.holds_refusals.subscribe().wait_for(|holds| !holds).await;
+        if !refusals.delay.is_zero() {
+            tokio::time::sleep(refusals.delay).await;
         }
     }
 
     fn record_run(&self, id: &str) {
-        self.run_counts.record(id);
+        self.run_counts.record(id, self.id());
         self.run_count.fetch_add(1, Ordering::Relaxed);
-        let leaving = *self.leaving_since.lock().unwrap_or_else(|e| e.into_inner());
+        let leaving = *lock(&self.leaving_since);
         let run_start = Instant::now();
         if let Some((leaving_since, _)) =
             leaving.filter(|(since, allowed)| run_start > *since + *allowed)
         {
-            self.late_runs
-                .lock()
-                .unwrap_or_else(|e| e.into_inner())
-                .push(LateRun { leaving_since, run_start });
+            lock(&self.late_runs).push(LateRun { leaving_since, run_start });
         }
     }
 
     /// Returns the late runs of this target.
     pub fn late_runs(&self) -> Vec<LateRun> {
-        self.late_runs.lock().unwrap_or_else(|e| e.into_inner()).clone()
+        lock(&self.late_runs).clone()
     }
 
-    fn refusal(&self, id: &str) -> Reply {
+    fn refusal(&self, id: &str) -> Response<Bytes> {
         let mut rsp = self.response(StatusCode::SERVICE_UNAVAILABLE, id, Bytes::new());
         rsp.headers_mut().remove("response-signature");
-        rsp.headers_mut().insert("not-executed", http::HeaderValue::from_static("1"));
+        rsp.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
         if let Demand::Pause(seconds) = self.demand()
             && let Ok(value) = seconds.to_string().parse()
         {
-            rsp.headers_mut().insert(http::header::RETRY_AFTER, value);
+            rsp.headers_mut().insert(header::RETRY_AFTER, value);
         }
-        Reply::Send(rsp)
+        rsp
     }
 
-    fn response(&self, status: StatusCode, id: &str, body: Bytes) -> Response<Full<Bytes>> {
+    fn response(&self, status: StatusCode, id: &str, body: Bytes) -> Response<Bytes> {
+        let target = self.id();
         let load = format!(
             "{},{},{SLOTS},{}",
             self.running.load(Ordering::Relaxed),
@@ -251,15 +521,15 @@
         let rsp = Response::builder()
             .status(status)
             .header("backend-load", load)
-            .header("instance-id", &self.id)
-            .header("response-signature", format!("{}.{id}", self.id));
+            .header("instance-id", &target)
+            .header("response-signature", format!("{target}.{id}"));
         let rsp = if id.is_empty() { rsp } else { rsp.header("request-id", id) };
         let rsp = match self.demand() {
             Demand::Limit(per_s) => rsp.header("server-limit", per_s.to_string()),
             Demand::Leaving => rsp.header("server-leaving", "1"),
             Demand::None | Demand::Pause(_) | Demand::RepeatedRefusal => rsp,
         };
-        rsp.body(Full::new(body)).unwrap_or_default()
+        rsp.body(body).unwrap_or_default()
     }
 }
 
@@ -269,6 +539,18 @@
     Bytes::from(format!("{id}:{}:{}", request_body.len(), "x".repeat(2_000)))
 }
 
+/// Returns a refusal with or without the header that names the target.
+fn named(mut rsp: Response<Bytes>, refusals: Refusals) -> Response<Bytes> {
+    if !refusals.names_target {
+        rsp.headers_mut().remove("instance-id");
+    }
+    rsp
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
 }
