--- a/crates/geraniummux-standin/src/object_store.rs
+++ b/crates/geraniummux-standin/src/object_store.rs
@@ -111,6 +111,11 @@
         self.changed.send_replace(backup.revision);
     }
 
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -72,8 +72,8 @@
     /// Incremented to reset all open connections.
     resets: watch::Sender<u64>,
     refusals: Mutex<Refusals>,
-    /// Whether refusals are held back.
-    holds_refusals: watch::Sender<bool>,
+    /// Number of refusals that may be written; later ones are held back.
+    allowed_refusals: watch::Sender<u32>,
     /// Number of requests that the target refused or is about to refuse.
     refused_count: AtomicU32,
     copy_count: AtomicU32,
@@ -240,7 +240,7 @@
             starts: AtomicU64::new(1),
             resets: watch::channel(0).0,
             refusals: Mutex::default(),
-            holds_refusals: watch::channel(false).0,
+            allowed_refusals: watch::channel(u32::MAX).0,
             refused_count: AtomicU32::new(0),
             copy_count: AtomicU32::new(0),
         })
@@ -269,9 +269,15 @@
         *lock(&self.refusals) = refusals;
     }
 
-    /// Sets whether the target holds its refusals back; the delay of each begins afterwards.
-    pub fn hold_refusals(&self, holds: bool) {
-        self.holds_refusals.send_replace(holds);
+    /// Allows so many refusals, counted from the first one of this target; later ones are held back. The delay of a
+    /// refusal begins when it is allowed.
+    pub fn allow_refusals(&self, count: u32) {
+        self.allowed_refusals.send_replace(count);
+    }
+
+    /// Returns the number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.resets.receiver_count()
     }
 
     /// Returns the number of requests that the target refused or is about to refuse.
@@ -473,9 +479,9 @@
     }
 
     async fn delay_refusal(&self, refusals: Refusals) {
-        self.refused_count.fetch_add(1, Ordering::Relaxed);
+        let earlier = self.refused_count.fetch_add(1, Ordering::Relaxed);
         // This can't fail: the sender lives as long as the target.
-        let _ = self.holds_refusals.subscribe().wait_for(|holds| !holds).await;
+        let _ = self.allowed_refusals.subscribe().wait_for(|allowed| earlier < *allowed).await;
         if !refusals.delay.is_zero() {
             tokio::time::sleep(refusals.delay).await;
         }
--- a/crates/geraniummux-standin/tests/registered_target.rs
+++ b/crates/geraniummux-standin/tests/registered_target.rs
@@ -124,12 +124,12 @@
 #[tokio::test]
 async fn held_refusal_is_written_after_hold() {
     let mut play = Play::new(Refusals::default()).await;
-    play.target.hold_refusals(true);
+    play.target.allow_refusals(0);
     play.send("a", "t-old").await;
     while play.target.refused_count() == 0 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     assert!(tokio::time::timeout(Duration::from_millis(50), play.read()).await.is_err());
-    play.target.hold_refusals(false);
+    play.target.allow_refusals(1);
     assert_eq!(play.read().await, response("421", "a", "t-new"));
 }
