Test: a response with the ids of two requests is taken for a refusal (red)

Callers saw: one run at each of two targets for a request that must run once (TWICE), or, with one target, 503 for a request that has run (REFUSED).

Cause: classify reads the first id of a response. A head that stops within a header line joins the next bytes on the connection; if these are the copy of an earlier refusal, the head has the id of the request, then that of the refused one, and the declaration that nothing was executed.

Change: a test with two such targets.

Conclusion: a response counts only with exactly one id.

--- /dev/null
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -0,0 +1,120 @@
+//! What a host concludes from responses of its targets that are copies, parts, or about a former run.
+
+mod common;
+
+use common::targets::{call_as, identity, read_head, start_host_with};
+use http::StatusCode;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Time that callers have for a request, in milliseconds.
+const TIME_LEFT_MS: u64 = 2_000;
+
+/// A request or probe that has arrived at a target.
+struct Arrived {
+    /// Identity of a request; `None` for a probe.
+    id: Option<String>,
+    /// Identities of the requests that came before on its connection.
+    before: Vec<String>,
+    addr: SocketAddr,
+}
+
+enum Step {
+    Write(String),
+    /// Begins to run the request.
+    Run,
+}
+
+/// A target that does what a function returns for each request and probe.
+struct Target {
+    addr: SocketAddr,
+    /// Identities of the requests that it has begun to run.
+    runs: Arc<Mutex<Vec<String>>>,
+}
+
+impl Target {
+    async fn start<F>(script: F) -> Self
+    where
+        F: Fn(&Arrived) -> Vec<Step> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.9.9.7:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let (script, begun) = (Arc::new(script), runs.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (script, begun) = (script.clone(), begun.clone());
+                tokio::spawn(async move { serve(stream, addr, &*script, &begun).await });
+            }
+        });
+        Target { addr, runs }
+    }
+
+    fn runs_of(&self, id: &str) -> usize {
+        self.runs.lock().unwrap().iter().filter(|r| **r == id).count()
+    }
+}
+
+async fn serve<F>(mut stream: TcpStream, addr: SocketAddr, script: &F, runs: &Mutex<Vec<String>>)
+where
+    F: Fn(&Arrived) -> Vec<Step>,
+{
+    let mut before = Vec::new();
+    while let Some(head) = read_head(&mut stream).await {
+        let id = head.value("a").map(str::to_owned);
+        let arrived = Arrived { id: id.clone(), before: before.clone(), addr };
+        for step in script(&arrived) {
+            match step {
+                Step::Write(text) => {
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                Step::Run => runs.lock().unwrap().extend(id.clone()),
+            }
+        }
+        before.extend(id);
+    }
+}
+
+/// Returns a healthy answer to a probe.
+fn health(addr: SocketAddr) -> String {
+    format!("HTTP/1.1 200 OK\r\nd: {}\r\ncontent-length: 0\r\n\r\n", identity(addr))
+}
+
+/// Returns a refusal with further header lines.
+fn refusal(id: &str, more: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\na: {id}\r\ne: 1\r\n{more}content-length: 0\r\n\r\n"
+    )
+}
+
+/// Guards against a response that stops in its head, before the copy of an earlier refusal, and is taken for a refusal:
+/// it has the ids of both requests. Callers are told that the later one was not run (REFUSED), or it runs at a second
+/// target (TWICE).
+#[tokio::test]
+async fn host_response_with_two_ids_is_no_refusal() {
+    let script = |r: &Arrived| match (&r.id, r.before.first()) {
+        (None, _) => vec![Step::Write(health(r.addr))],
+        (Some(id), None) => vec![Step::Write(refusal(id, ""))],
+        (Some(id), Some(first)) => {
+            let stopped = format!("HTTP/1.1 200 OK\r\na: {id}\r\nf: dig");
+            vec![Step::Run, Step::Write(stopped + &refusal(first, ""))]
+        }
+    };
+    let targets = [Target::start(script).await, Target::start(script).await];
+    let (_host, addr) =
+        start_host_with(&targets.each_ref().map(|t| t.addr), "127.9.9.140:7009").await;
+    let mut ran = 0;
+    for n in 0..6 {
+        let id = format!("r-{n}");
+        let (status, _) = call_as(addr, "once", &id, TIME_LEFT_MS).await;
+        let runs: usize = targets.iter().map(|t| t.runs_of(&id)).sum();
+        assert!(runs <= 1, "{id} runs {runs} times");
+        assert!(runs == 0 || status != StatusCode::SERVICE_UNAVAILABLE, "{id}: {status}, runs");
+        ran += runs;
+    }
+    assert!(ran > 0, "no connection is used again");
+}
