Test: an id that a caller uses again is refused by a copy (red)

Callers saw: 503 for a request that a target was running (REFUSED). The caller had used the id of a request that was refused at this host before.

Cause: the host keeps the connection of the refused request, and takes it for the next request with the same id. The copy of the refusal then counts.

Ruled out: nothing in the two requests but their id and the target's connection is shared; callers' connections differ.

Change: a test with one target.

Conclusion: what a connection has carried must be remembered beyond one request.

--- a/crates/geraniummux-host/tests/statements.rs
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -2,15 +2,18 @@
 
 mod common;
 
-use common::targets::{call_as, identity, read_head, start_host_with};
+use common::targets::{call_as, complete_response, identity, read_head, start_host_with};
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Time that callers have for a request, in milliseconds.
 const TIME_LEFT_MS: u64 = 2_000;
+/// Time from the copy of a refusal to the response that is due.
+const LATE: Duration = Duration::from_millis(20);
 
 /// A request or probe that has arrived at a target.
 struct Arrived {
@@ -25,6 +28,7 @@
     Write(String),
     /// Begins to run the request.
     Run,
+    Wait(Duration),
 }
 
 /// A target that does what a function returns for each request and probe.
@@ -73,6 +77,7 @@
                     }
                 }
                 Step::Run => runs.lock().unwrap().extend(id.clone()),
+                Step::Wait(time) => tokio::time::sleep(time).await,
             }
         }
         before.extend(id);
@@ -118,3 +123,25 @@
     }
     assert!(ran > 0, "no connection is used again");
 }
+
+/// Guards against a caller that uses an id again after a refusal, and is told that its request was not run while it
+/// runs (REFUSED): the target writes the former refusal once more.
+#[tokio::test]
+async fn host_id_that_a_caller_uses_again_is_not_refused_by_a_copy() {
+    let refused = Mutex::new(false);
+    let target = Target::start(move |r| {
+        let Some(id) = &r.id else { return vec![Step::Write(health(r.addr))] };
+        if !std::mem::replace(&mut *refused.lock().unwrap(), true) {
+            return vec![Step::Write(refusal(id, ""))];
+        }
+        let copy = r.before.contains(id).then(|| Step::Write(refusal(id, "")));
+        let response = [Step::Wait(LATE), Step::Write(complete_response(r.addr, id))];
+        [Step::Run].into_iter().chain(copy).chain(response).collect()
+    })
+    .await;
+    let (_host, addr) = start_host_with(&[target.addr], "127.9.9.141:7009").await;
+    let first = call_as(addr, "once", "r-0", TIME_LEFT_MS).await.0;
+    assert_eq!((first, target.runs_of("r-0")), (StatusCode::SERVICE_UNAVAILABLE, 0));
+    let second = call_as(addr, "once", "r-0", TIME_LEFT_MS).await.0;
+    assert_eq!((second, target.runs_of("r-0")), (StatusCode::OK, 1));
+}
