Test: a copy of a refusal counts as the answer to a probe (red)

Callers saw: 503 from a target that was ready again, and 502 for requests that a target had run and answered (LOST).

Cause: send_probe believes the pause of any response before it knows whose it is, and ignores the id of a request in a response that names the target. The probe's own answer then comes where that to the request is due.

Ruled out as REFUSED: the late answer to the probe has no id, so that the request counts as lost.

Change: a test of both forms.

Conclusion: a response with the id of a request answers no probe.

--- a/crates/geraniummux-host/tests/statements.rs
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -12,6 +12,8 @@
 
 /// Time that callers have for a request, in milliseconds.
 const TIME_LEFT_MS: u64 = 2_000;
+/// Pause that a target asks for with a refusal.
+const PAUSE: Duration = Duration::from_secs(1);
 /// Time from the copy of a refusal to the response that is due.
 const LATE: Duration = Duration::from_millis(20);
 
@@ -19,6 +21,8 @@
 struct Arrived {
     /// Identity of a request; `None` for a probe.
     id: Option<String>,
+    /// Number of its connection at the target.
+    conn: usize,
     /// Identities of the requests that came before on its connection.
     before: Vec<String>,
     addr: SocketAddr,
@@ -48,9 +52,10 @@
         let runs = Arc::new(Mutex::new(Vec::new()));
         let (script, begun) = (Arc::new(script), runs.clone());
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            for conn in 0.. {
+                let Ok((stream, _)) = listener.accept().await else { return };
                 let (script, begun) = (script.clone(), begun.clone());
-                tokio::spawn(async move { serve(stream, addr, &*script, &begun).await });
+                tokio::spawn(async move { serve(stream, conn, addr, &*script, &begun).await });
             }
         });
         Target { addr, runs }
@@ -61,14 +66,19 @@
     }
 }
 
-async fn serve<F>(mut stream: TcpStream, addr: SocketAddr, script: &F, runs: &Mutex<Vec<String>>)
-where
+async fn serve<F>(
+    mut stream: TcpStream,
+    conn: usize,
+    addr: SocketAddr,
+    script: &F,
+    runs: &Mutex<Vec<String>>,
+) where
     F: Fn(&Arrived) -> Vec<Step>,
 {
     let mut before = Vec::new();
     while let Some(head) = read_head(&mut stream).await {
         let id = head.value("a").map(str::to_owned);
-        let arrived = Arrived { id: id.clone(), before: before.clone(), addr };
+        let arrived = Arrived { id: id.clone(), conn, before: before.clone(), addr };
         for step in script(&arrived) {
             match step {
                 Step::Write(text) => {
@@ -145,3 +155,38 @@
     let second = call_as(addr, "once", "r-0", TIME_LEFT_MS).await.0;
     assert_eq!((second, target.runs_of("r-0")), (StatusCode::OK, 1));
 }
+
+/// Guards against a copy of a refusal where the answer to a probe is due: the target's pause begins anew, or the copy
+/// counts as the answer, and the answer as the response to the request, which runs and is lost (LOST).
+#[tokio::test]
+async fn probe_copy_of_a_refusal_is_no_answer() {
+    let pause = format!("retry-after: {}\r\n", PAUSE.as_secs());
+    let mut results = Vec::new();
+    for (net, pauses) in (142..).zip([true, false]) {
+        let pause = pause.clone();
+        let target = Target::start(move |r| {
+            let names_target = format!("d: {}\r\n", identity(r.addr));
+            let more = if pauses { &pause } else { &names_target };
+            match (&r.id, r.before.first()) {
+                (Some(id), None) if r.conn == 0 => vec![Step::Write(refusal(id, more))],
+                (None, Some(first)) => vec![
+                    Step::Write(refusal(first, more)),
+                    Step::Wait(LATE),
+                    Step::Write(health(r.addr)),
+                ],
+                (None, None) => vec![Step::Write(health(r.addr))],
+                (Some(id), _) => vec![Step::Run, Step::Write(complete_response(r.addr, id))],
+            }
+        })
+        .await;
+        let (_host, addr) = start_host_with(&[target.addr], &format!("127.9.9.{net}:7009")).await;
+        let first = call_as(addr, "once", "r-0", TIME_LEFT_MS).await.0;
+        assert_eq!(first, StatusCode::SERVICE_UNAVAILABLE);
+        if pauses {
+            tokio::time::sleep(PAUSE + LATE).await;
+        }
+        let second = call_as(addr, "once", "r-1", TIME_LEFT_MS).await.0;
+        results.push((second, target.runs_of("r-1")));
+    }
+    assert_eq!(results, [(StatusCode::OK, 1); 2], "with a pause, with the name of the target");
+}
