Test: a pause begins anew with the copy of a refusal (red)

Callers saw: 503 for as long as the pause that had ended, although the target was ready.

Cause: attempt::send passes on Retry-After before classify has compared the ids.

Ruled out: the fault of the lost response; the next request is served if the copy has no Retry-After.

Change: a test.

Conclusion: statements count only after the response is known to be that of the target to this attempt.

--- a/crates/geraniummux-host/tests/statements.rs
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -190,3 +190,26 @@
     }
     assert_eq!(results, [(StatusCode::OK, 1); 2], "with a pause, with the name of the target");
 }
+
+/// Guards against a pause that begins anew with the copy of a refusal where the response to a later request is due: the
+/// target's requests are refused meanwhile (RECOVER).
+#[tokio::test]
+async fn host_copy_of_a_refusal_does_not_pause_its_target_again() {
+    let target = Target::start(|r| match (&r.id, r.before.first()) {
+        (None, _) => vec![Step::Write(health(r.addr))],
+        (Some(id), None) if r.conn == 0 => {
+            vec![Step::Write(refusal(id, &format!("retry-after: {}\r\n", PAUSE.as_secs())))]
+        }
+        (Some(_), Some(first)) => {
+            let more = format!("retry-after: {}\r\n", PAUSE.as_secs());
+            vec![Step::Run, Step::Write(refusal(first, &more))]
+        }
+        (Some(id), None) => vec![Step::Run, Step::Write(complete_response(r.addr, id))],
+    })
+    .await;
+    let (_host, addr) = start_host_with(&[target.addr], "127.9.9.144:7009").await;
+    assert_eq!(call_as(addr, "once", "r-0", TIME_LEFT_MS).await.0, StatusCode::SERVICE_UNAVAILABLE);
+    tokio::time::sleep(PAUSE + LATE).await;
+    assert_eq!(call_as(addr, "once", "r-1", TIME_LEFT_MS).await.0, StatusCode::BAD_GATEWAY);
+    assert_eq!(call_as(addr, "once", "r-2", TIME_LEFT_MS).await.0, StatusCode::OK);
+}
