Test: a 421 about a former run ejects the present one (red)

Callers saw: refusals (no_target) or longer waits for two seconds after a target had started again at another address, at all hosts.

Cause: on_identity_mismatch and the message to peers name the target without its run. A 421 at the former address that comes after the registry has changed is applied to the present run.

Ruled out: a 421 before the change; the table and the scheduler forget it with the run.

Change: a test with two hosts.

Conclusion: a mismatch holds for the run that was addressed.

--- a/crates/geraniummux-host/tests/statements.rs
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -2,9 +2,14 @@
 
 mod common;
 
-use common::targets::{call_as, complete_response, identity, read_head, start_host_with};
+use common::targets::{
+    call_as, complete_response, identity, read_head, registered, serve_pool, start_host_with,
+};
+use geraniummux_core::MemberState;
+use geraniummux_core::fleet::{RegistryChange, RegistryDelta, Revision};
+use geraniummux_host::{Host, peers};
 use http::StatusCode;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -16,6 +21,10 @@
 const PAUSE: Duration = Duration::from_secs(1);
 /// Time from the copy of a refusal to the response that is due.
 const LATE: Duration = Duration::from_millis(20);
+/// Time for which a target works on a request.
+const WORK: Duration = Duration::from_millis(200);
+/// Address without listeners.
+const UNUSED: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 9, 9, 98));
 
 /// A request or probe that has arrived at a target.
 struct Arrived {
@@ -213,3 +222,66 @@
     assert_eq!(call_as(addr, "once", "r-1", TIME_LEFT_MS).await.0, StatusCode::BAD_GATEWAY);
     assert_eq!(call_as(addr, "once", "r-2", TIME_LEFT_MS).await.0, StatusCode::OK);
 }
+
+/// Starts a host that exchanges messages with the one at `seed`.
+async fn start_peer(
+    name: &str,
+    peer: &str,
+    seed: &str,
+    target: SocketAddr,
+) -> (Arc<Host>, SocketAddr) {
+    let host = common::named_host(name, peer.parse().unwrap(), &format!(r#"["{seed}"]"#)).await;
+    let listener = TcpListener::bind(peer).await.unwrap();
+    tokio::spawn(peers::serve(host.clone(), Arc::new(listener)));
+    tokio::spawn(peers::receive(host.clone()));
+    tokio::spawn(peers::run(host.clone()));
+    let addr = serve_pool(&host, vec![registered("pool", target)], peer).await;
+    (host, addr)
+}
+
+/// Guards against a 421 of whoever is at the address of a former run of a target, and that takes the present run out of
+/// use at all hosts for two seconds (RECOVER).
+#[tokio::test]
+async fn host_misdirected_at_a_former_run_keeps_the_present_one() {
+    let other = Target::start(|r| match &r.id {
+        None => vec![Step::Write(health(r.addr))],
+        Some(id) => vec![
+            Step::Wait(WORK),
+            Step::Write(format!(
+                "HTTP/1.1 421 Misdirected Request\r\na: {id}\r\ne: 1\r\ncontent-length: 0\r\n\r\n"
+            )),
+        ],
+    })
+    .await;
+    let (ours, theirs) = ("127.9.9.145:7009", "127.9.9.146:7009");
+    let (host, addr) = start_peer("host-1", ours, theirs, other.addr).await;
+    let (peer, _) = start_peer("host-2", theirs, ours, other.addr).await;
+    for h in [&host, &peer] {
+        while h.members().peers().filter(|m| m.state == MemberState::Alive).count() == 0 {
+            tokio::time::sleep(LATE).await;
+        }
+    }
+    let call = tokio::spawn(call_as(addr, "once", "r-0", TIME_LEFT_MS));
+    tokio::time::sleep(WORK / 2).await;
+    // The target starts again at another address, beside a target that is always usable.
+    let put = |id: &str, port| {
+        let (_, RegistryChange::Put(mut target)) = registered("pool", other.addr) else { panic!() };
+        target.id = id.into();
+        target.addr = SocketAddr::new(UNUSED, port);
+        target.started_unix_ms = 1;
+        (Revision::new(1, 2), RegistryChange::Put(target))
+    };
+    let present = identity(other.addr);
+    let changes = vec![put(&present, 1), put("t-spare", 2)];
+    for h in [&host, &peer] {
+        let (from, to) = (Some(Revision::new(1, 1)), Revision::new(1, 2));
+        assert!(h.apply_targets(RegistryDelta { from, to, changes: changes.clone() }, "store"));
+    }
+    call.await.unwrap();
+    // Messages to the peer arrive.
+    tokio::time::sleep(LATE).await;
+    for h in [&host, &peer] {
+        let usable = h.fleet().table.candidates(h.now(), "pool", &[], 2, &mut rand::rng());
+        assert_eq!(usable.len(), 2, "{}: {usable:?}", h.members().local_member().name);
+    }
+}
