Test: geraniummuxd takes no copy of a refusal for a response

The question was whether an id for each attempt is enough here.

Hypothesis: a refusal that is written once more on the connection of the refused attempt, with its id or without one, counts for the retry there.

Ruled out: each attempt has an id of its own, also for a retry on the same connection; a response on a reused connection counts only with exactly that id. The copy ends the attempt as invalid, with outcome unknown.

Change: a test; misbehaving responses there were no refusals so far.

Conclusion: no fault. On a new connection a refusal without an id still counts (docs/design.md), where it can be no copy.

--- a/crates/geraniummuxd/tests/answers.rs
+++ b/crates/geraniummuxd/tests/answers.rs
@@ -233,3 +233,41 @@
     let response = host.send(Method::HEAD, "/", &[], "").await.expect("a response");
     assert_eq!(response.header("content-length"), "1234");
 }
+
+/// Guards against a refusal that a target writes once more when the refused request is sent to it again on the same
+/// connection, and that is taken for the response to the later attempt: `not-run` for a request that runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_copied_refusal() {
+    let refusal = |id: &str| {
+        let echo = if id.is_empty() { String::new() } else { format!("x-request-id: {id}\r\n") };
+        let rest = "x-request-refused: shed\r\ncontent-length: 0\r\n\r\n";
+        ResponseStep::Write(format!("HTTP/1.1 503 Service Unavailable\r\n{echo}{rest}").into())
+    };
+    // The id of the last refused attempt, and the paths that ran, with whether that was on its connection.
+    let refused: Mutex<Option<(usize, String)>> = Mutex::new(None);
+    let ran: Arc<Mutex<Vec<(String, bool)>>> = Arc::default();
+    let runs = ran.clone();
+    let target = RawTarget::start(move |req| {
+        let mut refused = refused.lock().expect("no panic while locked");
+        let own = req.header("x-request-id").to_owned();
+        let Some((connection, id)) = refused.take() else {
+            *refused = Some((req.connection, own.clone()));
+            return vec![refusal(&own)];
+        };
+        let path = req.path().to_owned();
+        runs.lock().expect("no panic while locked").push((path, connection == req.connection));
+        let copy = refusal(if req.path() == "/without-id" { "" } else { &id });
+        let response = ResponseStep::Write(req.ok_response("ran"));
+        vec![copy, ResponseStep::Pause(Duration::from_millis(20)), response]
+    })
+    .await;
+    let fleet = Fleet::start(1).await;
+    fleet.apply(&pools(&[("t-1", target.addr)]), &routes(json!({ "retry_budget": 1.0 }))).await;
+    for path in ["/with-id", "/without-id"] {
+        let response = fleet.hosts[0].send(Method::POST, path, &[], "order").await;
+        let response = response.expect("a response");
+        assert_eq!(response.header("geraniummux-outcome"), "unknown", "{path}");
+        let ran = std::mem::take(&mut *ran.lock().expect("no panic while locked"));
+        assert_eq!(ran, [(path.to_owned(), true)], "{path}: not sent again on the connection");
+    }
+}
