Tests of copied refusals have networks of their own, and end

Cause: two checkouts that ran these tests at once used the same loopback network; a poll of the one was then refused by a target of the other, and the wait for an effect of that refusal never ended (a trial hung for 10 minutes).

Change: the network depends on the process, too, and the wait ends with the last request. The checks are the same.

--- a/crates/geraniummux-soak/tests/refusals.rs
+++ b/crates/geraniummux-soak/tests/refusals.rs
@@ -86,7 +86,8 @@
 /// that of the second one.
 async fn start_harness(form: &Form) -> Arc<Harness> {
     let opts = Options {
-        seed: 12_000 + form.net,
+        // Tests that run in two checkouts at once have networks of their own.
+        seed: 12_288 + u64::from(std::process::id() % 256) * 64 + form.net,
         fault_duration: Duration::ZERO,
         hosts: form.hosts,
         targets: form.targets,
@@ -191,7 +192,9 @@
         }
         allowed[i] += 1;
         targets[i].allow_refusals(allowed[i]);
-        while before == (requests.settled(harness), refused_count(harness)) {
+        // The last refusal may be that of a request which nobody waits for.
+        let is_same = || before == (requests.settled(harness), refused_count(harness));
+        while is_same() && !requests.all_ended() {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
