A request's id is sent at most once on a connection

Callers saw: 503, which says that a request has not run, while a target was running it; with several targets, a second run (REFUSED, TWICE).

Cause: a response counted for an attempt if it carried the request's id, and all attempts of a request have the same id. Nothing kept two of them off one connection: targets already tried are excluded by name, connections are kept by address, and the one used last comes first. So a second name at the same address, or another request with the same id, got the connection of the first attempt, on which a late copy of its refusal looked like the response.

Ruled out: comparing more of the response, as a copy is equal to what a true second refusal would be; closing each connection on which a refusal came, as refusals come when targets are full, and a repeated id needs no refusal.

`exchange` is the one place that writes to targets; it adds the id first, and writes nothing if it was carried before. It also matches the response, so that callers only get responses to what they sent. Idle connections are chosen by the id that they are for: requests, retries, hedges, and probes whose connection is then used. Tests of `exchange` sent one id several times on one connection; they now send different ones, with the same checks.

Conclusion: whatever a target writes again, its id is never due a second time on that connection.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod bodies;
 mod bounds;
+mod carried;
 mod config_change;
 mod demands;
 mod executions;
@@ -32,6 +33,7 @@
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
 pub use bounds::{MAX_SLOTS, is_plausible_fault_weight};
+pub use carried::CarriedRequests;
 pub use config_change::ConfigChange;
 pub use demands::{Demands, LEAVING_RECHECK_INTERVAL, ReportedDemand, TargetDemand};
 pub use executions::{AttemptPermit, Executions};
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -60,7 +60,10 @@
     let relay = conn.relay();
     let (conn_number, messages_before) = (conn.number(), conn.messages());
     let mut status = None;
-    let result = upstream::exchange(conn, req, limits, ctx.take_response_memory()).await;
+    let result = {
+        let (names, memory) = (host.protocol.headers(), ctx.take_response_memory());
+        upstream::exchange(conn, req, names, limits, memory).await
+    };
     let now = host.now();
     let outcome = match result {
         Ok((response, conn)) => {
@@ -90,7 +93,9 @@
             }
             outcome
         }
-        Err(e @ ExchangeError::NotSent) => AttemptOutcome::NotExecuted(e.as_str()),
+        Err(e @ (ExchangeError::NotSent | ExchangeError::Carried)) => {
+            AttemptOutcome::NotExecuted(e.as_str())
+        }
         Err(e @ ExchangeError::TooLarge) => {
             host.bodies.budget().on_limit_exceeded(route, &target);
             AttemptOutcome::Lost(e.as_str())
@@ -113,11 +118,12 @@
             host.on_identity_mismatch(&target);
             "other_target"
         }
+        // Neither is the target the cause of these.
+        AttemptOutcome::NotExecuted(reason) if *reason == ExchangeError::Carried.as_str() => reason,
         AttemptOutcome::NotExecuted(reason) => {
             host.on_fault(&target, Fault::Refused);
             reason
         }
-        // The target is not the cause of this.
         AttemptOutcome::Lost(reason) if *reason == ExchangeError::NoMemory.as_str() => reason,
         AttemptOutcome::Lost(reason) if *reason == ExchangeError::TooLarge.as_str() => {
             host.on_fault(&target, Fault::Endless);
@@ -155,15 +161,9 @@
     matches!(outcome, AttemptOutcome::Responded(_) | AttemptOutcome::NotExecuted(REFUSED))
 }
 
-/// Classifies a target's response. It counts only with the id of the request, as a faulty target may
-/// write an earlier response once more; a success counts only with a digest.
+/// Classifies a target's response to the request; a success counts only with a digest.
 fn classify(ctx: &RequestContext, response: TargetResponse) -> AttemptOutcome {
     let names = ctx.host.protocol.headers();
-    match response.headers.get(&names.request_id) {
-        Some(id) if *id == ctx.id => {}
-        Some(_) => return AttemptOutcome::Lost("answer_of_other_request"),
-        None => return AttemptOutcome::Lost("unproven_answer"),
-    }
     if response.status == StatusCode::MISDIRECTED_REQUEST {
         return AttemptOutcome::NotExecuted("other_target");
     }
@@ -171,7 +171,7 @@
         return AttemptOutcome::NotExecuted(REFUSED);
     }
     if response.status.is_success() && !response.headers.contains_key(&names.digest) {
-        return AttemptOutcome::Lost("unproven_answer");
+        return AttemptOutcome::Lost(ExchangeError::Unproven.as_str());
     }
     AttemptOutcome::Responded(response)
 }
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -20,7 +20,7 @@
     SlotRequest, TargetReport, admit, has_slowed,
 };
 use geraniummux_core::time::scaled;
-use http::{Request, StatusCode, header};
+use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use slog::info;
 use std::pin::pin;
@@ -187,7 +187,9 @@
 
 async fn connect_candidate(ctx: &RequestContext, candidate: &Candidate, granted: f64) -> Connect {
     let host = &ctx.host;
-    if let Some((conn, idle)) = host.upstream.take_idle(host.now(), candidate.run.addr) {
+    if let Some((conn, idle)) =
+        host.upstream.take_idle(host.now(), candidate.run.addr, Some(&ctx.id))
+    {
         if ctx.route.idempotent && idle <= MAX_UNPROBED_IDLE {
             return Connect::Connected(candidate.clone(), conn);
         }
@@ -251,7 +253,7 @@
 ) -> Option<TargetReport> {
     let pool = host.routes()?.pool(pool)?.clone();
     let candidate = host.candidate(&pool.name, target)?;
-    let response = probe_target(host.clone(), pool, candidate).await?;
+    let response = probe_target(host.clone(), pool, candidate, None).await?;
     host.upstream.put_idle(host.now(), response.conn);
     Some(response.report)
 }
@@ -273,7 +275,7 @@
         let Some(pool) = pool else { continue };
         let host = host.clone();
         tokio::spawn(async move {
-            if let Some(response) = probe_target(host.clone(), pool, candidate).await {
+            if let Some(response) = probe_target(host.clone(), pool, candidate, None).await {
                 host.upstream.put_idle(host.now(), response.conn);
             }
         });
@@ -302,7 +304,7 @@
             return rejection("no_target", &ctx);
         }
         let wait = FIRST_RESPONSE_WAIT * 2_u32.pow(empty_rounds);
-        let mut responses = probe_targets(host, &ctx.pool, candidates, wait).await;
+        let mut responses = probe_targets(&ctx, candidates, wait).await;
         let now = host.now();
         let Some((best, latency_factor)) = best_response(&ctx, &responses) else {
             empty_rounds += 1;
@@ -404,16 +406,17 @@
     best.map(|(i, _, rating)| (i, rating.latency_factor))
 }
 
-/// Probes targets for their load. Returns the responses until shortly after the first, for which it waits
-/// up to `first_wait`; later ones still update the table of targets and return their connections.
+/// Probes targets for their load, on connections that may carry the request. Returns the responses until shortly after
+/// the first, for which it waits up to `first_wait`; later ones still update the table of targets and return their
+/// connections.
 async fn probe_targets(
-    host: &Arc<Host>,
-    pool: &Arc<FleetPool>,
+    ctx: &RequestContext,
     candidates: Vec<Candidate>,
     first_wait: Duration,
 ) -> Vec<ProbeResponse> {
-    let mut pending: FuturesUnordered<_> =
-        candidates.into_iter().map(|c| probe_target(host.clone(), pool.clone(), c)).collect();
+    let (host, pool) = (&ctx.host, &ctx.pool);
+    let probe = |c| probe_target(host.clone(), pool.clone(), c, Some(ctx.id.clone()));
+    let mut pending: FuturesUnordered<_> = candidates.into_iter().map(probe).collect();
     let mut responses = Vec::new();
     let mut timer = pin!(tokio::time::sleep(first_wait));
     loop {
@@ -443,14 +446,16 @@
     responses
 }
 
-/// Probes one target, on an idle connection or, if that fails, on a new one.
+/// Probes one target, on an idle connection or, if that fails, on a new one. If an id is given, the connection may
+/// carry the request with that id.
 async fn probe_target(
     host: Arc<Host>,
     pool: Arc<FleetPool>,
     candidate: Candidate,
+    id: Option<HeaderValue>,
 ) -> Option<ProbeResponse> {
     let now = host.now();
-    if let Some((conn, _)) = host.upstream.take_idle(now, candidate.run.addr) {
+    if let Some((conn, _)) = host.upstream.take_idle(now, candidate.run.addr, id.as_ref()) {
         let probe = send_probe(&host, &pool, &candidate, conn);
         if let Ok(Ok(response)) = timeout(IDLE_PROBE_TIMEOUT, probe).await {
             return response;
@@ -489,19 +494,17 @@
     let memory = host.bodies.unreserved(&pool.name);
     let relay = conn.relay();
     let sent_at = host.now();
-    let (response, conn) = upstream::exchange(conn, req, PROBE_RESPONSE_LIMITS, memory)
-        .await
-        .map_err(|_: ExchangeError| ())?;
-    if let Some(pause) = headers::retry_after(&response) {
-        host.on_pause(&pool.name, candidate, pause, relay);
-    }
     let names = host.protocol.headers();
-    // A late response to an earlier request carries that request's id instead of this header.
+    let result = upstream::exchange(conn, req, names, PROBE_RESPONSE_LIMITS, memory).await;
+    let (response, conn) = result.map_err(|_: ExchangeError| ())?;
     let answered_id = response.headers.get(&names.request_id);
     if answered_id.is_some() {
         info!(host.log, "probe_answered_with_request_id"; "target" => &*candidate.id,
             "id" => format!("{answered_id:?}"), "status" => response.status.as_u16());
     }
+    if let Some(pause) = headers::retry_after(&response) {
+        host.on_pause(&pool.name, candidate, pause, relay);
+    }
     let Some(answering) = response.headers.get(&names.answering_target) else { return Err(()) };
     let now = host.now();
     if answering.as_bytes() != candidate.id.as_bytes() {
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -1,9 +1,13 @@
 //! HTTP/1.1 connections to targets, and request-response exchanges on them.
+//!
+//! [`exchange`] is the one place where a message is written to a target, and where a response is matched with it.
+//! What it returns is the target's response to that message, so that what the response says can be believed.
 
 use crate::bodies::{self, BodyError, BodyMemory};
+use crate::protocol::HeaderNames;
 use bytes::Bytes;
 use geraniummux_core::Time;
-use geraniummux_core::fleet::ResponseLimits;
+use geraniummux_core::fleet::{CarriedRequests, ResponseLimits};
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body::Body as _;
@@ -54,6 +58,7 @@
     number: u64,
     /// Requests and probes that were passed to the connection.
     messages: u32,
+    carried: CarriedRequests,
 }
 
 impl Drop for Connection {
@@ -110,7 +115,8 @@
         let task = tokio::spawn(async move { drop(conn.await) }).abort_handle();
         static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
-        Ok(Connection { addr, sender, task, allowance, relay, number, messages: 0 })
+        let carried = CarriedRequests::default();
+        Ok(Connection { addr, sender, task, allowance, relay, number, messages: 0, carried })
     }
 
     /// Returns the target's address.
@@ -141,6 +147,22 @@
     fn is_open(&self) -> bool {
         !self.sender.is_closed()
     }
+
+    /// Checks that a response is the one to the request with the given id or, without an id, to a probe.
+    fn match_response(
+        &self,
+        headers: &HeaderMap,
+        id: Option<&HeaderValue>,
+        names: &HeaderNames,
+    ) -> Result<(), ExchangeError> {
+        match (id, headers.get(&names.request_id)) {
+            (Some(id), Some(echo)) if id == echo => Ok(()),
+            (Some(_), Some(_)) => Err(ExchangeError::OtherRequest),
+            (Some(_), None) => Err(ExchangeError::Unproven),
+            (None, _) if headers.contains_key(&names.answering_target) => Ok(()),
+            (None, _) => Err(ExchangeError::Unproven),
+        }
+    }
 }
 
 /// A target's complete response.
@@ -159,10 +181,16 @@
 pub enum ExchangeError {
     /// The connection was closed before any part of the request was written.
     NotSent,
+    /// The connection has carried a request with this id before, so that nothing was written.
+    Carried,
     /// The connection broke before the head of a response arrived.
     NoResponse,
     /// The response is not valid HTTP or ended early.
     BadResponse,
+    /// The response carries the id of another request.
+    OtherRequest,
+    /// Nothing in the response shows that it is the one to the message.
+    Unproven,
     /// The response is longer than the limit.
     TooLarge,
     /// This host has no memory left for the response.
@@ -174,27 +202,34 @@
     pub fn as_str(self) -> &'static str {
         match self {
             ExchangeError::NotSent => "not_sent",
+            ExchangeError::Carried => "id_carried_before",
             ExchangeError::NoResponse => "no_answer",
             ExchangeError::BadResponse => "bad_answer",
+            ExchangeError::OtherRequest => "answer_of_other_request",
+            ExchangeError::Unproven => "unproven_answer",
             ExchangeError::TooLarge => "answer_too_large",
             ExchangeError::NoMemory => "no_memory",
         }
     }
 }
 
-/// Sends a request and reads the complete response, whose body is limited. Returns the connection if it
-/// can be reused.
+/// Sends a request or, without an id, a probe, and reads the complete response, whose body is limited. Returns the
+/// connection if it can be reused.
+///
+/// A request's id is sent at most once on a connection, and its response has to carry it. The response to a probe has
+/// to name the target.
 ///
 /// The connection is closed as soon as the target has sent more than such a response can need,
 /// whether in the head, the body, the framing of chunks or trailers.
 ///
 /// # Errors
 ///
-/// Fails if there is no complete response; [`ExchangeError::NotSent`] is returned only if the target
-/// can't have executed the request.
+/// Fails if there is no complete response to the message; [`ExchangeError::NotSent`] and [`ExchangeError::Carried`]
+/// are returned only if the target can't have executed the request.
 pub async fn exchange(
     mut conn: Connection,
     req: Request<Full<Bytes>>,
+    names: &HeaderNames,
     limits: ResponseLimits,
     memory: BodyMemory,
 ) -> Result<(TargetResponse, Option<Connection>), ExchangeError> {
@@ -203,6 +238,10 @@
     if conn.sender.ready().await.is_err() {
         return Err(ExchangeError::NotSent);
     }
+    let id = req.headers().get(&names.request_id).cloned();
+    if id.as_ref().is_some_and(|id| !conn.carried.add(id.as_bytes())) {
+        return Err(ExchangeError::Carried);
+    }
     conn.messages += 1;
     let rsp = match conn.sender.try_send_request(req).await {
         Ok(rsp) => rsp,
@@ -213,6 +252,7 @@
         Err(_) => return Err(ExchangeError::NoResponse),
     };
     let (parts, body) = rsp.into_parts();
+    conn.match_response(&parts.headers, id.as_ref(), names)?;
     let limit = match body.size_hint().exact() {
         Some(len) if len > limits.declared => return Err(ExchangeError::TooLarge),
         Some(len) => {
@@ -413,17 +453,21 @@
 }
 
 impl IdleConnections {
-    /// Takes the most recently used idle connection to a target, and the time for which it was idle.
-    pub fn take_idle(&self, now: Time, addr: SocketAddr) -> Option<(Connection, Duration)> {
+    /// Takes the most recently used idle connection to a target that may carry the request with this id, if one is
+    /// given, and the time for which it was idle.
+    pub fn take_idle(
+        &self,
+        now: Time,
+        addr: SocketAddr,
+        id: Option<&HeaderValue>,
+    ) -> Option<(Connection, Duration)> {
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
         let i = idle.binary_search_by_key(&addr, |(a, _)| *a).ok()?;
-        while let Some(last) = idle[i].1.pop() {
-            let idle_time = now.since(last.since);
-            if last.conn.is_open() && idle_time < IDLE_TIMEOUT {
-                return Some((last.conn, idle_time));
-            }
-        }
-        None
+        let kept = &mut idle[i].1;
+        kept.retain(|i| i.conn.is_open() && now.since(i.since) < IDLE_TIMEOUT);
+        let may_carry = |i: &Idle| id.is_none_or(|id| i.conn.carried.may_carry(id.as_bytes()));
+        let last = kept.remove(kept.iter().rposition(may_carry)?);
+        Some((last.conn, now.since(last.since)))
     }
 
     /// Sets how many idle connections are kept per target, between 1 and `MAX_IDLE_PER_TARGET`.
@@ -433,7 +477,7 @@
 
     /// Keeps a connection for reuse; the least recently used one is closed if there are too many.
     pub fn put_idle(&self, now: Time, conn: Connection) {
-        if !conn.is_open() {
+        if !conn.is_open() || conn.carried.is_full() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -44,6 +44,19 @@
     }
 }
 
+/// Returns the header names of the tests.
+pub fn header_names() -> HeaderNames {
+    let name = HeaderName::from_static;
+    HeaderNames {
+        request_id: name("a"),
+        time_left_ms: name("b"),
+        expected_target: name("c"),
+        answering_target: name("d"),
+        not_executed: name("e"),
+        digest: name("f"),
+    }
+}
+
 /// Returns a host with the peer address `peer`. `seeds` is a JSON array of other hosts' addresses.
 pub async fn host(peer: SocketAddr, seeds: &str) -> Arc<Host> {
     named_host("h", peer, seeds).await
@@ -73,15 +86,7 @@
             "store": "127.9.9.1:5", "seeds": {seeds}}}"#
     );
     let settings = Settings::parse(&settings).unwrap();
-    let name = HeaderName::from_static;
-    let names = HeaderNames {
-        request_id: name("a"),
-        time_left_ms: name("b"),
-        expected_target: name("c"),
-        answering_target: name("d"),
-        not_executed: name("e"),
-        digest: name("f"),
-    };
+    let names = header_names();
     let net = PeerNet::open(peer, &settings.peer_key).await.unwrap();
     Arc::new(Host::new(settings, log, Metrics::new().unwrap(), Arc::new(NoProtocol(names)), net))
 }
--- a/crates/geraniummux-host/tests/endless.rs
+++ b/crates/geraniummux-host/tests/endless.rs
@@ -171,10 +171,10 @@
     addr
 }
 
-fn request() -> Request<Full<Bytes>> {
+fn request(id: &str) -> Request<Full<Bytes>> {
     Request::get("/x")
         .header(header::HOST, "a.example")
-        .header("a", "r-1")
+        .header("a", id)
         .body(Full::default())
         .unwrap()
 }
@@ -183,20 +183,21 @@
 /// the exchange, on a new connection and on one that has served requests, and closes the connection.
 #[tokio::test]
 async fn exchange_endless_response_is_cut_off() {
-    let bodies = Bodies::new(16 << 20);
+    let (bodies, names) = (Bodies::new(16 << 20), common::header_names());
     for complete_first in [0, 2] {
         for form in FORMS {
             let behavior = Behavior { form, complete_first, slow: false };
             let target = EndlessTarget::start(behavior).await;
             let mut conn = Connection::open(target.addr, Box::new(|| ())).await.unwrap();
-            for _ in 0..complete_first {
+            for n in 0..complete_first {
                 let memory = bodies.unreserved(&"r".into());
-                let (rsp, kept) = exchange(conn, request(), LIMITS, memory).await.unwrap();
+                let req = request(&format!("complete-{n}"));
+                let (rsp, kept) = exchange(conn, req, &names, LIMITS, memory).await.unwrap();
                 assert_eq!(rsp.body, COMPLETE_BODY);
                 conn = kept.unwrap();
             }
             let memory = bodies.unreserved(&"r".into());
-            let error = exchange(conn, request(), LIMITS, memory).await.err();
+            let error = exchange(conn, request("r-1"), &names, LIMITS, memory).await.err();
             let expected = match form {
                 Form::Garbage | Form::ChunkExtension | Form::Trailers => ExchangeError::BadResponse,
                 _ => ExchangeError::TooLarge,
@@ -212,14 +213,15 @@
 /// A body of declared length is accepted up to the limit, whatever the limit of others.
 #[tokio::test]
 async fn exchange_limit_of_declared_length_is_exact() {
-    let bodies = Bodies::new(16 << 20);
+    let (bodies, names) = (Bodies::new(16 << 20), common::header_names());
     let target = start_target().await;
     let len = COMPLETE_BODY.len() as u64;
     for (limit, expected) in [(len, None), (len - 1, Some(ExchangeError::TooLarge))] {
         let conn = Connection::open(target, Box::new(|| ())).await.unwrap();
         let memory = bodies.unreserved(&"r".into());
         let limits = ResponseLimits { declared: limit, undeclared: 0 };
-        assert_eq!(exchange(conn, request(), limits, memory).await.err(), expected);
+        let result = exchange(conn, request("r-1"), &names, limits, memory).await;
+        assert_eq!(result.err(), expected);
     }
 }
 
@@ -351,7 +353,7 @@
 /// response, which take the link of the host; one that sends some surplus bytes is no such target.
 #[tokio::test]
 async fn exchange_surplus_without_end_is_reported() {
-    let bodies = Bodies::new(16 << 20);
+    let (bodies, names) = (Bodies::new(16 << 20), common::header_names());
     for (surplus, expected) in [(None, true), (Some(0), false), (Some(100), false)] {
         let (target, _) = start_target_with_surplus(surplus).await;
         let reported = Arc::new(AtomicUsize::new(0));
@@ -363,7 +365,7 @@
             });
             let conn = Connection::open(target, report).await.unwrap();
             let memory = bodies.unreserved(&"r".into());
-            let (rsp, conn) = exchange(conn, request(), LIMITS, memory).await.unwrap();
+            let (rsp, conn) = exchange(conn, request("r-1"), &names, LIMITS, memory).await.unwrap();
             assert_eq!(rsp.body, COMPLETE_BODY);
             tokio::time::sleep(Duration::from_millis(20)).await;
             drop(conn);
