A copy of a refusal is no response to a probe

Callers saw: 502 for requests that a target was serving, and requests that were not retried after a refusal although their target was ready.

Cause: the response to a probe counts if it names the target, which a refusal may do, too. A copy of one that came where a probe's response was due passed for it; the probe's own response was then due where that of the next request was, and had no id.

Ruled out: refusing each response to a probe that has an id. A target may give one to every response, and nothing says that it does not.

Change: a response to a probe that carries the id of a request which the connection has carried is one to that request.

--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -496,12 +496,11 @@
     let sent_at = host.now();
     let names = host.protocol.headers();
     let result = upstream::exchange(conn, req, names, PROBE_RESPONSE_LIMITS, memory).await;
-    let (response, conn) = result.map_err(|_: ExchangeError| ())?;
-    let answered_id = response.headers.get(&names.request_id);
-    if answered_id.is_some() {
-        info!(host.log, "probe_answered_with_request_id"; "target" => &*candidate.id,
-            "id" => format!("{answered_id:?}"), "status" => response.status.as_u16());
-    }
+    let (response, conn) = result.map_err(|e: ExchangeError| {
+        if e == ExchangeError::OtherRequest {
+            info!(host.log, "probe_answered_for_request"; "target" => &*candidate.id);
+        }
+    })?;
     if let Some(pause) = headers::retry_after(&response) {
         host.on_pause(&pool.name, candidate, pause, relay);
     }
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -159,6 +159,9 @@
             (Some(id), Some(echo)) if id == echo => Ok(()),
             (Some(_), Some(_)) => Err(ExchangeError::OtherRequest),
             (Some(_), None) => Err(ExchangeError::Unproven),
+            (None, Some(echo)) if self.carried.contains(echo.as_bytes()) => {
+                Err(ExchangeError::OtherRequest)
+            }
             (None, _) if headers.contains_key(&names.answering_target) => Ok(()),
             (None, _) => Err(ExchangeError::Unproven),
         }
@@ -217,7 +220,7 @@
 /// connection if it can be reused.
 ///
 /// A request's id is sent at most once on a connection, and its response has to carry it. The response to a probe has
-/// to name the target.
+/// to name the target, and not to carry the id of a request that the connection has carried.
 ///
 /// The connection is closed as soon as the target has sent more than such a response can need,
 /// whether in the head, the body, the framing of chunks or trailers.
