What another target says of itself says nothing about the one at its address

Callers saw: 503 for requests that a target would have served.

Cause: the load of a response and the pause that it asked for were recorded before it was known which target had sent it. A 421, and a response to a probe that names another target, come from another one.

Ruled out: that these are dropped with the ejection after such a response.

Change: a response is classified first. Load, pause and demand are read from one that a target sent to a request addressed to it, and from a probe's only after its name was compared.

Evidence: host_pause_asked_by_another_target_is_not_kept, red on the commit before (the target counts as paused after the ejection), green now. The other tests of geraniummux-host pass.

--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -11,9 +11,6 @@
 use slog::info;
 use std::sync::Arc;
 
-/// Reason of an attempt that the target refused without executing the request.
-const REFUSED: &str = "refused";
-
 /// Outcome of an attempt. The reasons are for logs and metrics.
 pub enum AttemptOutcome {
     /// The target's complete response.
@@ -68,24 +65,28 @@
     let outcome = match result {
         Ok((response, conn)) => {
             status = Some(response.status.as_u16());
-            report = host.target_report(&target, &response.headers);
-            if let Some(report) = report {
-                host.fleet().table.on_report(now, &target, report);
-            }
-            let body_bytes = response.body.len() as u64;
-            let demand = host.target_demand(&target, &response.headers);
-            if let Some(pause) = headers::retry_after(&response) {
-                host.on_pause(&ctx.pool.name, &candidate, pause, relay);
-            }
-            let outcome = classify(&ctx, response);
-            if let Some(demand) = demand
-                && is_from_target(&outcome)
-            {
-                host.on_demand(&ctx.pool.name, &candidate, sent_at, demand);
-            }
-            if matches!(outcome, AttemptOutcome::Responded(_)) {
-                host.bodies.budget().on_response(route, body_bytes);
+            let kind = classify(&ctx, &response);
+            if matches!(kind, ResponseKind::Executed | ResponseKind::Refusal) {
+                report = host.target_report(&target, &response.headers);
+                if let Some(report) = report {
+                    host.fleet().table.on_report(now, &target, report);
+                }
+                if let Some(pause) = headers::retry_after(&response) {
+                    host.on_pause(&ctx.pool.name, &candidate, pause, relay);
+                }
+                if let Some(demand) = host.target_demand(&target, &response.headers) {
+                    host.on_demand(&ctx.pool.name, &candidate, sent_at, demand);
+                }
             }
+            let outcome = match kind {
+                ResponseKind::Executed => {
+                    host.bodies.budget().on_response(route, response.body.len() as u64);
+                    AttemptOutcome::Responded(response)
+                }
+                ResponseKind::Refusal => AttemptOutcome::NotExecuted("refused"),
+                ResponseKind::OtherTarget => AttemptOutcome::NotExecuted("other_target"),
+                ResponseKind::NoDigest => AttemptOutcome::Lost(ExchangeError::Unproven.as_str()),
+            };
             if !matches!(outcome, AttemptOutcome::Lost(_))
                 && let Some(conn) = conn
             {
@@ -156,22 +157,30 @@
     Some(req)
 }
 
-/// Returns whether a response is that of the target to this request.
-fn is_from_target(outcome: &AttemptOutcome) -> bool {
-    matches!(outcome, AttemptOutcome::Responded(_) | AttemptOutcome::NotExecuted(REFUSED))
+/// What a response to a request is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResponseKind {
+    /// That of a target which may have executed the request.
+    Executed,
+    /// The target states that it has not executed the request.
+    Refusal,
+    /// Another target responded at the address, and has not executed the request. What it says of itself says nothing
+    /// about the target.
+    OtherTarget,
+    /// A success without a digest.
+    NoDigest,
 }
 
-/// Classifies a target's response to the request; a success counts only with a digest.
-fn classify(ctx: &RequestContext, response: TargetResponse) -> AttemptOutcome {
+fn classify(ctx: &RequestContext, response: &TargetResponse) -> ResponseKind {
     let names = ctx.host.protocol.headers();
     if response.status == StatusCode::MISDIRECTED_REQUEST {
-        return AttemptOutcome::NotExecuted("other_target");
+        return ResponseKind::OtherTarget;
     }
     if response.headers.contains_key(&names.not_executed) {
-        return AttemptOutcome::NotExecuted(REFUSED);
+        return ResponseKind::Refusal;
     }
     if response.status.is_success() && !response.headers.contains_key(&names.digest) {
-        return AttemptOutcome::Lost(ExchangeError::Unproven.as_str());
+        return ResponseKind::NoDigest;
     }
-    AttemptOutcome::Responded(response)
+    ResponseKind::Executed
 }
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -501,9 +501,6 @@
             info!(host.log, "probe_answered_for_request"; "target" => &*candidate.id);
         }
     })?;
-    if let Some(pause) = headers::retry_after(&response) {
-        host.on_pause(&pool.name, candidate, pause, relay);
-    }
     let Some(answering) = response.headers.get(&names.answering_target) else { return Err(()) };
     let now = host.now();
     if answering.as_bytes() != candidate.id.as_bytes() {
@@ -514,6 +511,9 @@
         return Ok(None);
     }
     host.metrics.probe(&pool.name, response.status.as_str());
+    if let Some(pause) = headers::retry_after(&response) {
+        host.on_pause(&pool.name, candidate, pause, relay);
+    }
     if let Some(demand) = host.target_demand(&candidate.id, &response.headers) {
         host.on_demand(&pool.name, candidate, sent_at, demand);
     }
--- a/crates/geraniummux-host/tests/refusals.rs
+++ b/crates/geraniummux-host/tests/refusals.rs
@@ -2,12 +2,15 @@
 
 mod common;
 
-use common::targets::{COMPLETE_BODY, call_as, read_head, registered, start_host_with};
-use geraniummux_core::fleet::{RegistryChange, RegistryDelta, Revision};
+use common::targets::{
+    COMPLETE_BODY, Reply, ScriptedTarget, call_as, complete_response, identity, read_head,
+    registered, start_host_with,
+};
+use geraniummux_core::fleet::{RegistryChange, RegistryDelta, Revision, TableOptions};
 use http::StatusCode;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -148,3 +151,30 @@
         }
     }
 }
+
+/// Guards against a target that gets nothing because another one, which answered at its address for a while, asked for
+/// a pause.
+#[tokio::test]
+async fn host_pause_asked_by_another_target_is_not_kept() {
+    let other_answers = AtomicBool::new(false);
+    let target = ScriptedTarget::start(move |n, addr, id| match n {
+        Some(0) => {
+            other_answers.store(true, Ordering::SeqCst);
+            Reply::Keep(complete_response(addr, id))
+        }
+        None if other_answers.swap(false, Ordering::SeqCst) => Reply::Keep(format!(
+            "HTTP/1.1 {REFUSED}d: t-other\r\nretry-after: 8\r\ncontent-length: 0\r\n\r\n"
+        )),
+        _ => Reply::Keep(complete_response(addr, id)),
+    })
+    .await;
+    let (host, addr) = start_host_with(&[target.addr], "127.9.9.127:7009").await;
+    let (got, _) = call_as(addr, "once", "r-0", TIME_LEFT_MS).await;
+    assert_eq!(got, StatusCode::OK);
+    let (got, _) = call_as(addr, "once", "r-1", TIME_LEFT_MS).await;
+    assert_eq!((got, target.count()), (StatusCode::SERVICE_UNAVAILABLE, 1));
+    tokio::time::sleep(TableOptions::default().identity_mismatch_ejection).await;
+    assert!(host.candidate("pool", &identity(target.addr)).is_some());
+    let (got, _) = call_as(addr, "once", "r-2", TIME_LEFT_MS).await;
+    assert_eq!((got, target.count()), (StatusCode::OK, 2));
+}
