Test: a peer's message about a former run ejects the present one (red)

Callers saw: refusals or longer waits for two seconds after a target had started again at another address, at hosts that knew its new run already.

Cause: Message::IdentityMismatch has the name of the target only. Hosts learn of a new run at different times; one that has the former entry gets the 421 and tells the others.

Ruled out: the sender's own conclusion, which is right for the run that it knows; the test looks at the peer only.

Change: the test of the two hosts is split, so that the host itself knows the present run or not; the first form now looks at both hosts.

Conclusion: the message must name the run, or a host must not apply it to a run that it has learnt of since.

--- a/crates/geraniummux-host/tests/statements.rs
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -239,10 +239,9 @@
     (host, addr)
 }
 
-/// Guards against a 421 of whoever is at the address of a former run of a target, and that takes the present run out of
-/// use at all hosts for two seconds (RECOVER).
-#[tokio::test]
-async fn host_misdirected_at_a_former_run_keeps_the_present_one() {
+/// Lets whoever is at the address of a target answer 421 while the target starts again at another address, which the
+/// peer of the host learns, and the host itself if `host_knows`. Returns how many of two targets each of them uses then.
+async fn replace_during_a_request(nets: [u8; 2], host_knows: bool) -> [usize; 2] {
     let other = Target::start(|r| match &r.id {
         None => vec![Step::Write(health(r.addr))],
         Some(id) => vec![
@@ -253,9 +252,9 @@
         ],
     })
     .await;
-    let (ours, theirs) = ("127.9.9.145:7009", "127.9.9.146:7009");
-    let (host, addr) = start_peer("host-1", ours, theirs, other.addr).await;
-    let (peer, _) = start_peer("host-2", theirs, ours, other.addr).await;
+    let [ours, theirs] = nets.map(|net| format!("127.9.9.{net}:7009"));
+    let (host, addr) = start_peer("host-1", &ours, &theirs, other.addr).await;
+    let (peer, _) = start_peer("host-2", &theirs, &ours, other.addr).await;
     for h in [&host, &peer] {
         while h.members().peers().filter(|m| m.state == MemberState::Alive).count() == 0 {
             tokio::time::sleep(LATE).await;
@@ -263,7 +262,7 @@
     }
     let call = tokio::spawn(call_as(addr, "once", "r-0", TIME_LEFT_MS));
     tokio::time::sleep(WORK / 2).await;
-    // The target starts again at another address, beside a target that is always usable.
+    // The target starts again beside a target that is always usable.
     let put = |id: &str, port| {
         let (_, RegistryChange::Put(mut target)) = registered("pool", other.addr) else { panic!() };
         target.id = id.into();
@@ -273,15 +272,28 @@
     };
     let present = identity(other.addr);
     let changes = vec![put(&present, 1), put("t-spare", 2)];
-    for h in [&host, &peer] {
+    for h in [&peer, &host].into_iter().take(1 + usize::from(host_knows)) {
         let (from, to) = (Some(Revision::new(1, 1)), Revision::new(1, 2));
         assert!(h.apply_targets(RegistryDelta { from, to, changes: changes.clone() }, "store"));
     }
     call.await.unwrap();
     // Messages to the peer arrive.
     tokio::time::sleep(LATE).await;
-    for h in [&host, &peer] {
-        let usable = h.fleet().table.candidates(h.now(), "pool", &[], 2, &mut rand::rng());
-        assert_eq!(usable.len(), 2, "{}: {usable:?}", h.members().local_member().name);
-    }
+    [&host, &peer]
+        .map(|h| h.fleet().table.candidates(h.now(), "pool", &[], 2, &mut rand::rng()).len())
+}
+
+/// Guards against a 421 of whoever is at the address of a former run of a target, and that takes the present run out of
+/// use at all hosts for two seconds (RECOVER).
+#[tokio::test]
+async fn host_misdirected_at_a_former_run_keeps_the_present_one() {
+    assert_eq!(replace_during_a_request([145, 146], true).await, [2, 2]);
+}
+
+/// Guards against the message of a peer that has met a former run of a target and doesn't know yet that it has started
+/// again: it takes the present run out of use at the hosts that know it (RECOVER).
+#[tokio::test]
+async fn peer_misdirected_at_a_former_run_keeps_the_present_one() {
+    let [_, at_peer] = replace_during_a_request([147, 148], false).await;
+    assert_eq!(at_peer, 2);
 }
