Test: a success that declares no execution is taken for a refusal (red)

Callers saw: nothing that is reported; found by reading. 503 for a request that a target has run (REFUSED).

Cause: classify believes the declaration with any status. A success whose head stops within a header line joins the copy of a refused probe, which has no id of its own: one id, that of the request, and the declaration.

Ruled out: one id for each response does not exclude this. Copies of refused requests have an id, see host_response_with_two_ids_is_no_refusal.

Change: a test.

--- a/crates/geraniummux-host/tests/statements.rs
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -297,3 +297,21 @@
     let [_, at_peer] = replace_during_a_request([147, 148], false).await;
     assert_eq!(at_peer, 2);
 }
+
+/// Guards against a response that stops in its head, before the copy of the refusal of a probe, and is taken for a refusal:
+/// a success with the declaration that nothing was executed contradicts itself (REFUSED).
+#[tokio::test]
+async fn host_success_that_declares_no_execution_is_no_refusal() {
+    let target = Target::start(|r| match &r.id {
+        None => vec![Step::Write(health(r.addr))],
+        Some(id) => {
+            let stopped = format!("HTTP/1.1 200 OK\r\na: {id}\r\nf: dig");
+            let copy = "HTTP/1.1 503 Service Unavailable\r\ne: 1\r\ncontent-length: 0\r\n\r\n";
+            vec![Step::Run, Step::Write(stopped + copy)]
+        }
+    })
+    .await;
+    let (_host, addr) = start_host_with(&[target.addr], "127.9.9.150:7009").await;
+    let (status, _) = call_as(addr, "once", "r-0", TIME_LEFT_MS).await;
+    assert_eq!((status, target.runs_of("r-0")), (StatusCode::BAD_GATEWAY, 1));
+}
