Test: answers to probes of scripted targets have no request's id

Cause: ScriptedTarget answered a probe, which has no id, with the header of an id and the text "none".

Ruled out: that tests rely on it; demands.rs leaves the id out in its own answers already.

Change: complete_response leaves the id out for "none".

--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -55,10 +55,12 @@
     format!("t-{:05}", addr.port())
 }
 
+/// Returns a complete response to the request `id`, or to a probe if that is "none", as [`read_request`] returns it.
 pub fn complete_response(target: SocketAddr, id: &str) -> String {
+    let id = if id == "none" { String::new() } else { format!("a: {id}\r\n") };
     let (len, target) = (COMPLETE_BODY.len(), identity(target));
     format!(
-        "HTTP/1.1 200 OK\r\na: {id}\r\nd: {target}\r\nf: digest\r\ncontent-length: {len}\r\n\r\n{COMPLETE_BODY}"
+        "HTTP/1.1 200 OK\r\n{id}d: {target}\r\nf: digest\r\ncontent-length: {len}\r\n\r\n{COMPLETE_BODY}"
     )
 }
 
