A declaration of a target counts only with a status of refusals

Callers saw: 503 for a request that a target had run, in a test (REFUSED).

Cause: the header by which a target declares that it did not execute a request was believed with any status, also in a success, which contradicts it.

--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -85,7 +85,7 @@
                 }
                 ResponseKind::Refusal => AttemptOutcome::NotExecuted("refused"),
                 ResponseKind::OtherTarget => AttemptOutcome::NotExecuted("other_target"),
-                ResponseKind::NoDigest => AttemptOutcome::Lost(ExchangeError::Unproven.as_str()),
+                ResponseKind::Unproven => AttemptOutcome::Lost(ExchangeError::Unproven.as_str()),
             };
             if !matches!(outcome, AttemptOutcome::Lost(_))
                 && let Some(conn) = conn
@@ -167,8 +167,8 @@
     /// Another target responded at the address, and has not executed the request. What it says of itself says nothing
     /// about the target.
     OtherTarget,
-    /// A success without a digest.
-    NoDigest,
+    /// A success without a digest, or a statement that does not go with the status.
+    Unproven,
 }
 
 fn classify(ctx: &RequestContext, response: &TargetResponse) -> ResponseKind {
@@ -177,10 +177,16 @@
         return ResponseKind::OtherTarget;
     }
     if response.headers.contains_key(&names.not_executed) {
-        return ResponseKind::Refusal;
+        return match response.status {
+            StatusCode::BAD_REQUEST
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE => ResponseKind::Refusal,
+            _ => ResponseKind::Unproven,
+        };
     }
     if response.status.is_success() && !response.headers.contains_key(&names.digest) {
-        return ResponseKind::NoDigest;
+        return ResponseKind::Unproven;
     }
     ResponseKind::Executed
 }
