A head that goes on with another response is no response

Callers saw: one run at each of two targets, or 503 for a request that had run, in tests (TWICE, REFUSED). No target was replaced for it, and each id was sent once: this may be what the users saw.

Cause: a faulty target stops within a header's value and then writes the copy of an earlier refusal. The two heads read as one, with the ids of both requests, of which the first was compared, and with the declaration that nothing was executed.

Ruled out: a stop between lines or within a name, as the status line that follows is no header then, and the head is refused as malformed.

Change: a response counts only with one id, and if none of its values goes on with the status line of another response.

--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -155,7 +155,12 @@
         id: Option<&HeaderValue>,
         names: &HeaderNames,
     ) -> Result<(), ExchangeError> {
-        match (id, headers.get(&names.request_id)) {
+        let mut echoes = headers.get_all(&names.request_id).iter();
+        let echo = echoes.next();
+        if echoes.next().is_some() || headers.values().any(contains_status_line) {
+            return Err(ExchangeError::Merged);
+        }
+        match (id, echo) {
             (Some(id), Some(echo)) if id == echo => Ok(()),
             (Some(_), Some(_)) => Err(ExchangeError::OtherRequest),
             (Some(_), None) => Err(ExchangeError::Unproven),
@@ -192,6 +197,8 @@
     BadResponse,
     /// The response carries the id of another request.
     OtherRequest,
+    /// The head stopped early, and goes on with that of another response.
+    Merged,
     /// Nothing in the response shows that it is the one to the message.
     Unproven,
     /// The response is longer than the limit.
@@ -209,6 +216,7 @@
             ExchangeError::NoResponse => "no_answer",
             ExchangeError::BadResponse => "bad_answer",
             ExchangeError::OtherRequest => "answer_of_other_request",
+            ExchangeError::Merged => "merged_answer",
             ExchangeError::Unproven => "unproven_answer",
             ExchangeError::TooLarge => "answer_too_large",
             ExchangeError::NoMemory => "no_memory",
@@ -219,7 +227,7 @@
 /// Sends a request or, without an id, a probe, and reads the complete response, whose body is limited. Returns the
 /// connection if it can be reused.
 ///
-/// A request's id is sent at most once on a connection, and its response has to carry it. The response to a probe has
+/// A request's id is sent at most once on a connection, and its response has to carry it and no other. The response to a probe has
 /// to name the target, and not to carry the id of a request that the connection has carried.
 ///
 /// The connection is closed as soon as the target has sent more than such a response can need,
@@ -430,6 +438,19 @@
     }
 }
 
+/// Returns whether a header's value goes on with the status line of another response, as it does if a target stops
+/// within the value and then writes that response.
+fn contains_status_line(value: &HeaderValue) -> bool {
+    let is_status_line = |line: &[u8]| {
+        let [b'H', b'T', b'T', b'P', b'/', b'1', b'.', _, b' ', code @ ..] = line else {
+            return false;
+        };
+        code.len() >= 3 && code[..3].iter().all(u8::is_ascii_digit)
+    };
+    let bytes = value.as_bytes();
+    (0..bytes.len()).any(|i| bytes[i] == b'H' && is_status_line(&bytes[i..]))
+}
+
 fn has_token(value: Option<&HeaderValue>, token: &str) -> bool {
     let value = value.and_then(|v| v.to_str().ok()).unwrap_or("");
     value.split(',').any(|t| t.trim().eq_ignore_ascii_case(token))
--- a/crates/geraniummux-host/tests/statements.rs
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -298,20 +298,34 @@
     assert_eq!(at_peer, 2);
 }
 
-/// Guards against a response that stops in its head, before the copy of the refusal of a probe, and is taken for a refusal:
-/// a success with the declaration that nothing was executed contradicts itself (REFUSED).
-#[tokio::test]
-async fn host_success_that_declares_no_execution_is_no_refusal() {
-    let target = Target::start(|r| match &r.id {
+/// Sends a request to a target that runs it, stops in the head of a response with this status and writes the copy of the
+/// refusal of a probe. Returns the status for the caller and the number of runs.
+async fn call_with_merged_head(status: &'static str, peer: &str) -> (StatusCode, usize) {
+    let target = Target::start(move |r| match &r.id {
         None => vec![Step::Write(health(r.addr))],
         Some(id) => {
-            let stopped = format!("HTTP/1.1 200 OK\r\na: {id}\r\nf: dig");
+            let stopped = format!("HTTP/1.1 {status}\r\na: {id}\r\nf: dig");
             let copy = "HTTP/1.1 503 Service Unavailable\r\ne: 1\r\ncontent-length: 0\r\n\r\n";
             vec![Step::Run, Step::Write(stopped + copy)]
         }
     })
     .await;
-    let (_host, addr) = start_host_with(&[target.addr], "127.9.9.150:7009").await;
+    let (_host, addr) = start_host_with(&[target.addr], peer).await;
     let (status, _) = call_as(addr, "once", "r-0", TIME_LEFT_MS).await;
-    assert_eq!((status, target.runs_of("r-0")), (StatusCode::BAD_GATEWAY, 1));
+    (status, target.runs_of("r-0"))
+}
+
+/// Guards against a response that stops in its head, before the copy of the refusal of a probe, and is taken for a refusal:
+/// a success with the declaration that nothing was executed contradicts itself (REFUSED).
+#[tokio::test]
+async fn host_success_that_declares_no_execution_is_no_refusal() {
+    let result = call_with_merged_head("200 OK", "127.9.9.150:7009").await;
+    assert_eq!(result, (StatusCode::BAD_GATEWAY, 1));
+}
+
+/// Guards against the same with a failure of a target that has run the request, whose status goes with the declaration.
+#[tokio::test]
+async fn host_failure_that_goes_on_with_a_refusal_is_no_refusal() {
+    let result = call_with_merged_head("503 Service Unavailable", "127.9.9.151:7009").await;
+    assert_eq!(result, (StatusCode::BAD_GATEWAY, 1));
 }
