A response of another target holds for the run that was addressed

Callers saw: in tests, the present run of a target is left out for two seconds at hosts and their schedulers.

Cause: on_identity_mismatch and its message to peers name the target without its run. A 421 that comes after the target has started again elsewhere was applied to the present run, here and at peers that know it already.

Ruled out: a new field in the message. Builds of one fleet must read each other's messages, and a build without the field would still send the name.

Change: a host ignores it unless the run that it addressed is the registered one, and does not pass it on. A host that hears of it from a peer ignores it while the peer may not know of the registered run yet (2 s).

Open: a pause that a peer passes on names no run either; ignoring a true one would send requests to a target that wants none, so it is applied.

--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -42,6 +42,8 @@
 
 /// Longest pause that is accepted of a target.
 const MAX_PAUSE: Duration = Duration::from_secs(60);
+/// Time after which all hosts know of a change of the registered targets.
+const MAX_REGISTRY_LAG: Duration = Duration::from_secs(2);
 /// Heartbeats of a target after which its entry in a restored store shows that it is alive: the store removes
 /// entries after three without a write.
 const CONFIRMING_HEARTBEATS: u32 = 4;
@@ -512,10 +514,14 @@
         }
     }
 
-    /// Records that another target answered at the address of `id`, and reports it to peers unless it
-    /// is known.
-    pub fn on_identity_mismatch(&self, id: &Arc<str>) {
+    /// Records that another target answered at the address of a run of a target, and reports it to peers unless it
+    /// is known. It says nothing of another run.
+    pub fn on_identity_mismatch(&self, candidate: &Candidate) {
+        let Candidate { id, run } = candidate;
         let now = self.now();
+        if self.fleet().registry.run(id) != Some(*run) {
+            return;
+        }
         self.scheduling.on_identity_mismatch(now, id);
         if self.fleet().table.on_identity_mismatch(now, id) {
             warn!(self.log, "target_replaced"; "target" => &**id);
@@ -523,9 +529,14 @@
         }
     }
 
-    /// Records that another target answered a peer at the address of `id`.
+    /// Records that another target answered a peer at the address of `id`, unless that may be about a former run: the
+    /// message does not name the run, and the peer may know of the present one later than this host.
     pub fn on_peer_identity_mismatch(&self, from: &str, id: &str) {
         let now = self.now();
+        let known_to_peers_since = now - MAX_REGISTRY_LAG;
+        if !self.fleet().registry.may_be_of_registered_run(id, known_to_peers_since) {
+            return;
+        }
         self.scheduling.on_identity_mismatch(now, id);
         if self.fleet().table.on_identity_mismatch(now, id) {
             warn!(self.log, "target_replaced"; "target" => id, "peer" => from);
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -116,7 +116,7 @@
             "answered"
         }
         AttemptOutcome::NotExecuted("other_target") => {
-            host.on_identity_mismatch(&target);
+            host.on_identity_mismatch(&candidate);
             "other_target"
         }
         // Neither is the target the cause of these.
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -505,7 +505,7 @@
     let now = host.now();
     if answering.as_bytes() != candidate.id.as_bytes() {
         host.metrics.probe(&pool.name, "other_target");
-        host.on_identity_mismatch(&candidate.id);
+        host.on_identity_mismatch(candidate);
         info!(host.log, "address_reused"; "target" => &*candidate.id,
             "addr" => candidate.run.addr.to_string(), "answering" => format!("{answering:?}"));
         return Ok(None);
