Soak: targets that refuse, copy refusals late and replace each other

Cause of this change: the soak's targets refused only when they were full or paused, wrote a refusal once more only without an id, and never started again under another id. Its checks read the runs while targets could still be at work.

Ruled out: faults drawn from the generator of the seed, which would change the other faults of all seeds so far.

Change: `--refusals` (Options::refusals, off by default). From a generator of its own, targets refuse all requests for a while or start again at their addresses under new or earlier ids; refusals come late, as 421 or as 503 with the declaration, and once more on their own, with the next message or when the request comes again, in one or two parts. Entries of former ids stay for up to 4 s. The stand-in also writes copies that no message triggers, and counts connections and ids that come again on one connection. Runs are read after the targets have been idle for 1 s; a response with the id of another request counts whatever its status, and a request that was served must have run. Two lines per seed say what the run met.

--- a/crates/geraniummux-soak/src/callers.rs
+++ b/crates/geraniummux-soak/src/callers.rs
@@ -131,13 +131,16 @@
     };
     let (outcome, response_error) = match timeout(deadline + RESPONSE_MARGIN, exchange).await {
         Ok(Ok((parts, response))) => {
-            let id_matches =
-                parts.headers.get("request-id").is_some_and(|v| v.as_bytes() == id.as_bytes());
+            let response_id = parts.headers.get("request-id");
+            let id_matches = response_id.is_some_and(|v| v.as_bytes() == id.as_bytes());
             let body_matches = response == response_body(id, &body);
             let is_wrong = parts.status.is_success() && !(id_matches && body_matches);
+            // Responses of the hosts themselves have no id.
+            let is_of_other = response_id.is_some() && !id_matches;
             (
                 Outcome::Response(parts.status),
-                is_wrong.then(|| format!("{id}: response truncated or of another request")),
+                (is_wrong || is_of_other)
+                    .then(|| format!("{id}: response truncated or of another request")),
             )
         }
         _ => (Outcome::NoResponse, None),
@@ -149,6 +152,7 @@
 /// Counts the finished requests by outcome and checks them against the runs that the targets recorded:
 /// successful responses are complete, a request that is not idempotent runs at most once and not at all if
 /// it is refused, a graceful stop aborts no request that runs, and leaving targets get no late requests.
+/// The targets have to be done with all requests.
 pub fn check(harness: &Harness, report: &mut Report) {
     for record in harness.take_requests() {
         let runs = harness.run_counts.runs(&record.id);
@@ -167,15 +171,28 @@
             Outcome::Response(_) => report.failed += 1,
             Outcome::NoResponse => report.unanswered += 1,
         }
-        report.checks += 3;
+        report.checks += 4;
+        report.requests += 1;
         report.violations.extend(record.response_error.clone());
+        if matches!(record.outcome, Outcome::Response(s) if s.is_success()) && runs == 0 {
+            report.violations.push(format!("{}: served, but did not run", record.id));
+        }
+        if record.idempotent && guaranteed_not_run && runs > 0 {
+            report.idempotent_refused_and_run += 1;
+        }
         if !record.idempotent && runs > 1 {
-            report.violations.push(format!("{}: not idempotent, but ran {runs} times", record.id));
+            let targets = harness.run_counts.targets(&record.id).join(" ");
+            report.violations.push(format!(
+                "{}: not idempotent, but ran {runs} times, at {targets}; {:?}",
+                record.id, record.outcome
+            ));
         }
         if !record.idempotent && guaranteed_not_run && runs > 0 {
-            report
-                .violations
-                .push(format!("{}: refused as not run, but ran {runs} times", record.id));
+            let targets = harness.run_counts.targets(&record.id).join(" ");
+            report.violations.push(format!(
+                "{}: refused as not run, but ran {runs} times, at {targets}; {:?}",
+                record.id, record.outcome
+            ));
         }
         if record.outcome == Outcome::NoResponse && record.only_graceful_stop && runs > 0 {
             report.violations.push(format!(
--- a/crates/geraniummux-soak/src/faults.rs
+++ b/crates/geraniummux-soak/src/faults.rs
@@ -2,12 +2,13 @@
 
 use crate::harness::Harness;
 use geraniummux_standin::link::LinkFault;
-use geraniummux_standin::registered_target::Demand;
+use geraniummux_standin::registered_target::{CopyTrigger, Demand, RefusalCopy, Refusals};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 /// Service times while hosts restart beside a frozen one, in milliseconds.
@@ -91,6 +92,101 @@
     }
 }
 
+/// Lets targets refuse requests, write refusals once more and start again at their addresses under other ids, in
+/// series and overlapping, until the run is over. The entries of former ids are removed with the new entry or
+/// later, again if the store brings them back. What happens is drawn from a generator of its own, so that the
+/// other faults of a seed stay the same. Returns what was injected, in order.
+pub async fn refuse_requests(harness: Arc<Harness>, seed: u64) -> Vec<String> {
+    let mut rng = StdRng::seed_from_u64(!seed.rotate_left(24));
+    let mut injected = Vec::new();
+    let mut ids: Vec<Vec<String>> = harness.targets.iter().map(|t| vec![t.id()]).collect();
+    let mut former: Vec<(String, Instant)> = Vec::new();
+    let mut tasks = JoinSet::new();
+    while !harness.is_over() {
+        let i = rng.random_range(0..harness.targets.len());
+        let mut ms = |range| Duration::from_millis(rng.random_range(range));
+        let (span, entry_delay, stay, pause) =
+            (ms(200..2_500), ms(0..400), ms(0..4_000), ms(50..700));
+        let refusals = draw_refusals(&mut rng);
+        let (kind, keeps_former) = (rng.random_range(0..4), rng.random_bool(0.5));
+        let returns = rng.random_bool(0.25);
+        let earlier = rng.random_range(0..ids[i].len());
+        if kind == 0 {
+            injected.push(format!("target {i} refuses for {span:?}: {refusals:?}"));
+            tasks.spawn(refuse_all(harness.clone(), i, refusals.with_all_requests(), span));
+        } else {
+            let id = if returns {
+                ids[i][earlier].clone()
+            } else {
+                let id = format!("t-{i}-{}", ids[i].len());
+                ids[i].push(id.clone());
+                id
+            };
+            let stay = if keeps_former { stay } else { Duration::ZERO };
+            injected.push(format!(
+                "target {i} is {id}, registered after {entry_delay:?}, former entry {stay:?} longer: {refusals:?}"
+            ));
+            harness.targets[i].set_refusals(refusals);
+            former.push((harness.targets[i].id(), Instant::now() + entry_delay + stay));
+            tasks.spawn(replace(harness.clone(), i, id, entry_delay, keeps_former));
+        }
+        tokio::time::sleep(pause).await;
+        for (id, _) in former.iter().filter(|(_, end)| *end <= Instant::now()) {
+            if harness.targets.iter().all(|t| t.id() != *id) {
+                harness.unregister(id);
+            }
+        }
+    }
+    while tasks.join_next().await.is_some() {}
+    harness.targets.iter().for_each(|t| t.set_refusals(Refusals::default()));
+    injected
+}
+
+/// Draws how a target refuses requests and when it writes refusals once more.
+fn draw_refusals(rng: &mut StdRng) -> Refusals {
+    let mut ms = |range| Duration::from_millis(rng.random_range(range));
+    let (refusal_delay, copy_delay, pause) = (ms(20..400), ms(1..200), ms(2..40));
+    let trigger = match rng.random_range(0..8) {
+        0 => CopyTrigger::Refusal,
+        1 => CopyTrigger::Probe,
+        2 => CopyTrigger::OtherRequest,
+        3 => CopyTrigger::Any,
+        _ => CopyTrigger::SameRequest,
+    };
+    let mut copy = RefusalCopy::new(trigger);
+    if rng.random_bool(0.6) {
+        copy = copy.with_delay(copy_delay);
+    }
+    if rng.random_bool(0.3) {
+        copy = copy.in_two_parts(pause);
+    }
+    let mut refusals = Refusals::default();
+    if rng.random_bool(0.9) {
+        refusals = refusals.with_copy(copy);
+    }
+    if rng.random_bool(0.7) {
+        refusals = refusals.with_delay(refusal_delay);
+    }
+    if rng.random_bool(0.3) {
+        refusals = refusals.with_declaration_only();
+    }
+    if rng.random_bool(0.3) {
+        refusals = refusals.without_target_id();
+    }
+    refusals
+}
+
+async fn refuse_all(harness: Arc<Harness>, i: usize, refusals: Refusals, span: Duration) {
+    harness.targets[i].set_refusals(refusals);
+    tokio::time::sleep(span).await;
+    harness.targets[i].set_refusals(refusals.without_all_requests());
+}
+
+async fn replace(harness: Arc<Harness>, i: usize, id: String, delay: Duration, keeps: bool) {
+    let _disruption = harness.begin_disruption();
+    harness.replace(i, &id, delay, keeps).await;
+}
+
 /// Restores the store from copies, one after another, until the run is over. What was written since a copy is
 /// written again shortly after, as the operator and the targets do. The times are drawn from generators of
 /// their own, so that the other faults of a seed stay the same.
--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -3,7 +3,7 @@
 use crate::callers::{self, RequestRecord};
 use crate::faults;
 use crate::hosts::HostProcess;
-use crate::report::Report;
+use crate::report::{Report, TargetCounts};
 use anyhow::Context;
 use geraniummux_standin::link::Link;
 use geraniummux_standin::object_store::ObjectStore;
@@ -27,6 +27,9 @@
 const LEAVING_LIMIT: Duration = Duration::from_secs(2);
 /// Time without a disruption that hosts need before guarantees with a time limit apply to them.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
+/// Time without requests after which the targets count as done.
+const IDLE_TIME: Duration = Duration::from_secs(1);
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Polls for the newest configuration before its absence on a host counts as a violation.
 const CONFIG_POLLS: u32 = 300;
 /// Pause between polls for the newest configuration.
@@ -72,6 +75,8 @@
     pub timed: bool,
     /// Whether targets make demands in their responses: limits, pauses, that they leave.
     pub demands: bool,
+    /// Whether targets refuse requests, copy refusals late and start again under other ids.
+    pub refusals: bool,
     /// Whether the store is restored from copies.
     pub restores: bool,
     /// Whether one host is restarted in series while another one is frozen.
@@ -399,6 +404,39 @@
         lock(&self.process_failures).clone()
     }
 
+    /// Waits until no target has had a request for `IDLE_TIME`, so that none runs later. Returns whether that was
+    /// so before the deadlines of all requests.
+    pub async fn await_idle_targets(&self) -> bool {
+        let end = Instant::now() + self.route_times.timeout + IDLE_TIME.mul_f64(2.0);
+        let mut idle_since = Instant::now();
+        while idle_since.elapsed() < IDLE_TIME {
+            if self.targets.iter().any(|t| !t.is_idle()) {
+                idle_since = Instant::now();
+            }
+            if Instant::now() > end {
+                return false;
+            }
+            tokio::time::sleep(IDLE_POLL_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Adds what the targets observed and what the hosts logged to a report.
+    pub fn count(&self, report: &mut Report) {
+        let sum = |count: fn(&RegisteredTarget) -> u32| -> usize {
+            self.targets.iter().map(|t| count(t) as usize).sum()
+        };
+        report.targets = TargetCounts {
+            refusals: sum(RegisteredTarget::refused_count),
+            copies: sum(RegisteredTarget::copy_count),
+            same_connection: sum(RegisteredTarget::same_connection_count),
+            connections: sum(RegisteredTarget::connection_count),
+        };
+        for i in 0..self.hosts.len() {
+            report.logs.add(&self.log_of(i));
+        }
+    }
+
     /// Waits until a host names all hosts in its directory. Returns whether it did so within `CONFIG_POLLS` polls.
     pub async fn await_whole_directory(&self, directory_addr: SocketAddr) -> bool {
         for _ in 0..CONFIG_POLLS {
@@ -472,6 +510,8 @@
         .collect();
     let demands =
         opts.demands.then(|| tokio::spawn(faults::make_demands(harness.clone(), opts.seed)));
+    let refusals =
+        opts.refusals.then(|| tokio::spawn(faults::refuse_requests(harness.clone(), opts.seed)));
     let restores =
         opts.restores.then(|| tokio::spawn(faults::restore_store(harness.clone(), opts.seed)));
     let mut rng = StdRng::seed_from_u64(opts.seed);
@@ -499,7 +539,15 @@
     for task in callers.into_iter().chain(demands).chain(restores) {
         task.await?;
     }
+    if let Some(refusals) = refusals {
+        report.faults.append(&mut refusals.await?);
+    }
     harness.check_hosts();
+    report.checks += 1;
+    if !harness.await_idle_targets().await {
+        report.violations.push("targets are still at work after the deadlines".to_owned());
+    }
+    harness.count(&mut report);
     callers::check(&harness, &mut report);
     report.checks += 1;
     report.violations.append(&mut lock(&harness.process_failures));
--- a/crates/geraniummux-soak/src/lib.rs
+++ b/crates/geraniummux-soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod faults;
 pub mod harness;
 pub mod hosts;
+pub mod logs;
 pub mod report;
 
 pub use harness::{Options, RouteTimes, run};
--- a/crates/geraniummux-soak/src/main.rs
+++ b/crates/geraniummux-soak/src/main.rs
@@ -30,6 +30,9 @@
     /// let targets make demands in their responses: limits, pauses, that they leave
     #[argh(switch)]
     demands: bool,
+    /// let targets refuse requests, copy refusals late and start again under other ids
+    #[argh(switch)]
+    refusals: bool,
     /// restore the store from copies
     #[argh(switch)]
     restores: bool,
@@ -70,6 +73,7 @@
             callers: args.callers,
             timed: args.timed,
             demands: args.demands,
+            refusals: args.refusals,
             restores: args.restores,
             restarts: args.restarts,
             route_times: if args.long { RouteTimes::LONG } else { RouteTimes::SHORT },
--- a/crates/geraniummux-soak/tests/process.rs
+++ b/crates/geraniummux-soak/tests/process.rs
@@ -25,6 +25,7 @@
         callers: 0,
         timed: false,
         demands: false,
+        refusals: false,
         restores: false,
         restarts: false,
         route_times: RouteTimes::SHORT,
--- a/crates/geraniummux-soak/tests/restart.rs
+++ b/crates/geraniummux-soak/tests/restart.rs
@@ -39,6 +39,7 @@
         callers: 0,
         timed: false,
         demands: false,
+        refusals: false,
         restores: false,
         restarts: false,
         route_times,
--- a/crates/geraniummux-soak/tests/soak.rs
+++ b/crates/geraniummux-soak/tests/soak.rs
@@ -14,6 +14,7 @@
 enum Beside {
     Nothing,
     Demands,
+    Refusals,
     Restores,
     Restarts,
 }
@@ -28,6 +29,7 @@
         // Time limits can't be kept on a machine that runs a build at the same time.
         timed: false,
         demands: beside == Beside::Demands,
+        refusals: beside == Beside::Refusals,
         restores: beside == Beside::Restores,
         restarts: beside == Beside::Restarts,
         route_times: if beside == Beside::Restarts { RouteTimes::LONG } else { RouteTimes::SHORT },
@@ -58,6 +60,13 @@
     run_seed(3, Beside::Demands).await;
 }
 
+/// Guards against requests that run although they were refused (REFUSED), or twice, because of copies of refusals:
+/// targets refuse requests, copy refusals late and start again under other ids, beside the other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_with_copies_of_refusals_keeps_all_promises() {
+    run_seed(6, Beside::Refusals).await;
+}
+
 /// Guards against violated guarantees while the store comes back from copies again and again, beside the other
 /// faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use serde_json::{Value, json};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncWriteExt, BufReader};
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
@@ -77,6 +77,9 @@
     /// Number of requests that the target refused or is about to refuse.
     refused_count: AtomicU32,
     copy_count: AtomicU32,
+    connection_count: AtomicU32,
+    /// Number of requests whose id had come on the same connection before.
+    same_connection_count: AtomicU32,
 }
 
 /// How a target refuses requests, and whether it writes its refusals once more.
@@ -114,6 +117,12 @@
         Refusals { refuses_all: true, ..self }
     }
 
+    /// Returns these settings for a target that refuses only requests for others.
+    #[must_use]
+    pub fn without_all_requests(self) -> Self {
+        Refusals { refuses_all: false, ..self }
+    }
+
     /// Returns these settings for a target that answers requests for others like those that it refuses itself:
     /// with 503 and the declaration that they have not run, in place of 421.
     #[must_use]
@@ -164,6 +173,8 @@
 /// The message on the connection of a refusal after which the copy is written.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CopyTrigger {
+    /// The request that was refused, as soon as its refusal is written.
+    Refusal,
     /// The request that was refused, when it is sent again.
     SameRequest,
     /// The next request with another id.
@@ -178,6 +189,7 @@
 struct Refusal {
     id: String,
     bytes: Vec<u8>,
+    written: Instant,
 }
 
 impl Refusal {
@@ -187,7 +199,15 @@
             CopyTrigger::SameRequest => !is_probe(req) && is_same,
             CopyTrigger::OtherRequest => !is_probe(req) && !is_same,
             CopyTrigger::Probe => is_probe(req),
-            CopyTrigger::Any => true,
+            CopyTrigger::Any | CopyTrigger::Refusal => true,
+        }
+    }
+
+    /// Returns the time until the copy is due.
+    fn time_left(&self, copy: RefusalCopy) -> Duration {
+        match copy.trigger {
+            CopyTrigger::Refusal => copy.delay.saturating_sub(self.written.elapsed()),
+            _ => copy.delay,
         }
     }
 }
@@ -243,6 +263,8 @@
             holds_refusals: watch::channel(false).0,
             refused_count: AtomicU32::new(0),
             copy_count: AtomicU32::new(0),
+            connection_count: AtomicU32::new(0),
+            same_connection_count: AtomicU32::new(0),
         })
     }
 
@@ -284,6 +306,21 @@
         self.copy_count.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections that the target accepted.
+    pub fn connection_count(&self) -> u32 {
+        self.connection_count.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of requests whose id had come on the same connection before.
+    pub fn same_connection_count(&self) -> u32 {
+        self.same_connection_count.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether no request runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.load(Ordering::Relaxed) + self.waiting.load(Ordering::Relaxed) == 0
+    }
+
     /// Sets what the target says in its responses beside its load.
     pub fn set_demand(&self, demand: Demand) {
         *lock(&self.demand) = demand;
@@ -338,6 +375,7 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
+            self.connection_count.fetch_add(1, Ordering::Relaxed);
             let target = self.clone();
             let mut resets = self.resets.subscribe();
             tokio::spawn(async move {
@@ -355,8 +393,17 @@
         let (reader, mut writer) = stream.into_split();
         let mut reader = BufReader::new(reader);
         let mut refused: Option<Refusal> = None;
+        let mut ids = HashSet::new();
         // A connection error affects only this connection.
-        while let Ok(Some(req)) = http1::read_request(&mut reader).await {
+        loop {
+            if self.copy_unprompted(&mut reader, &mut writer, &mut refused).await.is_err() {
+                return;
+            }
+            let Ok(Some(req)) = http1::read_request(&mut reader).await else { return };
+            let id = header(req.headers(), "request-id");
+            if !id.is_empty() && !ids.insert(id.to_owned()) {
+                self.same_connection_count.fetch_add(1, Ordering::Relaxed);
+            }
             let copy = lock(&self.refusals).copy;
             let due = copy.filter(|c| refused.as_ref().is_some_and(|r| r.is_due(c.trigger, &req)));
             let due = due.and_then(|copy| Some((copy, refused.take()?)));
@@ -373,6 +420,40 @@
         }
     }
 
+    /// Writes the copy of a refusal that no further message triggers, unless a message arrives before it is due.
+    async fn copy_unprompted(
+        &self,
+        reader: &mut BufReader<OwnedReadHalf>,
+        writer: &mut OwnedWriteHalf,
+        refused: &mut Option<Refusal>,
+    ) -> std::io::Result<()> {
+        let copy = lock(&self.refusals).copy.filter(|c| c.trigger == CopyTrigger::Refusal);
+        if let (Some(copy), Some(refusal)) = (copy, &*refused) {
+            tokio::select! {
+                () = tokio::time::sleep(refusal.time_left(copy)) => {
+                    self.write_copy(writer, copy, refusal).await?;
+                    *refused = None;
+                }
+                _ = reader.fill_buf() => {}
+            }
+        }
+        Ok(())
+    }
+
+    async fn write_copy(
+        &self,
+        writer: &mut OwnedWriteHalf,
+        copy: RefusalCopy,
+        refusal: &Refusal,
+    ) -> std::io::Result<()> {
+        let (first, second) = refusal.bytes.split_at(refusal.bytes.len() / 2);
+        writer.write_all(first).await?;
+        tokio::time::sleep(copy.pause).await;
+        writer.write_all(second).await?;
+        self.copy_count.fetch_add(1, Ordering::Relaxed);
+        Ok(())
+    }
+
     /// Handles a request and writes the response, and the copy of a refusal when it is due. Returns the response if it
     /// is a refusal.
     async fn respond(
@@ -385,8 +466,9 @@
         let mut response = None;
         let mut handled = pin!(self.handle(req));
         if let Some((copy, refusal)) = due {
-            let mut delay = pin!(tokio::time::sleep(copy.delay));
-            if !copy.delay.is_zero() {
+            let time_left = refusal.time_left(copy);
+            let mut delay = pin!(tokio::time::sleep(time_left));
+            if !time_left.is_zero() {
                 tokio::select! {
                     rsp = &mut handled => response = Some(rsp),
                     () = &mut delay => {}
@@ -396,11 +478,7 @@
                 writer.write_all(&http1::encode(rsp)).await?;
                 delay.await;
             }
-            let (first, second) = refusal.bytes.split_at(refusal.bytes.len() / 2);
-            writer.write_all(first).await?;
-            tokio::time::sleep(copy.pause).await;
-            writer.write_all(second).await?;
-            self.copy_count.fetch_add(1, Ordering::Relaxed);
+            self.write_copy(writer, copy, &refusal).await?;
         }
         let is_written = response.is_some();
         let response = match response {
@@ -416,7 +494,7 @@
         }
         let is_refusal = rsp.status() == StatusCode::MISDIRECTED_REQUEST
             || rsp.headers().contains_key("not-executed");
-        Ok((is_refusal && !id.is_empty()).then_some(Refusal { id, bytes }))
+        Ok((is_refusal && !id.is_empty()).then(|| Refusal { id, bytes, written: Instant::now() }))
     }
 
     /// Handles a request. Returns the response, or `None` if the connection is to be closed without one.
--- a/crates/geraniummux-standin/tests/registered_target.rs
+++ b/crates/geraniummux-standin/tests/registered_target.rs
@@ -106,6 +106,40 @@
     assert_eq!(play.run_counts.runs("a") + play.run_counts.runs("b"), 0);
 }
 
+/// Guards against a stand-in that can't write a refusal once more on its own, or with a message that comes before the
+/// copy is due.
+#[tokio::test]
+async fn copy_unprompted_is_written_once() {
+    let copy = RefusalCopy::new(CopyTrigger::Refusal).with_delay(Duration::from_millis(40));
+    let mut play = Play::new(Refusals::default().with_copy(copy)).await;
+    play.send("a", "t-old").await;
+    assert_eq!(play.read().await, response("421", "a", "t-new"));
+    assert_eq!(play.read().await, response("421", "a", "t-new"));
+    play.send("b", "t-old").await;
+    assert_eq!(play.read().await, response("421", "b", "t-new"));
+    play.send("c", "t-new").await;
+    assert_eq!(play.read().await, response("421", "b", "t-new"));
+    assert_eq!(play.read().await, response("200", "c", "t-new"));
+    play.probe().await;
+    assert_eq!(play.read().await, response("200", "", "t-new"));
+    assert_eq!(play.target.copy_count(), 2);
+}
+
+/// Guards against a count that misses a request whose id has come on the connection before, or counts probes.
+#[tokio::test]
+async fn same_connection_count_counts_ids_that_come_again() {
+    let mut play = Play::new(Refusals::default()).await;
+    for (id, target) in [("a", "t-old"), ("b", "t-old"), ("a", "t-new")] {
+        play.probe().await;
+        play.read().await;
+        play.send(id, target).await;
+        play.read().await;
+    }
+    assert_eq!(play.target.same_connection_count(), 1);
+    assert_eq!(play.target.connection_count(), 1);
+    assert!(play.target.is_idle());
+}
+
 /// Guards against a start under another id that leaves the connections or the requests of the former process.
 #[tokio::test]
 async fn start_again_ends_connections_and_requests() {
