--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -430,7 +430,7 @@
             refusals: sum(RegisteredTarget::refused_count),
             copies: sum(RegisteredTarget::copy_count),
             same_connection: sum(RegisteredTarget::same_connection_count),
-            connections: sum(RegisteredTarget::connection_count),
+            connections: sum(RegisteredTarget::accepted_count),
         };
         for i in 0..self.hosts.len() {
             report.logs.add(&self.log_of(i));
--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -79,12 +79,12 @@
     /// Incremented to reset all open connections.
     resets: watch::Sender<u64>,
     refusals: Mutex<Refusals>,
-    /// Whether refusals are held back.
-    holds_refusals: watch::Sender<bool>,
+    /// Number of refusals that may be written; later ones are held back.
+    allowed_refusals: watch::Sender<u32>,
     /// Number of requests that the target refused or is about to refuse.
     refused_count: AtomicU32,
     copy_count: AtomicU32,
-    connection_count: AtomicU32,
+    accepted_count: AtomicU32,
     /// Number of requests whose id had come on the same connection before.
     same_connection_count: AtomicU32,
 }
@@ -267,10 +267,10 @@
             starts: AtomicU64::new(1),
             resets: watch::channel(0).0,
             refusals: Mutex::default(),
-            holds_refusals: watch::channel(false).0,
+            allowed_refusals: watch::channel(u32::MAX).0,
             refused_count: AtomicU32::new(0),
             copy_count: AtomicU32::new(0),
-            connection_count: AtomicU32::new(0),
+            accepted_count: AtomicU32::new(0),
             same_connection_count: AtomicU32::new(0),
         })
     }
@@ -298,9 +298,15 @@
         *lock(&self.refusals) = refusals;
     }
 
-    /// Sets whether the target holds its refusals back; the delay of each begins afterwards.
-    pub fn hold_refusals(&self, holds: bool) {
-        self.holds_refusals.send_replace(holds);
+    /// Allows so many refusals, counted from the first one of this target; later ones are held back. The delay of a
+    /// refusal begins when it is allowed.
+    pub fn allow_refusals(&self, count: u32) {
+        self.allowed_refusals.send_replace(count);
+    }
+
+    /// Returns the number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.resets.receiver_count()
     }
 
     /// Returns the number of requests that the target refused or is about to refuse.
@@ -313,9 +319,9 @@
         self.copy_count.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of connections that the target accepted.
-    pub fn connection_count(&self) -> u32 {
-        self.connection_count.load(Ordering::Relaxed)
+    /// Returns the number of connections that the target accepted so far.
+    pub fn accepted_count(&self) -> u32 {
+        self.accepted_count.load(Ordering::Relaxed)
     }
 
     /// Returns the number of requests whose id had come on the same connection before.
@@ -382,7 +388,7 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
-            self.connection_count.fetch_add(1, Ordering::Relaxed);
+            self.accepted_count.fetch_add(1, Ordering::Relaxed);
             let target = self.clone();
             let mut resets = self.resets.subscribe();
             tokio::spawn(async move {
@@ -559,9 +565,9 @@
     }
 
     async fn delay_refusal(&self, refusals: Refusals) {
-        self.refused_count.fetch_add(1, Ordering::Relaxed);
+        let earlier = self.refused_count.fetch_add(1, Ordering::Relaxed);
         // This can't fail: the sender lives as long as the target.
-        let _ = self.holds_refusals.subscribe().wait_for(|holds| !holds).await;
+        let _ = self.allowed_refusals.subscribe().wait_for(|allowed| earlier < *allowed).await;
         if !refusals.delay.is_zero() {
             tokio::time::sleep(refusals.delay).await;
         }
