Soak: a violation names the host

Callers saw: nothing.

Cause: in a fleet of two builds, a violation did not tell at which of them it was.

Ruled out: reading it from the logs, which drop lines.

Change: a request's record has the host that it was sent to, and violations name it.

--- a/crates/geraniummux-soak/src/callers.rs
+++ b/crates/geraniummux-soak/src/callers.rs
@@ -39,6 +39,8 @@
 pub struct RequestRecord {
     /// Request identity, sent in the `request-id` header.
     pub id: String,
+    /// Host that the request was sent to.
+    pub host: SocketAddr,
     /// Whether targets may run the request more than once.
     pub idempotent: bool,
     /// Outcome of the request.
@@ -146,7 +148,14 @@
         _ => (Outcome::NoResponse, None),
     };
     let only_graceful_stop = stopping_before && harness.only_graceful_stop(host);
-    RequestRecord { id: id.to_owned(), idempotent, outcome, response_error, only_graceful_stop }
+    RequestRecord {
+        id: id.to_owned(),
+        host,
+        idempotent,
+        outcome,
+        response_error,
+        only_graceful_stop,
+    }
 }
 
 /// Counts the finished requests by outcome and checks them against the runs that the targets recorded:
@@ -184,8 +193,8 @@
             let targets = harness.run_counts.targets(&record.id).join(" ");
             let came_again = harness.run_counts.came_again(&record.id);
             report.violations.push(format!(
-                "{}: {what}, but ran {runs} times, at {targets}; {:?}; twice on a connection: {came_again}",
-                record.id, record.outcome
+                "{} at {}: {what}, but ran {runs} times, at {targets}; {:?}; twice on a connection: {came_again}",
+                record.id, record.host, record.outcome
             ));
         };
         if !record.idempotent && runs > 1 {
