--- a/crates/geraniummux-soak/tests/refusals.rs
+++ b/crates/geraniummux-soak/tests/refusals.rs
@@ -94,6 +94,7 @@
         callers: 0,
         timed: false,
         demands: false,
+        refusals: false,
         restores: false,
         restarts: false,
         route_times: RouteTimes::LONG,
