--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -460,10 +460,14 @@
         copy: RefusalCopy,
         refusal: &Refusal,
     ) -> std::io::Result<()> {
-        let (first, second) = refusal.bytes.split_at(refusal.bytes.len() / 2);
-        writer.write_all(first).await?;
-        tokio::time::sleep(copy.pause).await;
-        writer.write_all(second).await?;
+        let mut rest = &refusal.bytes[..];
+        if !copy.pause.is_zero() {
+            let (first, second) = rest.split_at(rest.len() / 2);
+            writer.write_all(first).await?;
+            tokio::time::sleep(copy.pause).await;
+            rest = second;
+        }
+        writer.write_all(rest).await?;
         self.copy_count.fetch_add(1, Ordering::Relaxed);
         Ok(())
     }
