Every request reaches its target with its id

Cause: a caller may name the header of the id as one of the connection, and it was then left out. `exchange` took the id from the headers, and a request without one for a probe, whose response needs only the name of the target.

Ruled out: other ways to lose the id; all other headers of a request come after those of the caller.

Change: whoever sends a message says whose id it has, or that it is a probe. `exchange` writes the id itself, and once, whatever the caller's headers say. Tests of `exchange` give the id as an argument; their checks are the same.

--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -59,7 +59,7 @@
     let mut status = None;
     let result = {
         let (names, memory) = (host.protocol.headers(), ctx.take_response_memory());
-        upstream::exchange(conn, req, names, limits, memory).await
+        upstream::exchange(conn, req, Some(&ctx.id), names, limits, memory).await
     };
     let now = host.now();
     let outcome = match result {
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -495,7 +495,7 @@
     let relay = conn.relay();
     let sent_at = host.now();
     let names = host.protocol.headers();
-    let result = upstream::exchange(conn, req, names, PROBE_RESPONSE_LIMITS, memory).await;
+    let result = upstream::exchange(conn, req, None, names, PROBE_RESPONSE_LIMITS, memory).await;
     let (response, conn) = result.map_err(|e: ExchangeError| {
         if e == ExchangeError::OtherRequest {
             info!(host.log, "probe_answered_for_request"; "target" => &*candidate.id);
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -224,8 +224,8 @@
     }
 }
 
-/// Sends a request or, without an id, a probe, and reads the complete response, whose body is limited. Returns the
-/// connection if it can be reused.
+/// Sends the request with an id or, without one, a probe, and reads the complete response, whose body is limited.
+/// Returns the connection if it can be reused.
 ///
 /// A request's id is sent at most once on a connection, and its response has to carry it and no other. The response to a probe has
 /// to name the target, and not to carry the id of a request that the connection has carried.
@@ -239,7 +239,8 @@
 /// are returned only if the target can't have executed the request.
 pub async fn exchange(
     mut conn: Connection,
-    req: Request<Full<Bytes>>,
+    mut req: Request<Full<Bytes>>,
+    id: Option<&HeaderValue>,
     names: &HeaderNames,
     limits: ResponseLimits,
     memory: BodyMemory,
@@ -249,9 +250,11 @@
     if conn.sender.ready().await.is_err() {
         return Err(ExchangeError::NotSent);
     }
-    let id = req.headers().get(&names.request_id).cloned();
-    if id.as_ref().is_some_and(|id| !conn.carried.add(id.as_bytes())) {
-        return Err(ExchangeError::Carried);
+    if let Some(id) = id {
+        if !conn.carried.add(id.as_bytes()) {
+            return Err(ExchangeError::Carried);
+        }
+        req.headers_mut().insert(&names.request_id, id.clone());
     }
     conn.messages += 1;
     let rsp = match conn.sender.try_send_request(req).await {
@@ -263,7 +266,7 @@
         Err(_) => return Err(ExchangeError::NoResponse),
     };
     let (parts, body) = rsp.into_parts();
-    conn.match_response(&parts.headers, id.as_ref(), names)?;
+    conn.match_response(&parts.headers, id, names)?;
     let limit = match body.size_hint().exact() {
         Some(len) if len > limits.declared => return Err(ExchangeError::TooLarge),
         Some(len) => {
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -10,7 +10,7 @@
 };
 use geraniummux_host::server::{self, Service};
 use geraniummux_host::{Host, scheduling};
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -103,16 +103,28 @@
     route: &str,
     id: &str,
     time_left_ms: u64,
+) -> (StatusCode, Bytes) {
+    call_with(host, route, id, time_left_ms, HeaderMap::new()).await
+}
+
+/// Sends a request with further headers; see [`call_as`].
+pub async fn call_with(
+    host: SocketAddr,
+    route: &str,
+    id: &str,
+    time_left_ms: u64,
+    headers: HeaderMap,
 ) -> (StatusCode, Bytes) {
     let stream = TcpStream::connect(host).await.unwrap();
     let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
     tokio::spawn(async move { drop(conn.await) });
-    let req = Request::get(format!("/{route}/x"))
+    let mut req = Request::get(format!("/{route}/x"))
         .header(header::HOST, "a.example")
         .header("a", id)
         .header("b", time_left_ms)
         .body(Full::<Bytes>::default())
         .unwrap();
+    req.headers_mut().extend(headers);
     let rsp = sender.send_request(req).await.unwrap();
     (rsp.status(), rsp.into_body().collect().await.unwrap().to_bytes())
 }
--- a/crates/geraniummux-host/tests/endless.rs
+++ b/crates/geraniummux-host/tests/endless.rs
@@ -11,7 +11,7 @@
 use geraniummux_host::server::{self, Service};
 use geraniummux_host::upstream::{Connection, ExchangeError, exchange};
 use geraniummux_host::{Host, scheduling};
-use http::{Request, StatusCode, header};
+use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -171,14 +171,12 @@
     addr
 }
 
-fn request(id: &str) -> Request<Full<Bytes>> {
-    Request::get("/x")
-        .header(header::HOST, "a.example")
-        .header("a", id)
-        .body(Full::default())
-        .unwrap()
+fn request() -> Request<Full<Bytes>> {
+    Request::get("/x").header(header::HOST, "a.example").body(Full::default()).unwrap()
 }
 
+const ID: HeaderValue = HeaderValue::from_static("r-1");
+
 /// Guards against a host that reads on while a target sends bytes without end: each form of them ends
 /// the exchange, on a new connection and on one that has served requests, and closes the connection.
 #[tokio::test]
@@ -191,13 +189,14 @@
             let mut conn = Connection::open(target.addr, Box::new(|| ())).await.unwrap();
             for n in 0..complete_first {
                 let memory = bodies.unreserved(&"r".into());
-                let req = request(&format!("complete-{n}"));
-                let (rsp, kept) = exchange(conn, req, &names, LIMITS, memory).await.unwrap();
+                let id = HeaderValue::from(n);
+                let (rsp, kept) =
+                    exchange(conn, request(), Some(&id), &names, LIMITS, memory).await.unwrap();
                 assert_eq!(rsp.body, COMPLETE_BODY);
                 conn = kept.unwrap();
             }
             let memory = bodies.unreserved(&"r".into());
-            let error = exchange(conn, request("r-1"), &names, LIMITS, memory).await.err();
+            let error = exchange(conn, request(), Some(&ID), &names, LIMITS, memory).await.err();
             let expected = match form {
                 Form::Garbage | Form::ChunkExtension | Form::Trailers => ExchangeError::BadResponse,
                 _ => ExchangeError::TooLarge,
@@ -220,7 +219,7 @@
         let conn = Connection::open(target, Box::new(|| ())).await.unwrap();
         let memory = bodies.unreserved(&"r".into());
         let limits = ResponseLimits { declared: limit, undeclared: 0 };
-        let result = exchange(conn, request("r-1"), &names, limits, memory).await;
+        let result = exchange(conn, request(), Some(&ID), &names, limits, memory).await;
         assert_eq!(result.err(), expected);
     }
 }
@@ -365,7 +364,8 @@
             });
             let conn = Connection::open(target, report).await.unwrap();
             let memory = bodies.unreserved(&"r".into());
-            let (rsp, conn) = exchange(conn, request("r-1"), &names, LIMITS, memory).await.unwrap();
+            let (rsp, conn) =
+                exchange(conn, request(), Some(&ID), &names, LIMITS, memory).await.unwrap();
             assert_eq!(rsp.body, COMPLETE_BODY);
             tokio::time::sleep(Duration::from_millis(20)).await;
             drop(conn);
--- a/crates/geraniummux-host/tests/statements.rs
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -3,12 +3,13 @@
 mod common;
 
 use common::targets::{
-    call_as, complete_response, identity, read_head, registered, serve_pool, start_host_with,
+    call_as, call_with, complete_response, identity, read_head, registered, serve_pool,
+    start_host_with,
 };
 use geraniummux_core::MemberState;
 use geraniummux_core::fleet::{RegistryChange, RegistryDelta, Revision};
 use geraniummux_host::{Host, peers};
-use http::StatusCode;
+use http::{HeaderValue, StatusCode, header};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -165,6 +166,21 @@
     assert_eq!((second, target.runs_of("r-0")), (StatusCode::OK, 1));
 }
 
+/// Guards against a request that reaches its target without its id, since its caller names that header as one of the
+/// connection: whatever names the target then passes for its response, also the copy of a probe's refusal (REFUSED).
+#[tokio::test]
+async fn host_id_that_a_caller_names_as_hop_by_hop_is_sent() {
+    let target = Target::start(|r| match &r.id {
+        None => vec![Step::Write(health(r.addr))],
+        Some(id) => vec![Step::Run, Step::Write(complete_response(r.addr, id))],
+    })
+    .await;
+    let (_host, addr) = start_host_with(&[target.addr], "127.9.9.152:7009").await;
+    let headers = [(header::CONNECTION, HeaderValue::from_static("a"))].into_iter().collect();
+    let (status, _) = call_with(addr, "once", "r-0", TIME_LEFT_MS, headers).await;
+    assert_eq!((status, target.runs_of("r-0")), (StatusCode::OK, 1));
+}
+
 /// Guards against a copy of a refusal where the answer to a probe is due: the target's pause begins anew, or the copy
 /// counts as the answer, and the answer as the response to the request, which runs and is lost (LOST).
 #[tokio::test]
