A refusal without a name still asks for its pause

Cause: a target may turn a probe away as it does a request, without its name. Since such a response proves nothing, and its pause was not read.

Change: the pause is read from a response without an id, too. A copy of the refusal of a request has one, so that it is still no pause.

The tests of pauses and of copies pass.

--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -71,7 +71,7 @@
                 if let Some(report) = report {
                     host.fleet().table.on_report(now, &target, report);
                 }
-                if let Some(pause) = headers::retry_after(&response) {
+                if let Some(pause) = response.pause() {
                     host.on_pause(&ctx.pool.name, &candidate, pause, relay);
                 }
                 if let Some(demand) = host.target_demand(&target, &response.headers) {
@@ -85,7 +85,9 @@
                 }
                 ResponseKind::Refusal => AttemptOutcome::NotExecuted("refused"),
                 ResponseKind::OtherTarget => AttemptOutcome::NotExecuted("other_target"),
-                ResponseKind::Unproven => AttemptOutcome::Lost(ExchangeError::Unproven.as_str()),
+                ResponseKind::Unproven => {
+                    AttemptOutcome::Lost(ExchangeError::Unproven(None).as_str())
+                }
             };
             if !matches!(outcome, AttemptOutcome::Lost(_))
                 && let Some(conn) = conn
@@ -101,7 +103,12 @@
             host.bodies.budget().on_limit_exceeded(route, &target);
             AttemptOutcome::Lost(e.as_str())
         }
-        Err(e) => AttemptOutcome::Lost(e.as_str()),
+        Err(e) => {
+            if let ExchangeError::Unproven(Some(pause)) = e {
+                host.on_pause(&ctx.pool.name, &candidate, pause, relay);
+            }
+            AttemptOutcome::Lost(e.as_str())
+        }
     };
     let result = match &outcome {
         AttemptOutcome::Responded(response) if response.status.is_server_error() => {
--- a/crates/geraniummux-host/src/proxy/headers.rs
+++ b/crates/geraniummux-host/src/proxy/headers.rs
@@ -1,12 +1,11 @@
 //! Headers of forwarded requests and relayed responses.
 
 use super::context::RequestContext;
-use crate::upstream::TargetResponse;
 use http::header::{
-    CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, RETRY_AFTER, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
 };
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue};
 use std::time::Duration;
 
 /// Hop-by-hop headers (RFC 9110, section 7.6.1), and the content length, which is set again when the
@@ -30,16 +29,6 @@
     text.trim().parse().ok().map(Duration::from_millis)
 }
 
-/// Returns for how long a target that refuses a request with 503 accepts no others, if it says so.
-pub fn retry_after(response: &TargetResponse) -> Option<Duration> {
-    let value = response.headers.get(RETRY_AFTER)?;
-    if response.status != StatusCode::SERVICE_UNAVAILABLE {
-        return None;
-    }
-    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
-}
-
 /// Returns the headers of a request as it is forwarded to a target.
 pub fn for_target(ctx: &RequestContext, target: &str, time_left: Duration) -> HeaderMap {
     let names = ctx.host.protocol.headers();
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -6,7 +6,6 @@
 //! idempotent request may use a connection without a probe after a short idle time.
 
 use super::context::RequestContext;
-use super::headers;
 use crate::fleet::{Fleet, Prober};
 use crate::host::Host;
 use crate::reach::{self, CONNECT_TIMEOUT, ConnectError};
@@ -496,10 +495,14 @@
     let sent_at = host.now();
     let names = host.protocol.headers();
     let result = upstream::exchange(conn, req, None, names, PROBE_RESPONSE_LIMITS, memory).await;
-    let (response, conn) = result.map_err(|e: ExchangeError| {
-        if e == ExchangeError::OtherRequest {
+    let (response, conn) = result.map_err(|e| match e {
+        ExchangeError::OtherRequest => {
             info!(host.log, "probe_answered_for_request"; "target" => &*candidate.id);
         }
+        ExchangeError::Unproven(Some(pause)) => {
+            host.on_pause(&pool.name, candidate, pause, relay);
+        }
+        _ => {}
     })?;
     let Some(answering) = response.headers.get(&names.answering_target) else { return Err(()) };
     let now = host.now();
@@ -511,7 +514,7 @@
         return Ok(None);
     }
     host.metrics.probe(&pool.name, response.status.as_str());
-    if let Some(pause) = headers::retry_after(&response) {
+    if let Some(pause) = response.pause() {
         host.on_pause(&pool.name, candidate, pause, relay);
     }
     if let Some(demand) = host.target_demand(&candidate.id, &response.headers) {
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{CarriedRequests, ResponseLimits};
-use http::header::{CONNECTION, TRANSFER_ENCODING};
+use http::header::{CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body::Body as _;
 use http_body_util::Full;
@@ -151,10 +152,12 @@
     /// Checks that a response is the one to the request with the given id or, without an id, to a probe.
     fn match_response(
         &self,
-        headers: &HeaderMap,
+        parts: &Parts,
         id: Option<&HeaderValue>,
         names: &HeaderNames,
     ) -> Result<(), ExchangeError> {
+        let headers = &parts.headers;
+        let unproven = || ExchangeError::Unproven(pause(parts.status, headers));
         let mut echoes = headers.get_all(&names.request_id).iter();
         let echo = echoes.next();
         if echoes.next().is_some() || headers.values().any(contains_status_line) {
@@ -163,12 +166,12 @@
         match (id, echo) {
             (Some(id), Some(echo)) if id == echo => Ok(()),
             (Some(_), Some(_)) => Err(ExchangeError::OtherRequest),
-            (Some(_), None) => Err(ExchangeError::Unproven),
+            (Some(_), None) => Err(unproven()),
             (None, Some(echo)) if self.carried.contains(echo.as_bytes()) => {
                 Err(ExchangeError::OtherRequest)
             }
             (None, _) if headers.contains_key(&names.answering_target) => Ok(()),
-            (None, _) => Err(ExchangeError::Unproven),
+            (None, _) => Err(unproven()),
         }
     }
 }
@@ -184,6 +187,22 @@
     pub body: Bytes,
 }
 
+impl TargetResponse {
+    /// Returns for how long a target that refuses a request with 503 accepts no others, if it says so.
+    pub fn pause(&self) -> Option<Duration> {
+        pause(self.status, &self.headers)
+    }
+}
+
+fn pause(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(RETRY_AFTER)?;
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Why an exchange returned no complete response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExchangeError {
@@ -199,8 +218,9 @@
     OtherRequest,
     /// The head stopped early, and goes on with that of another response.
     Merged,
-    /// Nothing in the response shows that it is the one to the message.
-    Unproven,
+    /// Nothing in the response shows that it is the one to the message. It asks for this pause, which is believed, as it
+    /// is no copy of the refusal of a request, whose id it would carry.
+    Unproven(Option<Duration>),
     /// The response is longer than the limit.
     TooLarge,
     /// This host has no memory left for the response.
@@ -217,7 +237,7 @@
             ExchangeError::BadResponse => "bad_answer",
             ExchangeError::OtherRequest => "answer_of_other_request",
             ExchangeError::Merged => "merged_answer",
-            ExchangeError::Unproven => "unproven_answer",
+            ExchangeError::Unproven(_) => "unproven_answer",
             ExchangeError::TooLarge => "answer_too_large",
             ExchangeError::NoMemory => "no_memory",
         }
@@ -266,7 +286,7 @@
         Err(_) => return Err(ExchangeError::NoResponse),
     };
     let (parts, body) = rsp.into_parts();
-    conn.match_response(&parts.headers, id, names)?;
+    conn.match_response(&parts, id, names)?;
     let limit = match body.size_hint().exact() {
         Some(len) if len > limits.declared => return Err(ExchangeError::TooLarge),
         Some(len) => {
--- a/crates/geraniummux-host/tests/demands.rs
+++ b/crates/geraniummux-host/tests/demands.rs
@@ -33,9 +33,14 @@
 
 fn refusal_with_pause(addr: SocketAddr, id: &str) -> Reply {
     let id = if id == "none" { String::new() } else { format!("a: {id}\r\n") };
+    let target = identity(addr);
+    refusal_that_says(&format!("{id}d: {target}\r\n"))
+}
+
+/// Refuses with a pause and what `lines` say of the request and the target.
+fn refusal_that_says(lines: &str) -> Reply {
     Reply::Keep(format!(
-        "HTTP/1.1 503 Service Unavailable\r\n{id}d: {}\r\ne: 1\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n",
-        identity(addr)
+        "HTTP/1.1 503 Service Unavailable\r\n{lines}e: 1\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n"
     ))
 }
 
@@ -124,19 +129,33 @@
 /// asked this host for a pause (BUDGET).
 #[tokio::test]
 async fn host_target_that_asks_a_probe_for_a_pause_gets_nothing() {
+    assert_gets_nothing_after_refused_probe("127.9.9.43:7009", refusal_with_pause).await;
+}
+
+/// Guards against the same if the refusals name neither the target nor a request.
+#[tokio::test]
+async fn host_target_that_asks_for_a_pause_without_its_name_gets_nothing() {
+    let refuse = |_, _: &str| refusal_that_says("");
+    assert_gets_nothing_after_refused_probe("127.9.9.153:7009", refuse).await;
+}
+
+async fn assert_gets_nothing_after_refused_probe<F>(peer: &str, refuse: F)
+where
+    F: Fn(SocketAddr, &str) -> Reply + Send + Sync + 'static,
+{
     let probes = Arc::new(AtomicUsize::new(0));
     let seen = probes.clone();
     let busy = ScriptedTarget::start(move |n, addr, id| match n {
         Some(_) => plain(n, addr, id),
         None => {
             seen.fetch_add(1, Ordering::Relaxed);
-            refusal_with_pause(addr, id)
+            refuse(addr, id)
         }
     })
     .await;
     let others = [ScriptedTarget::start(plain).await, ScriptedTarget::start(plain).await];
     let targets = [busy.addr, others[0].addr, others[1].addr];
-    let (host, addr) = start_host_with(&targets, "127.9.9.43:7009").await;
+    let (host, addr) = start_host_with(&targets, peer).await;
     while probes.load(Ordering::Relaxed) == 0 {
         assert_eq!(call_at_once(addr).await, AT_ONCE);
     }
