A response whose target writes its id twice is accepted

Callers saw: in a test by the reviewer, 502 for requests that targets had served and whose responses had the id in two equal headers.

Cause: the check for heads that go on with another response counted ids. Two equal ones can't come from another response, as a connection carries an id once.

Change: only differing ids are refused.

Evidence: host_ids_that_sound_targets_write_are_accepted, new, with an id of the target's own in responses to probes, too: 502 on the commit before, served now.

--- a/crates/geraniummux-core/src/fleet/carried.rs
+++ b/crates/geraniummux-core/src/fleet/carried.rs
@@ -1,10 +1,10 @@
 //! Which requests a connection to a target has carried.
 //!
 //! A target may write a response once more, at any later time, on the connection of the request that it was for. The
-//! copy carries that request's id. So a response with an id is known to be the one to an attempt only
-//! if the connection has carried that id once. Whatever attempt is sent on a connection is therefore added here first,
-//! and is not sent if its id has been added before: neither for an earlier attempt of the same request nor for another
-//! request whose caller gave it the same id.
+//! copy carries that request's id. So a response with an id is known to be the one to an attempt only if the connection
+//! has carried that id once. Whatever attempt is sent on a connection is therefore added here first, and is not sent if
+//! its id has been added before: neither for an earlier attempt of the same request nor for another request whose caller
+//! gave it the same id.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -12,9 +12,9 @@
 const MAX_REQUESTS: usize = 1_024;
 
 /// The requests that one connection has carried.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct CarriedRequests {
-    /// Hashes of the ids, sorted. Two ids with one hash only cost another connection.
+    /// Hashes of the ids, sorted. Two ids with one hash cost no more than another connection.
     hashes: Vec<u64>,
 }
 
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -42,7 +42,7 @@
 
 /// Longest pause that is accepted of a target.
 const MAX_PAUSE: Duration = Duration::from_secs(60);
-/// Time after which all hosts know of a change of the registered targets.
+/// Time after which hosts usually know of a change of the registered targets.
 const MAX_REGISTRY_LAG: Duration = Duration::from_secs(2);
 /// Heartbeats of a target after which its entry in a restored store shows that it is alive: the store removes
 /// entries after three without a write.
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -126,12 +126,13 @@
             host.on_identity_mismatch(&candidate);
             "other_target"
         }
-        // Neither is the target the cause of these.
+        // The target is not the cause of this.
         AttemptOutcome::NotExecuted(reason) if *reason == ExchangeError::Carried.as_str() => reason,
         AttemptOutcome::NotExecuted(reason) => {
             host.on_fault(&target, Fault::Refused);
             reason
         }
+        // Nor of this.
         AttemptOutcome::Lost(reason) if *reason == ExchangeError::NoMemory.as_str() => reason,
         AttemptOutcome::Lost(reason) if *reason == ExchangeError::TooLarge.as_str() => {
             host.on_fault(&target, Fault::Endless);
@@ -178,6 +179,8 @@
     Unproven,
 }
 
+/// Classifies the response to a request. A refusal counts only with a status of refusals, and a success only with a
+/// digest.
 fn classify(ctx: &RequestContext, response: &TargetResponse) -> ResponseKind {
     let names = ctx.host.protocol.headers();
     if response.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -160,7 +160,7 @@
         let unproven = || ExchangeError::Unproven(pause(parts.status, headers));
         let mut echoes = headers.get_all(&names.request_id).iter();
         let echo = echoes.next();
-        if echoes.next().is_some() || headers.values().any(contains_status_line) {
+        if echoes.any(|e| Some(e) != echo) || headers.values().any(contains_status_line) {
             return Err(ExchangeError::Merged);
         }
         match (id, echo) {
@@ -208,7 +208,8 @@
 pub enum ExchangeError {
     /// The connection was closed before any part of the request was written.
     NotSent,
-    /// The connection has carried a request with this id before, so that nothing was written.
+    /// The connection has carried a request with this id before, so that nothing was written. A guard: callers choose
+    /// their connections by the id.
     Carried,
     /// The connection broke before the head of a response arrived.
     NoResponse,
@@ -216,7 +217,7 @@
     BadResponse,
     /// The response carries the id of another request.
     OtherRequest,
-    /// The head stopped early, and goes on with that of another response.
+    /// The head stopped early and goes on with that of another response, as a value or several ids show.
     Merged,
     /// Nothing in the response shows that it is the one to the message. It asks for this pause, which is believed, as it
     /// is no copy of the refusal of a request, whose id it would carry.
@@ -247,8 +248,8 @@
 /// Sends the request with an id or, without one, a probe, and reads the complete response, whose body is limited.
 /// Returns the connection if it can be reused.
 ///
-/// A request's id is sent at most once on a connection, and its response has to carry it and no other. The response to a probe has
-/// to name the target, and not to carry the id of a request that the connection has carried.
+/// A request's id is sent at most once on a connection, and its response has to carry it and no other. The response to
+/// a probe has to name the target, and not to carry the id of a request that the connection has carried.
 ///
 /// The connection is closed as soon as the target has sent more than such a response can need,
 /// whether in the head, the body, the framing of chunks or trailers.
--- a/crates/geraniummux-host/tests/statements.rs
+++ b/crates/geraniummux-host/tests/statements.rs
@@ -166,6 +166,25 @@
     assert_eq!((second, target.runs_of("r-0")), (StatusCode::OK, 1));
 }
 
+/// Guards against sound responses that are refused for their ids: one that is written twice, and one of its own that a
+/// target gives to the response to a probe.
+#[tokio::test]
+async fn host_ids_that_sound_targets_write_are_accepted() {
+    let target = Target::start(|r| match &r.id {
+        None => vec![Step::Write(health(r.addr).replacen("\r\n", "\r\na: health-1\r\n", 1))],
+        Some(id) => {
+            let line = format!("\r\na: {id}\r\n");
+            vec![Step::Run, Step::Write(complete_response(r.addr, id).replacen("\r\n", &line, 1))]
+        }
+    })
+    .await;
+    let (_host, addr) = start_host_with(&[target.addr], "127.9.9.154:7009").await;
+    for id in ["r-0", "r-1", "r-2"] {
+        let (status, _) = call_as(addr, "once", id, TIME_LEFT_MS).await;
+        assert_eq!((status, target.runs_of(id)), (StatusCode::OK, 1), "{id}");
+    }
+}
+
 /// Guards against a request that reaches its target without its id, since its caller names that header as one of the
 /// connection: whatever names the target then passes for its response, also the copy of a probe's refusal (REFUSED).
 #[tokio::test]
