Soak: unexpected exits are printed when they are seen

Callers saw: nothing.

An exit that the wait of a restart saw first was not recorded at all.

Ruled out: ending the run early, which would leave out its other checks; a host that stays frozen, as the last configuration of the run was published, which comes after all faults have ended.

Change: each exit that was not expected is recorded, whoever sees it, and printed at once with its time.

Conclusion: such a run tells its cause next time.

--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -122,6 +122,7 @@
     over: AtomicBool,
     timed: bool,
     route_times: RouteTimes,
+    started: Instant,
 }
 
 /// Marks a disruption as active until it is dropped.
@@ -219,6 +220,7 @@
             over: AtomicBool::new(false),
             timed: opts.timed,
             route_times: opts.route_times,
+            started: Instant::now(),
         })
     }
 
@@ -307,7 +309,7 @@
         let starts = lock(&self.hosts[i]).starts();
         let is_same_process = || {
             let mut host = lock(&self.hosts[i]);
-            host.starts() == starts && host.poll().0
+            host.starts() == starts && self.is_running(&mut host)
         };
         while is_same_process() {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -315,10 +317,10 @@
         tokio::time::sleep(pause).await;
         let mut host = lock(&self.hosts[i]);
         // Another fault may have restarted the host in the meantime.
-        if !host.poll().0
+        if !self.is_running(&mut host)
             && let Err(e) = host.start()
         {
-            lock(&self.process_failures).push(format!("{e:#}"));
+            self.record_failure(format!("{e:#}"));
         }
     }
 
@@ -392,12 +394,23 @@
     /// Records hosts that have exited unexpectedly.
     pub fn check_hosts(&self) {
         for host in &self.hosts {
-            if let (_, Some(failure)) = lock(host).poll() {
-                lock(&self.process_failures).push(failure);
-            }
+            self.is_running(&mut lock(host));
         }
     }
 
+    /// Returns whether a host process is running, and records its exit if that was unexpected.
+    fn is_running(&self, host: &mut HostProcess) -> bool {
+        let (is_running, failure) = host.poll();
+        failure.into_iter().for_each(|f| self.record_failure(f));
+        is_running
+    }
+
+    /// Records an unexpected exit or a failed start, and prints it at once, as the run goes on without the host.
+    fn record_failure(&self, failure: String) {
+        eprintln!("at {:.3} s: {failure}", self.started.elapsed().as_secs_f64());
+        lock(&self.process_failures).push(failure);
+    }
+
     /// Returns a description of each unexpected exit and failed start so far.
     pub fn process_failures(&self) -> Vec<String> {
         self.check_hosts();
