--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{CarriedRequests, ResponseLimits};
-use http::header::{CONNECTION, TRANSFER_ENCODING};
+use http::header::{CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body::Body as _;
 use http_body_util::Full;
@@ -151,24 +152,26 @@
     /// Checks that a response is the one to the request with the given id or, without an id, to a probe.
     fn match_response(
         &self,
-        headers: &HeaderMap,
+        parts: &Parts,
         id: Option<&HeaderValue>,
         names: &HeaderNames,
     ) -> Result<(), ExchangeError> {
+        let headers = &parts.headers;
+        let unproven = || ExchangeError::Unproven(pause(parts.status, headers));
         let mut echoes = headers.get_all(&names.request_id).iter();
         let echo = echoes.next();
-        if echoes.next().is_some() || headers.values().any(contains_status_line) {
+        if echoes.any(|e| Some(e) != echo) || headers.values().any(contains_status_line) {
             return Err(ExchangeError::Merged);
         }
         match (id, echo) {
             (Some(id), Some(echo)) if id == echo => Ok(()),
             (Some(_), Some(_)) => Err(ExchangeError::OtherRequest),
-            (Some(_), None) => Err(ExchangeError::Unproven),
+            (Some(_), None) => Err(unproven()),
             (None, Some(echo)) if self.carried.contains(echo.as_bytes()) => {
                 Err(ExchangeError::OtherRequest)
             }
             (None, _) if headers.contains_key(&names.answering_target) => Ok(()),
-            (None, _) => Err(ExchangeError::Unproven),
+            (None, _) => Err(unproven()),
         }
     }
 }
@@ -184,12 +187,29 @@
     pub body: Bytes,
 }
 
+impl TargetResponse {
+    /// Returns for how long a target that refuses a request with 503 accepts no others, if it says so.
+    pub fn pause(&self) -> Option<Duration> {
+        pause(self.status, &self.headers)
+    }
+}
+
+fn pause(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(RETRY_AFTER)?;
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Why an exchange returned no complete response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExchangeError {
     /// The connection was closed before any part of the request was written.
     NotSent,
-    /// The connection has carried a request with this id before, so that nothing was written.
+    /// The connection has carried a request with this id before, so that nothing was written. A guard: callers choose
+    /// their connections by the id.
     Carried,
     /// The connection broke before the head of a response arrived.
     NoResponse,
@@ -197,10 +217,11 @@
     BadResponse,
     /// The response carries the id of another request.
     OtherRequest,
-    /// The head stopped early, and goes on with that of another response.
+    /// The head stopped early and goes on with that of another response, as a value or several ids show.
     Merged,
-    /// Nothing in the response shows that it is the one to the message.
-    Unproven,
+    /// Nothing in the response shows that it is the one to the message. It asks for this pause, which is believed, as it
+    /// is no copy of the refusal of a request, whose id it would carry.
+    Unproven(Option<Duration>),
     /// The response is longer than the limit.
     TooLarge,
     /// This host has no memory left for the response.
@@ -217,18 +238,18 @@
             ExchangeError::BadResponse => "bad_answer",
             ExchangeError::OtherRequest => "answer_of_other_request",
             ExchangeError::Merged => "merged_answer",
-            ExchangeError::Unproven => "unproven_answer",
+            ExchangeError::Unproven(_) => "unproven_answer",
             ExchangeError::TooLarge => "answer_too_large",
             ExchangeError::NoMemory => "no_memory",
         }
     }
 }
 
-/// Sends a request or, without an id, a probe, and reads the complete response, whose body is limited. Returns the
-/// connection if it can be reused.
+/// Sends the request with an id or, without one, a probe, and reads the complete response, whose body is limited.
+/// Returns the connection if it can be reused.
 ///
-/// A request's id is sent at most once on a connection, and its response has to carry it and no other. The response to a probe has
-/// to name the target, and not to carry the id of a request that the connection has carried.
+/// A request's id is sent at most once on a connection, and its response has to carry it and no other. The response to
+/// a probe has to name the target, and not to carry the id of a request that the connection has carried.
 ///
 /// The connection is closed as soon as the target has sent more than such a response can need,
 /// whether in the head, the body, the framing of chunks or trailers.
@@ -239,7 +260,8 @@
 /// are returned only if the target can't have executed the request.
 pub async fn exchange(
     mut conn: Connection,
-    req: Request<Full<Bytes>>,
+    mut req: Request<Full<Bytes>>,
+    id: Option<&HeaderValue>,
     names: &HeaderNames,
     limits: ResponseLimits,
     memory: BodyMemory,
@@ -249,9 +271,11 @@
     if conn.sender.ready().await.is_err() {
         return Err(ExchangeError::NotSent);
     }
-    let id = req.headers().get(&names.request_id).cloned();
-    if id.as_ref().is_some_and(|id| !conn.carried.add(id.as_bytes())) {
-        return Err(ExchangeError::Carried);
+    if let Some(id) = id {
+        if !conn.carried.add(id.as_bytes()) {
+            return Err(ExchangeError::Carried);
+        }
+        req.headers_mut().insert(&names.request_id, id.clone());
     }
     conn.messages += 1;
     let rsp = match conn.sender.try_send_request(req).await {
@@ -263,7 +287,7 @@
         Err(_) => return Err(ExchangeError::NoResponse),
     };
     let (parts, body) = rsp.into_parts();
-    conn.match_response(&parts.headers, id.as_ref(), names)?;
+    conn.match_response(&parts, id, names)?;
     let limit = match body.size_hint().exact() {
         Some(len) if len > limits.declared => return Err(ExchangeError::TooLarge),
         Some(len) => {
