Tests with real processes share the settings of a calm run

Change: three files repeated the same fourteen settings; `calm` and `with_programs_of_env` are in their common module. Their checks, seeds and networks are the same.

--- a/crates/geraniummux-soak/tests/process.rs
+++ b/crates/geraniummux-soak/tests/process.rs
@@ -2,10 +2,9 @@
 
 mod common;
 
-use common::{program, send};
+use common::{calm, program, send};
 use geraniummux_soak::callers::{self, Outcome};
 use geraniummux_soak::harness::Harness;
-use geraniummux_soak::{Options, RouteTimes};
 use geraniummux_standin::link::LinkFault;
 use geraniummux_standin::registered_target::Demand;
 use http::{Request, StatusCode};
@@ -17,23 +16,7 @@
 /// Starts two hosts and two targets, and waits until both hosts serve. `net` gives each test of this file
 /// its own loopback network.
 async fn start_harness(net: u64) -> Harness {
-    let opts = Options {
-        seed: 10_000 + net,
-        fault_duration: Duration::ZERO,
-        hosts: 2,
-        targets: 2,
-        callers: 0,
-        timed: false,
-        demands: false,
-        refusals: false,
-        restores: false,
-        restarts: false,
-        route_times: RouteTimes::SHORT,
-        program: program(),
-        other_program: None,
-        dir: std::env::temp_dir().join(format!("geraniummux-process-{}-{net}", std::process::id())),
-    };
-    let harness = Harness::start(&opts).await.unwrap();
+    let harness = Harness::start(&calm(10_000 + net, "process")).await.unwrap();
     for request_addr in harness.request_addrs() {
         assert!(harness.await_newest_config(*request_addr).await, "{request_addr} does not serve");
     }
--- a/crates/geraniummux-soak/tests/refusals.rs
+++ b/crates/geraniummux-soak/tests/refusals.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use common::{program, send};
+use common::{calm, send, with_programs_of_env};
 use geraniummux_soak::callers::Outcome;
 use geraniummux_soak::harness::Harness;
 use geraniummux_soak::{Options, RouteTimes};
@@ -101,28 +101,15 @@
 /// Starts the hosts and targets of a form. For a fleet of two builds, the environment names the program of all hosts and
 /// that of the second one.
 async fn start_harness(form: &Form) -> Arc<Harness> {
+    // Runs of different processes at the same time use different addresses.
+    let seed = u64::from(100 + std::process::id() % 100) * 128 + form.net;
     let opts = Options {
-        // Runs of different processes at the same time use different addresses.
-        seed: u64::from(100 + std::process::id() % 100) * 128 + form.net,
-        fault_duration: Duration::ZERO,
         hosts: form.hosts,
         targets: form.targets,
-        callers: 0,
-        timed: false,
-        demands: false,
-        refusals: false,
-        restores: false,
-        restarts: false,
         route_times: RouteTimes::LONG,
-        program: std::env::var_os("GERANIUMMUX_PROGRAM").map_or_else(program, Into::into),
-        other_program: std::env::var_os("GERANIUMMUX_OTHER_PROGRAM").map(Into::into),
-        dir: std::env::temp_dir().join(format!(
-            "geraniummux-refusals-{}-{}",
-            std::process::id(),
-            form.net
-        )),
+        ..calm(seed, "refusals")
     };
-    let harness = Harness::start(&opts).await.unwrap();
+    let harness = Harness::start(&with_programs_of_env(opts)).await.unwrap();
     for request_addr in harness.request_addrs() {
         assert!(harness.await_newest_config(*request_addr).await, "{request_addr} does not serve");
     }
--- a/crates/geraniummux-soak/tests/restart.rs
+++ b/crates/geraniummux-soak/tests/restart.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{program, send};
+use common::{calm, send, with_programs_of_env};
 use geraniummux_soak::callers::Outcome;
 use geraniummux_soak::harness::Harness;
 use geraniummux_soak::{Options, RouteTimes};
@@ -31,23 +31,8 @@
 /// Starts three hosts and four targets. For a fleet of two builds, the environment names the program of all
 /// hosts and that of the second one. `net` gives each test of this file its own loopback network.
 async fn start_harness(net: u64, route_times: RouteTimes) -> Arc<Harness> {
-    let opts = Options {
-        seed: 11_000 + net,
-        fault_duration: Duration::ZERO,
-        hosts: 3,
-        targets: 4,
-        callers: 0,
-        timed: false,
-        demands: false,
-        refusals: false,
-        restores: false,
-        restarts: false,
-        route_times,
-        program: std::env::var_os("GERANIUMMUX_PROGRAM").map_or_else(program, Into::into),
-        other_program: std::env::var_os("GERANIUMMUX_OTHER_PROGRAM").map(Into::into),
-        dir: std::env::temp_dir().join(format!("geraniummux-restart-{}-{net}", std::process::id())),
-    };
-    let harness = Harness::start(&opts).await.unwrap();
+    let opts = Options { hosts: 3, targets: 4, route_times, ..calm(11_000 + net, "restart") };
+    let harness = Harness::start(&with_programs_of_env(opts)).await.unwrap();
     for request_addr in harness.request_addrs() {
         assert!(harness.await_newest_config(*request_addr).await, "{request_addr} does not serve");
     }
