--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -59,7 +59,7 @@
     let mut status = None;
     let result = {
         let (names, memory) = (host.protocol.headers(), ctx.take_response_memory());
-        upstream::exchange(conn, req, names, limits, memory).await
+        upstream::exchange(conn, req, Some(&ctx.id), names, limits, memory).await
     };
     let now = host.now();
     let outcome = match result {
@@ -71,7 +71,7 @@
                 if let Some(report) = report {
                     host.fleet().table.on_report(now, &target, report);
                 }
-                if let Some(pause) = headers::retry_after(&response) {
+                if let Some(pause) = response.pause() {
                     host.on_pause(&ctx.pool.name, &candidate, pause, relay);
                 }
                 if let Some(demand) = host.target_demand(&target, &response.headers) {
@@ -85,7 +85,9 @@
                 }
                 ResponseKind::Refusal => AttemptOutcome::NotExecuted("refused"),
                 ResponseKind::OtherTarget => AttemptOutcome::NotExecuted("other_target"),
-                ResponseKind::Unproven => AttemptOutcome::Lost(ExchangeError::Unproven.as_str()),
+                ResponseKind::Unproven => {
+                    AttemptOutcome::Lost(ExchangeError::Unproven(None).as_str())
+                }
             };
             if !matches!(outcome, AttemptOutcome::Lost(_))
                 && let Some(conn) = conn
@@ -101,7 +103,12 @@
             host.bodies.budget().on_limit_exceeded(route, &target);
             AttemptOutcome::Lost(e.as_str())
         }
-        Err(e) => AttemptOutcome::Lost(e.as_str()),
+        Err(e) => {
+            if let ExchangeError::Unproven(Some(pause)) = e {
+                host.on_pause(&ctx.pool.name, &candidate, pause, relay);
+            }
+            AttemptOutcome::Lost(e.as_str())
+        }
     };
     let result = match &outcome {
         AttemptOutcome::Responded(response) if response.status.is_server_error() => {
@@ -119,12 +126,13 @@
             host.on_identity_mismatch(&candidate);
             "other_target"
         }
-        // Neither is the target the cause of these.
+        // The target is not the cause of this.
         AttemptOutcome::NotExecuted(reason) if *reason == ExchangeError::Carried.as_str() => reason,
         AttemptOutcome::NotExecuted(reason) => {
             host.on_fault(&target, Fault::Refused);
             reason
         }
+        // Nor of this.
         AttemptOutcome::Lost(reason) if *reason == ExchangeError::NoMemory.as_str() => reason,
         AttemptOutcome::Lost(reason) if *reason == ExchangeError::TooLarge.as_str() => {
             host.on_fault(&target, Fault::Endless);
@@ -171,6 +179,8 @@
     Unproven,
 }
 
+/// Classifies the response to a request. A refusal counts only with a status of refusals, and a success only with a
+/// digest.
 fn classify(ctx: &RequestContext, response: &TargetResponse) -> ResponseKind {
     let names = ctx.host.protocol.headers();
     if response.status == StatusCode::MISDIRECTED_REQUEST {
