Configuration: teams, public routes, uploads and limits of cold targets

Cause: these parts of the operator's configuration were not read. Ruled out: new fields in the encoding of ConfigChange, which build could not decode. A configuration from a peer without the extension is marked incomplete and replaced by the complete one of the same edition. Messages and settings of the further parts are defined; the allocator and the stock of allowances are in core, not yet used.

--- a/crates/geraniummux-core/src/fleet/config_change.rs
+++ b/crates/geraniummux-core/src/fleet/config_change.rs
@@ -2,6 +2,7 @@
 //!
 //! A configuration can have thousands of routes, of which one version changes few.
 
+use super::config_extension::ConfigExtension;
 use super::routes::{CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -21,6 +22,10 @@
     pub pools: Vec<FleetPool>,
     /// Limits on the requests and connections of callers.
     pub limits: CallerLimits,
+    /// What follows the change in a message; `None` if the sender's build has no extension, or the sender itself
+    /// lacks what it would hold.
+    #[serde(skip)]
+    pub extension: Option<ConfigExtension>,
 }
 
 impl ConfigChange {
@@ -33,6 +38,7 @@
             routes: config.routes.clone(),
             pools: config.pools.clone(),
             limits: config.limits,
+            extension: config.is_complete.then(|| ConfigExtension::between(None, config)),
         }
     }
 
@@ -42,6 +48,9 @@
         let (Some(old), Some(new)) = (by_name(base), by_name(config)) else {
             return ConfigChange::whole(config);
         };
+        if config.is_complete && !base.is_complete {
+            return ConfigChange::whole(config);
+        }
         let find =
             |list: &[&FleetRoute], name: &str| list.binary_search_by(|r| (*r.name).cmp(name)).ok();
         let is_changed = |r: &&&FleetRoute| find(&old, &r.name).is_none_or(|i| old[i] != **r);
@@ -53,24 +62,37 @@
             routes: new.iter().filter(is_changed).map(|r| (**r).clone()).collect(),
             pools: config.pools.clone(),
             limits: config.limits,
+            extension: config.is_complete.then(|| ConfigExtension::between(Some(base), config)),
         }
     }
 
     /// Returns the configuration after the change; `None` if `current` is not the edition that the
     /// change applies to.
     pub fn apply(self, current: Option<&FleetConfig>) -> Option<FleetConfig> {
-        let ConfigChange { base, edition, mut removed, routes, pools, limits } = self;
+        let ConfigChange { base, edition, mut removed, routes, pools, limits, extension } = self;
         let ConfigEdition { version, era } = edition;
-        let Some(base) = base else {
-            return Some(FleetConfig { version, era, routes, pools, limits });
+        let mut config = FleetConfig { version, era, pools, limits, ..FleetConfig::default() };
+        let is_complete_base = match base {
+            None => {
+                config.routes = routes;
+                true
+            }
+            Some(base) => {
+                let current = current.filter(|c| c.edition() == base)?;
+                removed.extend(routes.iter().map(|r| r.name.clone()));
+                removed.sort_unstable();
+                let is_kept = |r: &&FleetRoute| removed.binary_search(&r.name).is_err();
+                config.routes = current.routes.iter().filter(is_kept).cloned().collect();
+                config.routes.extend(routes);
+                config.teams = current.teams.clone();
+                current.is_complete
+            }
         };
-        let current = current.filter(|c| c.edition() == base)?;
-        removed.extend(routes.iter().map(|r| r.name.clone()));
-        removed.sort_unstable();
-        let is_kept = |r: &&FleetRoute| removed.binary_search(&r.name).is_err();
-        let kept = current.routes.iter().filter(is_kept).cloned();
-        let routes = kept.chain(routes).collect();
-        Some(FleetConfig { version, era, routes, pools, limits })
+        if let Some(extension) = extension {
+            extension.apply_to(&mut config);
+            config.is_complete = is_complete_base;
+        }
+        Some(config)
     }
 }
 
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -7,11 +7,14 @@
 //! as an argument and do no I/O.
 
 mod admission;
+mod allowance;
 mod bodies;
 mod bounds;
 mod carried;
 mod config_change;
+mod config_extension;
 mod demands;
+mod evacuations;
 mod executions;
 mod extra_attempts;
 mod faults;
@@ -26,16 +29,23 @@
 mod scheduler;
 mod split;
 mod table;
+mod teams;
 mod warm;
 
 pub use admission::{
     AdmissionDecision, AdmissionInput, AdmissionRejectReason, AdmissionRules, admit,
 };
+pub use allowance::{
+    ALLOCATORS, AllowanceAllocator, AllowanceAnswer, AllowanceStock, TOKEN_LIFETIME, TeamTerms,
+    TokenGrant, TokenMessage, TokenRequest, TokenState,
+};
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
 pub use bounds::{MAX_SLOTS, is_plausible_fault_weight};
 pub use carried::CarriedRequests;
 pub use config_change::ConfigChange;
+pub use config_extension::ConfigExtension;
 pub use demands::{Demands, LEAVING_RECHECK_INTERVAL, ReportedDemand, TargetDemand};
+pub use evacuations::Evacuations;
 pub use executions::{AttemptPermit, Executions};
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
@@ -56,4 +66,5 @@
 };
 pub use split::SplitState;
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
+pub use teams::{Allowance, ApiKey, Team, TeamIndex};
 pub use warm::WarmConnections;
--- a/crates/geraniummux-core/src/fleet/routes.rs
+++ b/crates/geraniummux-core/src/fleet/routes.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration: which requests are routed to which pools.
 
+use super::teams::{Team, TeamIndex};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +38,10 @@
     pub latency_target: Duration,
     /// Priority of the route; 0 is the most urgent.
     pub priority: u32,
+    /// Whether callers need no key although there are teams. Part of the
+    /// [`ConfigExtension`](super::ConfigExtension).
+    #[serde(skip)]
+    pub public: bool,
 }
 
 /// One pool of targets.
@@ -48,6 +53,10 @@
     pub health_path: Arc<str>,
     /// Maximum number of connections that one target accepts from all hosts together.
     pub max_connections: u32,
+    /// Requests per second that a cold target accepts from all hosts together; `None` if it has no such limit.
+    /// Part of the [`ConfigExtension`](super::ConfigExtension).
+    #[serde(skip)]
+    pub warm_up_per_s: Option<f64>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -101,6 +110,13 @@
     pub pools: Vec<FleetPool>,
     /// Limits on the requests and connections of callers.
     pub limits: CallerLimits,
+    /// Teams of callers, sorted by name. Part of the [`ConfigExtension`](super::ConfigExtension).
+    #[serde(skip)]
+    pub teams: Vec<Arc<Team>>,
+    /// Whether it holds all that the operator has configured, and not only what a peer knows whose build has no
+    /// [`ConfigExtension`](super::ConfigExtension).
+    #[serde(skip)]
+    pub is_complete: bool,
 }
 
 impl FleetConfig {
@@ -108,6 +124,14 @@
     pub fn edition(&self) -> ConfigEdition {
         ConfigEdition { version: self.version, era: self.era }
     }
+
+    /// Returns whether this configuration takes the place of `current`: it is newer, or holds the parts that
+    /// `current` lacks.
+    pub fn supersedes(&self, current: Option<&FleetConfig>) -> bool {
+        let Some(current) = current else { return true };
+        let completes = self.is_complete && !current.is_complete;
+        self.edition() > current.edition() || self.edition() == current.edition() && completes
+    }
 }
 
 /// Index of a [`FleetConfig`] for routing requests and finding pools.
@@ -117,6 +141,10 @@
     pub version: u64,
     /// Limits on the requests and connections of callers.
     pub limits: CallerLimits,
+    /// Teams of callers.
+    pub teams: TeamIndex,
+    /// Whether the indexed configuration is complete; see [`FleetConfig::is_complete`].
+    pub is_complete: bool,
     /// Sorted by host, then by prefix.
     routes: Vec<Arc<FleetRoute>>,
     /// Sorted by name.
@@ -133,7 +161,15 @@
         let mut pools: Vec<_> = config.pools.iter().cloned().map(Arc::new).collect();
         pools.sort_by(|a, b| a.name.cmp(&b.name));
         let priorities = priorities(&routes);
-        RouteIndex { version: config.version, limits: config.limits, routes, pools, priorities }
+        RouteIndex {
+            version: config.version,
+            limits: config.limits,
+            teams: TeamIndex::new(&config.teams),
+            is_complete: config.is_complete,
+            routes,
+            pools,
+            priorities,
+        }
     }
 
     /// Returns the route of a request: the one with this host and the longest matching path prefix.
--- a/crates/geraniummux-core/tests/fleet_config_change.rs
+++ b/crates/geraniummux-core/tests/fleet_config_change.rs
@@ -1,6 +1,6 @@
 //! Differences between versions of the configuration.
 
-use geraniummux_core::fleet::{CallerLimits, ConfigChange, FleetConfig, FleetRoute, PoolShare};
+use geraniummux_core::fleet::{ConfigChange, FleetConfig, FleetRoute, PoolShare};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -15,12 +15,13 @@
         timeout: Duration::from_millis(timeout_ms),
         latency_target: Duration::from_millis(100),
         priority: 0,
+        public: false,
     }
 }
 
 fn config(version: u64, routes: &[(u8, u64)]) -> FleetConfig {
     let routes = routes.iter().map(|(name, timeout)| route(*name, *timeout)).collect();
-    FleetConfig { version, era: 1, routes, pools: Vec::new(), limits: CallerLimits::default() }
+    FleetConfig { version, era: 1, routes, is_complete: true, ..FleetConfig::default() }
 }
 
 fn sorted(mut config: FleetConfig) -> FleetConfig {
--- a/crates/geraniummux-core/tests/fleet_routes.rs
+++ b/crates/geraniummux-core/tests/fleet_routes.rs
@@ -16,6 +16,7 @@
         timeout: Duration::from_secs(1),
         latency_target: Duration::from_millis(300),
         priority: 1,
+        public: false,
     }
 }
 
@@ -31,6 +32,7 @@
             name: "p".into(),
             health_path: "/health".into(),
             max_connections: 9,
+            warm_up_per_s: None,
         }],
         ..FleetConfig::default()
     })
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -289,12 +289,13 @@
     pub fn adopt_config(&self, config: FleetConfig, revision: Revision, from: &str) {
         let mut current = lock(&self.config);
         let was = current.as_ref().map(|c| c.edition()).unwrap_or_default();
-        if config.edition() <= was {
+        if !config.supersedes(current.as_deref()) {
             return;
         }
         info!(self.log, "config_adopted"; "version" => config.version, "was" => was.version,
             "revision" => %revision, "from" => from, "routes" => config.routes.len(),
-            "pools" => config.pools.len());
+            "pools" => config.pools.len(), "teams" => config.teams.len(),
+            "complete" => config.is_complete);
         self.routes.store(Some(Arc::new(RouteIndex::new(&config))));
         let former = current.replace(Arc::new(config));
         drop(current);
--- a/crates/geraniummux-host/src/replication.rs
+++ b/crates/geraniummux-host/src/replication.rs
@@ -206,8 +206,10 @@
     preferred: bool,
 ) -> io::Result<SwitchReason> {
     let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(leader)).await??;
+    // A configuration that lacks parts is requested once more, as this leader may have them.
+    let config = host.config().filter(|c| c.is_complete);
     let versions = ReplicaVersions {
-        config: host.config().map(|c| c.edition()).unwrap_or_default(),
+        config: config.map(|c| c.edition()).unwrap_or_default(),
         targets_revision: host.fleet().registry.revision(),
     };
     peers::write(host, &mut stream, Message::Follow(versions)).await?;
--- a/crates/geraniummux-host/src/settings.rs
+++ b/crates/geraniummux-host/src/settings.rs
@@ -45,6 +45,19 @@
     pub lapse_s: f64,
     /// Interval at which targets write their registrations, in seconds.
     pub heartbeat_s: f64,
+    /// Length of the window in which the allowance of a team holds, in seconds.
+    pub allowance_window_s: f64,
+    /// Part of a team's allowance by which it may be exceeded in a window.
+    pub allowance_overage: f64,
+    /// Requests by which a team may exceed its allowance in a window besides.
+    pub allowance_slack: f64,
+    /// Requests that a cold target may get in a second, as a multiple of what it accepts.
+    pub warm_up_overage: f64,
+    /// Requests that a cold target may get in a second besides.
+    pub warm_up_slack: f64,
+    /// Time after which an evacuated failure domain gets no more requests, in seconds; absent if failure
+    /// domains are never evacuated, so that the store is not watched for that.
+    pub evacuate_s: Option<f64>,
 }
 
 impl Default for Promises {
@@ -59,6 +72,12 @@
             probes_per_s: 10.0,
             lapse_s: 2.0,
             heartbeat_s: 1.5,
+            allowance_window_s: 5.0,
+            allowance_overage: 0.0,
+            allowance_slack: 0.0,
+            warm_up_overage: 1.0,
+            warm_up_slack: 0.0,
+            evacuate_s: None,
         }
     }
 }
@@ -77,6 +96,9 @@
     /// Memory available to this host, in megabytes.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: f64,
+    /// Bandwidth of this host's link in megabits per second; absent if it is not known to limit anything.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// Address for callers' requests.
     pub listen: SocketAddr,
     /// Address for the platform's readiness checks.
@@ -168,6 +190,9 @@
                 self.memory_mb
             );
         }
+        if let Some(mbps) = self.link_mbps.filter(|mbps| !(0.01..=1e6).contains(mbps)) {
+            bail!("link_mbps: {mbps} is out of range: 0.01 to 1000000");
+        }
         let p = &self.promises;
         let ranges = [
             ("repeat_ratio", p.repeat_ratio, 0.0, 10.0),
@@ -179,6 +204,12 @@
             ("probes_per_s", p.probes_per_s, 0.0, 1e6),
             ("lapse_s", p.lapse_s, 0.0, 60.0),
             ("heartbeat_s", p.heartbeat_s, 0.01, 600.0),
+            ("allowance_window_s", p.allowance_window_s, 0.1, 3_600.0),
+            ("allowance_overage", p.allowance_overage, 0.0, 10.0),
+            ("allowance_slack", p.allowance_slack, 0.0, 1e6),
+            ("warm_up_overage", p.warm_up_overage, 1.0, 100.0),
+            ("warm_up_slack", p.warm_up_slack, 0.0, 1e6),
+            ("evacuate_s", p.evacuate_s.unwrap_or(1.0), 0.1, 3_600.0),
         ];
         for (field, value, low, high) in ranges {
             if !(low..=high).contains(&value) {
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use geraniummux_core::fleet::{
-    CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RegisteredTarget, RegistryChange,
-    RegistryDelta, Revision,
+    FleetConfig, FleetPool, FleetRoute, PoolShare, RegisteredTarget, RegistryChange, RegistryDelta,
+    Revision,
 };
 use geraniummux_host::server::{self, Service};
 use geraniummux_host::{Host, scheduling};
@@ -75,6 +75,7 @@
         timeout: Duration::from_secs(5),
         latency_target: Duration::from_secs(1),
         priority: 1,
+        public: false,
     }
 }
 
@@ -211,15 +212,20 @@
     peer: &str,
 ) -> SocketAddr {
     host.members().enter_service();
-    let pool =
-        FleetPool { name: "pool".into(), health_path: "/health".into(), max_connections: 100 };
+    let pool = FleetPool {
+        name: "pool".into(),
+        health_path: "/health".into(),
+        max_connections: 100,
+        warm_up_per_s: None,
+    };
     let once = FleetRoute { idempotent: false, ..route("once", "pool") };
     let config = FleetConfig {
         version: 1,
         era: 1,
         routes: vec![route("safe", "pool"), once],
         pools: vec![pool],
-        limits: CallerLimits::default(),
+        is_complete: true,
+        ..FleetConfig::default()
     };
     host.adopt_config(config, Revision::new(1, 1), "store");
     let list = RegistryDelta { from: None, to: Revision::new(1, 1), changes };
--- a/crates/geraniummux-host/tests/endless.rs
+++ b/crates/geraniummux-host/tests/endless.rs
@@ -4,9 +4,7 @@
 
 use bytes::Bytes;
 use common::targets::{COMPLETE_BODY, call, complete_response, read_request, registered, route};
-use geraniummux_core::fleet::{
-    CallerLimits, FleetConfig, FleetPool, RegistryDelta, ResponseLimits, Revision,
-};
+use geraniummux_core::fleet::{FleetConfig, FleetPool, RegistryDelta, ResponseLimits, Revision};
 use geraniummux_host::bodies::Bodies;
 use geraniummux_host::server::{self, Service};
 use geraniummux_host::upstream::{Connection, ExchangeError, exchange};
@@ -232,13 +230,15 @@
         name: name.into(),
         health_path: "/health".into(),
         max_connections: 100,
+        warm_up_per_s: None,
     });
     let config = FleetConfig {
         version: 1,
         era: 1,
         routes: vec![route("mixed", "mixed"), route("good", "good")],
         pools: pools.to_vec(),
-        limits: CallerLimits::default(),
+        is_complete: true,
+        ..FleetConfig::default()
     };
     host.adopt_config(config, Revision::new(1, 1), "store");
     let mut changes: Vec<_> = mixed.iter().map(|addr| registered("mixed", *addr)).collect();
--- a/crates/geraniummux-host/tests/replication.rs
+++ b/crates/geraniummux-host/tests/replication.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use geraniummux_core::fleet::{
-    CallerLimits, FleetConfig, FleetPool, FleetRoute, PoolShare, RegistryDelta, Revision,
+    FleetConfig, FleetPool, FleetRoute, PoolShare, RegistryDelta, Revision,
 };
 use geraniummux_host::{Host, peers, replication};
 use geraniummux_wire::{Codec, Envelope, Message, ReplicaVersions};
@@ -38,6 +38,7 @@
         timeout: Duration::from_millis(timeout_ms),
         latency_target: Duration::from_millis(300),
         priority: 1,
+        public: false,
     }
 }
 
@@ -47,8 +48,9 @@
         name: "ledger".into(),
         health_path: "/health".into(),
         max_connections: 100,
+        warm_up_per_s: None,
     }];
-    FleetConfig { version, era: 1, routes, pools, limits: CallerLimits::default() }
+    FleetConfig { version, era: 1, routes, pools, is_complete: true, ..FleetConfig::default() }
 }
 
 /// A follower that only counts what it receives.
--- a/crates/geraniummux-wire/src/lib.rs
+++ b/crates/geraniummux-wire/src/lib.rs
@@ -14,7 +14,7 @@
 pub use codec::{Codec, MAX_DATAGRAM_LEN, MAX_STREAM_FRAME_LEN, stream_frame_len};
 pub use errors::{Error, Result};
 pub use message::{
-    CrashReport, Envelope, MAX_PROBED_TARGETS, Message, ProbeResult, ProbeResults, ProbedState,
-    ReplicaUpdate, ReplicaVersions, State, TargetFaults, TunnelRefusal,
+    CrashReport, Envelope, MAX_PROBED_TARGETS, MAX_TOKEN_REQUESTS, Message, ProbeResult,
+    ProbeResults, ProbedState, ReplicaUpdate, ReplicaVersions, State, TargetFaults, TunnelRefusal,
 };
 pub use packed::PackedConfigChange;
--- a/crates/geraniummux-wire/src/message.rs
+++ b/crates/geraniummux-wire/src/message.rs
@@ -3,8 +3,8 @@
 use crate::packed::PackedConfigChange;
 use geraniummux_core::drain::{LeavingAck, LeavingNotice};
 use geraniummux_core::fleet::{
-    ConfigEdition, FleetConfig, RegistryDelta, ReportedDemand, Revision, SlotDecision, SlotRequest,
-    TargetReport,
+    AllowanceAnswer, ConfigEdition, FleetConfig, RegistryDelta, ReportedDemand, Revision,
+    SlotDecision, SlotRequest, TargetReport, TeamTerms, TokenRequest,
 };
 use geraniummux_core::membership::{Gossip, Member};
 use geraniummux_core::usage::UsageReport;
@@ -177,6 +177,44 @@
         /// Length of the pause in milliseconds.
         pause_ms: u32,
     },
+    /// UDP: a [`Message::SlotRequest`] of a team's caller.
+    TeamSlotRequest {
+        /// Number of the request at the sender.
+        number: u64,
+        /// The pool.
+        pool: Arc<str>,
+        /// The request for a slot.
+        request: SlotRequest,
+        /// What the scheduler has to know of the team.
+        team: TeamTerms,
+    },
+    /// UDP: asks an allocator for tokens of teams' allowances, [`MAX_TOKEN_REQUESTS`] teams at most.
+    AllowanceRequest {
+        /// Number of the request at the sender.
+        number: u64,
+        /// The tokens that the sender wants.
+        wanted: Vec<TokenRequest>,
+    },
+    /// UDP: response to [`Message::AllowanceRequest`].
+    AllowanceResponse {
+        /// Number of the request at the receiver.
+        number: u64,
+        /// What the sender grants, or who does.
+        answer: AllowanceAnswer,
+    },
+    /// UDP: returns tokens that were not used to the allocator that granted them.
+    AllowanceReturned {
+        /// The tokens.
+        unused: Vec<TokenRequest>,
+    },
+    /// UDP: targets told the sender that they are cold, for the scheduler of their pool.
+    TargetsWarmingUp {
+        /// The pool.
+        pool: Arc<str>,
+        /// Identities of the targets with the time for which each stays cold, in milliseconds;
+        /// [`MAX_PROBED_TARGETS`] at most.
+        targets: Vec<(Arc<str>, u32)>,
+    },
 }
 
 /// Why a host opens no tunnel.
@@ -205,6 +243,10 @@
 /// the message fits into a datagram: a report has up to 24 bytes and an identity about 16.
 pub const MAX_PROBED_TARGETS: usize = 24;
 
+/// Maximum number of teams in one [`Message::AllowanceRequest`], so that it and its response fit into a datagram:
+/// a team has a name of up to about 16 bytes, a number of tokens and a time.
+pub const MAX_TOKEN_REQUESTS: usize = 24;
+
 /// Versions of the data that a follower already has.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReplicaVersions {
--- a/crates/geraniummux-wire/src/packed.rs
+++ b/crates/geraniummux-wire/src/packed.rs
@@ -3,13 +3,14 @@
 
 use crate::codec::MAX_STREAM_FRAME_LEN;
 use crate::errors::{Error, Result};
-use geraniummux_core::fleet::ConfigChange;
+use geraniummux_core::fleet::{ConfigChange, ConfigExtension};
 use serde::{Deserialize, Serialize};
 
 /// Maximum size of a change before compression in bytes, so that a reader never allocates more.
 const MAX_UNPACKED_LEN: usize = 4 * MAX_STREAM_FRAME_LEN;
 
-/// A [`ConfigChange`], encoded with postcard and compressed with LZ4.
+/// A [`ConfigChange`] and its extension, encoded with postcard and compressed with LZ4. Builds without the
+/// extension ignore what follows the change.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PackedConfigChange {
     /// Size of the encoded change in bytes.
@@ -24,7 +25,11 @@
     ///
     /// Fails if the encoded change is longer than a follower accepts.
     pub fn pack(change: &ConfigChange) -> Result<Self> {
-        let encoded = postcard::to_stdvec(change).map_err(|e| Error::Codec(e.to_string()))?;
+        let codec = |e: postcard::Error| Error::Codec(e.to_string());
+        let mut encoded = postcard::to_stdvec(change).map_err(codec)?;
+        if let Some(extension) = &change.extension {
+            encoded = postcard::to_extend(extension, encoded).map_err(codec)?;
+        }
         check_len(encoded.len())?;
         let data = lz4_flex::block::compress(&encoded);
         Ok(PackedConfigChange { len: encoded.len() as u32, data })
@@ -39,7 +44,13 @@
         check_len(self.len as usize)?;
         let encoded = lz4_flex::block::decompress(&self.data, self.len as usize)
             .map_err(|e| Error::Codec(e.to_string()))?;
-        postcard::from_bytes(&encoded).map_err(|e| Error::Codec(e.to_string()))
+        let codec = |e: postcard::Error| Error::Codec(e.to_string());
+        let (change, rest) = postcard::take_from_bytes::<ConfigChange>(&encoded).map_err(codec)?;
+        if rest.is_empty() {
+            return Ok(change);
+        }
+        let extension: ConfigExtension = postcard::from_bytes(rest).map_err(codec)?;
+        Ok(ConfigChange { extension: Some(extension), ..change })
     }
 }
 
--- a/crates/geraniummuxd/src/peer_messages.rs
+++ b/crates/geraniummuxd/src/peer_messages.rs
@@ -81,6 +81,11 @@
         | Message::TunnelOpened
         | Message::TunnelRefused(_)
         | Message::TargetPause { .. }
+        | Message::TeamSlotRequest { .. }
+        | Message::AllowanceRequest { .. }
+        | Message::AllowanceResponse { .. }
+        | Message::AllowanceReturned { .. }
+        | Message::TargetsWarmingUp { .. }
         | Message::ProbeTargets { .. }
         | Message::TargetReports { .. }
         | Message::GrantEnded { .. } => control.net.count_refused(),
