--- a/crates/geraniummux-core/src/fleet/allowance.rs
+++ b/crates/geraniummux-core/src/fleet/allowance.rs
@@ -411,9 +411,16 @@
 
     /// Records the answer of an allocator. An answer to a request that was given up is ignored: its tokens are
     /// lost, which only costs the team a part of its allowance.
-    pub fn on_answer(&mut self, now: Time, from: SocketAddr, number: u64, answer: AllowanceAnswer) {
+    /// Returns whether it was one to a request of this stock.
+    pub fn on_answer(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        number: u64,
+        answer: AllowanceAnswer,
+    ) -> bool {
         let is_answered = |p: &mut PendingRequest| p.number == number && p.allocator == from;
-        let Some(p) = self.pending.extract_if(.., is_answered).next() else { return };
+        let Some(p) = self.pending.extract_if(.., is_answered).next() else { return false };
         self.end_request(number);
         match answer {
             AllowanceAnswer::Granted(grants) => {
@@ -431,6 +438,7 @@
                 }
             }
         }
+        true
     }
 
     fn on_grant(&mut self, now: Time, from: SocketAddr, expires_at: Time, grant: TokenGrant) {
--- a/crates/geraniummux-core/src/fleet/forecast.rs
+++ b/crates/geraniummux-core/src/fleet/forecast.rs
@@ -59,10 +59,39 @@
     slowdown > granted * SLOWED_RATIO
 }
 
-/// Returns the expected latency of one more request as a multiple of its typical service time.
+/// Expected latency of one more request at a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LatencyForecast {
+    /// Expected service time as a multiple of the typical one.
+    pub slowdown: f64,
+    /// Number of requests that end before a slot is free, divided by the slots that they leave.
+    pub queue: f64,
+}
+
+impl LatencyForecast {
+    /// Returns the expected latency of a request as a multiple of its typical service time.
+    ///
+    /// The requests before it in the queue take `others` times as long as it does, so that a short request
+    /// waits for long behind long ones.
+    pub fn latency_factor(&self, others: f64) -> f64 {
+        self.slowdown * (1.0 + self.queue * others)
+    }
+}
+
+/// Returns the expected latency of one more request as a multiple of its typical service time, at a target whose
+/// requests take as long as this one.
 ///
 /// The estimate includes the wait in the target's queue if all slots are taken.
 pub fn latency_factor(report: &TargetReport, warming_up: bool, opts: &ForecastOptions) -> f64 {
+    forecast(report, warming_up, opts).latency_factor(1.0)
+}
+
+/// Returns what to expect of one more request at a target.
+pub fn forecast(
+    report: &TargetReport,
+    warming_up: bool,
+    opts: &ForecastOptions,
+) -> LatencyForecast {
     let slots = f64::from(report.slots.max(1));
     let mut slowdown = 1.0 + (report.slowdown - 1.0).max(-0.9) * opts.slowdown_persistence;
     if (f64::from(report.running) + 1.0) / slots > opts.knee_utilization {
@@ -72,5 +101,5 @@
         slowdown *= opts.warm_up_slowdown;
     }
     let queued = if report.free_slots() > 0 { 0.0 } else { f64::from(report.waiting) + 1.0 };
-    slowdown * (1.0 + queued / slots)
+    LatencyForecast { slowdown, queue: queued / slots }
 }
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 mod scheduler;
 mod split;
 mod table;
+mod team_shares;
 mod teams;
 mod warm;
 
@@ -66,5 +67,6 @@
 };
 pub use split::SplitState;
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
+pub use team_shares::TeamShares;
 pub use teams::{Allowance, ApiKey, Team, TeamIndex};
 pub use warm::WarmConnections;
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -2,8 +2,8 @@
 //!
 //! For each pool, one host runs the scheduler, which tracks the requests that the whole fleet has in
 //! flight at each target. The other hosts ask it for a slot and report when the request has ended.
-//! It never grants a target more requests than the target has slots, except one more while other
-//! requests wait, which covers the latency of the messages. A request without a slot waits in the
+//! It never grants a target more requests than the target has slots, except a few more at one with many slots
+//! while other requests wait, which covers the latency of the messages. A request without a slot waits in the
 //! scheduler, in one order for the whole fleet, rather than in the queues of the targets:
 //!
 //! * Requests that can still be answered within their latency target come first, by the priority of
@@ -22,14 +22,17 @@
 //! The scheduler stores no state: another host can take over at any time, since the targets' reports
 //! show what is in flight there.
 
+use super::allowance::{AllowanceAnswer, AllowanceStock, TeamTerms, TokenMessage, TokenState};
 use super::demands::ReportedDemand;
 use super::faults::{FaultOptions, FaultScore};
-use super::forecast::{ForecastOptions, TargetReport, latency_factor};
+use super::forecast::{ForecastOptions, LatencyForecast, TargetReport, forecast};
 use super::limits::{LimitOutlook, MAX_LIMIT_AGE, RateBucket};
 use super::registry::{RegisteredTarget, TargetRun};
+use super::team_shares::TeamShares;
 use super::warm::WarmConnections;
 use crate::time::{Time, scaled, seconds};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -72,6 +75,10 @@
     NoTarget,
     /// The targets limit their request rates, and others come first.
     Limited,
+    /// The allowance of the request's team is used up.
+    OverAllowance,
+    /// No host grants tokens of the team's allowance at present.
+    NoAllocator,
 }
 
 impl RejectReason {
@@ -81,6 +88,8 @@
             RejectReason::TooLate => "too_late",
             RejectReason::NoTarget => "no_target",
             RejectReason::Limited => "limited",
+            RejectReason::OverAllowance => "over_allowance",
+            RejectReason::NoAllocator => "no_allocator",
         }
     }
 }
@@ -163,13 +172,17 @@
     /// Factor on the expected latency when targets are checked for whether a request will be in time
     /// there; it leaves room for requests that take longer than is typical.
     pub latency_margin: f64,
+    /// Factor on the typical service time below which the time left until the latency target makes a request
+    /// late, while the pool is crowded.
+    pub in_time_margin: f64,
     /// Number of waiting requests above which the pool is crowded, as a fraction of its slots.
     pub crowded_share: f64,
     /// Factor on the time that a late request must have left before its deadline while the pool is
     /// crowded, so that slots are left to requests that can still be in time.
     pub late_deadline_margin: f64,
-    /// Number of requests that a target may have beyond its slots while other requests wait.
-    pub overcommit: u32,
+    /// Number of requests that a target may have beyond its slots while other requests wait, as a fraction of its
+    /// slots and rounded down. At a target with few slots, one request more would wait for long.
+    pub overcommit_share: f64,
     /// Time in which the weight of a reported slowdown decays to about a third (1/e).
     pub report_decay: Duration,
     /// Slowdown assumed for a target without a recent report.
@@ -206,9 +219,10 @@
             max_idle: Duration::from_secs(7),
             local_preference: 0.5,
             latency_margin: 1.2,
+            in_time_margin: 1.0,
             crowded_share: 0.05,
             late_deadline_margin: 3.0,
-            overcommit: 1,
+            overcommit_share: 0.2,
             report_decay: Duration::from_millis(250),
             unknown_slowdown: 1.5,
             untracked_decay: Duration::from_millis(400),
@@ -227,8 +241,7 @@
 struct Forecast {
     has_room: bool,
     ejected: bool,
-    /// Expected latency as a multiple of the typical service time.
-    latency_factor: f64,
+    latency: LatencyForecast,
     /// Factor on the latency factor for the target's faults, at least 1.
     fault_factor: f64,
 }
@@ -242,8 +255,8 @@
     forecasts: Vec<Forecast>,
     /// Indices of the targets with room for a request.
     available: Vec<usize>,
-    /// Number of requests that a target may have beyond its slots.
-    overcommit: u32,
+    /// Whether targets may have requests beyond their slots.
+    may_overcommit: bool,
     /// Whether targets are ejected for faults.
     may_eject: bool,
     /// What the targets accept while some of them have limits, if requests are to be rejected whose turn
@@ -254,6 +267,16 @@
     /// Factor on the time that a late request must have left before its deadline to be granted a slot
     /// or to wait on.
     late_deadline_margin: f64,
+    in_time_margin: f64,
+    /// Teams that have had more than their share of the pool, sorted by name; none while few requests wait.
+    in_excess: Vec<Arc<str>>,
+}
+
+impl Pass {
+    fn is_in_excess(&self, w: &Waiting) -> bool {
+        let team = w.team.as_ref().map(|t| &t.team);
+        team.is_some_and(|team| self.in_excess.binary_search(team).is_ok())
+    }
 }
 
 /// A request that was granted a slot and has not ended.
@@ -429,6 +452,8 @@
 const LEAVING_RETENTION: Duration = Duration::from_secs(5);
 /// Interval at which slots are freed whose requests have passed their deadlines.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Weight of a new request in the mean service time of a pool.
+const MEAN_SERVICE_TIME_WEIGHT: f64 = 0.02;
 /// Maximum number of targets at which a request is in flight: the first, and that of its hedge.
 const MAX_TARGETS_OF_REQUEST: usize = 2;
 
@@ -448,6 +473,8 @@
 struct Waiting {
     key: RequestKey,
     request: SlotRequest,
+    /// The team of the request, if there are teams.
+    team: Option<TeamTerms>,
     since: Time,
 }
 
@@ -492,6 +519,12 @@
     limit_share: f64,
     /// When requests were last rejected whose turn would come too late.
     turns_checked_at: Time,
+    /// Tokens of the teams' allowances.
+    stock: AllowanceStock,
+    /// Work that the pool has done for each team.
+    shares: TeamShares,
+    /// Moving average of the typical service times of the requests that were granted slots, in seconds.
+    mean_service_time_s: Option<f64>,
 }
 
 impl Scheduler {
@@ -509,6 +542,9 @@
             warm_expired_at: Time::default(),
             limit_share: 1.0,
             turns_checked_at: Time::default(),
+            stock: AllowanceStock::default(),
+            shares: TeamShares::default(),
+            mean_service_time_s: None,
         }
     }
 
@@ -583,6 +619,9 @@
 
     /// Adds a request to those in flight at the target with index `i`.
     fn place(&mut self, i: usize, r: InFlight) {
+        let service_time = r.request.service_time.as_secs_f64();
+        let mean = self.mean_service_time_s.get_or_insert(service_time);
+        *mean += (service_time - *mean) * MEAN_SERVICE_TIME_WEIGHT;
         let at = Some(i as u32);
         match self.placements.binary_search_by(|p| p.key.cmp(&r.key)) {
             Ok(p) => self.placements[p].targets[1] = at,
@@ -620,10 +659,32 @@
         now: Time,
         key: RequestKey,
         request: SlotRequest,
+    ) -> Vec<(RequestKey, SlotDecision)> {
+        self.enqueue(now, key, request, None)
+    }
+
+    /// Decides on a request of a team's caller for a slot, like [`Scheduler::on_request`].
+    pub fn on_team_request(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        request: SlotRequest,
+        team: TeamTerms,
+    ) -> Vec<(RequestKey, SlotDecision)> {
+        self.shares.on_arrival(now, &team);
+        self.enqueue(now, key, request, Some(team))
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        request: SlotRequest,
+        team: Option<TeamTerms>,
     ) -> Vec<(RequestKey, SlotDecision)> {
         // A duplicate message must not take two slots.
         self.remove_request(&key);
-        let waiting = Waiting { key: key.clone(), request, since: now };
+        let waiting = Waiting { key: key.clone(), request, team, since: now };
         if self.waiting.len() >= self.opts.max_waiting {
             return vec![(key, self.reject(now, &waiting, RejectReason::TooLate))];
         }
@@ -698,6 +759,47 @@
         self.limit_share = share;
     }
 
+    /// Replaces the tokens of the teams' allowances by an empty stock, whose requests are numbered from
+    /// `first_number` on.
+    pub fn start_stock(&mut self, first_number: u64) {
+        self.stock = AllowanceStock::new(first_number);
+    }
+
+    /// Returns the messages to the `allocators`, the preferred one first: for the tokens that waiting requests
+    /// need, at most `max_teams` teams in each.
+    pub fn token_messages(
+        &mut self,
+        now: Time,
+        allocators: &[SocketAddr],
+        max_teams: usize,
+    ) -> Vec<TokenMessage> {
+        let mut waiting: Vec<(Arc<str>, u32)> = Vec::new();
+        let needing = self.waiting.iter().filter_map(|w| w.team.as_ref()).filter(|t| t.needs_token);
+        for terms in needing {
+            match waiting.binary_search_by(|(team, _)| team.cmp(&terms.team)) {
+                Ok(i) => waiting[i].1 += 1,
+                Err(i) => waiting.insert(i, (terms.team.clone(), 1)),
+            }
+        }
+        self.stock.set_allocators(allocators);
+        self.stock.set_waiting(now, &waiting);
+        self.stock.messages(now, max_teams)
+    }
+
+    /// Records an answer of an allocator, which may be to another stock. Returns the decisions that follow.
+    pub fn on_tokens(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        number: u64,
+        answer: AllowanceAnswer,
+    ) -> Vec<(RequestKey, SlotDecision)> {
+        if !self.stock.on_answer(now, from, number, answer) {
+            return Vec::new();
+        }
+        self.schedule(now)
+    }
+
     /// Adds the weight of a fault to a target.
     pub fn on_fault(&mut self, now: Time, target: &str, weight: f64) {
         if let Some(i) = self.find(target) {
@@ -787,6 +889,12 @@
                     && let Ok(t) = self.targets.binary_search_by(|t| t.id.cmp(target))
                 {
                     let granted = InFlight::new(now, waiting, self.targets[t].slowdown, false);
+                    if let Some(terms) = &waiting.team {
+                        self.shares.on_grant(now, &terms.team, waiting.request.service_time);
+                        if terms.needs_token {
+                            self.stock.take(now, &terms.team);
+                        }
+                    }
                     self.warm.take(&waiting.key.host, target);
                     self.targets[t].take_token(now);
                     self.place(t, granted);
@@ -815,12 +923,14 @@
             now,
             forecasts: Vec::with_capacity(self.targets.len()),
             available: Vec::new(),
-            overcommit: if self.waiting.len() > 1 { self.opts.overcommit } else { 0 },
+            may_overcommit: self.waiting.len() > 1,
             may_eject: ejected_count as f64
                 <= self.opts.max_ejected_share * self.targets.len() as f64,
             limits: None,
             waiting_on: 0,
             late_deadline_margin: if is_crowded { self.opts.late_deadline_margin } else { 1.0 },
+            in_time_margin: if is_crowded { self.opts.in_time_margin } else { 1.0 },
+            in_excess: if is_crowded { self.shares.in_excess(now) } else { Vec::new() },
         };
         for (i, t) in self.targets.iter().enumerate() {
             let forecast = self.forecast(&pass, t);
@@ -835,13 +945,17 @@
     fn forecast(&self, pass: &Pass, t: &Target) -> Forecast {
         let report = t.expected_report();
         let fault_score = t.outlook.fault_score;
+        let overcommit = match pass.may_overcommit {
+            true => (f64::from(report.slots) * self.opts.overcommit_share) as u32,
+            false => 0,
+        };
         Forecast {
             has_room: report.running.saturating_add(report.waiting)
-                < report.slots.saturating_add(pass.overcommit)
+                < report.slots.saturating_add(overcommit)
                 && !t.is_closed(pass.now)
                 && t.is_within_limit(pass.now),
             ejected: pass.may_eject && fault_score >= self.opts.faults.eject_at,
-            latency_factor: latency_factor(&report, t.warming_up, &self.opts.forecast),
+            latency: forecast(&report, t.warming_up, &self.opts.forecast),
             fault_factor: 1.0 + fault_score,
         }
     }
@@ -875,7 +989,7 @@
                     latency_target_left: r.latency_deadline.since(now),
                     ..r.request.clone()
                 };
-                let w = Waiting { key: r.key.clone(), request, since: now };
+                let w = Waiting { key: r.key.clone(), request, team: None, since: now };
                 let Some((target, latency_factor)) = self.hedge_target(now, &w) else { continue };
                 if let Some(first) = self.targets[i].in_flight.iter_mut().find(|f| f.key == r.key) {
                     first.is_hedged = true;
@@ -930,7 +1044,8 @@
                 self.remote_penalty(&w.request) * self.opts.local_preference
             };
             let rank = w.latency_deadline() + scaled(w.request.service_time, preference);
-            (!w.can_be_in_time(pass.now, 1.0), w.request.priority, rank)
+            let is_late = !w.can_be_in_time(pass.now, pass.in_time_margin);
+            (is_late, pass.is_in_excess(w), w.request.priority, rank)
         });
         order
     }
@@ -946,7 +1061,20 @@
         if self.targets.iter().all(is_excluded) {
             return Some(self.reject(now, w, RejectReason::NoTarget));
         }
-        let is_late = !w.can_be_in_time(now, 1.0);
+        if let Some(terms) = w.team.as_ref().filter(|t| t.needs_token) {
+            match self.stock.state(now, &terms.team) {
+                TokenState::Available => {}
+                TokenState::Pending => return None,
+                TokenState::Denied(next) => {
+                    let reason = RejectReason::OverAllowance;
+                    return Some(SlotDecision::Reject { reason, retry_after: next });
+                }
+                TokenState::NoAllocator => {
+                    return Some(self.reject(now, w, RejectReason::NoAllocator));
+                }
+            }
+        }
+        let is_late = !w.can_be_in_time(now, pass.in_time_margin);
         if let Some((i, latency_factor)) = self.best_target(pass, w) {
             let expected = scaled(w.request.service_time, latency_factor);
             // A target with a free slot that is too slow at present is skipped while another target
@@ -1004,8 +1132,10 @@
         let service_time = request.service_time.as_secs_f64();
         let margin = self.opts.latency_margin;
         let cost = self.cost(pass, request);
+        let others = self.others(request);
+        let latency_factor = |i: usize| pass.forecasts[i].latency.latency_factor(others);
         let rate = |i: usize| {
-            let is_late = service_time * pass.forecasts[i].latency_factor * margin > left;
+            let is_late = service_time * latency_factor(i) * margin > left;
             (is_late, cost(i))
         };
         let is_allowed = |i: usize| is_usable(i) && (is_not_ejected(i) || !any_not_ejected);
@@ -1018,7 +1148,7 @@
                 best = Some((rating, i));
             }
         }
-        best.map(|(_, i)| (i, pass.forecasts[i].latency_factor))
+        best.map(|(_, i)| (i, latency_factor(i)))
     }
 
     /// Returns a target to which the requesting host holds an idle connection and whose cost is not much
@@ -1037,7 +1167,7 @@
         };
         let warm = self.warm.targets_of(pass.now, &w.key.host, self.opts.max_idle);
         let chosen = warm.filter_map(|id| self.find(id)).find(is_suitable).unwrap_or(best);
-        (chosen, pass.forecasts[chosen].latency_factor)
+        (chosen, pass.forecasts[chosen].latency.latency_factor(self.others(request)))
     }
 
     /// Returns the function by which targets are compared for a request: the expected latency factor of
@@ -1045,11 +1175,22 @@
     fn cost(&self, pass: &Pass, request: &SlotRequest) -> impl Fn(usize) -> f64 {
         let domain = self.domain(&request.failure_domain);
         let remote_factor = 1.0 + self.remote_penalty(request);
+        let others = self.others(request);
         move |i| {
             let forecast = &pass.forecasts[i];
             let is_local = Some(self.targets[i].domain) == domain;
             let distance = if is_local { 1.0 } else { remote_factor };
-            forecast.latency_factor * distance * forecast.fault_factor
+            forecast.latency.latency_factor(others) * distance * forecast.fault_factor
+        }
+    }
+
+    /// Returns how long the requests at the pool's targets take on average, as a multiple of the service time of
+    /// a request.
+    fn others(&self, request: &SlotRequest) -> f64 {
+        let service_time = request.service_time.as_secs_f64();
+        match self.mean_service_time_s {
+            Some(mean) if service_time > 0.0 => mean / service_time,
+            _ => 1.0,
         }
     }
 
--- /dev/null
+++ b/crates/geraniummux-core/tests/fleet_allowance.rs
@@ -0,0 +1,255 @@
+//! Allowances of teams: what all hosts together send in a window while allocators fail, and what it costs a team
+//! that stays below its allowance.
+
+use geraniummux_core::Time;
+use geraniummux_core::fleet::{
+    ALLOCATORS, Allowance, AllowanceAllocator, AllowanceAnswer, AllowanceStock, TokenState,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const START: Time = Time::from_millis(1_000_000);
+const WINDOW: Duration = Duration::from_secs(5);
+const OVERAGE: f64 = 0.1;
+const SLACK: f64 = 20.0;
+/// Largest number of teams in a message.
+const MAX_TEAMS: usize = 24;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn addr(i: usize) -> SocketAddr {
+    SocketAddr::new("127.0.0.1".parse().unwrap(), 1_000 + i as u16)
+}
+
+/// An allocator that answers, unless it is down.
+struct Allocator {
+    allocator: AllowanceAllocator,
+    is_up: bool,
+}
+
+/// Allocators, and the stocks of schedulers and hosts, with messages that take a millisecond each way.
+struct Fleet {
+    allowance: Allowance,
+    allocators: Vec<Allocator>,
+    stocks: Vec<AllowanceStock>,
+    team: Arc<str>,
+    /// When requests were sent.
+    sent: Vec<Time>,
+    denied: usize,
+    messages: usize,
+}
+
+impl Fleet {
+    fn new(allowance: Allowance, stocks: usize) -> Self {
+        let allocator = || Allocator { allocator: AllowanceAllocator::default(), is_up: true };
+        Fleet {
+            allowance,
+            allocators: (0..ALLOCATORS).map(|_| allocator()).collect(),
+            stocks: (0..stocks).map(|i| AllowanceStock::new((i as u64) << 32)).collect(),
+            team: "team".into(),
+            sent: Vec::new(),
+            denied: 0,
+            messages: 0,
+        }
+    }
+
+    /// Restarts an allocator, which knows nothing of what it granted.
+    fn restart(&mut self, i: usize) {
+        self.allocators[i] = Allocator { allocator: AllowanceAllocator::default(), is_up: true };
+    }
+
+    /// Restarts all hosts.
+    fn restart_all(&mut self) {
+        (0..self.allocators.len()).for_each(|i| self.restart(i));
+        let numbers = self.stocks.len() as u64;
+        self.stocks = (0..numbers).map(|i| AllowanceStock::new((100 + i) << 32)).collect();
+    }
+
+    /// Sends a request with a token of a stock if it gets one within 50 ms.
+    fn request(&mut self, now: Time, s: usize) {
+        let addrs: Vec<SocketAddr> = (0..self.allocators.len()).map(addr).collect();
+        for step in (0..50).step_by(2) {
+            let now = now + ms(step);
+            self.stocks[s].set_allocators(&addrs);
+            if self.stocks[s].take(now, &self.team) {
+                self.sent.push(now);
+                return;
+            }
+            match self.stocks[s].state(now, &self.team) {
+                TokenState::Denied(_) | TokenState::NoAllocator => {
+                    self.denied += 1;
+                    return;
+                }
+                TokenState::Available | TokenState::Pending => {}
+            }
+            self.stocks[s].set_waiting(now, &[(self.team.clone(), 1)]);
+            self.exchange(now, s);
+        }
+    }
+
+    fn exchange(&mut self, now: Time, s: usize) {
+        for message in self.stocks[s].messages(now, MAX_TEAMS) {
+            self.messages += 1;
+            let i = usize::from(message.to.port()) - 1_000;
+            let a = &mut self.allocators[i];
+            if !a.is_up {
+                continue;
+            }
+            let Some(number) = message.number else {
+                message.teams.iter().for_each(|t| a.allocator.take_back(now, t));
+                continue;
+            };
+            let share = 1.0 / ALLOCATORS as f64;
+            let grant = |t: &geraniummux_core::fleet::TokenRequest| {
+                a.allocator.grant(now, &t.team, self.allowance, share, SLACK, t.tokens)
+            };
+            let grants = message.teams.iter().map(grant).collect();
+            let answer = AllowanceAnswer::Granted(grants);
+            self.stocks[s].on_answer(now + ms(2), message.to, number, answer);
+        }
+    }
+
+    /// Returns the largest number of requests in a window.
+    fn most_in_window(&self) -> usize {
+        let mut sent = self.sent.clone();
+        sent.sort_unstable();
+        let in_window = |i: usize| sent[i..].iter().take_while(|t| **t < sent[i] + WINDOW).count();
+        (0..sent.len()).map(in_window).max().unwrap_or(0)
+    }
+
+    fn bound(&self) -> f64 {
+        let allowed = self.allowance.per_s * WINDOW.as_secs_f64() + self.allowance.burst;
+        allowed * (1.0 + OVERAGE) + SLACK
+    }
+}
+
+/// Sends `per_s` requests a second through random stocks for a time, with `at` called before each millisecond.
+fn play<F>(fleet: &mut Fleet, per_s: f64, seconds: u64, mut at: F)
+where
+    F: FnMut(&mut Fleet, u64),
+{
+    let mut rng = StdRng::seed_from_u64(7);
+    for step in 0..seconds * 1_000 {
+        at(fleet, step);
+        let now = START + ms(step);
+        let mut expected = per_s / 1_000.0;
+        while rng.random::<f64>() < expected {
+            expected -= 1.0;
+            let stock = rng.random_range(0..fleet.stocks.len());
+            fleet.request(now, stock);
+        }
+        if step % 30 == 0 {
+            for s in 0..fleet.stocks.len() {
+                fleet.stocks[s].set_waiting(now, &[]);
+                fleet.exchange(now, s);
+            }
+        }
+    }
+}
+
+fn large_team() -> Allowance {
+    Allowance { per_s: 290.0, burst: 290.0 }
+}
+
+fn small_team() -> Allowance {
+    Allowance { per_s: 1.8, burst: 1.8 }
+}
+
+/// Guards against a team that sends six times its usual load through two schedulers and many hosts.
+#[test]
+fn stock_hot_team_stays_within_allowance() {
+    for allowance in [large_team(), small_team()] {
+        for stocks in [2, 184] {
+            let mut fleet = Fleet::new(allowance, stocks);
+            play(&mut fleet, allowance.per_s * 4.0, 12, |_, _| {});
+            let most = fleet.most_in_window() as f64;
+            assert!(most <= fleet.bound(), "{stocks} stocks: {most} above {}", fleet.bound());
+            let used = fleet.sent.len() as f64 / (allowance.per_s * 12.0);
+            assert!(used > 0.85, "{stocks} stocks: only {used} of the allowance was used");
+        }
+    }
+}
+
+/// Guards against rejections of a team below its allowance, and against a message for each of its requests.
+#[test]
+fn stock_usual_load_is_not_denied() {
+    let mut fleet = Fleet::new(large_team(), 2);
+    play(&mut fleet, 0.6 * large_team().per_s, 10, |_, _| {});
+    let requests = fleet.sent.len() + fleet.denied;
+    assert!(fleet.denied * 100 <= requests, "{} of {requests} denied", fleet.denied);
+    assert!(fleet.messages * 5 < requests, "{} messages for {requests}", fleet.messages);
+}
+
+/// Guards against allocators that start with full buckets: all hosts restart during a team's burst.
+#[test]
+fn stock_all_hosts_restart_stays_within_allowance() {
+    for allowance in [large_team(), small_team()] {
+        let mut fleet = Fleet::new(allowance, 40);
+        play(&mut fleet, allowance.per_s * 5.0, 10, |fleet, step| {
+            if step == 4_000 {
+                fleet.restart_all();
+            }
+        });
+        let most = fleet.most_in_window() as f64;
+        assert!(most <= fleet.bound(), "{most} above {}", fleet.bound());
+    }
+}
+
+/// Guards against an outage of a team while one of the allocators is down, and against a successor that grants what
+/// the one before has granted.
+#[test]
+fn stock_one_allocator_down_serves_usual_load() {
+    let mut fleet = Fleet::new(large_team(), 2);
+    play(&mut fleet, 0.6 * large_team().per_s, 10, |fleet, step| match step {
+        3_000 => fleet.allocators[0].is_up = false,
+        5_000 => fleet.restart(0),
+        _ => {}
+    });
+    let requests = fleet.sent.len() + fleet.denied;
+    assert!(fleet.denied * 20 <= requests, "{} of {requests} denied", fleet.denied);
+    assert!(fleet.most_in_window() as f64 <= fleet.bound());
+}
+
+/// Guards against an allowance that is exceeded by the tokens of a stock which froze and resumes.
+#[test]
+fn take_after_freeze_old_tokens_are_not_used() {
+    let mut fleet = Fleet::new(large_team(), 1);
+    play(&mut fleet, 200.0, 2, |_, _| {});
+    let now = START + ms(2_000) + ms(900);
+    assert!(!fleet.stocks[0].take(now, &fleet.team.clone()));
+}
+
+/// Guards against requests that wait for allocators none of which answers.
+#[test]
+fn state_no_allocator_answers_is_known() {
+    let mut fleet = Fleet::new(large_team(), 1);
+    fleet.allocators.iter_mut().for_each(|a| a.is_up = false);
+    for step in 0..4 {
+        let now = START + ms(30 * step);
+        let team = fleet.team.clone();
+        fleet.stocks[0].set_allocators(&[addr(0), addr(1), addr(2)]);
+        fleet.stocks[0].set_waiting(now, &[(team, 1)]);
+        fleet.exchange(now, 0);
+    }
+    let state = fleet.stocks[0].state(START + ms(91), &fleet.team);
+    assert_eq!(state, TokenState::NoAllocator);
+}
+
+/// Guards against a rate that was lowered and keeps the tokens of the higher one.
+#[test]
+fn grant_lowered_allowance_caps_tokens() {
+    let mut allocator = AllowanceAllocator::default();
+    let team: Arc<str> = "team".into();
+    let mut grant = |at, allowance, wanted| {
+        allocator.grant(START + ms(at), &team, allowance, 1.0, 0.0, wanted).tokens
+    };
+    grant(0, Allowance { per_s: 100.0, burst: 100.0 }, 1);
+    let low = Allowance { per_s: 2.0, burst: 2.0 };
+    let granted = grant(10_000, low, 500);
+    assert!(granted <= 3, "{granted} tokens granted");
+}
--- /dev/null
+++ b/crates/geraniummux-host/src/allowances.rs
@@ -0,0 +1,291 @@
+//! Tokens of teams' allowances: grants them if this host is an allocator, and obtains them for requests whose
+//! targets this host selects itself. Schedulers obtain theirs by [`exchange`].
+//!
+//! The allocators are the first hosts in an order that all hosts derive from the membership. A host that has just
+//! started does not know the members yet and asks its seeds instead, which grant a share of their own meanwhile.
+
+use crate::host::Host;
+use crate::peers;
+use crate::scheduling;
+use geraniummux_core::fleet::{
+    ALLOCATORS, AllowanceAllocator, AllowanceAnswer, AllowanceStock, TokenMessage, TokenRequest,
+    TokenState,
+};
+use geraniummux_core::{MemberState, Time};
+use geraniummux_wire::{MAX_TOKEN_REQUESTS, Message};
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Time for which the allocators are not derived from the membership again.
+const ALLOCATORS_MAX_AGE: Duration = Duration::from_millis(100);
+/// Time for which a request waits for a token; longer than the allocators' timeouts together.
+const MAX_WAIT: Duration = Duration::from_millis(150);
+/// Interval at which a waiting request checks whether another allocator has to be asked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// State of the allowances on one host.
+pub struct Allowances {
+    allocator: Mutex<AllowanceAllocator>,
+    stock: Mutex<AllowanceStock>,
+    /// Requests of this host that wait for a token, by team.
+    waiting: Mutex<Vec<(Arc<str>, u32)>>,
+    /// Notified when tokens arrive.
+    arrived: Notify,
+    /// The allocators, as of a time.
+    allocators: Mutex<Option<(Time, Vec<SocketAddr>)>>,
+}
+
+impl Default for Allowances {
+    fn default() -> Self {
+        Allowances {
+            allocator: Mutex::default(),
+            stock: Mutex::new(AllowanceStock::new(first_number())),
+            waiting: Mutex::default(),
+            arrived: Notify::new(),
+            allocators: Mutex::default(),
+        }
+    }
+}
+
+/// Returns a random number from which to count requests for tokens, so that those of different stocks, and of an
+/// earlier process of this host, are told apart.
+pub fn first_number() -> u64 {
+    u64::from(rand::random::<u32>()) << 32
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Returns the allocators that this host asks, itself first if it is one of them.
+pub fn allocators(host: &Host) -> Vec<SocketAddr> {
+    let now = host.now();
+    let mut cached = lock(&host.allowances.allocators);
+    if let Some((at, allocators)) = &*cached
+        && now.since(*at) < ALLOCATORS_MAX_AGE
+    {
+        return allocators.clone();
+    }
+    let allocators = if is_settling(host) { seeds(host) } else { first_members(host) };
+    *cached = Some((now, allocators.clone()));
+    allocators
+}
+
+fn is_settling(host: &Host) -> bool {
+    let is_starting = host.now().since(host.started) < scheduling::STARTUP_SETTLE_TIME;
+    is_starting && host.members().has_seeds()
+}
+
+/// Returns the addresses of the seeds, a random one first, so that new hosts use all of them.
+fn seeds(host: &Host) -> Vec<SocketAddr> {
+    let mut seeds = host.settings.load().seed_peers();
+    if !seeds.is_empty() {
+        let first = rand::random_range(0..seeds.len());
+        seeds.rotate_left(first);
+    }
+    seeds
+}
+
+fn first_members(host: &Host) -> Vec<SocketAddr> {
+    let members = host.members();
+    let own = members.local_member().addr;
+    let mut order: Vec<_> = std::iter::once(members.local_member())
+        .chain(members.peers())
+        .filter(|m| m.state == MemberState::Alive)
+        .map(|m| (Reverse(m.capacity), members.order_key("allowances", &m.name), m.addr))
+        .collect();
+    order.sort_unstable();
+    let mut allocators: Vec<_> =
+        order.into_iter().take(ALLOCATORS).map(|(_, _, addr)| addr).collect();
+    // A host that is an allocator itself needs no messages for its own share.
+    allocators.sort_by_key(|addr| *addr != own);
+    allocators
+}
+
+/// Returns the part of each allowance that this host grants; `None` if it is no allocator.
+///
+/// Hosts out of sight may have allocators of their own, whose parts must fit beside this one. A host that has met
+/// no other may be cut off, and grants nothing.
+fn share(host: &Host) -> Option<f64> {
+    let own = host.settings.load().peer;
+    if is_settling(host) {
+        let seeds = host.settings.load().seed_peers();
+        return seeds.contains(&own).then(|| 1.0 / seeds.len() as f64);
+    }
+    let allocators = allocators(host);
+    if !allocators.contains(&own) {
+        return None;
+    }
+    let members = host.members();
+    let (all, live) = (members.peers().count() + 1, members.live_peers().count() + 1);
+    if all == 1 && members.has_seeds() {
+        return None;
+    }
+    Some(live as f64 / all as f64 / allocators.len() as f64)
+}
+
+/// Answers a request for tokens.
+pub fn answer(host: &Host, wanted: &[TokenRequest]) -> AllowanceAnswer {
+    let Some(share) = share(host) else {
+        let known = if is_settling(host) { Vec::new() } else { allocators(host) };
+        return AllowanceAnswer::OtherAllocators(known);
+    };
+    let slack = host.settings.load().promises.allowance_slack;
+    let Some(routes) = host.routes() else {
+        return AllowanceAnswer::OtherAllocators(Vec::new());
+    };
+    let now = host.now();
+    let mut allocator = lock(&host.allowances.allocator);
+    let grants = wanted.iter().take(MAX_TOKEN_REQUESTS).filter_map(|request| {
+        let allowance = routes.teams.team(&request.team)?.allowance?;
+        let grant = allocator.grant(now, &request.team, allowance, share, slack, request.tokens);
+        host.metrics.tokens("granted", grant.tokens);
+        host.metrics.tokens("denied", request.tokens - grant.tokens);
+        Some(grant)
+    });
+    AllowanceAnswer::Granted(grants.collect())
+}
+
+/// Takes back tokens that were not used.
+pub fn take_back(host: &Host, unused: &[TokenRequest]) {
+    let now = host.now();
+    let mut allocator = lock(&host.allowances.allocator);
+    for tokens in unused.iter().take(MAX_TOKEN_REQUESTS) {
+        host.metrics.tokens("returned", tokens.tokens);
+        allocator.take_back(now, tokens);
+    }
+}
+
+/// Records an answer to a request for tokens of this host itself.
+pub fn on_answer(host: &Host, from: SocketAddr, number: u64, answer: AllowanceAnswer) {
+    lock(&host.allowances.stock).on_answer(host.now(), from, number, answer);
+    host.allowances.arrived.notify_waiters();
+}
+
+/// Sends messages to allocators. Returns the answers of this host itself, with the numbers of the requests.
+pub fn exchange(host: &Host, messages: Vec<TokenMessage>) -> Vec<(u64, AllowanceAnswer)> {
+    let own = host.settings.load().peer;
+    let mut answers = Vec::new();
+    for TokenMessage { to, number, teams } in messages {
+        match number {
+            Some(number) if to == own => answers.push((number, answer(host, &teams))),
+            None if to == own => take_back(host, &teams),
+            Some(number) => {
+                peers::send(host, &[to], Message::AllowanceRequest { number, wanted: teams });
+            }
+            None => peers::send(host, &[to], Message::AllowanceReturned { unused: teams }),
+        }
+    }
+    answers
+}
+
+/// Why a request got no token.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoToken {
+    /// The allowance is used up for this long.
+    Denied(Duration),
+    /// No allocator answers.
+    NoAllocator,
+}
+
+/// Counts a request as waiting for a token of its team until dropped.
+struct WaitingGuard<'a> {
+    host: &'a Host,
+    team: &'a Arc<str>,
+}
+
+impl<'a> WaitingGuard<'a> {
+    fn new(host: &'a Host, team: &'a Arc<str>) -> Self {
+        let mut waiting = lock(&host.allowances.waiting);
+        match waiting.binary_search_by(|(t, _)| t.cmp(team)) {
+            Ok(i) => waiting[i].1 += 1,
+            Err(i) => waiting.insert(i, (team.clone(), 1)),
+        }
+        WaitingGuard { host, team }
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        let mut waiting = lock(&self.host.allowances.waiting);
+        if let Ok(i) = waiting.binary_search_by(|(t, _)| t.cmp(self.team)) {
+            waiting[i].1 -= 1;
+            if waiting[i].1 == 0 {
+                waiting.remove(i);
+            }
+        }
+    }
+}
+
+/// Obtains a token for a request whose target this host selects itself.
+///
+/// # Errors
+///
+/// Fails if the allowance is used up or no allocator answers.
+pub async fn obtain(host: &Arc<Host>, team: &Arc<str>) -> Result<(), NoToken> {
+    let _waiting = WaitingGuard::new(host, team);
+    let give_up_at = host.now() + MAX_WAIT;
+    loop {
+        let arrived = host.allowances.arrived.notified();
+        let now = host.now();
+        let allocators = allocators(host);
+        let messages = {
+            let mut stock = lock(&host.allowances.stock);
+            stock.set_allocators(&allocators);
+            if stock.take(now, team) {
+                return Ok(());
+            }
+            match stock.state(now, team) {
+                TokenState::Denied(next) => return Err(NoToken::Denied(next)),
+                TokenState::NoAllocator => return Err(NoToken::NoAllocator),
+                TokenState::Available | TokenState::Pending if now >= give_up_at => {
+                    return Err(NoToken::NoAllocator);
+                }
+                TokenState::Available | TokenState::Pending => {}
+            }
+            stock.set_waiting(now, &lock(&host.allowances.waiting));
+            stock.messages(now, MAX_TOKEN_REQUESTS)
+        };
+        let answers = exchange(host, messages);
+        if !answers.is_empty() {
+            let own = host.settings.load().peer;
+            answers.into_iter().for_each(|(number, a)| on_answer(host, own, number, a));
+            continue;
+        }
+        let _ = timeout(CHECK_INTERVAL, arrived).await;
+    }
+}
+
+/// Returns a token that a request took and did not use, as it has not run.
+pub fn give_back(host: &Host, team: &Arc<str>) {
+    let allocators = allocators(host);
+    let message = {
+        let mut stock = lock(&host.allowances.stock);
+        stock.set_allocators(&allocators);
+        stock.give_back(team)
+    };
+    let own_answers = exchange(host, message.into_iter().collect());
+    debug_assert!(own_answers.is_empty(), "a return has no answer");
+}
+
+/// Returns unused tokens, and forgets teams without an allowance. To be called a few times a second.
+pub fn tick(host: &Host) {
+    let Some(routes) = host.routes().filter(|r| !r.teams.is_empty()) else { return };
+    let now = host.now();
+    let has_allowance = |team: &str| routes.teams.team(team).is_some_and(|t| t.allowance.is_some());
+    lock(&host.allowances.allocator).retain(has_allowance);
+    let messages = {
+        let mut stock = lock(&host.allowances.stock);
+        stock.set_allocators(&allocators(host));
+        stock.set_waiting(now, &lock(&host.allowances.waiting));
+        stock.messages(now, MAX_TOKEN_REQUESTS)
+    };
+    let own = host.settings.load().peer;
+    for (number, a) in exchange(host, messages) {
+        on_answer(host, own, number, a);
+    }
+}
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -1,5 +1,6 @@
 //! State of an entry host, shared by its tasks.
 
+use crate::allowances::Allowances;
 use crate::bodies::Bodies;
 use crate::clock::Clock;
 use crate::figures::RefusedFigures;
@@ -82,6 +83,8 @@
     net: PeerNet,
     /// Grants that this host requests, and the pools that it schedules.
     pub scheduling: Scheduling,
+    /// Tokens of teams' allowances.
+    pub allowances: Allowances,
     routes: ArcSwapOption<RouteIndex>,
     config: Mutex<Option<Arc<FleetConfig>>>,
     /// The configurations that were in force before, oldest first, as bases of changes for followers.
@@ -160,6 +163,7 @@
             upstream: IdleConnections::default(),
             bodies: Bodies::new(settings.body_memory()),
             scheduling: Scheduling::default(),
+            allowances: Allowances::default(),
             routes: ArcSwapOption::empty(),
             config: Mutex::default(),
             former_configs: Mutex::default(),
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -11,7 +11,8 @@
 
 #![forbid(unsafe_code)]
 
-pub mod bodies;
+pub mod allowances;
+mod bodies;
 pub mod clock;
 pub mod directory;
 pub mod figures;
--- a/crates/geraniummux-host/src/metrics.rs
+++ b/crates/geraniummux-host/src/metrics.rs
@@ -22,6 +22,7 @@
     store_calls: IntCounterVec,
     peer_messages: IntCounterVec,
     slot_decisions: IntCounterVec,
+    tokens: IntCounterVec,
     unknown_route_types: IntCounter,
     refused_figures: IntCounter,
     task_ends: IntCounterVec,
@@ -66,6 +67,11 @@
                 "Decisions of schedulers by what became of them",
                 &["result"],
             )?,
+            tokens: counter(
+                "allowance_tokens_total",
+                "Tokens of teams' allowances by what this host did with them as an allocator",
+                &["result"],
+            )?,
             unknown_route_types: IntCounter::new(
                 "geraniummux_unknown_route_types_total",
                 "Routes of unknown types in new configurations",
@@ -77,7 +83,7 @@
             task_ends: counter("task_ends_total", "Ends of tasks that have to run", &["task"])?,
             state: IntGaugeVec::new(Opts::new("geraniummux_state", "State of the host"), &["of"])?,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 12] = [
+        let all: [Box<dyn prometheus::core::Collector>; 13] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.attempts.clone()),
@@ -86,6 +92,7 @@
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.peer_messages.clone()),
             Box::new(metrics.slot_decisions.clone()),
+            Box::new(metrics.tokens.clone()),
             Box::new(metrics.unknown_route_types.clone()),
             Box::new(metrics.refused_figures.clone()),
             Box::new(metrics.task_ends.clone()),
@@ -133,6 +140,11 @@
         self.slot_decisions.with_label_values(&[result]).inc();
     }
 
+    /// Records what this host did with tokens of an allowance: "granted", "denied" or "returned".
+    pub fn tokens(&self, result: &str, count: u32) {
+        self.tokens.with_label_values(&[result]).inc_by(u64::from(count));
+    }
+
     /// Records the end of a task that has to run.
     pub fn task_ended(&self, task: &str) {
         self.task_ends.with_label_values(&[task]).inc();
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -1,6 +1,7 @@
 //! Messages between entry hosts: membership, faults of targets, crash reports and scheduling over UDP;
 //! state synchronization and replication over TCP.
 
+use crate::allowances;
 use crate::figures;
 use crate::host::Host;
 use crate::replication;
@@ -122,6 +123,7 @@
 fn on_datagram(host: &Arc<Host>, addr: SocketAddr, envelope: Envelope) {
     let Envelope { from, incarnation, generation, message } = envelope;
     host.on_peer_config_version(generation);
+    scheduling::on_message(host, addr);
     let (message, is_altered) = figures::plausible(message);
     if is_altered {
         host.on_refused_figure(&from, "a figure in a message is out of range");
@@ -150,8 +152,21 @@
         }
         Message::SlotRequest { number, pool, request } => {
             let from = Requester { host: from, incarnation, addr };
-            scheduling::on_slot_request(host, &from, number, &pool, request);
+            scheduling::on_slot_request(host, &from, number, &pool, request, None);
         }
+        Message::TeamSlotRequest { number, pool, request, team } => {
+            let from = Requester { host: from, incarnation, addr };
+            scheduling::on_slot_request(host, &from, number, &pool, request, Some(team));
+        }
+        Message::AllowanceRequest { number, wanted } => {
+            let answer = allowances::answer(host, &wanted);
+            send(host, &[addr], Message::AllowanceResponse { number, answer });
+        }
+        Message::AllowanceResponse { number, answer } => {
+            allowances::on_answer(host, addr, number, answer.clone());
+            scheduling::on_tokens(host, addr, number, &answer);
+        }
+        Message::AllowanceReturned { unused } => allowances::take_back(host, &unused),
         Message::SlotDecision { number, decision } => {
             scheduling::on_slot_decision(host, addr, number, decision)
         }
--- a/crates/geraniummux-host/src/proxy/context.rs
+++ b/crates/geraniummux-host/src/proxy/context.rs
@@ -1,12 +1,14 @@
 //! A caller's request and what is fixed about it when it arrives.
 
+use crate::allowances;
 use crate::bodies::BodyMemory;
 use crate::host::Host;
 use bytes::Bytes;
-use geraniummux_core::fleet::{FleetPool, FleetRoute};
+use geraniummux_core::fleet::{FleetPool, FleetRoute, Team, TeamTerms};
 use geraniummux_core::{Fingerprint, Time};
 use http::HeaderValue;
 use http::request::Parts;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -20,6 +22,10 @@
     pub route: Arc<FleetRoute>,
     /// The pool that serves the request.
     pub pool: Arc<FleetPool>,
+    /// The team that sends the request, if there are teams.
+    pub team: Option<Arc<Team>>,
+    /// Whether the request has a token of its team's allowance.
+    pub has_token: AtomicBool,
     /// Version of the configuration by which the request is routed.
     pub config_version: u64,
     /// Whether another route to the same pools is less urgent than this one, or all are equally
@@ -55,6 +61,37 @@
         reserved.unwrap_or_else(|| self.host.bodies.unreserved(&self.route.name))
     }
 
+    /// Returns what a scheduler has to know of the request's team.
+    pub fn team_terms(&self) -> Option<TeamTerms> {
+        let team = self.team.as_ref()?;
+        Some(TeamTerms {
+            team: team.name.clone(),
+            needs_token: self.needs_token(),
+            weight: team.allowance.map_or(0.0, |a| a.per_s as f32),
+        })
+    }
+
+    /// Returns whether the request must not be sent before it has a token of its team's allowance. All attempts
+    /// of a request share one token.
+    pub fn needs_token(&self) -> bool {
+        let has_allowance = self.team.as_ref().is_some_and(|t| t.allowance.is_some());
+        has_allowance && !self.has_token.load(Ordering::Relaxed)
+    }
+
+    /// Records that the request has a token.
+    pub fn set_token(&self) {
+        self.has_token.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the token of a request that has ended and has not run.
+    pub fn give_back_token(&self) {
+        if let Some(team) = &self.team
+            && self.has_token.swap(false, Ordering::Relaxed)
+        {
+            allowances::give_back(&self.host, &team.name);
+        }
+    }
+
     /// Returns the time since the request arrived.
     pub fn elapsed(&self, now: Time) -> Duration {
         now.since(self.started)
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -24,6 +24,7 @@
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use slog::{info, warn};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -174,6 +175,8 @@
         urgent: index.is_urgent(route),
         route: route.clone(),
         pool,
+        team: None,
+        has_token: AtomicBool::new(false),
         config_version: index.version,
         parts,
         body,
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -3,7 +3,7 @@
 use super::attempt::{self, AttemptOutcome, FinishedAttempt};
 use super::context::RequestContext;
 use super::response;
-use super::selection::{self, Connect, SelectedTarget, Selection};
+use super::selection::{self, Connect, Rejection, SelectedTarget, Selection};
 use crate::host::Phase;
 use crate::peers;
 use crate::scheduling::{Grant, HedgeGrant};
@@ -64,7 +64,7 @@
     executions: Executions,
     /// The last server error with which a target responded.
     failure: Option<TargetResponse>,
-    rejection: Option<(&'static str, Duration)>,
+    rejection: Option<Rejection>,
     reason: &'static str,
 }
 
@@ -175,10 +175,10 @@
                 self.selecting = false;
                 self.send(*selected)
             }
-            Event::TargetSelected(Selection::Rejected { reason, retry_after }) => {
+            Event::TargetSelected(Selection::Rejected(rejection)) => {
                 self.selecting = false;
-                self.rejection = Some((reason, retry_after));
-                self.reason = reason;
+                self.rejection = Some(rejection);
+                self.reason = rejection.reason;
                 self.finish_if_idle()
             }
             Event::HedgeConnected(target, selected) => {
@@ -220,7 +220,7 @@
         }
         self.reason = "stopping";
         // Another host can serve the request at once.
-        self.rejection = Some((self.reason, Duration::ZERO));
+        self.rejection = Some(Rejection::unavailable(self.reason, Duration::ZERO));
         Some(self.failure_response())
     }
 
@@ -401,8 +401,9 @@
         if self.executions.may_have_executed() {
             return response::local(StatusCode::BAD_GATEWAY);
         }
-        let (_, retry_after) = self.rejection.unwrap_or_default();
-        response::retry_later(retry_after)
+        let unavailable = || Rejection::unavailable(self.reason, Duration::ZERO);
+        let rejection = self.rejection.unwrap_or_else(unavailable);
+        response::rejection(rejection.status, rejection.retry_after)
     }
 
     fn record_result(&self, rsp: &Response<Full<Bytes>>) {
@@ -413,11 +414,18 @@
                 ctx.host.on_fault(&attempt.target, Fault::Silent);
             }
         }
+        if self.in_flight.is_empty() && !self.executions.may_have_executed() {
+            ctx.give_back_token();
+        }
         let took = now.since(ctx.started);
         let status = rsp.status();
         let outcome = match status {
             s if s.is_success() => "served",
-            StatusCode::SERVICE_UNAVAILABLE if !self.executions.may_have_executed() => "refused",
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+                if !self.executions.may_have_executed() =>
+            {
+                "refused"
+            }
             _ => "failed",
         };
         ctx.host.metrics.request(&ctx.route.name, outcome, took);
--- a/crates/geraniummux-host/src/proxy/response.rs
+++ b/crates/geraniummux-host/src/proxy/response.rs
@@ -17,7 +17,12 @@
 /// Returns the response to a request that was not executed and may be sent again after `delay`, which
 /// `Retry-After` gives in seconds with three decimals.
 pub fn retry_later(delay: Duration) -> Response<Full<Bytes>> {
-    let mut rsp = local(StatusCode::SERVICE_UNAVAILABLE);
+    rejection(StatusCode::SERVICE_UNAVAILABLE, delay)
+}
+
+/// Like [`retry_later`], with a status that promises that the request was not executed.
+pub fn rejection(status: StatusCode, delay: Duration) -> Response<Full<Bytes>> {
+    let mut rsp = local(status);
     if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64())) {
         rsp.headers_mut().insert(header::RETRY_AFTER, value);
     }
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -6,6 +6,7 @@
 //! idempotent request may use a connection without a probe after a short idle time.
 
 use super::context::RequestContext;
+use crate::allowances::{self, NoToken};
 use crate::fleet::{Fleet, Prober};
 use crate::host::Host;
 use crate::reach::{self, CONNECT_TIMEOUT, ConnectError};
@@ -15,8 +16,8 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
-    AdmissionDecision, AdmissionInput, AdmissionRules, Candidate, Fault, FleetPool, ResponseLimits,
-    SlotRequest, TargetReport, admit, has_slowed,
+    AdmissionDecision, AdmissionInput, AdmissionRules, Candidate, Fault, FleetPool, RejectReason,
+    ResponseLimits, SlotRequest, TargetReport, admit, has_slowed,
 };
 use geraniummux_core::time::scaled;
 use http::{HeaderValue, Request, StatusCode, header};
@@ -66,12 +67,38 @@
     /// A target is selected.
     Selected(Box<SelectedTarget>),
     /// The request is rejected.
-    Rejected {
-        /// The reason, for logs.
-        reason: &'static str,
-        /// Time after which the caller may send the request again.
-        retry_after: Duration,
-    },
+    Rejected(Rejection),
+}
+
+/// The rejection of a request that has not run.
+#[derive(Clone, Copy, Debug)]
+pub struct Rejection {
+    /// Status of the response.
+    pub status: StatusCode,
+    /// The reason, for logs.
+    pub reason: &'static str,
+    /// Time after which the caller may send the request again.
+    pub retry_after: Duration,
+}
+
+impl Rejection {
+    /// Returns the rejection of a request that finds no capacity.
+    pub fn unavailable(reason: &'static str, retry_after: Duration) -> Self {
+        Rejection { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after }
+    }
+
+    /// Returns the rejection of a request whose team has used up its allowance until `next`. Callers return at
+    /// different times, since the allowance suffices for few of them at once.
+    fn over_allowance(ctx: &RequestContext, next: Duration) -> Self {
+        let share = AdmissionRules::default().retry_after_share;
+        let latest = scaled(ctx.time_left(ctx.host.now()), share).max(next);
+        let spread = scaled(latest - next, rand::random());
+        Rejection {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            reason: RejectReason::OverAllowance.as_str(),
+            retry_after: next + spread,
+        }
+    }
 }
 
 /// A target's response to a probe, with the connection on which it arrived.
@@ -101,9 +128,12 @@
         };
         let latency_target = ctx.route.latency_target;
         let (pool, deadline) = (&ctx.pool.name, ctx.deadline);
-        let slot = scheduling::request_slot(host, pool, latency_target, deadline, slot_request);
+        let team = ctx.team_terms();
+        let slot =
+            scheduling::request_slot(host, pool, latency_target, deadline, team, slot_request);
         match slot.await {
             SlotResult::Granted { mut grant, target, latency_factor } => {
+                ctx.set_token();
                 // The last grant is used even if the target has become slow.
                 let limit = if tries < MAX_GRANTS_TRIED { latency_factor } else { f64::INFINITY };
                 match connect(&ctx, &target, limit).await {
@@ -120,17 +150,21 @@
                     Connect::Unusable => {}
                     Connect::NoPath => {
                         // Another host may serve the request at once.
-                        let retry_after = Duration::ZERO;
-                        return Selection::Rejected { reason: "cut_off", retry_after };
+                        let rejection = Rejection::unavailable("cut_off", Duration::ZERO);
+                        return Selection::Rejected(rejection);
                     }
                 }
                 avoid.push(target);
             }
             SlotResult::Rejected { reason, retry_after } => {
-                info!(host.log, "admission_refused"; "id" => ctx.id(), "why" => reason,
+                let rejection = match reason {
+                    RejectReason::OverAllowance => Rejection::over_allowance(&ctx, retry_after),
+                    _ => Rejection::unavailable(reason.as_str(), retry_after),
+                };
+                info!(host.log, "admission_refused"; "id" => ctx.id(), "why" => reason.as_str(),
                     "by" => "scheduler", "held_ms" => ctx.elapsed(host.now()).as_millis() as u64,
-                    "retry_after_ms" => retry_after.as_millis() as u64);
-                return Selection::Rejected { reason, retry_after };
+                    "retry_after_ms" => rejection.retry_after.as_millis() as u64);
+                return Selection::Rejected(rejection);
             }
             SlotResult::Unavailable => break,
         }
@@ -284,6 +318,9 @@
 /// Selects a target that is not among `tried` by probing some for their load.
 async fn select_by_probing(ctx: Arc<RequestContext>, tried: Vec<Arc<str>>) -> Selection {
     let host = &ctx.host;
+    if let Err(rejection) = obtain_token(&ctx).await {
+        return Selection::Rejected(rejection);
+    }
     let rules = AdmissionRules::default();
     let mut probes = INITIAL_PROBES;
     let mut empty_rounds = 0;
@@ -357,12 +394,32 @@
                     "slowdown" => best.report.slowdown, "stretch" => latency_factor,
                     "held_ms" => demand.elapsed.as_millis() as u64,
                     "time_left_ms" => demand.time_left.as_millis() as u64);
-                return Selection::Rejected { reason: reason.as_str(), retry_after };
+                return Selection::Rejected(Rejection::unavailable(reason.as_str(), retry_after));
             }
         }
     }
 }
 
+/// Obtains a token of the team's allowance if the request needs one.
+async fn obtain_token(ctx: &RequestContext) -> Result<(), Rejection> {
+    let Some(team) = ctx.team.as_ref().filter(|_| ctx.needs_token()) else { return Ok(()) };
+    let rejection = match allowances::obtain(&ctx.host, &team.name).await {
+        Ok(()) => {
+            ctx.set_token();
+            return Ok(());
+        }
+        Err(NoToken::Denied(next)) => Rejection::over_allowance(ctx, next),
+        // Another host may reach an allocator.
+        Err(NoToken::NoAllocator) => {
+            Rejection::unavailable(RejectReason::NoAllocator.as_str(), Duration::ZERO)
+        }
+    };
+    info!(ctx.host.log, "admission_refused"; "id" => ctx.id(), "why" => rejection.reason,
+        "by" => "host", "held_ms" => ctx.elapsed(ctx.host.now()).as_millis() as u64,
+        "retry_after_ms" => rejection.retry_after.as_millis() as u64);
+    Err(rejection)
+}
+
 /// Returns up to `count` targets to probe for a request, none of `tried`. Targets with a limit are used
 /// only if there are no others, and then within this host's share of the limit.
 fn candidates(ctx: &RequestContext, tried: &[Arc<str>], count: usize) -> Vec<Candidate> {
@@ -390,7 +447,7 @@
 fn rejection(reason: &'static str, ctx: &RequestContext) -> Selection {
     let left = ctx.time_left(ctx.host.now());
     let share = AdmissionRules::default().retry_after_share;
-    Selection::Rejected { reason, retry_after: scaled(left, share) }
+    Selection::Rejected(Rejection::unavailable(reason, scaled(left, share)))
 }
 
 /// Returns the index of the best target's response, and the expected latency there as a multiple of the
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -10,7 +10,7 @@
 use crate::signals::Signals;
 use crate::stopping::Stop;
 use crate::store::Store;
-use crate::{logs, reach, reader, replication, scheduling, tasks};
+use crate::{allowances, logs, reach, reader, replication, scheduling, tasks};
 use anyhow::Context;
 use slog::{Logger, info, warn};
 use std::path::{Path, PathBuf};
@@ -102,6 +102,7 @@
         host.tick(now);
         host.upstream.set_idle_limit(host.idle_connection_limit());
         proxy::recheck_leaving(&host);
+        allowances::tick(&host);
         let fleet = host.fleet();
         host.upstream.sweep(now, |addr| fleet.table.contains_addr(addr));
         host.metrics.set_state("config_version", host.config_version() as i64);
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -3,6 +3,7 @@
 //! All hosts derive the scheduler of a pool from the membership. A grant gives a request the right to
 //! be sent to a target; it is held until the request has ended.
 
+use crate::allowances;
 use crate::fleet::Prober;
 use crate::host::Host;
 use crate::peers;
@@ -10,12 +11,12 @@
 use crate::proxy::selection;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::fleet::{
-    RegisteredTarget, ReportedDemand, RequestKey, Scheduler, SchedulerOptions, SlotDecision,
-    SlotRequest, StaleTarget, TargetReport,
+    AllowanceAnswer, RegisteredTarget, RejectReason, ReportedDemand, RequestKey, Scheduler,
+    SchedulerOptions, SlotDecision, SlotRequest, StaleTarget, TargetReport, TeamTerms,
 };
-use geraniummux_core::time::scaled;
+use geraniummux_core::time::{scaled, seconds};
 use geraniummux_core::{MemberState, Time};
-use geraniummux_wire::{MAX_PROBED_TARGETS, Message};
+use geraniummux_wire::{MAX_PROBED_TARGETS, MAX_TOKEN_REQUESTS, Message};
 use slog::{info, warn};
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -31,6 +32,8 @@
 /// Time limit of the first decision as a share of the request's latency target. A scheduler that is
 /// briefly out of processor time costs a request less than the choice of a target without it.
 const DECISION_SHARE_OF_TARGET: f64 = 0.05;
+/// Size of a body behind which a message may wait on a host's link, in bytes.
+const BODY_ON_LINK_BYTES: f64 = 64.0 * 1_024.0;
 /// Time after which the slot request of a waiting request is sent again, in case a message was lost.
 const RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which no slot requests are sent to a scheduler that did not respond.
@@ -51,7 +54,7 @@
 const MAX_PROBE_CREDIT: f64 = 500.0;
 /// Time after its start in which a host does not rely on its view of the membership. After a start of
 /// the whole fleet, a host discovers all members within about half a second.
-const STARTUP_SETTLE_TIME: Duration = Duration::from_secs(1);
+pub const STARTUP_SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Time after which a host reports the demands of targets to their scheduler once more.
 const DEMAND_REFRESH: Duration = Duration::from_secs(1);
 /// Interval of the timer of a host that schedules pools.
@@ -110,6 +113,7 @@
         let i = pools.binary_search_by(|p| p.pool.cmp(pool)).unwrap_or_else(|i| {
             info!(host.log, "scheduling_pool"; "pool" => &**pool);
             let mut scheduler = Scheduler::new(SchedulerOptions::default());
+            scheduler.start_stock(allowances::first_number());
             scheduler.update(targets_of(fleet.registry.targets(now), pool));
             for demand in fleet.demand_reports(now, pool) {
                 scheduler.on_demand(now, &demand);
@@ -295,8 +299,8 @@
     },
     /// The scheduler rejects the request.
     Rejected {
-        /// The reason, for logs.
-        reason: &'static str,
+        /// The reason.
+        reason: RejectReason,
         /// Time after which the caller may send the request again.
         retry_after: Duration,
     },
@@ -331,8 +335,10 @@
 }
 
 impl DecisionTimeout {
-    fn new(latency_target: Duration) -> Self {
+    fn new(latency_target: Duration, link_mbps: Option<f64>) -> Self {
+        let on_link = link_mbps.map_or(0.0, |mbps| BODY_ON_LINK_BYTES * 8.0 / (mbps * 1e6));
         let whole = scaled(latency_target, DECISION_SHARE_OF_TARGET).max(MIN_DECISION_TIMEOUT);
+        let whole = whole + seconds(on_link);
         // A second message covers the loss of the first one, if there is time for it.
         let sends = if whole >= 2 * MIN_DECISION_TIMEOUT { 2 } else { 1 };
         DecisionTimeout { limit: whole / sends, sends }
@@ -347,6 +353,7 @@
     pool: &Arc<str>,
     latency_target: Duration,
     deadline: Time,
+    team: Option<TeamTerms>,
     describe: F,
 ) -> SlotResult
 where
@@ -369,14 +376,14 @@
         report: None,
         decisions,
     };
-    let first = DecisionTimeout::new(latency_target);
+    let first = DecisionTimeout::new(latency_target, host.settings.load().link_mbps);
     let mut unanswered = 0;
     loop {
         let now = host.now();
         if now >= deadline {
             return SlotResult::Unavailable;
         }
-        send_slot_request(host, scheduler, number, pool, describe(now));
+        send_slot_request(host, scheduler, number, pool, describe(now), team.clone());
         unanswered += 1;
         let mut limit = first.limit;
         loop {
@@ -390,7 +397,7 @@
                     return SlotResult::Granted { grant, target, latency_factor };
                 }
                 Ok(Some(SlotDecision::Reject { reason, retry_after })) => {
-                    return SlotResult::Rejected { reason: reason.as_str(), retry_after };
+                    return SlotResult::Rejected { reason, retry_after };
                 }
                 Ok(None) => return SlotResult::Unavailable,
                 Err(_) if unanswered >= first.sends => {
@@ -469,12 +476,19 @@
     unresponsive.push((scheduler, now + UNRESPONSIVE_BACKOFF));
 }
 
+/// Handles a message from the host at an address, which shows that it responds.
+pub fn on_message(host: &Host, from: SocketAddr) {
+    let mut unresponsive = lock(&host.scheduling.unresponsive);
+    unresponsive.retain(|(addr, _)| *addr != from);
+}
+
 fn send_slot_request(
     host: &Arc<Host>,
     scheduler: SocketAddr,
     number: u64,
     pool: &Arc<str>,
     request: SlotRequest,
+    team: Option<TeamTerms>,
 ) {
     if scheduler == host.settings.load().peer {
         let me = {
@@ -482,14 +496,15 @@
             let local = members.local_member();
             Requester { host: local.name.clone(), incarnation: local.incarnation, addr: scheduler }
         };
-        on_slot_request(host, &me, number, pool, request);
-    } else {
-        peers::send(
-            host,
-            &[scheduler],
-            Message::SlotRequest { number, pool: pool.clone(), request },
-        );
+        on_slot_request(host, &me, number, pool, request, team);
+        return;
     }
+    let pool = pool.clone();
+    let message = match team {
+        Some(team) => Message::TeamSlotRequest { number, pool, request, team },
+        None => Message::SlotRequest { number, pool, request },
+    };
+    peers::send(host, &[scheduler], message);
 }
 
 /// Handles a slot request. One that an earlier incarnation of the host has sent is ignored: its process may have been
@@ -500,6 +515,7 @@
     number: u64,
     pool: &Arc<str>,
     request: SlotRequest,
+    team: Option<TeamTerms>,
 ) {
     let member = host.members().peer(&from.host).map(|m| m.incarnation);
     let latest = member.max(host.scheduling.requester_incarnation(&from.host));
@@ -513,9 +529,48 @@
         host.scheduling.end_former_requests(&from.host);
     }
     let key = RequestKey { host: from.host.clone(), number };
-    let decisions = host.scheduling.with_scheduler(host, pool, |s| s.on_request(now, key, request));
+    let has_team = team.is_some();
+    let decisions = host.scheduling.with_scheduler(host, pool, |s| match team {
+        Some(team) => s.on_team_request(now, key, request, team),
+        None => s.on_request(now, key, request),
+    });
     host.scheduling.add_probe_credit(pool);
     send_decisions(host, decisions);
+    if has_team {
+        exchange_tokens(host, pool);
+    }
+}
+
+/// Obtains the tokens that the requests which wait in a pool need. Tokens that this host grants itself are used at
+/// once.
+fn exchange_tokens(host: &Arc<Host>, pool: &Arc<str>) {
+    let own = host.settings.load().peer;
+    let allocators = allowances::allocators(host);
+    for _ in 0..=allocators.len() {
+        let now = host.now();
+        let messages = {
+            let mut pools = lock(&host.scheduling.pools);
+            let Ok(i) = pools.binary_search_by(|p| p.pool.cmp(pool)) else { return };
+            pools[i].scheduler.token_messages(now, &allocators, MAX_TOKEN_REQUESTS)
+        };
+        let answers = allowances::exchange(host, messages);
+        if answers.is_empty() {
+            return;
+        }
+        for (number, answer) in answers {
+            on_tokens(host, own, number, &answer);
+        }
+    }
+}
+
+/// Passes an allocator's answer to the schedulers of this host.
+pub fn on_tokens(host: &Arc<Host>, from: SocketAddr, number: u64, answer: &AllowanceAnswer) {
+    let now = host.now();
+    let mut decisions = Vec::new();
+    for scheduled in lock(&host.scheduling.pools).iter_mut() {
+        decisions.extend(scheduled.scheduler.on_tokens(now, from, number, answer.clone()));
+    }
+    send_decisions(host, decisions);
 }
 
 /// Handles the news that a host runs in an incarnation.
@@ -630,6 +685,9 @@
         }
     }
     send_decisions(host, decisions);
+    if host.routes().is_some_and(|r| !r.teams.is_empty()) {
+        stale_targets.iter().for_each(|(pool, _)| exchange_tokens(host, pool));
+    }
     for (pool, mut targets) in stale_targets {
         let granted = host.take_probes(&pool, targets.len(), 0, Prober::Scheduler);
         targets.truncate(granted);
--- a/crates/geraniummux-host/tests/scheduling.rs
+++ b/crates/geraniummux-host/tests/scheduling.rs
@@ -25,8 +25,10 @@
     let request_slot = async || {
         let deadline = host.now() + Duration::from_secs(1);
         let target = Duration::from_millis(300);
-        scheduling::request_slot(&host, &"ledger".into(), target, deadline, |_| slot_request())
-            .await
+        scheduling::request_slot(&host, &"ledger".into(), target, deadline, None, |_| {
+            slot_request()
+        })
+        .await
     };
     assert!(matches!(request_slot().await, SlotResult::Unavailable));
     // Later it relies on its view: it is the only member, and the pool has no targets.
