--- a/crates/geraniummux-wire/src/packed.rs
+++ b/crates/geraniummux-wire/src/packed.rs
@@ -5,19 +5,27 @@
 use crate::errors::{Error, Result};
 use geraniummux_core::fleet::{ConfigChange, ConfigExtension};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// Maximum size of a change before compression in bytes, so that a reader never allocates more.
 const MAX_UNPACKED_LEN: usize = 4 * MAX_STREAM_FRAME_LEN;
 
 /// A [`ConfigChange`] and its extension, encoded with postcard and compressed with LZ4. Builds without the
 /// extension ignore what follows the change.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PackedConfigChange {
     /// Size of the encoded change in bytes.
     len: u32,
     data: Vec<u8>,
 }
 
+impl fmt::Debug for PackedConfigChange {
+    /// Writes the size only: the data holds the keys of callers.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PackedConfigChange").field("len", &self.len).finish_non_exhaustive()
+    }
+}
+
 impl PackedConfigChange {
     /// Encodes and compresses a change.
     ///
