Host: stay behind peers until their newest configuration is in force

Cause: any adopted configuration cleared the time since which a peer has a newer one, also one that was still older than the peer's. The next message of a peer set it again. In between, a host would answer 401 to a key of the version that it lacks. Besides, a peer's version was compared before the lock was taken, so that a concurrent adoption could leave the host marked as behind.

Change: the newest version of peers is kept, and compared under the lock. is_config_current tells whether the configuration may be out of date: a peer has a newer one, or the copy is older than 2.5 s, within which a configuration takes effect.

Ruled out: keeping the first time while the host is behind, since its age would then rise on a host that gets each version a little later than its peers.

--- a/crates/geraniummux-host/src/freshness.rs
+++ b/crates/geraniummux-host/src/freshness.rs
@@ -16,6 +16,9 @@
 /// Part of the time for which a leaving target may get requests that a removed entry remains in use. The
 /// rest is for the removal to arrive and for requests that were sent before.
 const MAX_GRACE_SHARE_OF_DRAIN: f64 = 0.75;
+/// Time after the store's acknowledgement within which a configuration takes effect. A copy that is older may lack
+/// what is already in force elsewhere.
+const CONFIG_LAG: Duration = Duration::from_millis(2_500);
 
 /// How current this host's copy of the store is, from its own calls and from its peers' updates.
 #[derive(Clone, Debug)]
@@ -32,6 +35,8 @@
     pub config_revision: Option<Revision>,
     /// Since when a peer is known to have a newer configuration.
     pub config_behind_since: Option<Time>,
+    /// The newest version of the configuration that a peer is known to have.
+    peer_config_version: u64,
     /// Since when all calls of this host to the store have failed.
     pub store_failing_since: Option<Time>,
     /// Until when removed entries may be registrations that expired during an outage of the store.
@@ -52,6 +57,7 @@
             watching_config: false,
             config_revision: None,
             config_behind_since: None,
+            peer_config_version: 0,
             store_failing_since: None,
             expiry_grace_until: now,
             heard_since: None,
@@ -128,6 +134,25 @@
         if self.is_watching() { behind } else { now.since(self.as_of).max(behind) }
     }
 
+    /// Returns whether the configuration is not known to be out of date: no peer has a newer one, and one that is not
+    /// in this copy may not have taken effect yet.
+    pub fn is_config_current(&self, now: Time) -> bool {
+        self.config_behind_since.is_none() && self.age(now) <= CONFIG_LAG
+    }
+
+    /// Records that a peer has this version of the configuration in force while this host has `held`.
+    pub fn on_peer_config_version(&mut self, now: Time, version: u64, held: u64) {
+        self.peer_config_version = self.peer_config_version.max(version);
+        if version > held {
+            self.config_behind_since.get_or_insert(now);
+        }
+    }
+
+    /// Records that a version of the configuration is put in force. A peer may have a newer one still.
+    pub fn on_config_adopted(&mut self, now: Time, version: u64) {
+        self.config_behind_since = (self.peer_config_version > version).then_some(now);
+    }
+
     /// Returns how current the copy is by the peers' updates alone.
     pub fn peer_freshness(&self, now: Time) -> PeerFreshness {
         let behind = self.config_behind_since.map_or(Duration::ZERO, |t| now.since(t));
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -296,6 +296,7 @@
             "revision" => %revision, "from" => from, "routes" => config.routes.len(),
             "pools" => config.pools.len(), "teams" => config.teams.len(),
             "complete" => config.is_complete);
+        let version = config.version;
         self.routes.store(Some(Arc::new(RouteIndex::new(&config))));
         let former = current.replace(Arc::new(config));
         drop(current);
@@ -305,7 +306,7 @@
             formers.pop_front();
         }
         drop(formers);
-        self.freshness().config_behind_since = None;
+        self.freshness().on_config_adopted(self.now(), version);
         self.notify_followers();
     }
 
@@ -325,10 +326,10 @@
     /// Records the configuration version that a peer has in force. If it is newer than this host's and
     /// does not arrive, what this host reads or follows is not current.
     pub fn on_peer_config_version(&self, version: u64) {
-        if version > self.config_version() {
-            let now = self.now();
-            self.freshness().config_behind_since.get_or_insert(now);
-        }
+        let now = self.now();
+        let mut freshness = self.freshness();
+        // Read under the lock: a configuration is put in force before the lock is taken to record that.
+        freshness.on_peer_config_version(now, version, self.config_version());
     }
 
     /// Returns the position in the store's history up to which this host has read or replicated anything.
--- a/crates/geraniummux-host/tests/freshness.rs
+++ b/crates/geraniummux-host/tests/freshness.rs
@@ -119,3 +119,28 @@
         freshness.on_update(at(ms), at(ms));
     }
 }
+
+/// Guards against final refusals of keys by a host whose copy of the store is out of date.
+#[test]
+fn is_config_current_until_a_change_may_be_in_force_elsewhere() {
+    let mut freshness = Freshness::new(START);
+    freshness.on_update(at(1_000), at(900));
+    assert!(freshness.is_config_current(at(3_400)));
+    assert!(!freshness.is_config_current(at(3_401)));
+    freshness.on_update(at(3_500), at(3_450));
+    assert!(freshness.is_config_current(at(3_500)));
+}
+
+/// Guards against a host that takes its configuration for the newest one after it got an older one than its peers
+/// have.
+#[test]
+fn on_config_adopted_older_than_that_of_peers_is_not_current() {
+    let mut freshness = Freshness::new(START);
+    freshness.on_peer_config_version(at(100), 3, 1);
+    freshness.on_peer_config_version(at(200), 2, 1);
+    assert!(!freshness.is_config_current(at(200)));
+    freshness.on_config_adopted(at(300), 2);
+    assert_eq!(freshness.config_behind_since, Some(at(300)));
+    freshness.on_config_adopted(at(400), 3);
+    assert!(freshness.is_config_current(at(400)));
+}
