Teams: identify the team of each request by its key

Change: fleet::identify_team decides by the index, the route, the keys and whether the configuration is current. The host asks it once for each request, after the route is found and before the body is read, and takes the key and the caller's team header out of the request's head, from which all attempts are made. Refusals are 401, or 503 with Retry-After of 0.3 s if the configuration may lack the key. A team's priority replaces that of the route in slot requests and in the host's own choice of targets (RouteIndex::is_urgent). Requests are logged and counted by team. Without teams in a complete configuration, requests are unchanged and no lock is taken.

Ruled out: removing the headers for each attempt, which leaves the key in memory that other code may log; refusing all requests while the configuration is incomplete, which stops deployments without teams while their hosts are replaced.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -66,5 +66,5 @@
 };
 pub use split::SplitState;
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
-pub use teams::{Allowance, ApiKey, Team, TeamIndex};
+pub use teams::{Allowance, ApiKey, KeyRefusal, Team, TeamIndex, identify_team};
 pub use warm::WarmConnections;
--- a/crates/geraniummux-core/src/fleet/routes.rs
+++ b/crates/geraniummux-core/src/fleet/routes.rs
@@ -149,7 +149,7 @@
     routes: Vec<Arc<FleetRoute>>,
     /// Sorted by name.
     pools: Vec<Arc<FleetPool>>,
-    /// Most and least urgent priority of the routes to each pool, sorted by pool.
+    /// Most and least urgent priority of the routes to each pool and of the teams, sorted by pool.
     priorities: Vec<(Arc<str>, (u32, u32))>,
 }
 
@@ -160,7 +160,7 @@
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         let mut pools: Vec<_> = config.pools.iter().cloned().map(Arc::new).collect();
         pools.sort_by(|a, b| a.name.cmp(&b.name));
-        let priorities = priorities(&routes);
+        let priorities = priorities(&routes, &config.teams);
         RouteIndex {
             version: config.version,
             limits: config.limits,
@@ -193,16 +193,16 @@
         Some(&self.pools[i])
     }
 
-    /// Returns whether requests of this route are urgent at all its pools: at each one, either some
-    /// route is less urgent or all routes have the same priority.
+    /// Returns whether requests of this route with a priority, that of the route or of a team, are urgent at all its
+    /// pools: at each one, either some route or team is less urgent or all have the same priority.
     ///
-    /// More urgent routes are ignored, since they may have hardly any traffic.
-    pub fn is_urgent(&self, route: &FleetRoute) -> bool {
+    /// More urgent routes and teams are ignored, since they may have hardly any traffic.
+    pub fn is_urgent(&self, route: &FleetRoute, priority: u32) -> bool {
         route.shares.iter().all(|s| {
             let i = self.priorities.binary_search_by(|(pool, _)| pool.cmp(&s.pool));
             i.is_ok_and(|i| {
                 let (most, least) = self.priorities[i].1;
-                route.priority < least || most == least
+                priority < least || most == least
             })
         })
     }
@@ -213,7 +213,7 @@
     }
 }
 
-fn priorities(routes: &[Arc<FleetRoute>]) -> Vec<(Arc<str>, (u32, u32))> {
+fn priorities(routes: &[Arc<FleetRoute>], teams: &[Arc<Team>]) -> Vec<(Arc<str>, (u32, u32))> {
     let mut all: Vec<(Arc<str>, (u32, u32))> = routes
         .iter()
         .flat_map(|r| r.shares.iter().map(|s| (s.pool.clone(), (r.priority, r.priority))))
@@ -227,6 +227,13 @@
         }
         same
     });
+    // Each team may send requests to each pool.
+    let of_teams = teams.iter().filter_map(|t| t.priority);
+    if let (Some(most), Some(least)) = (of_teams.clone().min(), of_teams.max()) {
+        for (_, range) in &mut all {
+            *range = (range.0.min(most), range.1.max(least));
+        }
+    }
     all
 }
 
--- a/crates/geraniummux-core/src/fleet/teams.rs
+++ b/crates/geraniummux-core/src/fleet/teams.rs
@@ -1,5 +1,6 @@
 //! Teams of callers: their keys, priorities and allowances.
 
+use super::routes::{FleetRoute, RouteIndex};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
@@ -82,3 +83,68 @@
         Some(&self.teams[i])
     }
 }
+
+/// Why a request is refused for its keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyRefusal {
+    /// It has no key.
+    NoKey,
+    /// It has more than one key.
+    SeveralKeys,
+    /// No team holds its key.
+    UnknownKey,
+    /// The configuration may lack what would admit the request. The caller may send it again.
+    Unconfirmed,
+}
+
+impl KeyRefusal {
+    /// Returns the name of the reason for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            KeyRefusal::NoKey => "no_key",
+            KeyRefusal::SeveralKeys => "several_keys",
+            KeyRefusal::UnknownKey => "unknown_key",
+            KeyRefusal::Unconfirmed => "key_unconfirmed",
+        }
+    }
+}
+
+/// Returns the team that a request on `route` with the given `keys` belongs to; `None` if it belongs to none.
+/// `is_current` states that the configuration is not known to be out of date.
+///
+/// # Errors
+///
+/// Fails if there are teams, the route is not public, and the request does not have exactly one key that a team
+/// holds.
+pub fn identify_team<'a, I>(
+    index: &RouteIndex,
+    route: &FleetRoute,
+    keys: I,
+    is_current: bool,
+) -> Result<Option<Arc<Team>>, KeyRefusal>
+where
+    I: IntoIterator<Item = &'a [u8]>,
+{
+    if index.teams.is_empty() {
+        return Ok(None);
+    }
+    let mut keys = keys.into_iter();
+    let refusal = match (keys.next(), keys.next()) {
+        (None, _) => KeyRefusal::NoKey,
+        (Some(_), Some(_)) => KeyRefusal::SeveralKeys,
+        (Some(key), None) => match index.teams.team_of_key(key) {
+            Some(team) => return Ok(Some(team.clone())),
+            None => KeyRefusal::UnknownKey,
+        },
+    };
+    if route.public {
+        return Ok(None);
+    }
+    // An incomplete configuration may also lack that the route is public.
+    let may_be_admitted = match refusal {
+        KeyRefusal::UnknownKey => !is_current || !index.is_complete,
+        KeyRefusal::NoKey | KeyRefusal::SeveralKeys => !index.is_complete,
+        KeyRefusal::Unconfirmed => true,
+    };
+    Err(if may_be_admitted { KeyRefusal::Unconfirmed } else { refusal })
+}
--- a/crates/geraniummux-core/tests/fleet_routes.rs
+++ b/crates/geraniummux-core/tests/fleet_routes.rs
@@ -112,7 +112,8 @@
     let index = RouteIndex::new(&FleetConfig { routes, ..FleetConfig::default() });
     let urgent: Vec<bool> = ["/a/", "/b/", "/c/"]
         .iter()
-        .map(|p| index.is_urgent(index.find("h", p).unwrap()))
+        .map(|p| index.find("h", p).unwrap())
+        .map(|r| index.is_urgent(r, r.priority))
         .collect();
     assert_eq!(urgent, [true, false, true]);
 }
@@ -125,7 +126,10 @@
         |name, prefix, priority| FleetRoute { priority, ..route(name, "h", prefix, &[("p", 1.0)]) };
     let routes = vec![with("idle", "/idle/", 0), with("a", "/a/", 1), with("b", "/b/", 2)];
     let index = RouteIndex::new(&FleetConfig { routes, ..FleetConfig::default() });
-    let urgent = |path| index.is_urgent(index.find("h", path).unwrap());
+    let urgent = |path| {
+        let route = index.find("h", path).unwrap();
+        index.is_urgent(route, route.priority)
+    };
     assert!(urgent("/a/"));
     assert!(!urgent("/b/"));
 }
--- a/crates/geraniummux-host/src/metrics.rs
+++ b/crates/geraniummux-host/src/metrics.rs
@@ -15,6 +15,7 @@
 pub struct Metrics {
     registry: Registry,
     requests: IntCounterVec,
+    team_requests: IntCounterVec,
     latency: HistogramVec,
     attempts: IntCounterVec,
     probes: IntCounterVec,
@@ -47,6 +48,11 @@
                 "Requests by route and outcome",
                 &["route", "outcome"],
             )?,
+            team_requests: counter(
+                "team_requests_total",
+                "Requests by team and outcome",
+                &["team", "outcome"],
+            )?,
             latency: HistogramVec::new(latency.buckets(buckets), &["route"])?,
             attempts: counter(
                 "sends_total",
@@ -77,8 +83,9 @@
             task_ends: counter("task_ends_total", "Ends of tasks that have to run", &["task"])?,
             state: IntGaugeVec::new(Opts::new("geraniummux_state", "State of the host"), &["of"])?,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 12] = [
+        let all: [Box<dyn prometheus::core::Collector>; 13] = [
             Box::new(metrics.requests.clone()),
+            Box::new(metrics.team_requests.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.attempts.clone()),
             Box::new(metrics.probes.clone()),
@@ -97,9 +104,12 @@
         Ok(metrics)
     }
 
-    /// Records a finished caller's request.
-    pub fn request(&self, route: &str, outcome: &str, took: Duration) {
+    /// Records a finished caller's request, with its team if it belongs to one.
+    pub fn request(&self, route: &str, team: Option<&str>, outcome: &str, took: Duration) {
         self.requests.with_label_values(&[route, outcome]).inc();
+        if let Some(team) = team {
+            self.team_requests.with_label_values(&[team, outcome]).inc();
+        }
         self.latency.with_label_values(&[route]).observe(took.as_secs_f64());
     }
 
--- a/crates/geraniummux-host/src/protocol.rs
+++ b/crates/geraniummux-host/src/protocol.rs
@@ -23,6 +23,10 @@
     pub not_executed: HeaderName,
     /// Digest of a target's response; present in every complete response.
     pub digest: HeaderName,
+    /// Key by which a caller shows that it belongs to a team. Not sent to targets.
+    pub caller_key: HeaderName,
+    /// Name of the team that a request belongs to, for the target.
+    pub team: HeaderName,
 }
 
 /// Location of a caller that requests the host list.
--- a/crates/geraniummux-host/src/proxy/context.rs
+++ b/crates/geraniummux-host/src/proxy/context.rs
@@ -3,7 +3,7 @@
 use crate::bodies::BodyMemory;
 use crate::host::Host;
 use bytes::Bytes;
-use geraniummux_core::fleet::{FleetPool, FleetRoute};
+use geraniummux_core::fleet::{FleetPool, FleetRoute, Team};
 use geraniummux_core::{Fingerprint, Time};
 use http::HeaderValue;
 use http::request::Parts;
@@ -18,6 +18,8 @@
     pub id: HeaderValue,
     /// The route that matches the request.
     pub route: Arc<FleetRoute>,
+    /// The team that the request belongs to, if there are teams and it has the key of one.
+    pub team: Option<Arc<Team>>,
     /// The pool that serves the request.
     pub pool: Arc<FleetPool>,
     /// Version of the configuration by which the request is routed.
@@ -25,7 +27,7 @@
     /// Whether another route to the same pools is less urgent than this one, or all are equally
     /// urgent.
     pub urgent: bool,
-    /// Head of the request.
+    /// Head of the request. If there are teams, it has neither the caller's key nor a name of a team.
     pub parts: Parts,
     /// Body of the request.
     pub body: Bytes,
@@ -60,8 +62,23 @@
         now.since(self.started)
     }
 
+    /// Returns the priority of the request: that of its team or, if that has none, of its route.
+    pub fn priority(&self) -> u32 {
+        priority(&self.route, self.team.as_deref())
+    }
+
+    /// Returns the name of the request's team for logs; empty if there is none.
+    pub fn team_name(&self) -> &str {
+        self.team.as_ref().map_or("", |t| &*t.name)
+    }
+
     /// Returns the request's identity for logs; "unreadable" if it is not text.
     pub fn id(&self) -> &str {
         self.id.to_str().unwrap_or("unreadable")
     }
 }
+
+/// Returns the priority of the requests of a route and a team.
+pub fn priority(route: &FleetRoute, team: Option<&Team>) -> u32 {
+    team.and_then(|t| t.priority).unwrap_or(route.priority)
+}
--- a/crates/geraniummux-host/src/proxy/headers.rs
+++ b/crates/geraniummux-host/src/proxy/headers.rs
@@ -42,6 +42,9 @@
     if let Ok(value) = HeaderValue::from_str(target) {
         out.insert(names.expected_target.clone(), value);
     }
+    if let Some(value) = ctx.team.as_ref().and_then(|t| HeaderValue::from_str(&t.name).ok()) {
+        out.insert(names.team.clone(), value);
+    }
     out
 }
 
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -17,7 +17,9 @@
 use bytes::Bytes;
 use context::RequestContext;
 use geraniummux_core::Fingerprint;
-use geraniummux_core::fleet::{AdmissionRules, FleetRoute, RouteIndex};
+use geraniummux_core::fleet::{
+    AdmissionRules, FleetRoute, KeyRefusal, RouteIndex, Team, identify_team,
+};
 use geraniummux_core::time::{scaled, seconds};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -29,6 +31,9 @@
 
 /// `Retry-After` of a host that has no configuration yet.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// `Retry-After` of a host whose configuration may lack a key: the interval of replication updates, with which a newer
+/// configuration arrives at the latest unless this host is cut off.
+const UNCONFIRMED_KEY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Serves one request of a caller. While the host is stopping, the response closes the connection.
 pub async fn handle(host: Arc<Host>, req: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -45,26 +50,61 @@
 }
 
 async fn respond(host: &Arc<Host>, req: Request<Incoming>) -> Response<Full<Bytes>> {
-    let (parts, body) = req.into_parts();
+    let (mut parts, body) = req.into_parts();
     let Some(index) = host.routes() else {
         warn!(host.log, "refused"; "reason" => "no_config", "path" => parts.uri.path());
         return response::retry_later(NO_CONFIG_RETRY_AFTER);
     };
     let name = host_name(&parts);
-    let Some(route) = index.find(name, parts.uri.path()) else {
+    let Some(route) = index.find(name, parts.uri.path()).cloned() else {
         info!(host.log, "refused"; "reason" => "no_route", "name" => name,
             "path" => parts.uri.path(), "version" => index.version);
         return response::local(StatusCode::NOT_FOUND);
     };
-    match prepare(host, &index, route, parts, body).await {
+    let team = match identify(host, &index, &route, &mut parts) {
+        Ok(team) => team,
+        Err(unserved) => return refuse(host, &route, None, &unserved),
+    };
+    match prepare(host, &index, &route, team.clone(), parts, body).await {
         Ok(context) => request::run(Arc::new(context)).await,
-        Err(unserved) => {
-            info!(host.log, "refused"; "reason" => unserved.reason, "route" => &*route.name,
-                "body_bytes_held" => host.bodies.budget().held());
-            host.metrics.request(&route.name, unserved.reason, Duration::ZERO);
-            unserved.response()
-        }
+        Err(unserved) => refuse(host, &route, team.as_deref(), &unserved),
+    }
+}
+
+/// Records a request that is not sent to any target, and returns the response to it.
+fn refuse(
+    host: &Host,
+    route: &FleetRoute,
+    team: Option<&Team>,
+    unserved: &Unserved,
+) -> Response<Full<Bytes>> {
+    info!(host.log, "refused"; "reason" => unserved.reason, "route" => &*route.name,
+        "body_bytes_held" => host.bodies.budget().held());
+    let team = team.map(|t| &*t.name);
+    host.metrics.request(&route.name, team, unserved.reason, Duration::ZERO);
+    unserved.response()
+}
+
+/// Returns the team that a request belongs to, and removes the caller's key and what it sent as the name of a team
+/// from its head, so that neither reaches a target or a log. Does nothing if the operator has no teams.
+fn identify(
+    host: &Host,
+    index: &RouteIndex,
+    route: &FleetRoute,
+    parts: &mut Parts,
+) -> Result<Option<Arc<Team>>, Unserved> {
+    if index.teams.is_empty() && index.is_complete {
+        return Ok(None);
     }
+    let names = host.protocol.headers();
+    // In this order, so that a configuration which is put in force meanwhile counts as newer than the index.
+    let is_current =
+        host.freshness().is_config_current(host.now()) && host.config_version() == index.version;
+    let keys = parts.headers.get_all(&names.caller_key).iter().map(HeaderValue::as_bytes);
+    let team = identify_team(index, route, keys, is_current);
+    parts.headers.remove(&names.caller_key);
+    parts.headers.remove(&names.team);
+    team.map_err(Unserved::for_key)
 }
 
 /// Returns the host name that a request is addressed to; empty if there is none.
@@ -96,6 +136,21 @@
         Unserved { status, reason, retry_after: Some(delay) }
     }
 
+    /// Returns the refusal of a request for its keys.
+    fn for_key(refusal: KeyRefusal) -> Self {
+        let reason = refusal.as_str();
+        match refusal {
+            KeyRefusal::NoKey | KeyRefusal::SeveralKeys | KeyRefusal::UnknownKey => {
+                Unserved::local(StatusCode::UNAUTHORIZED, reason)
+            }
+            KeyRefusal::Unconfirmed => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                let retry_after = Some(UNCONFIRMED_KEY_RETRY_AFTER);
+                Unserved { status, reason, retry_after }
+            }
+        }
+    }
+
     /// Returns the rejection of a request that other hosts can serve at once.
     fn elsewhere(reason: &'static str) -> Self {
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -115,6 +170,7 @@
     host: &Arc<Host>,
     index: &RouteIndex,
     route: &Arc<FleetRoute>,
+    team: Option<Arc<Team>>,
     parts: Parts,
     body: Incoming,
 ) -> Result<RequestContext, Unserved> {
@@ -171,8 +227,9 @@
     Ok(RequestContext {
         host: host.clone(),
         id,
-        urgent: index.is_urgent(route),
+        urgent: index.is_urgent(route, context::priority(route, team.as_deref())),
         route: route.clone(),
+        team,
         pool,
         config_version: index.version,
         parts,
--- a/crates/geraniummux-host/src/proxy/request.rs
+++ b/crates/geraniummux-host/src/proxy/request.rs
@@ -74,8 +74,9 @@
     let now = host.now();
     if host.fleet().quarantine.is_blocked(now, ctx.fingerprint) {
         info!(host.log, "request"; "id" => ctx.id(), "route" => &*ctx.route.name,
-            "outcome" => "blocked", "reason" => "crashes targets");
-        host.metrics.request(&ctx.route.name, "blocked", Duration::ZERO);
+            "team" => ctx.team_name(), "outcome" => "blocked", "reason" => "crashes targets");
+        let team = ctx.team.as_ref().map(|t| &*t.name);
+        host.metrics.request(&ctx.route.name, team, "blocked", Duration::ZERO);
         return response::local(StatusCode::SERVICE_UNAVAILABLE);
     }
     let mut active = ActiveRequest::new(ctx.clone());
@@ -420,8 +421,10 @@
             StatusCode::SERVICE_UNAVAILABLE if !self.executions.may_have_executed() => "refused",
             _ => "failed",
         };
-        ctx.host.metrics.request(&ctx.route.name, outcome, took);
+        let team = ctx.team.as_ref().map(|t| &*t.name);
+        ctx.host.metrics.request(&ctx.route.name, team, outcome, took);
         info!(ctx.host.log, "request"; "id" => ctx.id(), "route" => &*ctx.route.name,
+            "team" => ctx.team_name(),
             "pool" => &*ctx.pool.name, "version" => ctx.config_version, "outcome" => outcome,
             "status" => status.as_u16(), "reason" => self.reason,
             "targets" => self.tried.join(","), "took_ms" => took.as_millis() as u64,
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -91,7 +91,7 @@
     for tries in 1..=MAX_GRANTS_TRIED {
         let slot_request = |now: Time| SlotRequest {
             failure_domain: host.settings.load().failure_domain.clone(),
-            priority: ctx.route.priority,
+            priority: ctx.priority(),
             service_time: ctx.service_time,
             body_bytes: ctx.typical_body_bytes,
             time_left: ctx.time_left(now),
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -54,6 +54,8 @@
         answering_target: name("d"),
         not_executed: name("e"),
         digest: name("f"),
+        caller_key: name("key"),
+        team: name("team"),
     }
 }
 
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -24,8 +24,8 @@
 /// Body of a complete response.
 pub const COMPLETE_BODY: &str = "complete";
 
-/// The head of a request.
-pub struct Head(String);
+/// The head of a request or a response.
+pub struct Head(pub String);
 
 impl Head {
     /// Returns the value of the first header with this name.
@@ -33,6 +33,12 @@
         let mut lines = self.0.lines();
         lines.find_map(|l| l.strip_prefix(name)?.strip_prefix(": "))
     }
+
+    /// Returns the values of all headers with this name, in any case.
+    pub fn values(&self, name: &str) -> Vec<&str> {
+        let lines = self.0.lines().filter_map(|l| l.split_once(':'));
+        lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim()).collect()
+    }
 }
 
 /// Reads one request head; `None` if the connection is closed.
@@ -148,6 +154,8 @@
     pub addr: SocketAddr,
     /// Identities of the requests that arrived, without probes.
     pub requests: Arc<Mutex<Vec<String>>>,
+    /// Heads of these requests.
+    pub heads: Arc<Mutex<Vec<Head>>>,
 }
 
 impl ScriptedTarget {
@@ -160,13 +168,16 @@
         let listener = TcpListener::bind("127.9.9.7:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let requests = Arc::new(Mutex::new(Vec::new()));
-        let (reply, seen) = (Arc::new(reply), requests.clone());
+        let heads = Arc::new(Mutex::new(Vec::new()));
+        let (reply, seen, seen_heads) = (Arc::new(reply), requests.clone(), heads.clone());
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
-                let (reply, seen) = (reply.clone(), seen.clone());
+                let (reply, seen, seen_heads) = (reply.clone(), seen.clone(), seen_heads.clone());
                 tokio::spawn(async move {
-                    while let Some(id) = read_request(&mut stream).await {
+                    while let Some(head) = read_head(&mut stream).await {
+                        let id = head.value("a").unwrap_or("none").to_owned();
                         let number = (id != "none").then(|| {
+                            seen_heads.lock().unwrap().push(head);
                             let mut seen = seen.lock().unwrap();
                             seen.push(id.clone());
                             seen.len() - 1
@@ -187,7 +198,7 @@
                 });
             }
         });
-        ScriptedTarget { addr, requests }
+        ScriptedTarget { addr, requests, heads }
     }
 
     /// Returns the number of requests that arrived.
