--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -63,10 +63,11 @@
     CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex,
 };
 pub use scheduler::{
-    RejectReason, RequestKey, Scheduler, SchedulerOptions, SlotDecision, SlotRequest, StaleTarget,
+    PASS_INTERVAL, RejectReason, RequestKey, Scheduler, SchedulerOptions, SlotDecision,
+    SlotRequest, StaleTarget,
 };
 pub use split::SplitState;
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
 pub use team_shares::TeamShares;
-pub use teams::{Allowance, ApiKey, Team, TeamIndex};
+pub use teams::{Allowance, ApiKey, KeyRefusal, Team, TeamIndex, identify_team};
 pub use warm::WarmConnections;
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -452,6 +452,12 @@
 const LEAVING_RETENTION: Duration = Duration::from_secs(5);
 /// Interval at which slots are freed whose requests have passed their deadlines.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Number of waiting requests from which decisions are put off. A pass over so many costs more than what the
+/// message that causes it would change.
+const MANY_WAITING: usize = 32;
+/// Shortest time between two passes over many waiting requests. A slot that becomes free waits for this time at
+/// most.
+pub const PASS_INTERVAL: Duration = Duration::from_millis(2);
 /// Weight of a new request in the mean service time of a pool.
 const MEAN_SERVICE_TIME_WEIGHT: f64 = 0.02;
 /// Maximum number of targets at which a request is in flight: the first, and that of its hedge.
@@ -523,6 +529,10 @@
     stock: AllowanceStock,
     /// Work that the pool has done for each team.
     shares: TeamShares,
+    /// When the waiting requests were last decided on.
+    passed_at: Time,
+    /// Whether they have to be decided on once more.
+    is_pass_due: bool,
     /// Moving average of the typical service times of the requests that were granted slots, in seconds.
     mean_service_time_s: Option<f64>,
 }
@@ -544,6 +554,8 @@
             turns_checked_at: Time::default(),
             stock: AllowanceStock::default(),
             shares: TeamShares::default(),
+            passed_at: Time::default(),
+            is_pass_due: false,
             mean_service_time_s: None,
         }
     }
@@ -870,10 +882,19 @@
         }
     }
 
-    /// Grants and rejects waiting requests where possible, and grants slots for hedges.
+    /// Returns whether decisions were put off, so that [`Scheduler::tick`] is due within [`PASS_INTERVAL`].
+    pub fn is_pass_due(&self) -> bool {
+        self.is_pass_due
+    }
+
+    /// Grants and rejects waiting requests where possible, and grants slots for hedges. While many requests wait,
+    /// their decisions are put off if there have been some just before.
     fn schedule(&mut self, now: Time) -> Vec<(RequestKey, SlotDecision)> {
         let mut out = Vec::new();
-        if !self.waiting.is_empty() {
+        let is_recent = now.since(self.passed_at) < PASS_INTERVAL;
+        self.is_pass_due = self.waiting.len() >= MANY_WAITING && is_recent;
+        if !self.waiting.is_empty() && !self.is_pass_due {
+            self.passed_at = now;
             let mut pass = self.pass(now);
             if now.since(self.turns_checked_at) >= TURN_CHECK_INTERVAL {
                 self.turns_checked_at = now;
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -11,8 +11,8 @@
 
 #![forbid(unsafe_code)]
 
-pub mod allowances;
-mod bodies;
+mod allowances;
+pub mod bodies;
 pub mod clock;
 pub mod directory;
 pub mod figures;
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -86,6 +86,7 @@
     tasks::spawn(&host, "membership", peers::run);
     tasks::spawn(&host, "follow", replication::follow);
     tasks::spawn(&host, "scheduling", scheduling::run);
+    tasks::spawn(&host, "scheduler_passes", scheduling::run_passes);
     tasks::spawn(&host, "reach", reach::run);
     tasks::spawn(&host, "maintenance", run_maintenance);
     // Whatever it can't read is read by the reader or comes from a peer.
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -11,8 +11,8 @@
 use crate::proxy::selection;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::fleet::{
-    AllowanceAnswer, RegisteredTarget, RejectReason, ReportedDemand, RequestKey, Scheduler,
-    SchedulerOptions, SlotDecision, SlotRequest, StaleTarget, TargetReport, TeamTerms,
+    AllowanceAnswer, PASS_INTERVAL, RegisteredTarget, RejectReason, ReportedDemand, RequestKey,
+    Scheduler, SchedulerOptions, SlotDecision, SlotRequest, StaleTarget, TargetReport, TeamTerms,
 };
 use geraniummux_core::time::{scaled, seconds};
 use geraniummux_core::{MemberState, Time};
@@ -23,7 +23,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::timeout;
 
 /// Shortest time limit of the first decision after a slot request is sent. It covers the round trip to
@@ -91,6 +91,8 @@
     /// Hosts that have requested slots, sorted by name. The membership does not suffice, as this host may not
     /// know a member yet that has just started.
     requesters: Mutex<Vec<Requester>>,
+    /// Notified when a scheduler has put off decisions.
+    pass_due: Notify,
     /// When the demands of targets were last reported to a scheduler, sorted by pool.
     demands_reported: Mutex<Vec<(Arc<str>, SocketAddr, Time)>>,
     /// Schedulers that did not respond, with the time until which no slot requests are sent to them.
@@ -131,7 +133,11 @@
         });
         drop(fleet);
         pools[i].last_request = now;
-        f(&mut pools[i].scheduler)
+        let out = f(&mut pools[i].scheduler);
+        if pools[i].scheduler.is_pass_due() {
+            self.pass_due.notify_one();
+        }
+        out
     }
 
     /// Records a host that requests slots. Returns whether an earlier incarnation of it has requested some.
@@ -662,6 +668,22 @@
     }
 }
 
+/// Makes the decisions that schedulers of this host put off, until the task is dropped.
+pub async fn run_passes(host: Arc<Host>) {
+    loop {
+        host.scheduling.pass_due.notified().await;
+        tokio::time::sleep(PASS_INTERVAL).await;
+        let now = host.now();
+        let mut decisions = Vec::new();
+        for scheduled in lock(&host.scheduling.pools).iter_mut() {
+            if scheduled.scheduler.is_pass_due() {
+                decisions.extend(scheduled.scheduler.tick(now));
+            }
+        }
+        send_decisions(&host, decisions);
+    }
+}
+
 /// Advances the time for all pools that this host schedules, and probes targets without a recent
 /// report.
 fn tick(host: &Arc<Host>) {
