Pipelining: decide which requests start before their turn

Cause: callers of some deployments send further idempotent requests on a connection before the response to the first one, and a host serves them one after the other.

Ruled out: a decision within the connection's I/O, which could only be tested through sockets.

Change: fleet::Pipeline holds the requests of one connection that are not answered, and decides which of those behind the one in service start: within limits on number and bytes, and neither next to nor behind one that must run alone or closes the connection. A response that is larger than was reserved and does not fit is dropped, and its request runs again in its turn.

--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod faults;
 mod forecast;
 mod limits;
+mod pipeline;
 mod probes;
 mod reach;
 mod readers;
@@ -51,6 +52,7 @@
 pub use faults::{Fault, FaultOptions, FaultScore};
 pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
 pub use limits::MAX_LIMIT_AGE;
+pub use pipeline::{Pipeline, PipelineOptions, PipelinedKind, ReadAheadRequest};
 pub use probes::ProbeBudget;
 pub use reach::{ReachOptions, RelayPeer, Relays, TargetPath, TargetReach};
 pub use readers::{
