Pipelining: run idempotent pipelined requests concurrently

Cause: hyper's server starts a request after the response to the one before it is written, so pipelined requests wait for each other.

Ruled out: an HTTP server of our own; starting from hyper's buffer, which it does not show; passing on all bytes with a copy for looking ahead, because hyper then starts a request before the response before it is written, and no longer notices that the caller has disconnected.

Change: callers' connections are read through CallerStream, which passes on one request at a time and starts those behind it in tasks of their own, as fleet::Pipeline decides. proxy::handle takes any body and the routes, so that a request is served by the routes by which it was found idempotent. The response that asks a caller to leave a stopping host is the last one that was started. Counter geraniummux_pipelined_requests_total.

--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -6,7 +6,7 @@
 //! the formats of the traffic with callers and targets, and [`Store`], the client of the store.
 //!
 //! [`run()`] starts a host, [`Host`] is the state that its tasks share. A request enters at
-//! [`proxy::handle`]; [`scheduling`] obtains its grant, and [`replication`] and [`reader`] keep the
+//! [`pipelining`] and [`proxy::handle`]; [`scheduling`] obtains its grant, and [`replication`] and [`reader`] keep the
 //! targets and the configuration current. [`reach`] opens connections to targets, through peers if need be.
 
 #![forbid(unsafe_code)]
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod pending;
+pub mod pipelining;
 pub mod protocol;
 pub mod proxy;
 pub mod reach;
--- a/crates/geraniummux-host/src/metrics.rs
+++ b/crates/geraniummux-host/src/metrics.rs
@@ -19,6 +19,7 @@
     attempts: IntCounterVec,
     probes: IntCounterVec,
     connections: IntCounterVec,
+    pipelined_requests: IntCounter,
     store_calls: IntCounterVec,
     peer_messages: IntCounterVec,
     slot_decisions: IntCounterVec,
@@ -59,6 +60,10 @@
                 &["pool", "result"],
             )?,
             connections: counter("connections_total", "New connections by peer", &["kind"])?,
+            pipelined_requests: IntCounter::new(
+                "geraniummux_pipelined_requests_total",
+                "Requests started before the response to the one before them was written",
+            )?,
             store_calls: counter("store_calls_total", "Calls to the store", &["call", "result"])?,
             peer_messages: counter("peer_messages_total", "Messages to and from peers", &["kind"])?,
             slot_decisions: counter(
@@ -77,12 +82,13 @@
             task_ends: counter("task_ends_total", "Ends of tasks that have to run", &["task"])?,
             state: IntGaugeVec::new(Opts::new("geraniummux_state", "State of the host"), &["of"])?,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 12] = [
+        let all: [Box<dyn prometheus::core::Collector>; 13] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.attempts.clone()),
             Box::new(metrics.probes.clone()),
             Box::new(metrics.connections.clone()),
+            Box::new(metrics.pipelined_requests.clone()),
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.peer_messages.clone()),
             Box::new(metrics.slot_decisions.clone()),
@@ -118,6 +124,11 @@
         self.connections.with_label_values(&[kind]).inc();
     }
 
+    /// Records a request that was started before the response to the one before it was written.
+    pub fn pipelined_request(&self) {
+        self.pipelined_requests.inc();
+    }
+
     /// Records the end of a call to the store.
     pub fn store_call(&self, call: &str, result: &str) {
         self.store_calls.with_label_values(&[call, result]).inc();
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -9,10 +9,11 @@
 mod response;
 pub(crate) mod selection;
 
+pub use response::promises_no_execution;
 pub use selection::recheck_leaving;
 
 use crate::bodies::{self, BodyError};
-use crate::host::{Host, Phase};
+use crate::host::Host;
 use crate::stopping;
 use bytes::Bytes;
 use context::RequestContext;
@@ -20,9 +21,9 @@
 use geraniummux_core::fleet::{AdmissionRules, FleetRoute, RouteIndex};
 use geraniummux_core::time::{scaled, seconds};
 use http::request::Parts;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, Request, Response, StatusCode, Uri, header};
+use http_body::Body;
 use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
 use slog::{info, warn};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -30,33 +31,27 @@
 /// `Retry-After` of a host that has no configuration yet.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Serves one request of a caller. While the host is stopping, the response closes the connection.
-pub async fn handle(host: Arc<Host>, req: Request<Incoming>) -> Response<Full<Bytes>> {
-    let mut rsp = respond(&host, req).await;
-    if host.phase() > Phase::Serving {
-        rsp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-    rsp
-}
-
-/// Returns the response to a request that failed in this host, and may have run.
-pub fn failed_response() -> Response<Full<Bytes>> {
-    response::local(StatusCode::BAD_GATEWAY)
-}
-
-async fn respond(host: &Arc<Host>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+/// Serves one request of a caller, routed by `index`.
+pub async fn handle<B>(
+    host: &Arc<Host>,
+    index: Option<&RouteIndex>,
+    req: Request<B>,
+) -> Response<Full<Bytes>>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let (parts, body) = req.into_parts();
-    let Some(index) = host.routes() else {
+    let Some(index) = index else {
         warn!(host.log, "refused"; "reason" => "no_config", "path" => parts.uri.path());
         return response::retry_later(NO_CONFIG_RETRY_AFTER);
     };
-    let name = host_name(&parts);
+    let name = host_name(&parts.headers, &parts.uri);
     let Some(route) = index.find(name, parts.uri.path()) else {
         info!(host.log, "refused"; "reason" => "no_route", "name" => name,
             "path" => parts.uri.path(), "version" => index.version);
         return response::local(StatusCode::NOT_FOUND);
     };
-    match prepare(host, &index, route, parts, body).await {
+    match prepare(host, index, route, parts, body).await {
         Ok(context) => request::run(Arc::new(context)).await,
         Err(unserved) => {
             info!(host.log, "refused"; "reason" => unserved.reason, "route" => &*route.name,
@@ -67,10 +62,23 @@
     }
 }
 
+/// Returns the response to a request that failed in this host, and may have run.
+pub fn failed_response() -> Response<Full<Bytes>> {
+    response::local(StatusCode::BAD_GATEWAY)
+}
+
+/// Returns the route of a request; `None` if there is no configuration or no such route.
+pub fn route_of<'a, B>(
+    index: Option<&'a RouteIndex>,
+    req: &Request<B>,
+) -> Option<&'a Arc<FleetRoute>> {
+    index?.find(host_name(req.headers(), req.uri()), req.uri().path())
+}
+
 /// Returns the host name that a request is addressed to; empty if there is none.
-fn host_name(parts: &Parts) -> &str {
-    let header = parts.headers.get(header::HOST).and_then(|v| v.to_str().ok());
-    header.or(parts.uri.host()).unwrap_or("")
+fn host_name<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
+    let header = headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    header.or(uri.host()).unwrap_or("")
 }
 
 /// A request that is not sent to any target.
@@ -111,13 +119,16 @@
 }
 
 /// Reads the body and collects what is needed to serve the request.
-async fn prepare(
+async fn prepare<B>(
     host: &Arc<Host>,
     index: &RouteIndex,
     route: &Arc<FleetRoute>,
     parts: Parts,
-    body: Incoming,
-) -> Result<RequestContext, Unserved> {
+    body: B,
+) -> Result<RequestContext, Unserved>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let started = host.now();
     let names = host.protocol.headers();
     let id = parts.headers.get(&names.request_id).cloned();
--- a/crates/geraniummux-host/src/server.rs
+++ b/crates/geraniummux-host/src/server.rs
@@ -1,23 +1,25 @@
 //! Listeners for connections from callers and from the platform.
 
+use crate::directory;
 use crate::host::{Host, Phase};
-use crate::{directory, proxy, tasks};
+use crate::pipelining::Pipelining;
 use anyhow::Context;
 use bytes::Bytes;
-use futures_util::FutureExt;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::rt::{Read, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::{error, warn};
+use slog::warn;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::convert::Infallible;
+use std::future::{poll_fn, ready};
 use std::net::SocketAddr;
-use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -109,22 +111,54 @@
     let head = limits.map_or(0, |l| l.max_header_bytes).max(MIN_HEADER_BUFFER_BYTES);
     let guard = (service == Service::Requests).then(|| host.register_caller());
     let mut phases = host.phases();
-    let dispatch = service_fn(|req| dispatch(host.clone(), service, req));
-    let conn = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(head)
-        .serve_connection(TokioIo::new(stream), dispatch);
+    let mut server = http1::Builder::new();
+    server.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(head);
+    let respond: fn(&Arc<Host>, &Request<Incoming>) -> Response<Full<Bytes>> = match service {
+        Service::Requests => {
+            let pipelining = Pipelining::new(host);
+            let stream = pipelining.stream(stream);
+            let conn = server.serve_connection(stream, service_fn(|req| pipelining.serve(req)));
+            finish(conn, &mut phases, || pipelining.is_settled()).await;
+            return drop(guard);
+        }
+        Service::Directory => directory::hosts,
+        Service::Readiness => directory::readiness,
+        Service::Metrics => |host, _| directory::metrics(host),
+    };
+    let dispatch = service_fn(|req| ready(Ok::<_, Infallible>(respond(&host, &req))));
+    finish(server.serve_connection(TokioIo::new(stream), dispatch), &mut phases, || true).await;
+}
+
+/// Serves a connection until its end. When the host drains, it is shut down as soon as it is settled.
+async fn finish<I, S, F>(
+    conn: http1::Connection<I, S>,
+    phases: &mut watch::Receiver<Phase>,
+    is_settled: F,
+) where
+    I: Read + Write + Unpin,
+    S: hyper::service::Service<
+            Request<Incoming>,
+            Response = Response<Full<Bytes>>,
+            Error = Infallible,
+        >,
+    F: Fn() -> bool,
+{
     let mut conn = pin!(conn);
     // On an error the caller has disconnected or violated the protocol; hyper has already responded.
     tokio::select! {
-        _ = conn.as_mut() => {}
-        () = until_draining(&mut phases) => {
-            conn.as_mut().graceful_shutdown();
-            let _ = conn.as_mut().await;
-        }
+        _ = conn.as_mut() => return,
+        () = until_draining(phases) => {}
     }
-    drop(guard);
+    let is_over = poll_fn(|cx| match conn.as_mut().poll(cx) {
+        Poll::Ready(_) => Poll::Ready(true),
+        Poll::Pending if is_settled() => Poll::Ready(false),
+        Poll::Pending => Poll::Pending,
+    });
+    if is_over.await {
+        return;
+    }
+    conn.as_mut().graceful_shutdown();
+    let _ = conn.await;
 }
 
 async fn until_draining(phases: &mut watch::Receiver<Phase>) {
@@ -132,24 +166,3 @@
         std::future::pending().await
     }
 }
-
-async fn dispatch(
-    host: Arc<Host>,
-    service: Service,
-    req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
-    Ok(match service {
-        Service::Requests => {
-            let log = host.log.clone();
-            let handled = AssertUnwindSafe(proxy::handle(host, req)).catch_unwind().await;
-            handled.unwrap_or_else(|panic| {
-                error!(log, "request_failed"; "cause" => tasks::panic_message(&*panic));
-                // The request may have run.
-                proxy::failed_response()
-            })
-        }
-        Service::Directory => directory::hosts(&host, &req),
-        Service::Readiness => directory::readiness(&host, &req),
-        Service::Metrics => directory::metrics(&host),
-    })
-}
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -28,6 +28,11 @@
 pub struct Head(String);
 
 impl Head {
+    /// Returns the whole head.
+    pub fn text(&self) -> &str {
+        &self.0
+    }
+
     /// Returns the value of the first header with this name.
     pub fn value(&self, name: &str) -> Option<&str> {
         let mut lines = self.0.lines();
