Evacuation: the registry leaves out targets of evacuated domains

Cause: an operator could not take a failure domain out of use without ending its targets. Ruled out: a message of its own for the evacuations: build ends a connection on which it can't decode a message. Change: TargetRegistry holds the evacuations and leaves out their targets. A ConfigChange whose base and edition are the follower's brings them and keeps the configuration.

--- a/crates/geraniummux-core/src/fleet/config_change.rs
+++ b/crates/geraniummux-core/src/fleet/config_change.rs
@@ -3,6 +3,7 @@
 //! A configuration can have thousands of routes, of which one version changes few.
 
 use super::config_extension::ConfigExtension;
+use super::evacuations::Evacuations;
 use super::routes::{CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -66,9 +67,39 @@
         }
     }
 
+    /// Returns a change that leaves the configuration of the given edition as it is and holds the evacuations.
+    /// Builds without the extension ignore it, since the edition is not newer than theirs.
+    pub fn of_evacuations(
+        edition: ConfigEdition,
+        config: Option<&FleetConfig>,
+        evacuations: Evacuations,
+    ) -> Self {
+        let extension =
+            ConfigExtension { evacuations: Some(evacuations), ..ConfigExtension::default() };
+        ConfigChange {
+            base: Some(edition),
+            edition,
+            removed: Vec::new(),
+            routes: Vec::new(),
+            pools: config.map(|c| c.pools.clone()).unwrap_or_default(),
+            limits: config.map(|c| c.limits).unwrap_or_default(),
+            extension: Some(extension),
+        }
+    }
+
+    /// Returns whether the change leaves the configuration as it is: it only brings what has a revision of its
+    /// own, such as the evacuations.
+    pub fn keeps_config(&self) -> bool {
+        self.base == Some(self.edition)
+    }
+
     /// Returns the configuration after the change; `None` if `current` is not the edition that the
     /// change applies to.
     pub fn apply(self, current: Option<&FleetConfig>) -> Option<FleetConfig> {
+        if self.keeps_config() {
+            // What its extension lacks is not gone.
+            return current.filter(|c| c.edition() == self.edition).cloned();
+        }
         let ConfigChange { base, edition, mut removed, routes, pools, limits, extension } = self;
         let ConfigEdition { version, era } = edition;
         let mut config = FleetConfig { version, era, pools, limits, ..FleetConfig::default() };
--- a/crates/geraniummux-core/src/fleet/evacuations.rs
+++ b/crates/geraniummux-core/src/fleet/evacuations.rs
@@ -31,6 +31,11 @@
         &self.domains
     }
 
+    /// Returns whether both name the same domains in the same era of the store.
+    pub fn has_same_state(&self, other: &Evacuations) -> bool {
+        self.revision.era == other.revision.era && self.domains == other.domains
+    }
+
     /// Records that the evacuation of a domain was requested or withdrawn.
     pub fn set(&mut self, domain: &Arc<str>, is_evacuated: bool) {
         match (self.domains.binary_search(domain), is_evacuated) {
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -56,7 +56,10 @@
 pub use readers::{
     Leader, PeerFreshness, Position, ReadSource, ReaderOptions, StoreChecks, leaders, read_source,
 };
-pub use registry::{RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry, TargetRun};
+pub use registry::{
+    EvacuationDifference, RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry,
+    TargetRun,
+};
 pub use revision::Revision;
 pub use routes::{
     CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex,
--- a/crates/geraniummux-core/src/fleet/registry.rs
+++ b/crates/geraniummux-core/src/fleet/registry.rs
@@ -9,6 +9,7 @@
 //! what the copy can't know: targets that have left or are leaving remain so, although the copy lists them
 //! as ready, and targets that the copy lacks are kept for an expiry grace.
 
+use super::evacuations::Evacuations;
 use super::revision::Revision;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -133,6 +134,15 @@
     at: Time,
 }
 
+/// How newer evacuations differ from those before.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EvacuationDifference {
+    /// Domains that are evacuated now and were not before.
+    pub evacuated: Vec<Arc<str>>,
+    /// Domains that were evacuated before and are no longer.
+    pub returned: Vec<Arc<str>>,
+}
+
 /// One host's copy of the registry.
 #[derive(Clone, Debug)]
 pub struct TargetRegistry {
@@ -142,6 +152,8 @@
     /// Sorted by id.
     departed: Vec<Departed>,
     confirm_after: Duration,
+    /// The failure domains whose targets are left out; `None` if that is not known.
+    evacuations: Option<Evacuations>,
 }
 
 impl Default for TargetRegistry {
@@ -151,6 +163,7 @@
             entries: Vec::new(),
             departed: Vec::new(),
             confirm_after: DEFAULT_CONFIRM_AFTER,
+            evacuations: None,
         }
     }
 }
@@ -209,12 +222,47 @@
         Some(RegistryDelta { from: None, to: self.revision?, changes })
     }
 
-    /// Returns all usable targets, each with whether it is still warming up.
+    /// Takes over evacuations if they are newer than those in force. Returns the sorted names of the domains
+    /// that are evacuated anew and of those that are no longer; `None` if they are not newer.
+    pub fn set_evacuations(&mut self, evacuations: Evacuations) -> Option<EvacuationDifference> {
+        let held = self.evacuations.as_ref();
+        if held.is_some_and(|h| h.revision >= evacuations.revision) {
+            return None;
+        }
+        let former = held.map_or(&[][..], Evacuations::domains);
+        let without = |all: &[Arc<str>], other: &[Arc<str>]| {
+            let is_only_here = |d: &&Arc<str>| other.binary_search(d).is_err();
+            all.iter().filter(is_only_here).cloned().collect::<Vec<_>>()
+        };
+        let difference = EvacuationDifference {
+            evacuated: without(evacuations.domains(), former),
+            returned: without(former, evacuations.domains()),
+        };
+        self.evacuations = Some(evacuations);
+        Some(difference)
+    }
+
+    /// Returns the evacuations in force; `None` if they are not known.
+    pub fn evacuations(&self) -> Option<&Evacuations> {
+        self.evacuations.as_ref()
+    }
+
+    /// Forgets the evacuations. To be called if failure domains are never evacuated any more.
+    pub fn clear_evacuations(&mut self) {
+        self.evacuations = None;
+    }
+
+    /// Returns all usable targets outside the evacuated failure domains, each with whether it is still warming
+    /// up.
     pub fn targets(&self, now: Time) -> impl Iterator<Item = (&RegisteredTarget, bool)> + Clone {
+        let evacuations = self.evacuations.as_ref().filter(|e| !e.domains().is_empty());
+        let is_evacuated =
+            move |t: &RegisteredTarget| evacuations.is_some_and(|e| e.contains(&t.failure_domain));
         self.entries
             .iter()
             .filter(move |e| e.is_usable(now))
             .filter_map(move |e| Some((e.target.as_ref()?, now < e.warm_up_ends)))
+            .filter(move |(t, _)| !is_evacuated(t))
     }
 
     /// Returns the registered run of a target.
--- a/crates/geraniummux-core/tests/fleet_config_change.rs
+++ b/crates/geraniummux-core/tests/fleet_config_change.rs
@@ -1,6 +1,8 @@
 //! Differences between versions of the configuration.
 
-use geraniummux_core::fleet::{ConfigChange, FleetConfig, FleetRoute, PoolShare};
+use geraniummux_core::fleet::{
+    ConfigChange, Evacuations, FleetConfig, FleetRoute, PoolShare, Revision,
+};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -50,3 +52,16 @@
     assert_eq!(change.clone().apply(Some(&v3)), None);
     assert_eq!(change.apply(None), None);
 }
+
+/// Guards against a change that only brings evacuations and removes what its extension lacks, such as public routes.
+#[test]
+fn apply_evacuations_keeps_config() {
+    let mut current = config(1, &[(1, 1), (2, 1)]);
+    current.routes[0].public = true;
+    let evacuations = Evacuations::new(Revision::new(1, 4), vec!["a".into()]);
+    let change = ConfigChange::of_evacuations(current.edition(), None, evacuations);
+    assert!(change.keeps_config());
+    assert_eq!(change.apply(Some(&current)).as_ref(), Some(&current));
+    assert!(!ConfigChange::between(&current, &config(2, &[])).keeps_config());
+    assert!(!ConfigChange::whole(&current).keeps_config());
+}
--- a/crates/geraniummux-core/tests/fleet_registry.rs
+++ b/crates/geraniummux-core/tests/fleet_registry.rs
@@ -2,7 +2,7 @@
 
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
-    RegisteredTarget, RegistryChange, RegistryDelta, Revision, TargetRegistry,
+    Evacuations, RegisteredTarget, RegistryChange, RegistryDelta, Revision, TargetRegistry,
 };
 use proptest::prelude::*;
 use std::time::Duration;
@@ -304,3 +304,36 @@
         prop_assert_eq!(original.revision(), copy.revision());
     }
 }
+
+/// Guards against targets of an evacuated domain in the table, the scheduler or the candidates, which all take them
+/// from here, and against entries that are lost with them.
+#[test]
+fn targets_evacuated_domain_are_left_out_until_withdrawn() {
+    let mut other = target("t2", false);
+    other.failure_domain = "b".into();
+    let mut registry = listed(vec![put(1, "t1"), (2, RegistryChange::Put(other))]);
+    let at = |number| Revision::new(1, number);
+    let evacuated = Evacuations::new(at(5), vec!["a".into()]);
+    let difference = registry.set_evacuations(evacuated).unwrap();
+    assert_eq!((difference.evacuated, difference.returned), (vec!["a".into()], vec![]));
+    assert_eq!(ids(&registry, NOW), ["t2"]);
+    assert_eq!(registry.snapshot().unwrap().changes.len(), 2);
+    let difference = registry.set_evacuations(Evacuations::new(at(6), Vec::new())).unwrap();
+    assert_eq!((difference.evacuated, difference.returned), (vec![], vec!["a".into()]));
+    assert_eq!(ids(&registry, NOW), ["t1", "t2"]);
+}
+
+/// Guards against an evacuation that a copy of before, for example of a lagging leader, sets or ends.
+#[test]
+fn set_evacuations_not_newer_is_ignored() {
+    let mut registry = listed(vec![put(1, "t1")]);
+    let evacuated = |era, number, domains: &[&str]| {
+        let domains = domains.iter().map(|d| (*d).into()).collect();
+        Evacuations::new(Revision::new(era, number), domains)
+    };
+    assert!(registry.set_evacuations(evacuated(2, 5, &["a"])).is_some());
+    for older in [evacuated(2, 5, &[]), evacuated(2, 4, &[]), evacuated(1, 90, &[])] {
+        assert!(registry.set_evacuations(older).is_none());
+    }
+    assert_eq!(ids(&registry, NOW), Vec::<String>::new());
+}
