Evacuation: hosts read, watch and replicate evacuations

Cause: hosts knew nothing of objects of kind evacuations. Ruled out: watches alone. Change: readers list and watch the kind, starting hosts list it once before their targets, leaders pass it on. Nothing is called or sent unless the setting evacuate_s is present.

--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -15,8 +15,9 @@
 use crate::upstream::IdleConnections;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
-    Candidate, ConfigChange, ConfigEdition, ExtraAttempt, ExtraAttemptOptions, Fault, FleetConfig,
-    RegistryDelta, ReportedDemand, Revision, RouteIndex, TargetDemand, TargetReport,
+    Candidate, ConfigChange, ConfigEdition, EvacuationDifference, Evacuations, ExtraAttempt,
+    ExtraAttemptOptions, Fault, FleetConfig, RegistryDelta, ReportedDemand, Revision, RouteIndex,
+    TargetDemand, TargetReport,
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::{Member, MemberState, Membership, Time};
@@ -231,6 +232,52 @@
             && self.tasks_down.load(Ordering::Relaxed) == 0
             && self.routes.load().is_some()
             && self.fleet().registry.revision().is_some()
+            && self.may_know_evacuations()
+    }
+
+    /// Returns whether this host knows the evacuated failure domains, as far as it can. A host that starts waits
+    /// for them, but not for longer than an evacuation may take to have effect: its peers may be of a build that
+    /// does not pass them on while the store is unavailable.
+    fn may_know_evacuations(&self) -> bool {
+        let Some(limit) = self.settings.load().evacuation_limit() else { return true };
+        self.now().since(self.started) >= limit || self.fleet().registry.evacuations().is_some()
+    }
+
+    /// Returns the evacuations in force; `None` if they are not known or failure domains are never evacuated.
+    pub fn evacuations(&self) -> Option<Evacuations> {
+        self.settings.load().evacuation_limit()?;
+        self.fleet().registry.evacuations().cloned()
+    }
+
+    /// Puts evacuations in force if they are newer than those that are, and failure domains may be evacuated at
+    /// all. `from` names the peer that sent them, or is "store".
+    pub fn adopt_evacuations(&self, evacuations: Evacuations, from: &str) {
+        if self.settings.load().evacuation_limit().is_none() {
+            return;
+        }
+        let now = self.now();
+        let mut fleet = self.fleet();
+        let (revision, count) = (evacuations.revision, evacuations.domains().len());
+        let held = fleet.registry.evacuations();
+        let is_news = held.is_none_or(|held| !held.has_same_state(&evacuations));
+        let Some(difference) = fleet.registry.set_evacuations(evacuations) else { return };
+        if difference != EvacuationDifference::default() {
+            fleet.update_table(now);
+            self.scheduling.update(fleet.registry.targets(now));
+        }
+        drop(fleet);
+        for domain in &difference.evacuated {
+            warn!(self.log, "domain_evacuated"; "domain" => &**domain, "revision" => %revision,
+                "from" => from);
+        }
+        for domain in &difference.returned {
+            info!(self.log, "domain_returned"; "domain" => &**domain, "revision" => %revision,
+                "from" => from);
+        }
+        self.metrics.set_state("evacuated_domains", count as i64);
+        if is_news {
+            self.notify_followers();
+        }
     }
 
     /// Returns the phase.
@@ -322,6 +369,24 @@
         })
     }
 
+    /// Returns the evacuations with the change by which a follower with the configuration `edition` gets them;
+    /// `None` if they are not known here or don't differ from those that were sent before. A follower without a
+    /// configuration could not apply the change.
+    pub fn evacuations_since(
+        &self,
+        edition: ConfigEdition,
+        sent: Option<&Evacuations>,
+    ) -> Option<(Evacuations, ConfigChange)> {
+        let is_sent = |e: &Evacuations| sent.is_some_and(|sent| sent.has_same_state(e));
+        let evacuations = self.evacuations().filter(|e| !is_sent(e))?;
+        if edition == ConfigEdition::default() {
+            return None;
+        }
+        let config = self.config();
+        let change = ConfigChange::of_evacuations(edition, config.as_deref(), evacuations.clone());
+        Some((evacuations, change))
+    }
+
     /// Records the configuration version that a peer has in force. If it is newer than this host's and
     /// does not arrive, what this host reads or follows is not current.
     pub fn on_peer_config_version(&self, version: u64) {
@@ -590,7 +655,12 @@
 
     /// Removes targets whose expiry grace has ended. To be called a few times a second.
     pub fn tick(&self, now: Time) {
+        let may_evacuate = self.settings.load().evacuation_limit().is_some();
         let mut fleet = self.fleet();
+        if !may_evacuate && fleet.registry.evacuations().is_some() {
+            fleet.registry.clear_evacuations();
+            self.metrics.set_state("evacuated_domains", 0);
+        }
         fleet.registry.drop_expired(now);
         fleet.update_table(now);
         self.scheduling.update(fleet.registry.targets(now));
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -43,4 +43,4 @@
 pub use protocol::{CallerLocation, HeaderNames, InvalidHeader, Protocol};
 pub use run::run;
 pub use settings::Settings;
-pub use store::{ConfigUpdate, Store, StoreError, UnknownRouteType};
+pub use store::{ConfigUpdate, EvacuationsUpdate, Store, StoreError, UnknownRouteType};
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -5,7 +5,9 @@
 use crate::replication;
 use crate::store::{ConfigUpdate, Consistency, Store, StoreError, UnknownRouteType};
 use crate::tasks;
-use geraniummux_core::fleet::{ReadSource, ReaderOptions, Revision, StoreChecks, read_source};
+use geraniummux_core::fleet::{
+    ReadSource, ReaderOptions, RegistryDelta, Revision, StoreChecks, read_source,
+};
 use rand::RngExt;
 use slog::{info, warn};
 use std::future::Future;
@@ -41,6 +43,10 @@
 /// Time after the start in which members discover each other before any of them reads the store.
 const STARTUP_SETTLE_TIME: Duration = Duration::from_millis(1_200);
 
+/// Time for which a watch of the evacuations waits, as a share of the time within which they have to have effect.
+/// The rest is for the list after a watch that the store has lost, and for passing them on.
+const EVACUATION_WATCH_SHARE: f64 = 0.4;
+
 /// Time after the start in which a host that is no reader does not check the store, as the first updates of
 /// its peers may take that long in a large fleet.
 const STARTUP_CHECK_DELAY: Duration = Duration::from_secs(3);
@@ -50,10 +56,16 @@
 where
     S: Store,
 {
-    let (config, targets) = tokio::join!(
-        read_config(&host, &*store, Consistency::Stale),
-        list(&host, &*store, Consistency::Stale)
-    );
+    let targets_outside_evacuations = async {
+        // The evacuations are in force before the targets can get requests.
+        let (_, targets) = tokio::join!(
+            read_evacuations(&host, &*store),
+            list_call(&host, &*store, Consistency::Stale)
+        );
+        targets.map(|targets| host.apply_targets(targets, "store"))
+    };
+    let (config, targets) =
+        tokio::join!(read_config(&host, &*store, Consistency::Stale), targets_outside_evacuations);
     info!(host.log, "first_read"; "config" => config.is_ok(), "targets" => targets.is_ok(),
         "version" => host.config_version());
 }
@@ -77,7 +89,7 @@
         }
         let position = replication::ReaderOrder::of(&host.members()).position;
         let peer_freshness = host.freshness().peer_freshness(now);
-        let is_reading = !watches.0.is_empty();
+        let is_reading = !watches.tasks.is_empty();
         let mut source = read_source(position.rank, peer_freshness, is_reading, &opts);
         match source {
             ReadSource::StoreIfResponsive if now.since(started) < STARTUP_CHECK_DELAY => {
@@ -108,17 +120,17 @@
                 }
                 info!(host.log, "reading_store"; "rank" => position.rank,
                     "hosts" => position.hosts, "age_ms" => peer_freshness.age.as_millis() as u64);
-                let checked = Arc::new(StoreState::default());
+                let checked = watches.checked.clone();
                 let (targets, config) = (checked.clone(), checked.clone());
                 let s = store.clone();
                 let task = move |host| watch_targets(host, s.clone(), targets.clone());
-                watches.0.push(tasks::spawn(&host, "watch_targets", task));
+                watches.tasks.push(AbortOnDrop(tasks::spawn(&host, "watch_targets", task)));
                 let s = store.clone();
                 let task = move |host| watch_config(host, s.clone(), config.clone());
-                watches.0.push(tasks::spawn(&host, "watch_config", task));
+                watches.tasks.push(AbortOnDrop(tasks::spawn(&host, "watch_config", task)));
                 let s = store.clone();
                 let task = move |host| monitor_store(host, s.clone(), checked.clone());
-                watches.0.push(tasks::spawn(&host, "monitor_store", task));
+                watches.tasks.push(AbortOnDrop(tasks::spawn(&host, "monitor_store", task)));
             }
             (ReadSource::Peers | ReadSource::StoreIfResponsive, true) => {
                 info!(host.log, "reading_peers"; "rank" => position.rank,
@@ -131,16 +143,35 @@
             (ReadSource::Store, true)
             | (ReadSource::Peers | ReadSource::StoreIfResponsive, false) => {}
         }
+        // The settings may have changed.
+        let may_evacuate = host.settings.load().evacuation_limit().is_some();
+        watches.evacuations = match (source, watches.evacuations.take()) {
+            (ReadSource::Store, None) if may_evacuate => {
+                let (s, checked) = (store.clone(), watches.checked.clone());
+                let task = move |host| watch_evacuations(host, s.clone(), checked.clone());
+                Some(AbortOnDrop(tasks::spawn(&host, "watch_evacuations", task)))
+            }
+            (ReadSource::Store, task) if may_evacuate => task,
+            _ => None,
+        };
     }
 }
 
 /// The tasks that watch the store; they end when this is dropped.
 #[derive(Default)]
-struct Watches(Vec<JoinHandle<()>>);
+struct Watches {
+    tasks: Vec<AbortOnDrop>,
+    /// The task that watches the evacuations, if failure domains are evacuated at all.
+    evacuations: Option<AbortOnDrop>,
+    checked: Arc<StoreState>,
+}
 
-impl Drop for Watches {
+/// A task that ends when this is dropped.
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
     fn drop(&mut self) {
-        self.0.iter().for_each(JoinHandle::abort);
+        self.0.abort();
     }
 }
 
@@ -307,14 +338,91 @@
     }
 }
 
+/// Watches the evacuations. Each watch that ends without a change is followed by a list, as the store may have lost
+/// track of the watch or lag behind with it. Both together take much less than the time in which an evacuation has
+/// to have effect.
+async fn watch_evacuations<S>(host: Arc<Host>, store: Arc<S>, checked: Arc<StoreState>)
+where
+    S: Store,
+{
+    let mut backoff = Backoff::new();
+    loop {
+        let result = store.list_evacuations(Consistency::Latest).await;
+        record_call(&host, "list_evacuations", result.as_ref().err());
+        let mut evacuations = match result {
+            Ok(evacuations) => evacuations,
+            Err(e) => {
+                backoff.wait_after(&e).await;
+                continue;
+            }
+        };
+        backoff.on_list();
+        host.adopt_evacuations(evacuations.clone(), "store");
+        let mut position = evacuations.revision;
+        let ended = loop {
+            let limit = host.settings.load().evacuation_limit().unwrap_or(WATCH_WAIT);
+            let wait = limit.mul_f64(EVACUATION_WATCH_SHARE).min(WATCH_WAIT);
+            let watch = store.watch_evacuations(position, wait);
+            let result = while_store_responds(&checked, position, watch).await;
+            record_call(&host, "watch_evacuations", result.as_ref().err());
+            match result {
+                Ok(update) => {
+                    backoff.on_watch();
+                    position = update.revision;
+                    if update.changes.is_empty() {
+                        break None;
+                    }
+                    for (domain, is_evacuated) in &update.changes {
+                        evacuations.set(domain, *is_evacuated);
+                    }
+                    evacuations.revision = position;
+                    host.adopt_evacuations(evacuations.clone(), "store");
+                }
+                Err(e) => break Some(e),
+            }
+        };
+        match ended {
+            Some(error) => backoff.wait_after(&error).await,
+            // A store that ends watches at once must not be asked without a pause.
+            None => tokio::time::sleep(MIN_BACKOFF).await,
+        }
+    }
+}
+
+/// Reads the evacuations for a host that starts, if failure domains are evacuated at all.
+async fn read_evacuations<S>(host: &Host, store: &S) -> Result<(), StoreError>
+where
+    S: Store,
+{
+    if host.settings.load().evacuation_limit().is_none() {
+        return Ok(());
+    }
+    let result = store.list_evacuations(Consistency::Stale).await;
+    record_call(host, "list_evacuations", result.as_ref().err());
+    host.adopt_evacuations(result?, "store");
+    Ok(())
+}
+
 async fn list<S>(host: &Host, store: &S, consistency: Consistency) -> Result<(), StoreError>
+where
+    S: Store,
+{
+    let targets = list_call(host, store, consistency).await?;
+    host.apply_targets(targets, "store");
+    Ok(())
+}
+
+async fn list_call<S>(
+    host: &Host,
+    store: &S,
+    consistency: Consistency,
+) -> Result<RegistryDelta, StoreError>
 where
     S: Store,
 {
     let result = store.list_targets(consistency).await;
     record_call(host, "list_targets", result.as_ref().err());
-    host.apply_targets(result?, "store");
-    Ok(())
+    result
 }
 
 async fn read_config<S>(host: &Host, store: &S, consistency: Consistency) -> Result<(), StoreError>
--- a/crates/geraniummux-host/src/replication.rs
+++ b/crates/geraniummux-host/src/replication.rs
@@ -6,7 +6,7 @@
 
 use crate::host::Host;
 use crate::peers;
-use geraniummux_core::fleet::{Leader, Position, ReaderOptions, leaders};
+use geraniummux_core::fleet::{Evacuations, Leader, Position, ReaderOptions, leaders};
 use geraniummux_core::{Member, MemberState, Membership, Time};
 use geraniummux_wire::{Message, PackedConfigChange, ReplicaUpdate, ReplicaVersions};
 use slog::{info, warn};
@@ -90,13 +90,15 @@
 ) -> io::Result<()> {
     let mut changes = host.replica_changes();
     let mut versions = versions;
+    // The evacuations that were sent last on this connection.
+    let mut evacuations = None;
     let mut byte = [0];
     info!(host.log, "follower_joined"; "follower" => from,
         "config_version" => versions.config.version,
         "targets_revision" => %versions.targets_revision.unwrap_or_default());
     loop {
         changes.borrow_and_update();
-        for message in next_messages(host, &mut versions)? {
+        for message in next_messages(host, &mut versions, &mut evacuations)? {
             timeout(SEND_TIMEOUT, peers::write(host, &mut stream, message)).await??;
         }
         tokio::select! {
@@ -112,9 +114,13 @@
     }
 }
 
-/// Returns the messages with what a follower lacks, and advances its versions by that. The last one is an
-/// update.
-fn next_messages(host: &Host, versions: &mut ReplicaVersions) -> io::Result<Vec<Message>> {
+/// Returns the messages with what a follower lacks, and advances its versions and the evacuations that were sent to
+/// it by that. The evacuations come before the targets, and the last one is an update.
+fn next_messages(
+    host: &Host,
+    versions: &mut ReplicaVersions,
+    evacuations: &mut Option<Evacuations>,
+) -> io::Result<Vec<Message>> {
     let now = host.now();
     let (age, expiry_grace, config_revision) = {
         let freshness = host.freshness();
@@ -124,12 +130,18 @@
             freshness.config_revision.unwrap_or_default(),
         )
     };
-    let mut messages = Vec::with_capacity(2);
+    let mut messages = Vec::with_capacity(3);
     if let Some(change) = host.config_change_since(versions.config) {
         versions.config = change.edition;
         let packed = PackedConfigChange::pack(&change).map_err(io::Error::other)?;
         messages.push(Message::ConfigChange(packed));
     }
+    let news = host.evacuations_since(versions.config, evacuations.as_ref());
+    if let Some((sent, change)) = news {
+        *evacuations = Some(sent);
+        let packed = PackedConfigChange::pack(&change).map_err(io::Error::other)?;
+        messages.push(Message::ConfigChange(packed));
+    }
     let targets = host.fleet().delta_since(versions.targets_revision);
     if let Some(targets) = &targets {
         versions.targets_revision = Some(targets.to);
@@ -273,9 +285,16 @@
     first == Some(leader) || (!preferred && followed < 5 * LEADER_REVIEW_INTERVAL)
 }
 
-/// Puts the configuration after a change in force.
+/// Puts the configuration after a change in force, and the evacuations that come with it.
 fn apply_config_change(host: &Host, packed: &PackedConfigChange, from: &str) -> io::Result<()> {
-    let change = packed.unpack().map_err(io::Error::other)?;
+    let mut change = packed.unpack().map_err(io::Error::other)?;
+    let evacuations = change.extension.as_mut().and_then(|e| e.evacuations.take());
+    if let Some(evacuations) = evacuations {
+        host.adopt_evacuations(evacuations, from);
+    }
+    if change.keeps_config() {
+        return Ok(());
+    }
     let (base, edition) = (change.base, change.edition);
     let revision = host.freshness().config_revision.unwrap_or_default();
     match change.apply(host.config().as_deref()) {
--- a/crates/geraniummux-host/src/settings.rs
+++ b/crates/geraniummux-host/src/settings.rs
@@ -158,6 +158,12 @@
         Duration::from_secs_f64(self.promises.max_ttl_s).min(DEFAULT_HOST_LIST_TTL)
     }
 
+    /// Returns the time after which an evacuated failure domain gets no more requests; `None` if failure domains
+    /// are never evacuated.
+    pub fn evacuation_limit(&self) -> Option<Duration> {
+        self.promises.evacuate_s.map(Duration::from_secs_f64)
+    }
+
     /// Returns the bytes that bodies of requests and responses may take.
     pub fn body_memory(&self) -> u64 {
         (self.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE) as u64
--- a/crates/geraniummux-host/src/store.rs
+++ b/crates/geraniummux-host/src/store.rs
@@ -1,6 +1,6 @@
 //! Read access to the platform's store, which holds the registered targets and the configuration.
 
-use geraniummux_core::fleet::{FleetConfig, RegistryDelta, Revision};
+use geraniummux_core::fleet::{Evacuations, FleetConfig, RegistryDelta, Revision};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,6 +46,15 @@
     }
 }
 
+/// Changes of the evacuations in a watch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EvacuationsUpdate {
+    /// The revision of the store after the changes.
+    pub revision: Revision,
+    /// Failure domains, each with whether it is evacuated now, oldest change first.
+    pub changes: Vec<(Arc<str>, bool)>,
+}
+
 /// A type of routes that this version does not know, and the routes of a configuration that have it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UnknownRouteType {
@@ -84,6 +93,12 @@
         consistency: Consistency,
     ) -> impl Future<Output = Result<ConfigUpdate, StoreError>> + Send;
 
+    /// Returns the evacuated failure domains. Called only if the settings name a time limit for evacuations.
+    fn list_evacuations(
+        &self,
+        consistency: Consistency,
+    ) -> impl Future<Output = Result<Evacuations, StoreError>> + Send;
+
     /// Waits up to `wait` for changes of the registered targets after `revision` and returns them.
     fn watch_targets(
         &self,
@@ -97,4 +112,12 @@
         revision: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<ConfigUpdate, StoreError>> + Send;
+
+    /// Waits up to `wait` for changes of the evacuations after `revision` and returns them. Called only if the
+    /// settings name a time limit for evacuations.
+    fn watch_evacuations(
+        &self,
+        revision: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<EvacuationsUpdate, StoreError>> + Send;
 }
--- a/crates/geraniummux-host/tests/reader.rs
+++ b/crates/geraniummux-host/tests/reader.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use geraniummux_core::fleet::{RegistryDelta, Revision};
+use geraniummux_core::fleet::{Evacuations, RegistryDelta, Revision};
 use geraniummux_host::store::Consistency;
-use geraniummux_host::{ConfigUpdate, Host, Store, StoreError, reader};
+use geraniummux_host::{ConfigUpdate, EvacuationsUpdate, Host, Store, StoreError, reader};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -48,6 +48,16 @@
     async fn watch_targets(&self, _: Revision, _: Duration) -> Result<RegistryDelta, StoreError> {
         Err(self.watch().await)
     }
+    async fn list_evacuations(&self, _: Consistency) -> Result<Evacuations, StoreError> {
+        Err(StoreError::Refused(404))
+    }
+    async fn watch_evacuations(
+        &self,
+        _: Revision,
+        _: Duration,
+    ) -> Result<EvacuationsUpdate, StoreError> {
+        Err(StoreError::Refused(404))
+    }
     async fn watch_config(&self, _: Revision, _: Duration) -> Result<ConfigUpdate, StoreError> {
         Err(self.watch().await)
     }
@@ -130,6 +140,16 @@
         self.watched.lock().unwrap().push(from);
         std::future::pending().await
     }
+    async fn list_evacuations(&self, _: Consistency) -> Result<Evacuations, StoreError> {
+        Err(StoreError::Refused(404))
+    }
+    async fn watch_evacuations(
+        &self,
+        _: Revision,
+        _: Duration,
+    ) -> Result<EvacuationsUpdate, StoreError> {
+        Err(StoreError::Refused(404))
+    }
     async fn watch_config(&self, _: Revision, _: Duration) -> Result<ConfigUpdate, StoreError> {
         std::future::pending().await
     }
