Cold targets: end of the warm-up, rates of schedulers and hosts

Cause: a target that became cold while it ran counted as warm, and nothing limited what cold targets get. Ruled out: the accepted rate for each scheduler (two of them reach 21.75 requests in a second where 18.65 are allowed), and random shares of hosts (0.2 x r on average only). Change: the registry takes the end of the warm-up from each write of the entry and from health responses.

--- a/crates/geraniummux-core/src/fleet/bounds.rs
+++ b/crates/geraniummux-core/src/fleet/bounds.rs
@@ -22,6 +22,8 @@
 const MAX_LIMIT_PER_S: f64 = 1e9;
 /// Largest sum of the weights of faults that one message reports.
 const MAX_FAULT_WEIGHT: f64 = 1e4;
+/// Longest time for which a target stays cold.
+pub const MAX_WARM_UP: Duration = Duration::from_secs(3_600);
 /// Longest time of a request.
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(24 * 3_600);
 
--- a/crates/geraniummux-core/src/fleet/limits.rs
+++ b/crates/geraniummux-core/src/fleet/limits.rs
@@ -19,14 +19,25 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RateBucket {
     per_s: f64,
+    /// Maximum number of tokens; `None` if it depends on the rate.
+    fixed_capacity: Option<f64>,
     tokens: f64,
     at: Time,
 }
 
 impl RateBucket {
+    /// The capacity of a bucket that allows no two requests at once.
+    pub const WHOLE: f64 = 1.0;
+
     /// Returns an empty bucket. It allows a request from time to time even if `per_s` is 0.
     pub fn new(now: Time, per_s: f64) -> Self {
-        RateBucket { per_s: per_s.max(MIN_PER_S), tokens: 0.0, at: now }
+        RateBucket { per_s: per_s.max(MIN_PER_S), fixed_capacity: None, tokens: 0.0, at: now }
+    }
+
+    /// Returns an empty bucket that allows up to `capacity` requests at once, one at least.
+    pub fn with_capacity(now: Time, per_s: f64, capacity: f64) -> Self {
+        let fixed_capacity = Some(capacity.max(RateBucket::WHOLE));
+        RateBucket { fixed_capacity, ..RateBucket::new(now, per_s) }
     }
 
     /// Changes the rate and keeps the tokens, as far as the new capacity allows.
@@ -37,7 +48,7 @@
     }
 
     fn capacity(&self) -> f64 {
-        1.0 + self.per_s * BURST.as_secs_f64()
+        self.fixed_capacity.unwrap_or(RateBucket::WHOLE + self.per_s * BURST.as_secs_f64())
     }
 
     /// Returns the requests per second that the bucket allows.
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod table;
 mod teams;
 mod warm;
+mod warm_up;
 
 pub use admission::{
     AdmissionDecision, AdmissionInput, AdmissionRejectReason, AdmissionRules, admit,
@@ -40,7 +41,7 @@
     TokenGrant, TokenMessage, TokenRequest, TokenState,
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
-pub use bounds::{MAX_SLOTS, is_plausible_fault_weight};
+pub use bounds::{MAX_SLOTS, MAX_WARM_UP, is_plausible_fault_weight};
 pub use carried::CarriedRequests;
 pub use config_change::ConfigChange;
 pub use config_extension::ConfigExtension;
@@ -50,7 +51,7 @@
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
 pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
-pub use limits::MAX_LIMIT_AGE;
+pub use limits::{MAX_LIMIT_AGE, RateBucket};
 pub use probes::ProbeBudget;
 pub use reach::{ReachOptions, RelayPeer, Relays, TargetPath, TargetReach};
 pub use readers::{
@@ -71,3 +72,4 @@
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
 pub use teams::{Allowance, ApiKey, Team, TeamIndex};
 pub use warm::WarmConnections;
+pub use warm_up::{WarmUpRules, WarmUpShares};
--- a/crates/geraniummux-core/src/fleet/registry.rs
+++ b/crates/geraniummux-core/src/fleet/registry.rs
@@ -9,6 +9,7 @@
 //! what the copy can't know: targets that have left or are leaving remain so, although the copy lists them
 //! as ready, and targets that the copy lacks are kept for an expiry grace.
 
+use super::bounds::MAX_WARM_UP;
 use super::evacuations::Evacuations;
 use super::revision::Revision;
 use crate::time::Time;
@@ -19,6 +20,8 @@
 
 /// Default of [`TargetRegistry::set_confirm_after`].
 const DEFAULT_CONFIRM_AFTER: Duration = Duration::from_secs(6);
+/// Difference from which on the end of a warm-up that a target states is another one than the known one.
+const WARM_UP_TOLERANCE: Duration = Duration::from_millis(500);
 /// Time for which a target that has left is remembered; longer than the age of a copy from which the store
 /// comes back.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(600);
@@ -98,8 +101,10 @@
     revision: Revision,
     /// `None` if the entry names no usable target.
     target: Option<RegisteredTarget>,
-    /// End of the target's warm-up.
+    /// End of the target's warm-up by its registration.
     warm_up_ends: Time,
+    /// End of the warm-up by what the target said in health responses.
+    said_warm_up_ends: Time,
     /// When this copy first had the run; `None` if that was with the first full list.
     run_since: Option<Time>,
     /// End of the expiry grace of a removed entry.
@@ -118,6 +123,19 @@
         self.target.as_ref().map(RegisteredTarget::run)
     }
 
+    /// Returns when the target is no longer cold. A target that is taken to be cold for too long only gets fewer
+    /// requests.
+    fn cold_until(&self) -> Time {
+        self.warm_up_ends.max(self.said_warm_up_ends)
+    }
+
+    /// Returns whether the target wrote this entry after `old`. In another era, an entry with the same content may
+    /// be the one of before.
+    fn is_rewritten(&self, old: &Entry) -> bool {
+        self.revision > old.revision
+            && (self.revision.era == old.revision.era || self.target != old.target)
+    }
+
     fn is_usable(&self, now: Time) -> bool {
         self.drop_at.is_none_or(|at| now < at) && self.unconfirmed_until.is_none_or(|at| now >= at)
     }
@@ -261,10 +279,40 @@
         self.entries
             .iter()
             .filter(move |e| e.is_usable(now))
-            .filter_map(move |e| Some((e.target.as_ref()?, now < e.warm_up_ends)))
+            .filter_map(move |e| Some((e.target.as_ref()?, now < e.cold_until())))
             .filter(move |(t, _)| !is_evacuated(t))
     }
 
+    /// Returns until when a target is cold; the default if it is not registered.
+    pub fn cold_until(&self, target: &str) -> Time {
+        self.find(target).map_or(Time::default(), Entry::cold_until)
+    }
+
+    /// Returns the cold targets of a pool.
+    pub fn cold<'a>(&'a self, now: Time, pool: &'a str) -> impl Iterator<Item = &'a Arc<str>> {
+        let of_pool = self.targets(now).filter(move |(t, is_cold)| *is_cold && *t.pool == *pool);
+        of_pool.map(|(t, _)| &t.id)
+    }
+
+    /// Records that a target said that it stays cold for `left`, to this host or to a peer. Returns whether it is
+    /// taken to be cold for longer than before, by more than responses differ in their delay.
+    pub fn on_warm_up_left(&mut self, now: Time, target: &str, left: Duration) -> bool {
+        let Ok(i) = self.entries.binary_search_by(|e| (*e.id).cmp(target)) else { return false };
+        let e = &mut self.entries[i];
+        let (known, ends) = (e.cold_until(), now + left.min(MAX_WARM_UP));
+        e.said_warm_up_ends = e.said_warm_up_ends.max(ends);
+        !left.is_zero() && ends > known + WARM_UP_TOLERANCE
+    }
+
+    /// Takes the targets of a failure domain to be cold for a while.
+    pub fn assume_cold(&mut self, now: Time, domain: &str, for_: Duration) {
+        let in_domain =
+            |e: &&mut Entry| e.target.as_ref().is_some_and(|t| *t.failure_domain == *domain);
+        for e in self.entries.iter_mut().filter(in_domain) {
+            e.said_warm_up_ends = e.said_warm_up_ends.max(now + for_);
+        }
+    }
+
     /// Returns the registered run of a target.
     pub fn run(&self, target: &str) -> Option<TargetRun> {
         self.find(target)?.run()
@@ -346,6 +394,7 @@
         };
         let mut entry = Entry {
             warm_up_ends: now + target.as_ref().map_or(Duration::ZERO, |t| t.warm_up),
+            said_warm_up_ends: Time::default(),
             run_since: self.revision.map(|_| now),
             id,
             revision,
@@ -364,14 +413,17 @@
             }
             Ok(i) => {
                 keep_leaving(&self.entries[i], &mut entry);
-                // A target that restarted under the same id warms up again; other changes of the
-                // entry don't affect the warm-up.
                 let old = &self.entries[i];
-                let (warm_up_ends, run_since) = match old.run() == entry.run() {
-                    true => (old.warm_up_ends, old.run_since),
-                    false => (entry.warm_up_ends, entry.run_since),
-                };
-                self.entries[i] = Entry { warm_up_ends, run_since, ..entry };
+                if old.run() == entry.run() {
+                    entry.run_since = old.run_since;
+                    entry.said_warm_up_ends = old.said_warm_up_ends;
+                    // A target may become cold again while it runs, and says so when it writes its entry. The
+                    // same entry in another list says nothing new.
+                    if !entry.is_rewritten(old) {
+                        entry.warm_up_ends = old.warm_up_ends;
+                    }
+                }
+                self.entries[i] = entry;
             }
             Err(i) => self.entries.insert(i, entry),
         }
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -16,6 +16,7 @@
 //!   another.
 //! * A target that limits its request rate is granted to no more requests than that, over all hosts. If
 //!   some targets have limits, a request is rejected at once if its turn would come too late.
+//! * A cold target is granted to no more requests than it accepts while it is cold.
 //! * A request whose target becomes slow while it runs is granted a slot at a second target for a
 //!   hedge, if it may be hedged, would be late otherwise, and the pool has capacity to spare.
 //!
@@ -303,6 +304,8 @@
     domain: usize,
     slots: u32,
     warming_up: bool,
+    /// Requests that the target accepts while it is cold, and until when.
+    warm_up: Option<(RateBucket, Time)>,
     /// Requests of this fleet that are in flight at the target.
     in_flight: Vec<InFlight>,
     slowdown: f64,
@@ -347,22 +350,38 @@
         self.limit.filter(|_| !has_ended).map(|l| l.per_s())
     }
 
-    /// Returns whether the target's limit allows one more request.
+    /// Returns whether the target's limit and, if it is cold, its warm-up allow one more request.
     fn is_within_limit(&self, now: Time) -> bool {
-        self.limit_per_s().is_none() || self.limit.is_none_or(|l| l.has_token(now))
+        let is_warm = self.warm_up.is_none_or(|(w, until)| now >= until || w.has_token(now));
+        is_warm && (self.limit_per_s().is_none() || self.limit.is_none_or(|l| l.has_token(now)))
+    }
+
+    /// Returns the rate that the target accepts if it is limited or cold, and the time until it accepts a
+    /// request.
+    fn accepted(&self, now: Time) -> Option<(f64, Duration)> {
+        let limit = self.limit_per_s().and(self.limit);
+        let warm_up = self.warm_up.filter(|(_, until)| now < *until).map(|(w, _)| w);
+        let of = |b: RateBucket| (b.per_s(), b.next_token(now));
+        match (limit.map(of), warm_up.map(of)) {
+            (Some((a, next_a)), Some((b, next_b))) => Some((a.min(b), next_a.max(next_b))),
+            (one, other) => one.or(other),
+        }
     }
 
     /// Returns how many slots requests can use. A limited target's rate says how many, rather than its
     /// slots; those in use are the best estimate.
     fn usable_slots(&self) -> u32 {
-        match self.limit_per_s() {
-            Some(_) => self.slots.min(self.in_flight.len() as u32),
-            None => self.slots,
+        match (self.limit_per_s(), self.warm_up) {
+            (None, None) => self.slots,
+            _ => self.slots.min(self.in_flight.len() as u32),
         }
     }
 
-    /// Takes a request out of the target's limit, unless that is forgotten.
+    /// Takes a request out of the target's limit, unless that is forgotten, and out of its warm-up.
     fn take_token(&mut self, now: Time) {
+        if let Some((warm_up, _)) = self.warm_up.as_mut().filter(|(_, until)| now < *until) {
+            warm_up.take(now);
+        }
         let is_limited = self.limit_per_s().is_some();
         if let Some(limit) = self.limit.as_mut().filter(|_| is_limited) {
             limit.take(now);
@@ -539,6 +558,7 @@
                     domain,
                     slots: t.slots.max(1),
                     warming_up,
+                    warm_up: None,
                     in_flight: Vec::new(),
                     slowdown: self.opts.unknown_slowdown,
                     reported_at: None,
@@ -557,6 +577,26 @@
         self.rebuild_placements();
     }
 
+    /// Sets how many requests a second cold targets are granted; `None` if that is not limited. `cold_until` returns
+    /// until when a target is cold. To be called after each [`Scheduler::update`].
+    pub fn set_warm_ups<F>(&mut self, now: Time, per_s: Option<f64>, cold_until: F)
+    where
+        F: Fn(&str) -> Time,
+    {
+        for t in &mut self.targets {
+            let cold = per_s.map(|per_s| (per_s, cold_until(&t.id)));
+            let Some((per_s, until)) = cold.filter(|(_, until)| now < *until) else {
+                t.warm_up = None;
+                continue;
+            };
+            let (bucket, ends) = t.warm_up.get_or_insert_with(|| {
+                (RateBucket::with_capacity(now, per_s, RateBucket::WHOLE), until)
+            });
+            bucket.set_per_s(now, per_s);
+            *ends = until;
+        }
+    }
+
     /// Rebuilds the index of the requests in flight from the targets.
     fn rebuild_placements(&mut self) {
         self.placements.clear();
@@ -977,14 +1017,14 @@
     /// as many requests as their slots can serve.
     fn limits(&self, now: Time) -> Option<LimitOutlook> {
         let open = || self.targets.iter().filter(|t| !t.is_closed(now));
-        if open().all(|t| t.limit_per_s().is_none()) {
+        if open().all(|t| t.accepted(now).is_none()) {
             return None;
         }
         let service_times = self.waiting.iter().map(|w| w.request.service_time.as_secs_f64());
         let service_time = service_times.sum::<f64>() / self.waiting.len() as f64;
-        Some(open().fold(LimitOutlook::NONE, |sum, t| match (t.limit_per_s(), t.limit) {
-            (Some(per_s), Some(limit)) => sum.add(per_s, limit.next_token(now)),
-            _ => {
+        Some(open().fold(LimitOutlook::NONE, |sum, t| match t.accepted(now) {
+            Some((per_s, next)) => sum.add(per_s, next),
+            None => {
                 let per_s = f64::from(t.slots) / (service_time * t.slowdown);
                 let next = Duration::try_from_secs_f64(1.0 / per_s);
                 sum.add(per_s, next.unwrap_or(Duration::MAX))
