Cold targets: hosts read health responses and tell the scheduler

Cause: health responses state that a target is cold, which hosts ignored; the scheduler learned it from the registration only. Ruled out: telling the scheduler of each probe. Change: Protocol::warm_up_left, TargetsWarmingUp, and the lot for hosts that select targets themselves. After an evacuation, the targets of the domain are taken to be cold for two heartbeats.

--- a/crates/geraniummux-host/src/figures.rs
+++ b/crates/geraniummux-host/src/figures.rs
@@ -2,8 +2,8 @@
 //! source.
 
 use geraniummux_core::Time;
-use geraniummux_core::fleet::{TargetReport, is_plausible_fault_weight};
-use geraniummux_wire::Message;
+use geraniummux_core::fleet::{MAX_WARM_UP, TargetReport, is_plausible_fault_weight};
+use geraniummux_wire::{MAX_PROBED_TARGETS, Message};
 use slog::{Logger, warn};
 use std::fmt::Display;
 use std::sync::Arc;
@@ -65,6 +65,13 @@
             let removed = reports.len() < before;
             (Some(Message::TargetReports { pool, reports }), removed)
         }
+        Message::TargetsWarmingUp { pool, mut targets } => {
+            let before = targets.len();
+            targets.retain(|(_, ms)| Duration::from_millis(u64::from(*ms)) <= MAX_WARM_UP);
+            targets.truncate(MAX_PROBED_TARGETS);
+            let removed = targets.len() < before;
+            (Some(Message::TargetsWarmingUp { pool, targets }), removed)
+        }
         Message::GrantEnded { number, pool, report } => {
             let is_plausible = |r: &(Arc<str>, TargetReport)| r.1.is_plausible();
             let removed = report.as_ref().is_some_and(|r| !is_plausible(r));
--- a/crates/geraniummux-host/src/fleet.rs
+++ b/crates/geraniummux-host/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use geraniummux_core::fleet::{
     Demands, ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, ReportedDemand, Revision,
-    SplitState, TableOptions, TargetRegistry, TargetTable,
+    SplitState, TableOptions, TargetRegistry, TargetTable, WarmUpShares,
 };
 use geraniummux_core::quarantine::QuarantineOptions;
 use geraniummux_core::{Quarantine, Time};
@@ -43,6 +43,8 @@
     pub table: TargetTable,
     /// What targets demanded with their answers to this host.
     pub demands: Demands,
+    /// What this host may send to cold targets when it selects targets itself.
+    pub warm_up_shares: WarmUpShares,
     /// Crash reports, and the requests that are blocked because of them.
     pub quarantine: Quarantine,
     /// The latest changes of the registry, oldest first.
@@ -79,6 +81,7 @@
             registry: TargetRegistry::default(),
             table: TargetTable::new(failure_domain, TableOptions::default()),
             demands: Demands::default(),
+            warm_up_shares: WarmUpShares::default(),
             quarantine: Quarantine::new(process, QuarantineOptions::default()),
             deltas: VecDeque::new(),
             splits: Vec::new(),
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -17,7 +17,7 @@
 use geraniummux_core::fleet::{
     Candidate, ConfigChange, ConfigEdition, EvacuationDifference, Evacuations, ExtraAttempt,
     ExtraAttemptOptions, Fault, FleetConfig, RegistryDelta, ReportedDemand, Revision, RouteIndex,
-    TargetDemand, TargetReport,
+    TargetDemand, TargetRegistry, TargetReport, WarmUpRules,
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::{Member, MemberState, Membership, Time};
@@ -49,6 +49,10 @@
 /// entries after three without a write.
 const CONFIRMING_HEARTBEATS: u32 = 4;
 
+/// Heartbeats of the targets of a failure domain after the end of its evacuation in which they are taken to be cold. By
+/// then, their registrations or health responses say whether they are.
+const RETURN_HEARTBEATS: u32 = 2;
+
 /// Stages of a host from start to stop; a host never returns to an earlier one.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -262,8 +266,12 @@
         let is_news = held.is_none_or(|held| !held.has_same_state(&evacuations));
         let Some(difference) = fleet.registry.set_evacuations(evacuations) else { return };
         if difference != EvacuationDifference::default() {
+            let heartbeat = Duration::from_secs_f64(self.settings.load().promises.heartbeat_s);
+            for domain in &difference.returned {
+                fleet.registry.assume_cold(now, domain, RETURN_HEARTBEATS * heartbeat);
+            }
             fleet.update_table(now);
-            self.scheduling.update(fleet.registry.targets(now));
+            self.update_schedulers(now, &fleet.registry);
         }
         drop(fleet);
         for domain in &difference.evacuated {
@@ -438,7 +446,7 @@
         }
         fleet.retain_delta(delta);
         fleet.update_table(now);
-        self.scheduling.update(fleet.registry.targets(now));
+        self.update_schedulers(now, &fleet.registry);
         if changes > 0 {
             info!(self.log, "targets_changed"; "revision" => %to, "changes" => changes,
                 "from" => from, "lapsed" => fleet.registry.expired_count(),
@@ -449,6 +457,88 @@
         true
     }
 
+    /// Passes the registered targets and what cold ones accept to the pools that this host schedules.
+    fn update_schedulers(&self, now: Time, registry: &TargetRegistry) {
+        self.scheduling.update(now, registry, |pool| self.warm_up_rules(pool));
+    }
+
+    /// Returns what cold targets of a pool may get; `None` if that is not limited.
+    pub fn warm_up_rules(&self, pool: &str) -> Option<WarmUpRules> {
+        let per_s = self.routes.load().as_ref()?.pool(pool)?.warm_up_per_s?;
+        let promises = &self.settings.load().promises;
+        let (overage, slack) = (promises.warm_up_overage, promises.warm_up_slack);
+        Some(WarmUpRules { per_s, overage, slack })
+    }
+
+    /// Records for how long a target says in a health response that it stays cold, if cold targets of its pool
+    /// are limited, and tells the scheduler of the pool what is new.
+    pub fn on_warm_up_left(
+        self: &Arc<Self>,
+        pool: &Arc<str>,
+        candidate: &Candidate,
+        headers: &HeaderMap,
+    ) {
+        if self.warm_up_rules(pool).is_none() {
+            return;
+        }
+        let Candidate { id: target, run } = candidate;
+        let left = self.valid(target, self.protocol.warm_up_left(headers)).flatten();
+        let Some(left) = left else { return };
+        let is_registered = self.fleet().registry.run(target) == Some(*run);
+        if is_registered && self.set_warm_up_left(target, left, "target") {
+            scheduling::report_warm_ups(self, pool, std::slice::from_ref(target));
+        }
+    }
+
+    /// Records for how long targets stay cold that told a peer so.
+    pub fn on_peer_warm_ups(&self, from: &str, pool: &str, targets: &[(Arc<str>, u32)]) {
+        if self.warm_up_rules(pool).is_none() {
+            return;
+        }
+        for (target, left_ms) in targets {
+            let is_of_pool = self.fleet().registry.pool(target).is_some_and(|p| **p == *pool);
+            if is_of_pool {
+                self.set_warm_up_left(target, Duration::from_millis(u64::from(*left_ms)), from);
+            }
+        }
+    }
+
+    /// Returns whether the target is taken to be cold for longer than before.
+    fn set_warm_up_left(&self, target: &str, left: Duration, from: &str) -> bool {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        if !fleet.registry.on_warm_up_left(now, target, left) {
+            return false;
+        }
+        fleet.update_table(now);
+        self.update_schedulers(now, &fleet.registry);
+        drop(fleet);
+        info!(self.log, "target_cold"; "target" => target, "from" => from,
+            "left_ms" => left.as_millis() as u64);
+        true
+    }
+
+    /// Takes a request to a cold target out of this host's share, and returns whether it is allowed. The host
+    /// selects targets itself; for each target, the lot falls on one of the hosts in service.
+    pub fn try_take_warm_up(&self, pool: &str, target: &Arc<str>) -> bool {
+        let Some(rules) = self.warm_up_rules(pool) else { return true };
+        if !scheduling::knows_members(self) || !self.has_lot(target) {
+            return false;
+        }
+        let now = self.now();
+        self.fleet().warm_up_shares.try_take(now, target, &rules)
+    }
+
+    fn has_lot(&self, target: &str) -> bool {
+        let members = self.members();
+        let me = members.local_member();
+        let in_service = std::iter::once(me).chain(members.peers());
+        let first = in_service
+            .filter(|m| m.state == MemberState::Alive)
+            .min_by_key(|m| (members.order_key(target, &m.name), m.name.clone()));
+        first.is_some_and(|m| m.name == me.name)
+    }
+
     /// Returns the load that a target reports in a response's headers, if it does and that can be true.
     pub fn target_report(&self, target: &Arc<str>, headers: &HeaderMap) -> Option<TargetReport> {
         self.valid(target, self.protocol.target_report(headers)).flatten()
@@ -663,7 +753,7 @@
         }
         fleet.registry.drop_expired(now);
         fleet.update_table(now);
-        self.scheduling.update(fleet.registry.targets(now));
+        self.update_schedulers(now, &fleet.registry);
     }
 
     /// Causes an update to be sent to followers, with what has changed and how current it is.
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -138,6 +138,9 @@
         Message::TargetDemands { pool, demands } => {
             scheduling::on_demands(host, &pool, &demands);
         }
+        Message::TargetsWarmingUp { pool, targets } => {
+            host.on_peer_warm_ups(&from, &pool, &targets)
+        }
         Message::TargetPause { pool, target, pause_ms } => {
             let pause = Duration::from_millis(u64::from(pause_ms));
             host.on_relayed_pause(&pool, &target, pause);
--- a/crates/geraniummux-host/src/protocol.rs
+++ b/crates/geraniummux-host/src/protocol.rs
@@ -61,6 +61,14 @@
     /// Fails if a header can't be read or its figure is not plausible, unless the target is leaving.
     fn target_demand(&self, headers: &HeaderMap) -> Result<TargetDemand, InvalidHeader>;
 
+    /// Parses the time for which a target says in a health response that it stays cold; `None` if it does not
+    /// say.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the header can't be read or its figure is not plausible.
+    fn warm_up_left(&self, headers: &HeaderMap) -> Result<Option<Duration>, InvalidHeader>;
+
     /// Returns whether a request to the readiness address is a readiness check.
     fn is_readiness_request(&self, uri: &Uri) -> bool;
 
--- a/crates/geraniummux-host/src/proxy/selection.rs
+++ b/crates/geraniummux-host/src/proxy/selection.rs
@@ -302,6 +302,8 @@
         if candidates.is_empty() {
             return rejection("no_target", &ctx);
         }
+        // All candidates are cold or none is.
+        let were_cold = is_limited_cold(&ctx, &candidates[0].id);
         let wait = FIRST_RESPONSE_WAIT * 2_u32.pow(empty_rounds);
         let mut responses = probe_targets(&ctx, candidates, wait).await;
         let now = host.now();
@@ -336,6 +338,11 @@
                 if host.candidate(&ctx.pool.name, &candidate.id).as_ref() != Some(&candidate) {
                     continue;
                 }
+                if !were_cold && is_limited_cold(&ctx, &candidate.id) {
+                    // The response to the probe said so. The host's share was not asked for this target.
+                    host.upstream.put_idle(now, conn);
+                    continue;
+                }
                 host.fleet().table.on_sent(&candidate.id);
                 return Selection::Selected(Box::new(SelectedTarget {
                     candidate,
@@ -363,30 +370,45 @@
     }
 }
 
-/// Returns up to `count` targets to probe for a request, none of `tried`. Targets with a limit are used
-/// only if there are no others, and then within this host's share of the limit.
+/// Returns up to `count` targets to probe for a request, none of `tried`. Targets with a limit and cold ones are
+/// used only if there are no others, and then within this host's share.
 fn candidates(ctx: &RequestContext, tried: &[Arc<str>], count: usize) -> Vec<Candidate> {
     let pool = &ctx.pool.name;
     let now = ctx.host.now();
     let hosts = ctx.host.host_count();
-    let Fleet { registry, demands, table, .. } = &mut *ctx.host.fleet();
-    let mut avoid = tried.to_vec();
-    avoid.extend(demands.closed(now, pool, |t| registry.run(t)));
-    let limited = demands.limited(now, pool, |t| registry.run(t));
-    let reserved = avoid.len();
-    avoid.extend(limited.iter().cloned());
-    let found = table.candidates(now, pool, &avoid, count, &mut rand::rng());
-    if !found.is_empty() || limited.is_empty() {
-        return found;
-    }
-    avoid.truncate(reserved);
-    let found = table.candidates(now, pool, &avoid, usize::MAX, &mut rand::rng());
-    let mut is_allowed =
-        |c: &Candidate| demands.try_take_share(now, &c.id, c.run, hosts, rand::random());
+    let limits_cold = ctx.host.warm_up_rules(pool).is_some();
+    let (found, cold) = {
+        let Fleet { registry, demands, table, .. } = &mut *ctx.host.fleet();
+        let mut avoid = tried.to_vec();
+        avoid.extend(demands.closed(now, pool, |t| registry.run(t)));
+        let limited = demands.limited(now, pool, |t| registry.run(t));
+        let cold: Vec<Arc<str>> =
+            if limits_cold { registry.cold(now, pool).cloned().collect() } else { Vec::new() };
+        let reserved = avoid.len();
+        avoid.extend(limited.iter().chain(&cold).cloned());
+        let found = table.candidates(now, pool, &avoid, count, &mut rand::rng());
+        if !found.is_empty() || limited.is_empty() && cold.is_empty() {
+            return found;
+        }
+        avoid.truncate(reserved);
+        (table.candidates(now, pool, &avoid, usize::MAX, &mut rand::rng()), cold)
+    };
+    let is_allowed = |c: &Candidate| {
+        let is_cold = cold.contains(&c.id);
+        (!is_cold || ctx.host.try_take_warm_up(pool, &c.id))
+            && ctx.host.fleet().demands.try_take_share(now, &c.id, c.run, hosts, rand::random())
+    };
     let allowed = found.into_iter().find(|c| is_allowed(c));
     allowed.into_iter().collect()
 }
 
+/// Returns whether a target is cold and its pool limits what cold targets get.
+fn is_limited_cold(ctx: &RequestContext, target: &str) -> bool {
+    let host = &ctx.host;
+    let is_limited = host.warm_up_rules(&ctx.pool.name).is_some();
+    is_limited && host.fleet().registry.cold_until(target) > host.now()
+}
+
 fn rejection(reason: &'static str, ctx: &RequestContext) -> Selection {
     let left = ctx.time_left(ctx.host.now());
     let share = AdmissionRules::default().retry_after_share;
@@ -520,6 +542,7 @@
     if let Some(demand) = host.target_demand(&candidate.id, &response.headers) {
         host.on_demand(&pool.name, candidate, sent_at, demand);
     }
+    host.on_warm_up_left(&pool.name, candidate, &response.headers);
     let report = host.target_report(&candidate.id, &response.headers);
     if let Some(report) = report {
         host.fleet().table.on_report(now, &candidate.id, report);
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -11,7 +11,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use geraniummux_core::fleet::{
     RegisteredTarget, ReportedDemand, RequestKey, Scheduler, SchedulerOptions, SlotDecision,
-    SlotRequest, StaleTarget, TargetReport,
+    SlotRequest, StaleTarget, TargetRegistry, TargetReport, WarmUpRules,
 };
 use geraniummux_core::time::scaled;
 use geraniummux_core::{MemberState, Time};
@@ -110,7 +110,8 @@
         let i = pools.binary_search_by(|p| p.pool.cmp(pool)).unwrap_or_else(|i| {
             info!(host.log, "scheduling_pool"; "pool" => &**pool);
             let mut scheduler = Scheduler::new(SchedulerOptions::default());
-            scheduler.update(targets_of(fleet.registry.targets(now), pool));
+            let rules = host.warm_up_rules(pool);
+            update_scheduler(&mut scheduler, now, &fleet.registry, pool, rules);
             for demand in fleet.demand_reports(now, pool) {
                 scheduler.on_demand(now, &demand);
             }
@@ -173,14 +174,15 @@
         }
     }
 
-    /// Replaces the targets of all pools that this host schedules by the registered ones, each with
-    /// whether it is warming up.
-    pub fn update<'a, I>(&self, targets: I)
+    /// Replaces the targets of all pools that this host schedules by the registered ones. `rules_of` returns what
+    /// the cold ones of a pool may get.
+    pub fn update<F>(&self, now: Time, registry: &TargetRegistry, rules_of: F)
     where
-        I: Iterator<Item = (&'a RegisteredTarget, bool)> + Clone,
+        F: Fn(&str) -> Option<WarmUpRules>,
     {
         for scheduled in lock(&self.pools).iter_mut() {
-            scheduled.scheduler.update(targets_of(targets.clone(), &scheduled.pool));
+            let ScheduledPool { pool, scheduler, .. } = scheduled;
+            update_scheduler(scheduler, now, registry, pool, rules_of(pool));
         }
     }
 
@@ -199,6 +201,18 @@
     }
 }
 
+fn update_scheduler(
+    scheduler: &mut Scheduler,
+    now: Time,
+    registry: &TargetRegistry,
+    pool: &str,
+    rules: Option<WarmUpRules>,
+) {
+    scheduler.update(targets_of(registry.targets(now), pool));
+    let per_s = rules.map(|rules| rules.scheduler_per_s());
+    scheduler.set_warm_ups(now, per_s, |target| registry.cold_until(target));
+}
+
 fn targets_of<'a, I>(targets: I, pool: &str) -> impl Iterator<Item = (&'a RegisteredTarget, bool)>
 where
     I: Iterator<Item = (&'a RegisteredTarget, bool)>,
@@ -304,16 +318,20 @@
     Unavailable,
 }
 
+/// Returns whether this host has had the time to discover the other members.
+pub fn knows_members(host: &Host) -> bool {
+    host.now().since(host.started) >= STARTUP_SETTLE_TIME || !host.members().has_seeds()
+}
+
 /// Returns the address of the host that schedules a pool: among the hosts in service with the highest
 /// capacity the first in an order that differs between pools. Returns `None` on a host that has just
 /// started and does not know the others: if each of them scheduled by itself, together they would
 /// overload the same targets.
 fn scheduler_of(host: &Host, pool: &str) -> Option<SocketAddr> {
-    let is_settling = host.now().since(host.started) < STARTUP_SETTLE_TIME;
-    let members = host.members();
-    if is_settling && members.has_seeds() {
+    if !knows_members(host) {
         return None;
     }
+    let members = host.members();
     std::iter::once(members.local_member())
         .chain(members.peers())
         .filter(|m| m.state == MemberState::Alive)
@@ -461,6 +479,31 @@
         .with_scheduler(host, pool, |s| may_hold.iter().for_each(|d| s.on_demand(now, d)));
 }
 
+/// Tells the scheduler of a pool which of these targets are cold, and for how long.
+pub fn report_warm_ups(host: &Host, pool: &Arc<str>, targets: &[Arc<str>]) {
+    let own = host.settings.load().peer;
+    if let Some(scheduler) = scheduler_of(host, pool).filter(|s| *s != own) {
+        send_warm_ups(host, scheduler, pool, targets);
+    }
+}
+
+fn send_warm_ups(host: &Host, scheduler: SocketAddr, pool: &Arc<str>, targets: &[Arc<str>]) {
+    if host.warm_up_rules(pool).is_none() {
+        return;
+    }
+    let now = host.now();
+    let cold: Vec<(Arc<str>, u32)> = {
+        let fleet = host.fleet();
+        let left = |t: &Arc<str>| fleet.registry.cold_until(t).since(now).as_millis();
+        let left = |t: &Arc<str>| u32::try_from(left(t)).unwrap_or(u32::MAX);
+        targets.iter().map(|t| (t.clone(), left(t))).filter(|(_, ms)| *ms > 0).collect()
+    };
+    for targets in cold.chunks(MAX_PROBED_TARGETS) {
+        let message = Message::TargetsWarmingUp { pool: pool.clone(), targets: targets.to_vec() };
+        peers::send(host, &[scheduler], message);
+    }
+}
+
 fn mark_unresponsive(host: &Host, scheduler: SocketAddr) {
     let now = host.now();
     info!(host.log, "scheduler_silent"; "scheduler" => scheduler.to_string());
@@ -709,6 +752,9 @@
         let _ = timeout(DELEGATED_PROBE_TIMEOUT, collect).await;
         drop(pending);
         if !reports.is_empty() {
+            // The scheduler may be another one than when the targets became cold.
+            let probed: Vec<Arc<str>> = reports.iter().map(|(t, _)| t.clone()).collect();
+            send_warm_ups(&host, scheduler, &pool, &probed);
             peers::send(&host, &[scheduler], Message::TargetReports { pool, reports });
         }
     });
--- a/crates/geraniummux-host/tests/common/mod.rs
+++ b/crates/geraniummux-host/tests/common/mod.rs
@@ -33,6 +33,10 @@
             leaving: headers.contains_key("leaving"),
         })
     }
+    fn warm_up_left(&self, headers: &HeaderMap) -> Result<Option<Duration>, InvalidHeader> {
+        let left = headers.get("cold-ms").and_then(|v| v.to_str().ok());
+        Ok(left.and_then(|v| v.parse().ok()).map(Duration::from_millis))
+    }
     fn is_readiness_request(&self, _: &Uri) -> bool {
         true
     }
