--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -33,6 +33,7 @@
 mod team_shares;
 mod teams;
 mod warm;
+mod warm_up;
 
 pub use admission::{
     AdmissionDecision, AdmissionInput, AdmissionRejectReason, AdmissionRules, admit,
@@ -42,7 +43,7 @@
     TokenGrant, TokenMessage, TokenRequest, TokenState,
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
-pub use bounds::{MAX_SLOTS, is_plausible_fault_weight};
+pub use bounds::{MAX_SLOTS, MAX_WARM_UP, is_plausible_fault_weight};
 pub use carried::CarriedRequests;
 pub use config_change::ConfigChange;
 pub use config_extension::ConfigExtension;
@@ -52,14 +53,17 @@
 pub use extra_attempts::{ExtraAttempt, ExtraAttemptBudget, ExtraAttemptOptions};
 pub use faults::{Fault, FaultOptions, FaultScore};
 pub use forecast::{ForecastOptions, TargetReport, has_slowed, latency_factor};
-pub use limits::MAX_LIMIT_AGE;
+pub use limits::{MAX_LIMIT_AGE, RateBucket};
 pub use pipeline::{Pipeline, PipelineOptions, PipelinedKind, ReadAheadRequest};
 pub use probes::ProbeBudget;
 pub use reach::{ReachOptions, RelayPeer, Relays, TargetPath, TargetReach};
 pub use readers::{
     Leader, PeerFreshness, Position, ReadSource, ReaderOptions, StoreChecks, leaders, read_source,
 };
-pub use registry::{RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry, TargetRun};
+pub use registry::{
+    EvacuationDifference, RegisteredTarget, RegistryChange, RegistryDelta, TargetRegistry,
+    TargetRun,
+};
 pub use revision::Revision;
 pub use routes::{
     CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex,
@@ -73,3 +77,4 @@
 pub use team_shares::TeamShares;
 pub use teams::{Allowance, ApiKey, KeyRefusal, Team, TeamIndex, identify_team};
 pub use warm::WarmConnections;
+pub use warm_up::{WarmUpRules, WarmUpShares};
