Host: no lock for messages of peers without a newer configuration

The lock is taken for each message since the version is compared under it. The version in force only rises, so that a first comparison without the lock is enough for most messages.

--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -326,9 +326,12 @@
     /// Records the configuration version that a peer has in force. If it is newer than this host's and
     /// does not arrive, what this host reads or follows is not current.
     pub fn on_peer_config_version(&self, version: u64) {
+        if version <= self.config_version() {
+            return;
+        }
         let now = self.now();
         let mut freshness = self.freshness();
-        // Read under the lock: a configuration is put in force before the lock is taken to record that.
+        // Read again under the lock: a configuration is put in force before the lock is taken to record that.
         freshness.on_peer_config_version(now, version, self.config_version());
     }
 
