Pipelining: test that a barrier waits until the response is written

Cause: no test had a response that is there and not written while a request behind it may run only once.

Ruled out: a bound on time; requests on other connections run meanwhile instead.

Change: a test with a response that is larger than the buffers of the sockets.

--- a/crates/geraniummux-host/tests/pipelining.rs
+++ b/crates/geraniummux-host/tests/pipelining.rs
@@ -144,6 +144,14 @@
     }
 }
 
+/// Returns a complete response with a body of `len` bytes.
+fn response_of_size(target: SocketAddr, id: &str, len: usize) -> String {
+    let rsp = complete_response(target, id);
+    let head = rsp.strip_suffix(COMPLETE_BODY).unwrap();
+    let declared = |len: usize| format!("content-length: {len}");
+    head.replace(&declared(COMPLETE_BODY.len()), &declared(len)) + &"x".repeat(len)
+}
+
 fn unique_id() -> String {
     static LAST: AtomicUsize = AtomicUsize::new(0);
     format!("u-{}", LAST.fetch_add(1, Ordering::Relaxed))
@@ -383,21 +391,42 @@
     drain.abort();
 }
 
+/// Guards against a request that may run only once and starts while the response before it is not written: if the
+/// connection breaks, the caller sends it again (TWICE).
+#[tokio::test]
+async fn pipelined_barrier_waits_until_the_response_is_written() {
+    // More than the buffers of the sockets hold.
+    const BODY_BYTES: usize = 12 << 20;
+    let target = ScriptedTarget::start(|_, addr, id| match id {
+        "r-large" => Reply::Keep(response_of_size(addr, id, BODY_BYTES)),
+        _ => Reply::Keep(complete_response(addr, id)),
+    })
+    .await;
+    let (host, addr) = start_host_with(&[target.addr], "127.9.9.105:7009").await;
+    let mut caller = Caller::connect(addr).await;
+    caller.send(&(get("safe", "r-large") + &get("once", "r-once") + &get("safe", "r-last"))).await;
+    until_finished(&host, 1).await;
+    for _ in 0..20 {
+        let status = call_as(addr, "safe", &unique_id(), TIME_LEFT_MS).await.0;
+        assert_eq!(status, StatusCode::OK);
+    }
+    let others = ["r-once", "r-last"].map(str::to_owned);
+    assert!(others.iter().all(|id| !target.requests.lock().unwrap().contains(id)));
+    let (head, body) = caller.read().await.unwrap();
+    assert_eq!((head.value("a"), body.len()), (Some("r-large"), BODY_BYTES));
+    for id in others {
+        assert_eq!(caller.read_id().await, id);
+    }
+}
+
 /// Guards against a caller that does not read, and whose responses fill the memory of the host.
 #[tokio::test]
 async fn pipelined_responses_are_bounded_in_bytes() {
     const BODY_BYTES: usize = 400_000;
     const MAX_HELD_BYTES: u64 = 1 << 20;
-    let target = ScriptedTarget::start(|_, addr, id| {
-        let body = "x".repeat(BODY_BYTES);
-        let (len, rsp) = (body.len(), complete_response(addr, id));
-        let head = rsp.replace(
-            &format!("content-length: {}", COMPLETE_BODY.len()),
-            &format!("content-length: {len}"),
-        );
-        Reply::Keep(head.replace(COMPLETE_BODY, "") + &body)
-    })
-    .await;
+    let target =
+        ScriptedTarget::start(|_, addr, id| Reply::Keep(response_of_size(addr, id, BODY_BYTES)))
+            .await;
     let (host, addr) = start_host_with(&[target.addr], "127.9.9.96:7009").await;
     let mut caller = Caller::connect(addr).await;
     let ids: Vec<String> = (0..30).map(|n| format!("r-{n}")).collect();
