Responses without a final status are broken: core and geraniummuxd

Cause: the HTTP library accepts statuses 100 to 999, and nothing checked them after that. A response with status 600 counted as served and was stored with its claim; a stored status out of range was replayed as 200; probes were believed with any status. Ruled out: a check in each reader of a status. The rule is one function in the core, used where responses are read. Change: outcome::is_final_status (200 to 599). upstream::send returns InvalidResponse for others, probes fail, claims store no such response and answer 409 answer-not-kept for one that an earlier build has stored. Measured: before the fix, answers_status_that_is_none failed with "served" for GET 600, answers_probe_with_status_that_is_none with state "leaving", on_result_stored_status_that_is_none_is_not_replayed with a replay of status 0. After it, tests/answers.rs 6 of 6 and the claim test pass. 000, 099, 101, four digits and signs were not relayed before either.

--- a/crates/geraniummux-core/src/claim/object.rs
+++ b/crates/geraniummux-core/src/claim/object.rs
@@ -1,5 +1,6 @@
 //! The claim object that is stored in the platform.
 
+use crate::outcome::is_final_status;
 use crate::quarantine::Fingerprint;
 use crate::time::UnixMs;
 use base64::engine::general_purpose::STANDARD as BASE64;
@@ -48,11 +49,13 @@
 }
 
 impl StoredResponse {
-    /// Returns whether the response is within [`MAX_STORED_BODY_BYTES`] and
+    /// Returns whether the response has a final status, and is within [`MAX_STORED_BODY_BYTES`] and
     /// [`MAX_STORED_HEADERS_BYTES`].
     pub fn is_storable(&self) -> bool {
         let headers: usize = self.headers.iter().map(|(n, v)| n.len() + v.len()).sum();
-        self.body.len() <= MAX_STORED_BODY_BYTES && headers <= MAX_STORED_HEADERS_BYTES
+        is_final_status(self.status)
+            && self.body.len() <= MAX_STORED_BODY_BYTES
+            && headers <= MAX_STORED_HEADERS_BYTES
     }
 }
 
@@ -103,7 +106,7 @@
     Unknown,
     /// The request was served.
     Done {
-        /// The response, unless it was too large to be stored.
+        /// The response, unless it could not be stored.
         #[serde(rename = "answer")]
         response: Option<StoredResponse>,
         /// Which delivery of the response counts in the usage.
--- a/crates/geraniummux-core/src/claim/state.rs
+++ b/crates/geraniummux-core/src/claim/state.rs
@@ -1,7 +1,7 @@
 //! The state machine that acquires, settles and releases one request's claim.
 
 use super::{CLAIM_RETENTION, CLAIM_TTL_MARGIN, Claim, Delivery, Progress, StoredResponse};
-use crate::outcome::{Outcome, Reason};
+use crate::outcome::{Outcome, Reason, is_final_status};
 use crate::quarantine::Fingerprint;
 use crate::time::{Time, UnixMs};
 use std::sync::Arc;
@@ -590,13 +590,14 @@
             Progress::Running | Progress::Unknown => {
                 self.refuse(Outcome::Unknown, Reason::ClaimPending, out);
             }
-            Progress::Done { response: None, .. } => {
-                self.refuse(Outcome::Unknown, Reason::ResponseNotStored, out);
-            }
-            Progress::Done { response: Some(response), .. } => {
+            // Builds up to 072b7f0 also stored responses whose status is not a final one.
+            Progress::Done { response: Some(response), .. } if is_final_status(response.status) => {
                 self.goal = Goal::Replay;
                 out.push(ClaimAction::Replay { response: response.clone() });
             }
+            Progress::Done { .. } => {
+                self.refuse(Outcome::Unknown, Reason::ResponseNotStored, out);
+            }
         }
     }
 
--- a/crates/geraniummux-core/src/lib.rs
+++ b/crates/geraniummux-core/src/lib.rs
@@ -58,7 +58,7 @@
 pub use lease::{LeaseAction, LeaseOptions, LeaseResult, LeaseState};
 pub use load::{AttemptEnd, LoadDigest, LoadOptions, LoadReport, LoadTable, TargetId};
 pub use membership::{Member, MemberState, Membership};
-pub use outcome::{Outcome, Reason};
+pub use outcome::{Outcome, Reason, is_final_status};
 pub use pause::PauseGate;
 pub use probe_budget::ProbeScheduler;
 pub use quarantine::{Fingerprint, Quarantine};
--- a/crates/geraniummux-core/src/outcome.rs
+++ b/crates/geraniummux-core/src/outcome.rs
@@ -56,7 +56,7 @@
     /// Another request with the same idempotency key is running, or its outcome is unknown.
     ClaimPending,
     /// The request with this idempotency key was served, but its response was too large to be
-    /// stored.
+    /// stored, or what is stored is no valid response.
     ResponseNotStored,
     /// The idempotency key was used before for a different request.
     KeyReused,
@@ -115,6 +115,12 @@
     }
 }
 
+/// Returns whether a status is one of a final response, 200 to 599 (RFC 9110, section 15). 101 is none, since no
+/// upgrade is ever requested. A response without such a status is broken: it says nothing of its request.
+pub const fn is_final_status(status: u16) -> bool {
+    matches!(status, 200..=599)
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
--- a/crates/geraniummux-core/tests/claim.rs
+++ b/crates/geraniummux-core/tests/claim.rs
@@ -815,3 +815,25 @@
     let done = Progress::Done { response: Some(response.clone()), delivery: Delivery::Runner };
     assert_eq!(state.on_result(now, wall, found(done)), [ClaimAction::Replay { response }]);
 }
+
+/// Guards against the replay of a stored response whose status is none, which earlier builds stored as a target sent it.
+#[test]
+fn on_result_stored_status_that_is_none_is_not_replayed() {
+    let fingerprint = Fingerprint::new("t", "POST", "/", b"");
+    let deadline = Time::from_millis(9_000);
+    for status in [0, 99, 101, 199, 600, 700, 999, 1_000, u16::MAX] {
+        let mut state =
+            ClaimState::new(ClaimOptions { fingerprint, deadline, ..ClaimOptions::default() });
+        let response = StoredResponse { status, headers: vec![], body: vec![1] };
+        assert!(!response.is_storable(), "{status}");
+        let done = Progress::Done { response: Some(response), delivery: Delivery::Runner };
+        let found = CallResult::Found { version: 1, value: claim_with(done).encode() };
+        let (now, wall) = (Time::ZERO, UnixMs(0));
+        state.start(now, wall);
+        state.on_result(now, wall, CallResult::Conflict);
+        let actions = state.on_result(now, wall, found);
+        let refused =
+            ClaimAction::Refused { outcome: Outcome::Unknown, reason: Reason::ResponseNotStored };
+        assert_eq!(actions[0], refused, "{status}");
+    }
+}
--- a/crates/geraniummuxd/src/probes.rs
+++ b/crates/geraniummuxd/src/probes.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use geraniummux_core::config::{Config, Pool};
 use geraniummux_core::load::{LoadOptions, TargetId};
-use geraniummux_core::{LoadTable, ProbeScheduler};
+use geraniummux_core::{LoadTable, ProbeScheduler, is_final_status};
 use geraniummux_wire::{Message, ProbeResult, ProbeResults, ProbedState};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::rt::TokioIo;
@@ -201,6 +201,10 @@
     let sending = tx.send_request(req);
     prober.scheduler().on_sent(id, shared.clock.now());
     let rsp = sending.await.ok()?;
+    if !is_final_status(rsp.status().as_u16()) {
+        conn.abort();
+        return None;
+    }
     let body = Limited::new(rsp.into_body(), MAX_BODY_BYTES).collect().await.ok()?.to_bytes();
     conn.abort();
     serde_json::from_slice(&body).ok()
--- a/crates/geraniummuxd/src/proxy/respond.rs
+++ b/crates/geraniummuxd/src/proxy/respond.rs
@@ -47,7 +47,8 @@
     response: StoredResponse,
 ) -> (Response<Body>, oneshot::Receiver<u64>) {
     let (end_notifier, end) = EndNotifier::new(ctx.caller.clone());
-    let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::OK);
+    // A claim replays only final statuses; anything else must not become a success.
+    let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut headers = HeaderMap::new();
     for (name, value) in &response.headers {
         if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_str(value)) {
--- a/crates/geraniummuxd/src/upstream/response.rs
+++ b/crates/geraniummuxd/src/upstream/response.rs
@@ -1,11 +1,12 @@
 //! Sends a request to a target, and reads and validates the response.
 //!
-//! A response is rejected if its length is ambiguous or if it may belong to another request.
+//! A response is rejected if its status is not a final one, if its length is ambiguous or if it may
+//! belong to another request.
 
 use super::connection::Connection;
 use super::{MAX_BUFFERED_BYTES, REQUEST_ID};
 use bytes::{Bytes, BytesMut};
-use geraniummux_core::Time;
+use geraniummux_core::{Time, is_final_status};
 use http::{HeaderMap, Method, Request, StatusCode, Version, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
@@ -17,7 +18,8 @@
     NotSent,
     /// The connection was reset or closed before the head of the response was complete.
     ConnectionLost,
-    /// The response is malformed, has an ambiguous length or belongs to another request.
+    /// The response is malformed, has no final status, has an ambiguous length or belongs to another
+    /// request.
     InvalidResponse,
 }
 
@@ -76,6 +78,9 @@
         Err(_) => return Err(SendError::ConnectionLost),
     };
     let (parts, body) = rsp.into_parts();
+    if !is_final_status(parts.status.as_u16()) {
+        return Err(SendError::InvalidResponse);
+    }
     let mut echoes = parts.headers.get_all(REQUEST_ID).iter();
     let echoed = match (echoes.next(), echoes.next()) {
         (None, _) => false,
@@ -98,7 +103,7 @@
 /// exactly one length.
 fn has_unambiguous_length(parts: &response::Parts, is_head: bool) -> bool {
     let status = parts.status;
-    if status.is_informational() || parts.version < Version::HTTP_10 {
+    if parts.version < Version::HTTP_10 {
         return false;
     }
     let lengths = single_value(&parts.headers, header::CONTENT_LENGTH);
--- a/crates/geraniummuxd/tests/answers.rs
+++ b/crates/geraniummuxd/tests/answers.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::raw::{RawRequest, RawTarget, ResponseStep};
-use common::{Fleet, pools, routes};
+use common::{Fleet, eventually, pools, routes};
 use http::{Method, StatusCode};
 use serde_json::json;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -234,6 +234,77 @@
     assert_eq!(response.header("content-length"), "1234");
 }
 
+/// Guards against a response with a status that is none and that is relayed as it is, or without a retry elsewhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_status_that_is_none() {
+    const STATUSES: [&str; 10] =
+        ["000", "001", "099", "101", "600", "700", "999", "1000", "2000", "+20"];
+    let broken = |req: &RawRequest| {
+        let status = req.path().rsplit('/').next().unwrap_or("");
+        let response = String::from_utf8(req.ok_response("broken")).expect("ASCII text");
+        let response = response.replacen("200 OK", &format!("{status} None"), 1);
+        // The long wait shows whether the connection is closed by the daemon.
+        vec![ResponseStep::Write(response.into()), ResponseStep::Hang]
+    };
+    let plain = |req: &RawRequest| vec![ResponseStep::Write(req.ok_response("plain"))];
+    let one = RawTarget::start(broken).await;
+    let other = RawTarget::start(plain).await;
+    let fleet = Fleet::start(1).await;
+    let route_table = routes(json!({ "retry_budget": 1.0 }));
+    fleet.apply(&pools(&[("t-1", one.addr)]), &route_table).await;
+    let host = &fleet.hosts[0];
+    for (n, status) in STATUSES.into_iter().enumerate() {
+        for method in [Method::GET, Method::POST] {
+            let case = format!("{method} {status}");
+            let before = one.stats.requests();
+            let response = host.send(method.clone(), &format!("/{status}"), &[], "").await;
+            let response = response.expect("a response");
+            assert_eq!(response.header("geraniummux-outcome"), "unknown", "{case}");
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{case}");
+            let sent = one.stats.requests() - before;
+            assert!(sent == 1 || method == Method::GET && sent > 0, "{case}: {sent} attempts");
+        }
+        let key = format!("k-{n}");
+        let headers = [("idempotency-key", key.as_str())];
+        for _ in 0..2 {
+            let response = host.send(Method::POST, &format!("/{status}"), &headers, "").await;
+            let response = response.expect("a response");
+            assert_eq!(response.header("geraniummux-outcome"), "unknown", "{status}, with a key");
+        }
+    }
+    fleet.apply(&pools(&[("t-1", one.addr), ("t-2", other.addr)]), &route_table).await;
+    for status in STATUSES {
+        for _ in 0..4 {
+            let response = host.get(&format!("/{status}")).await.expect("a response");
+            assert_eq!(response.header("geraniummux-outcome"), "served", "{status}");
+            assert_eq!(response.body, "plain", "{status}");
+        }
+    }
+    let (requests, closed) = (one.stats.requests(), one.stats.cancelled());
+    assert!(closed + 1 >= requests, "{closed} connections of {requests} closed");
+}
+
+/// Guards against a probe that is answered with a status that is none and whose statement, here that the target leaves,
+/// is believed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_probe_with_status_that_is_none() {
+    let target = RawTarget::start(|req| {
+        let body = r#"{"state":"draining"}"#;
+        let len = body.len();
+        assert!(!req.head.contains("x-request-id"), "not a probe");
+        let head = format!("HTTP/1.1 600 None\r\ncontent-length: {len}\r\n\r\n");
+        vec![ResponseStep::Write((head + body).into())]
+    })
+    .await;
+    let fleet = Fleet::start(1).await;
+    let mut rows = pools(&[("t-1", target.addr)]);
+    rows[0]["probe_budget_per_s"] = json!(4.0);
+    fleet.apply(&rows, &routes(json!({}))).await;
+    eventually("probes", || async { Some(()).filter(|()| target.stats.requests() >= 3) }).await;
+    let status = fleet.hosts[0].status().await.expect("status");
+    assert_ne!(status["targets"][0]["state"], "leaving");
+}
+
 /// Guards against a refusal that a target writes once more when the refused request is sent to it again on the same
 /// connection, and that is taken for the response to the later attempt: `not-run` for a request that runs.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
