Responses without a final status are broken: geraniummux-host

Statuses 101 and 600 to 999 were passed on to callers, also of idempotent requests and through peers, and demands in such probe responses were believed. Ruled out: a check in classify, which probes don't pass through. Change: upstream::exchange returns BadResponse for such a response before anything else in it is read. The connection is closed, the target gets a fault, an idempotent request is retried, another gets 502.

--- a/crates/geraniummux-host/src/upstream.rs
+++ b/crates/geraniummux-host/src/upstream.rs
@@ -6,8 +6,8 @@
 use crate::bodies::{self, BodyError, BodyMemory};
 use crate::protocol::HeaderNames;
 use bytes::Bytes;
-use geraniummux_core::Time;
 use geraniummux_core::fleet::{CarriedRequests, ResponseLimits};
+use geraniummux_core::{Time, is_final_status};
 use http::header::{CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
@@ -213,7 +213,7 @@
     Carried,
     /// The connection broke before the head of a response arrived.
     NoResponse,
-    /// The response is not valid HTTP or ended early.
+    /// The response is not valid HTTP, has no final status, or ended early.
     BadResponse,
     /// The response carries the id of another request.
     OtherRequest,
@@ -287,6 +287,9 @@
         Err(_) => return Err(ExchangeError::NoResponse),
     };
     let (parts, body) = rsp.into_parts();
+    if !is_final_status(parts.status.as_u16()) {
+        return Err(ExchangeError::BadResponse);
+    }
     conn.match_response(&parts, id, names)?;
     let limit = match body.size_hint().exact() {
         Some(len) if len > limits.declared => return Err(ExchangeError::TooLarge),
