Stand-ins: cold and evacuated targets, what targets are told of callers, pipelined requests

Cause: the parts of teams, cold targets, evacuation and pipelining have no stand-ins that show a fault of them. Ruled out: a second target for these parts; the one that is there records runs already. The object store needed no change, as it serves each kind of object. Change: a target can become cold (registration, health responses, half as fast) and records what arrives meanwhile, the header Tenant-Id of each run, messages with a key, and runs after an evacuation. caller::send_pipelined sends requests at once and returns the responses in the order of their arrival.

--- a/crates/geraniummux-standin/src/caller.rs
+++ b/crates/geraniummux-standin/src/caller.rs
@@ -1,5 +1,6 @@
 //! A stand-in for a caller: looks up entry hosts and sends requests.
 
+use crate::http1;
 use anyhow::{Context, bail};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
@@ -8,6 +9,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
 /// Time limit for a request and its response, including the connect.
@@ -83,6 +85,44 @@
         .with_context(|| format!("no complete response from {addr} within {EXCHANGE_TIMEOUT:?}"))?
 }
 
+/// Sends idempotent requests without a body over a new connection, all at once, each as its path and headers. Returns the
+/// responses in the order of their arrival, and stops at the one that closes the connection or that does not arrive.
+///
+/// # Errors
+///
+/// Fails if no connection can be opened, or the requests can't be sent.
+pub async fn send_pipelined(
+    addr: SocketAddr,
+    requests: &[(String, Vec<(&str, String)>)],
+    time: Duration,
+) -> anyhow::Result<Vec<BufferedResponse>> {
+    let mut text = String::new();
+    for (path, headers) in requests {
+        text += &format!("GET {path} HTTP/1.1\r\n");
+        headers.iter().for_each(|(name, value)| text += &format!("{name}: {value}\r\n"));
+        text += "\r\n";
+    }
+    let stream = tokio::time::timeout(time, TcpStream::connect(addr)).await??;
+    let (reader, mut writer) = stream.into_split();
+    writer.write_all(text.as_bytes()).await?;
+    let mut reader = BufReader::new(reader);
+    let mut responses = Vec::new();
+    let all = async {
+        while responses.len() < requests.len() {
+            let Ok(Some(rsp)) = http1::read_response(&mut reader).await else { return };
+            let (parts, body) = rsp.into_parts();
+            let closes = parts.headers.get("connection").is_some_and(|v| v == "close");
+            responses.push(BufferedResponse { status: parts.status, headers: parts.headers, body });
+            if closes {
+                return;
+            }
+        }
+    };
+    // The responses that arrived in time count.
+    let _ = tokio::time::timeout(time, all).await;
+    Ok(responses)
+}
+
 /// Looks up the entry hosts that callers in a failure domain should use, at the first of `seeds` that
 /// responds with status 200.
 ///
--- a/crates/geraniummux-standin/src/http1.rs
+++ b/crates/geraniummux-standin/src/http1.rs
@@ -1,8 +1,9 @@
-//! The server side of HTTP/1.1 message by message, for a stand-in that also writes responses that are not due.
+//! HTTP/1.1 message by message, for a target that also writes responses that are not due, and for callers that send
+//! several requests before they read the first response.
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderName, HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use std::io;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
 use tokio::net::tcp::OwnedReadHalf;
@@ -21,18 +22,47 @@
         .uri(words.next().unwrap_or_default())
         .body(Bytes::new())
         .map_err(io::Error::other)?;
+    *req.headers_mut() = read_headers(reader).await?;
+    *req.body_mut() = read_body(reader, req.headers()).await?;
+    Ok(Some(req))
+}
+
+/// Reads a response whose body has a length or comes in chunks. Returns `None` at the end of the connection.
+pub async fn read_response(
+    reader: &mut BufReader<OwnedReadHalf>,
+) -> io::Result<Option<Response<Bytes>>> {
+    let first = read_line(reader).await?;
+    if first.is_empty() {
+        return Ok(None);
+    }
+    let status = first.split(' ').nth(1).unwrap_or_default();
+    let mut rsp = Response::new(Bytes::new());
+    *rsp.status_mut() = StatusCode::from_bytes(status.as_bytes()).map_err(io::Error::other)?;
+    *rsp.headers_mut() = read_headers(reader).await?;
+    *rsp.body_mut() = read_body(reader, rsp.headers()).await?;
+    Ok(Some(rsp))
+}
+
+async fn read_headers(reader: &mut BufReader<OwnedReadHalf>) -> io::Result<HeaderMap> {
+    let mut headers = HeaderMap::new();
     loop {
         let line = read_line(reader).await?;
         if line.is_empty() {
-            break;
+            return Ok(headers);
         }
         let (name, value) = line.split_once(':').ok_or(io::ErrorKind::InvalidData)?;
         let name = HeaderName::from_bytes(name.as_bytes()).map_err(io::Error::other)?;
         let value = HeaderValue::from_str(value.trim()).map_err(io::Error::other)?;
-        req.headers_mut().append(name, value);
+        headers.append(name, value);
     }
+}
+
+async fn read_body(
+    reader: &mut BufReader<OwnedReadHalf>,
+    headers: &HeaderMap,
+) -> io::Result<Bytes> {
     let mut body = Vec::new();
-    if req.headers().contains_key(TRANSFER_ENCODING) {
+    if headers.contains_key(TRANSFER_ENCODING) {
         loop {
             let len = read_line(reader).await?;
             let len = usize::from_str_radix(&len, 16).map_err(io::Error::other)?;
@@ -42,13 +72,12 @@
                 break;
             }
         }
-    } else if let Some(len) = req.headers().get(CONTENT_LENGTH) {
+    } else if let Some(len) = headers.get(CONTENT_LENGTH) {
         let len =
             len.to_str().ok().and_then(|l| l.parse().ok()).ok_or(io::ErrorKind::InvalidData)?;
         read_exact(reader, len, &mut body).await?;
     }
-    *req.body_mut() = body.into();
-    Ok(Some(req))
+    Ok(body.into())
 }
 
 /// Reads a line without its end; empty also at the end of the connection.
--- a/crates/geraniummux-standin/src/registered_target.rs
+++ b/crates/geraniummux-standin/src/registered_target.rs
@@ -21,6 +21,8 @@
 const MAX_QUEUED: u32 = 12;
 /// Slowdown that a target reports while it is as fast as usual, in percent.
 const USUAL_SLOWDOWN_PERCENT: u32 = 100;
+/// Factor by which a cold target is slower.
+const COLD_FACTOR: u64 = 2;
 /// Suffix of paths on which a target closes the connection as soon as it runs the request, like a target
 /// that crashes.
 pub const CRASH_PATH_SUFFIX: &str = "/poison";
@@ -72,6 +74,16 @@
     /// When the target began to leave, and for how long it may still get requests from then on.
     leaving_since: Mutex<Option<(Instant, Duration)>>,
     late_runs: Mutex<Vec<LateRun>>,
+    /// When the target's domain began to be evacuated, and for how long it may still get requests from then on.
+    evacuated_since: Mutex<Option<(Instant, Duration)>>,
+    evacuated_runs: Mutex<Vec<LateRun>>,
+    /// When the target became cold, and when it is warm again.
+    cold: Mutex<Option<(Instant, Instant)>>,
+    /// Requests that arrived while the target was cold.
+    cold_arrivals: Mutex<Vec<LateRun>>,
+    runs: Mutex<Vec<Run>>,
+    /// Number of requests and probes that came with a caller's key.
+    key_count: AtomicU32,
     demand: Mutex<Demand>,
     run_count: AtomicU32,
     /// Number of starts, as the time of the last one.
@@ -239,15 +251,27 @@
     RepeatedRefusal,
 }
 
-/// A request that began to run after the time for which its leaving target was allowed to get requests.
+/// A request that began to run after the time for which its leaving or evacuated target was allowed to get requests,
+/// or that arrived at a cold target.
 #[derive(Clone, Copy, Debug)]
 pub struct LateRun {
-    /// When the target began to leave.
-    pub leaving_since: Instant,
-    /// When the request began to run.
+    /// When the target began to leave, its domain to be evacuated, or the target to be cold.
+    pub since: Instant,
+    /// When the request began to run, or arrived.
     pub run_start: Instant,
 }
 
+/// A run of a request and what the target was told of its caller.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Identity of the request.
+    pub id: String,
+    /// When it began to run.
+    pub start: Instant,
+    /// Values of the header `Tenant-Id`.
+    pub teams: Vec<String>,
+}
+
 impl RegisteredTarget {
     /// Returns a target whose requests each occupy a slot for `service_ms`.
     pub fn new(id: &str, service_ms: u64, run_counts: Arc<RunCounts>) -> Arc<Self> {
@@ -262,6 +286,12 @@
             leaving: AtomicBool::new(false),
             leaving_since: Mutex::default(),
             late_runs: Mutex::default(),
+            evacuated_since: Mutex::default(),
+            evacuated_runs: Mutex::default(),
+            cold: Mutex::default(),
+            cold_arrivals: Mutex::default(),
+            runs: Mutex::default(),
+            key_count: AtomicU32::new(0),
             demand: Mutex::default(),
             run_count: AtomicU32::new(0),
             starts: AtomicU64::new(1),
@@ -354,11 +384,49 @@
         self.run_count.load(Ordering::Relaxed)
     }
 
+    /// Makes the target cold for a time, during which it takes twice as long for each request.
+    pub fn set_cold(&self, time: Duration) {
+        let now = Instant::now();
+        *lock(&self.cold) = Some((now, now + time));
+    }
+
+    /// Returns for how long the target stays cold.
+    fn cold_time_left(&self) -> Duration {
+        lock(&self.cold)
+            .map_or(Duration::ZERO, |(_, end)| end.saturating_duration_since(Instant::now()))
+    }
+
+    /// Sets whether the target's domain is evacuated. `allowed` is the time for which the target may still get requests;
+    /// later ones are recorded.
+    pub fn set_evacuated(&self, evacuated: bool, allowed: Duration) {
+        *lock(&self.evacuated_since) = evacuated.then(|| (Instant::now(), allowed));
+    }
+
+    /// Returns the runs that began after the allowed time of an evacuation.
+    pub fn evacuated_runs(&self) -> Vec<LateRun> {
+        lock(&self.evacuated_runs).clone()
+    }
+
+    /// Returns the requests that arrived while the target was cold, in order.
+    pub fn cold_arrivals(&self) -> Vec<LateRun> {
+        lock(&self.cold_arrivals).clone()
+    }
+
+    /// Returns all runs of requests, in order.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.runs).clone()
+    }
+
+    /// Returns the number of requests and probes that came with a caller's key.
+    pub fn key_count(&self) -> u32 {
+        self.key_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the object that registers the target in the store.
     pub fn registration(&self, service: &str, addr: &str, zone: &str) -> Value {
         let state = if self.leaving.load(Ordering::Relaxed) { "draining" } else { "ready" };
         json!({"service": service, "address": addr, "zone": zone, "version": "v1", "slots": SLOTS,
-            "state": state, "warmup-left-s": 0, "sequence": 1,
+            "state": state, "warmup-left-s": self.cold_time_left().as_secs_f64(), "sequence": 1,
             "born": self.starts.load(Ordering::Relaxed)})
     }
 
@@ -517,8 +585,16 @@
 
     /// Handles a request. Returns the response, or `None` if the connection is to be closed without one.
     async fn handle(&self, req: Request<Bytes>) -> Option<Response<Bytes>> {
+        if req.headers().contains_key("key") {
+            self.key_count.fetch_add(1, Ordering::Relaxed);
+        }
         if is_probe(&req) {
-            return Some(self.response(StatusCode::OK, "", Bytes::new()));
+            let mut rsp = self.response(StatusCode::OK, "", Bytes::new());
+            if lock(&self.cold).is_some() {
+                let left = self.cold_time_left().as_millis() as u64;
+                rsp.headers_mut().insert("warmup-remaining-ms", left.into());
+            }
+            return Some(rsp);
         }
         let (parts, body) = req.into_parts();
         let id = header(&parts.headers, "request-id").to_owned();
@@ -532,8 +608,14 @@
             let rsp = self.response(StatusCode::MISDIRECTED_REQUEST, &id, Bytes::new());
             return Some(named(rsp, refusals));
         }
+        if let Some((since, end)) = *lock(&self.cold) {
+            let run_start = Instant::now();
+            if run_start < end {
+                lock(&self.cold_arrivals).push(LateRun { since, run_start });
+            }
+        }
         if parts.uri.path().ends_with(CRASH_PATH_SUFFIX) {
-            self.record_run(&id);
+            self.record_run(&id, &parts.headers);
             return None;
         }
         let timeout_ms =
@@ -549,9 +631,10 @@
             let slot = self.slots.acquire().await;
             drop(waiting);
             let _running = CountGuard::new(&self.running);
-            self.record_run(&id);
-            tokio::time::sleep(Duration::from_millis(self.service_ms.load(Ordering::Relaxed)))
-                .await;
+            self.record_run(&id, &parts.headers);
+            let factor = if self.cold_time_left().is_zero() { 1 } else { COLD_FACTOR };
+            let service_ms = factor * self.service_ms.load(Ordering::Relaxed);
+            tokio::time::sleep(Duration::from_millis(service_ms)).await;
             drop(slot);
         };
         Some(match tokio::time::timeout(Duration::from_millis(timeout_ms), run).await {
@@ -577,15 +660,20 @@
         }
     }
 
-    fn record_run(&self, id: &str) {
+    fn record_run(&self, id: &str, headers: &HeaderMap) {
         self.run_counts.record(id, self.id());
         self.run_count.fetch_add(1, Ordering::Relaxed);
-        let leaving = *lock(&self.leaving_since);
         let run_start = Instant::now();
-        if let Some((leaving_since, _)) =
-            leaving.filter(|(since, allowed)| run_start > *since + *allowed)
+        let text = |v: &HeaderValue| String::from_utf8_lossy(v.as_bytes()).into_owned();
+        let teams = headers.get_all("tenant-id").iter().map(text).collect();
+        lock(&self.runs).push(Run { id: id.to_owned(), start: run_start, teams });
+        for (since, late_runs) in
+            [(&self.leaving_since, &self.late_runs), (&self.evacuated_since, &self.evacuated_runs)]
         {
-            lock(&self.late_runs).push(LateRun { leaving_since, run_start });
+            let late = lock(since).filter(|(since, allowed)| run_start > *since + *allowed);
+            if let Some((since, _)) = late {
+                lock(late_runs).push(LateRun { since, run_start });
+            }
         }
     }
 
--- a/crates/geraniummux-standin/tests/registered_target.rs
+++ b/crates/geraniummux-standin/tests/registered_target.rs
@@ -1,5 +1,6 @@
 //! What a registered target writes on a connection, byte by byte.
 
+use geraniummux_standin::caller::send_pipelined;
 use geraniummux_standin::registered_target::{
     CopyTrigger, RefusalCopy, Refusals, RegisteredTarget, RunCounts,
 };
@@ -168,3 +169,35 @@
     play.target.allow_refusals(1);
     assert_eq!(play.read().await, response("421", "a", "t-new"));
 }
+
+/// Guards against checks of the soak that see nothing: a target that does not show that it is cold, or does not record
+/// what it was told of the caller, and responses to pipelined requests that are lost or out of order.
+#[tokio::test]
+async fn target_records_what_it_is_told() {
+    let play = Play::new(Refusals::default()).await;
+    let (target, addr) = (play.target, play.conn.get_ref().peer_addr().unwrap());
+    assert_eq!(target.registration("pool", "a", "z")["warmup-left-s"], 0.0);
+    target.set_cold(Duration::from_secs(60));
+    assert!(target.registration("pool", "a", "z")["warmup-left-s"].as_f64().unwrap() > 50.0);
+    target.set_evacuated(true, Duration::ZERO);
+    let request = |id: &str, name, value: &str| {
+        let headers = vec![("request-id", id.to_owned()), (name, value.to_owned())];
+        ("/read/x".to_owned(), headers)
+    };
+    let requests = [
+        ("/health".to_owned(), Vec::new()),
+        request("r-1", "Tenant-Id", "ash"),
+        request("r-2", "Key", "key-0"),
+    ];
+    let responses = send_pipelined(addr, &requests, Duration::from_secs(5)).await.unwrap();
+    let left: u64 = responses[0].header("warmup-remaining-ms").parse().unwrap();
+    assert!((50_000..=60_000).contains(&left), "{left}");
+    let ids: Vec<&str> = responses.iter().map(|r| r.header("request-id")).collect();
+    assert_eq!(ids, ["", "r-1", "r-2"]);
+    let told: Vec<(String, Vec<String>)> =
+        target.runs().into_iter().map(|r| (r.id, r.teams)).collect();
+    let ash = vec!["ash".to_owned()];
+    assert_eq!(told, [("r-1".to_owned(), ash), ("r-2".to_owned(), Vec::new())]);
+    assert_eq!(target.key_count(), 1);
+    assert_eq!((target.cold_arrivals().len(), target.evacuated_runs().len()), (2, 2));
+}
