Soak: teams with keys, evacuations, cold targets and pipelined requests (--teams)

Ruled out: exempting evacuations from what happens to a host later: an evacuation in force must survive it.

--- a/crates/geraniummux-soak/src/callers.rs
+++ b/crates/geraniummux-soak/src/callers.rs
@@ -2,9 +2,11 @@
 
 use crate::harness::Harness;
 use crate::report::Report;
+use crate::teams::{self, Credential};
 use bytes::Bytes;
+use geraniummux_standin::caller::send_pipelined;
 use geraniummux_standin::registered_target::response_body;
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -24,6 +26,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Requests that a caller sends to a host before it asks the directory again.
 const REQUESTS_PER_LOOKUP: u32 = 12;
+/// Share of the idempotent requests that use a route without keys, in a run with teams.
+const PUBLIC_SHARE: f64 = 0.15;
+
+/// Requests that a caller sends at once if it pipelines them.
+const MAX_PIPELINED: usize = 6;
 
 /// The outcome of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -50,6 +57,8 @@
     /// Whether the host was being stopped gracefully, and no disruption was active, both when the
     /// request was sent and when it ended.
     pub only_graceful_stop: bool,
+    /// Headers that name the caller's team, in a run with teams.
+    pub credential: Option<Credential>,
 }
 
 /// Sends requests as caller `number` until the run is over.
@@ -66,7 +75,11 @@
             n += 1;
             let idempotent = rng.random::<f64>() < 0.6;
             let id = format!("{seed:x}-{number:x}-{n:x}");
-            let record = send(&harness, &mut sender, host, &id, idempotent).await;
+            let credential = harness.teams.as_ref().map(|teams| {
+                let is_public = idempotent && rng.random_bool(PUBLIC_SHARE);
+                teams.draw(&mut rng, is_public)
+            });
+            let record = send_as(&harness, &mut sender, host, &id, idempotent, credential).await;
             let keep_connection =
                 matches!(record.outcome, Outcome::Response(_)) && !sender.is_closed();
             harness.record_request(record);
@@ -112,17 +125,31 @@
     host: SocketAddr,
     id: &str,
     idempotent: bool,
+) -> RequestRecord {
+    send_as(harness, sender, host, id, idempotent, None).await
+}
+
+async fn send_as(
+    harness: &Harness,
+    sender: &mut SendRequest<Full<Bytes>>,
+    host: SocketAddr,
+    id: &str,
+    idempotent: bool,
+    credential: Option<Credential>,
 ) -> RequestRecord {
     let body = if idempotent { Bytes::new() } else { Bytes::from(id.repeat(20)) };
-    let (method, path) = if idempotent { ("GET", "/read/x") } else { ("POST", "/write/x") };
+    let method = if idempotent { "GET" } else { "POST" };
     let deadline = harness.route_times().timeout + DEADLINE_MARGIN;
-    let req = Request::builder()
+    let mut req = Request::builder()
         .method(method)
-        .uri(path)
+        .uri(path(idempotent, credential.as_ref()))
         .header(header::HOST, "soak.example")
         .header("request-id", id)
-        .header("request-deadline-ms", deadline.as_millis() as u64)
-        .body(Full::new(body.clone()));
+        .header("request-deadline-ms", deadline.as_millis() as u64);
+    for (name, value) in credential.iter().flat_map(|c| &c.headers) {
+        req = req.header(*name, value);
+    }
+    let req = req.body(Full::new(body.clone()));
     let stopping_before = harness.only_graceful_stop(host);
     let exchange = async {
         // After a response the connection may need a moment before it accepts the next request.
@@ -132,19 +159,10 @@
         anyhow::Ok((parts, body.collect().await?.to_bytes()))
     };
     let (outcome, response_error) = match timeout(deadline + RESPONSE_MARGIN, exchange).await {
-        Ok(Ok((parts, response))) => {
-            let response_id = parts.headers.get("request-id");
-            let id_matches = response_id.is_some_and(|v| v.as_bytes() == id.as_bytes());
-            let body_matches = response == response_body(id, &body);
-            let is_wrong = parts.status.is_success() && !(id_matches && body_matches);
-            // Responses of the hosts themselves have no id.
-            let is_of_other = response_id.is_some() && !id_matches;
-            (
-                Outcome::Response(parts.status),
-                (is_wrong || is_of_other)
-                    .then(|| format!("{id}: response truncated or of another request")),
-            )
-        }
+        Ok(Ok((parts, response))) => (
+            Outcome::Response(parts.status),
+            response_error(id, &body, parts.status, &parts.headers, &response),
+        ),
         _ => (Outcome::NoResponse, None),
     };
     let only_graceful_stop = stopping_before && harness.only_graceful_stop(host);
@@ -155,6 +173,85 @@
         outcome,
         response_error,
         only_graceful_stop,
+        credential,
+    }
+}
+
+/// Returns the path of a request.
+fn path(idempotent: bool, credential: Option<&Credential>) -> &'static str {
+    match idempotent {
+        true if credential.is_some_and(|c| c.public) => "/open/x",
+        true => "/read/x",
+        false => "/write/x",
+    }
+}
+
+/// Returns what is wrong with a response to the request `id` with this body, if anything.
+fn response_error(
+    id: &str,
+    request_body: &[u8],
+    status: StatusCode,
+    headers: &HeaderMap,
+    response: &Bytes,
+) -> Option<String> {
+    let response_id = headers.get("request-id");
+    let id_matches = response_id.is_some_and(|v| v.as_bytes() == id.as_bytes());
+    let body_matches = *response == response_body(id, request_body);
+    let is_wrong = status.is_success() && !(id_matches && body_matches);
+    // Responses of the hosts themselves have no id.
+    let is_of_other = response_id.is_some() && !id_matches;
+    (is_wrong || is_of_other).then(|| format!("{id}: response truncated or of another request"))
+}
+
+/// Sends idempotent requests in groups, each over a connection on which none waits for the response to the one before,
+/// until the run is over. The responses have to come in order.
+pub async fn run_pipelined(harness: Arc<Harness>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let deadline = harness.route_times().timeout + DEADLINE_MARGIN;
+    let mut n = 0;
+    while !harness.is_over() {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(10..60))).await;
+        let Some(host) = pick_host(&harness, &mut rng).await else { continue };
+        let mut group = Vec::new();
+        for _ in 0..rng.random_range(2..=MAX_PIPELINED) {
+            n += 1;
+            let is_public = rng.random_bool(PUBLIC_SHARE);
+            let credential = harness.teams.as_ref().map(|t| t.draw(&mut rng, is_public));
+            group.push((format!("{seed:x}-p-{n:x}"), credential));
+        }
+        let request = |(id, credential): &(String, Option<Credential>)| {
+            let mut headers = vec![
+                ("host", "soak.example".to_owned()),
+                ("request-id", id.clone()),
+                ("request-deadline-ms", deadline.as_millis().to_string()),
+            ];
+            headers.extend(credential.iter().flat_map(|c| c.headers.clone()));
+            (path(true, credential.as_ref()).to_owned(), headers)
+        };
+        let requests: Vec<_> = group.iter().map(request).collect();
+        // The hosts may run the requests one after another.
+        let time = (deadline + RESPONSE_MARGIN) * group.len() as u32;
+        let responses = send_pipelined(host, &requests, time).await.unwrap_or_default();
+        let mut responses = responses.into_iter();
+        for (id, credential) in group {
+            let (outcome, response_error) = match responses.next() {
+                Some(r) => (
+                    Outcome::Response(r.status),
+                    response_error(&id, &[], r.status, &r.headers, &r.body),
+                ),
+                None => (Outcome::NoResponse, None),
+            };
+            harness.record_request(RequestRecord {
+                id,
+                host,
+                idempotent: true,
+                outcome,
+                response_error,
+                // Requests after a response that closes the connection count as unread.
+                only_graceful_stop: false,
+                credential,
+            });
+        }
     }
 }
 
@@ -163,7 +260,11 @@
 /// it is refused, a graceful stop aborts no request that runs, and leaving targets get no late requests.
 /// The targets have to be done with all requests.
 pub fn check(harness: &Harness, report: &mut Report) {
-    for record in harness.take_requests() {
+    let records = harness.take_requests();
+    if let Some(teams) = &harness.teams {
+        teams::check(harness, teams, &records, report);
+    }
+    for record in records {
         let runs = harness.run_counts.runs(&record.id);
         let guaranteed_not_run = matches!(
             record.outcome,
--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -4,6 +4,7 @@
 use crate::faults;
 use crate::hosts::HostProcess;
 use crate::report::{Report, TargetCounts};
+use crate::teams::{self, TeamChecks, Teams};
 use anyhow::Context;
 use geraniummux_standin::link::Link;
 use geraniummux_standin::object_store::ObjectStore;
@@ -21,6 +22,8 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
+/// Failure domains of the hosts and targets, which are assigned in turn.
+pub const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 /// Service time of a target without a fault, in milliseconds.
 pub const SERVICE_TIME_MS: u64 = 30;
 /// Time after which a target gets no more requests once the store shows it as leaving.
@@ -81,6 +84,9 @@
     pub restores: bool,
     /// Whether one host is restarted in series while another one is frozen.
     pub restarts: bool,
+    /// What is checked of teams, evacuations, cold targets and pipelining; `None` for a run without them. A store
+    /// that comes back from a copy loses evacuations, so that there are none beside `restores`.
+    pub teams: Option<TeamChecks>,
     /// Time limits of all routes.
     pub route_times: RouteTimes,
     /// Entry host program to test.
@@ -105,6 +111,8 @@
     pub run_counts: Arc<RunCounts>,
     /// Addresses on which the hosts serve the directory of entry hosts.
     pub directory_addrs: Vec<SocketAddr>,
+    /// Teams of the callers, if there are any.
+    pub teams: Option<Teams>,
     request_addrs: Vec<SocketAddr>,
     hosts: Vec<Mutex<HostProcess>>,
     /// Requests that the callers have finished.
@@ -199,7 +207,14 @@
             let link = Link::open("127.0.0.1:0".parse()?, store_addr).await?;
             let other = opts.other_program.as_ref().filter(|_| i % 2 == 1);
             let program = other.unwrap_or(&opts.program);
-            hosts.push(HostProcess::new(&opts.dir, program, net, i, link.addr)?);
+            hosts.push(HostProcess::new(
+                &opts.dir,
+                program,
+                net,
+                i,
+                link.addr,
+                opts.teams.is_some(),
+            )?);
             store_links.push(link);
         }
         Ok(Harness {
@@ -208,6 +223,10 @@
             targets,
             target_links,
             run_counts,
+            teams: opts.teams.map(|checks| {
+                let evacuations = checks.evacuations && !opts.restores;
+                Teams::new(TeamChecks { evacuations, ..checks })
+            }),
             directory_addrs: hosts.iter().map(HostProcess::directory_addr).collect(),
             request_addrs: hosts.iter().map(HostProcess::request_addr).collect(),
             stopping: hosts.iter().map(|_| AtomicBool::new(false)).collect(),
@@ -243,12 +262,20 @@
     /// target began to leave until the run: a host that is paused, cut off or restarted, or whose store is
     /// unavailable, may apply the change too late. Always false in a run without [`Options::timed`].
     pub fn is_violation(&self, late: &LateRun) -> bool {
+        self.timed && self.is_undisturbed(late.since, late.run_start)
+    }
+
+    /// Returns whether no disruption was active at any time from `RECOVERY_TIME` before `from` until `to`.
+    pub fn is_undisturbed(&self, from: Instant, to: Instant) -> bool {
         let spans = lock(&self.disruption_spans);
-        let disrupted = spans.iter().any(|(start, end)| {
-            *start <= late.run_start
-                && end.is_none_or(|end| end + RECOVERY_TIME >= late.leaving_since)
-        });
-        self.timed && !disrupted
+        !spans
+            .iter()
+            .any(|(start, end)| *start <= to && end.is_none_or(|end| end + RECOVERY_TIME >= from))
+    }
+
+    /// Returns whether guarantees that set a time limit are checked.
+    pub fn is_timed(&self) -> bool {
+        self.timed
     }
 
     /// Marks a host as being stopped gracefully until the guard is dropped.
@@ -327,7 +354,7 @@
     /// Writes the registration of a target into the store.
     pub fn register(&self, i: usize) {
         let target = &self.targets[i];
-        let zone = ["zone-a", "zone-b"][i % 2];
+        let zone = ZONES[i % ZONES.len()];
         let registration =
             target.registration("pool", &self.target_links[i].addr.to_string(), zone);
         self.store.put("servers", &target.id(), registration);
@@ -367,6 +394,19 @@
         self.register(i);
     }
 
+    /// Requests the evacuation of a failure domain in the store, or withdraws it.
+    pub fn set_evacuated(&self, zone: usize, evacuated: bool) {
+        if evacuated {
+            self.store.put("evacuations", ZONES[zone], json!({}));
+        }
+        for target in self.targets.iter().skip(zone).step_by(ZONES.len()) {
+            target.set_evacuated(evacuated, teams::EVACUATION_LIMIT);
+        }
+        if !evacuated {
+            self.store.delete("evacuations", ZONES[zone]);
+        }
+    }
+
     /// Publishes the next version of the configuration, with a route that only this version has.
     pub fn publish_config(&self) {
         self.version.fetch_add(1, Ordering::SeqCst);
@@ -383,11 +423,18 @@
                 "target-latency-s": times.latency_target.as_secs_f64(), "max-attempts": 2})
         };
         let added = format!("/v{version}/");
-        let spec = json!({"version": format!("{version:08x}"),
+        let mut spec = json!({"version": format!("{version:08x}"),
             "routes": [route("read", "/read/", "safe"), route("write", "/write/", "unsafe"),
                 route("added", &added, "safe")],
             "services": [{"name": "pool", "health-path": "/health", "max-conns": 200}],
             "limits": {"idle-timeout-s": 15}});
+        if let Some(teams) = &self.teams {
+            let mut open = route("open", "/open/", "safe");
+            open["public"] = true.into();
+            spec["routes"].as_array_mut().expect("a list").push(open);
+            spec["tenants"] = teams.tenants();
+            spec["services"][0]["warmup-per-s"] = teams::WARM_UP_PER_S.into();
+        }
         self.store.put("config", "main", spec);
     }
 
@@ -466,10 +513,12 @@
     /// it did so within `CONFIG_POLLS` polls.
     pub async fn await_newest_config(&self, request_addr: SocketAddr) -> bool {
         let version = self.version.load(Ordering::SeqCst);
+        let key = self.teams.as_ref().map(|_| teams::STABLE_KEY);
         for _ in 0..CONFIG_POLLS {
             let time_left = self.route_times.timeout.mul_f64(POLL_DEADLINE_SHARE);
-            let new = get_status(request_addr, &format!("/v{version}/x"), time_left).await;
-            let old = get_status(request_addr, &format!("/v{}/x", version - 1), time_left).await;
+            let new = get_status(request_addr, &format!("/v{version}/x"), key, time_left).await;
+            let old = format!("/v{}/x", version - 1);
+            let old = get_status(request_addr, &old, key, time_left).await;
             if new == Some(StatusCode::OK) && old == Some(StatusCode::NOT_FOUND) {
                 return true;
             }
@@ -495,14 +544,17 @@
 async fn get_status(
     request_addr: SocketAddr,
     path: &str,
+    key: Option<&str>,
     time_left: Duration,
 ) -> Option<StatusCode> {
-    let req = Request::get(path)
+    let mut req = Request::get(path)
         .header(header::HOST, "soak.example")
         .header("request-id", format!("look-{:x}", rand::random::<u64>()))
-        .header("request-deadline-ms", time_left.as_millis() as u64)
-        .body(Full::default())
-        .ok()?;
+        .header("request-deadline-ms", time_left.as_millis() as u64);
+    if let Some(key) = key {
+        req = req.header("key", key);
+    }
+    let req = req.body(Full::default()).ok()?;
     let mut sender = callers::connect(request_addr).await.ok()?;
     let rsp = tokio::time::timeout(time_left + POLL_MARGIN, sender.send_request(req)).await;
     Some(rsp.ok()?.ok()?.status())
@@ -521,6 +573,9 @@
     let callers: Vec<_> = (0..opts.callers)
         .map(|n| tokio::spawn(callers::run(harness.clone(), n, opts.seed)))
         .collect();
+    let pipelining = opts.teams.is_some_and(|t| t.pipelining);
+    let pipelining =
+        pipelining.then(|| tokio::spawn(callers::run_pipelined(harness.clone(), opts.seed)));
     let demands =
         opts.demands.then(|| tokio::spawn(faults::make_demands(harness.clone(), opts.seed)));
     let refusals =
@@ -529,7 +584,18 @@
         opts.restores.then(|| tokio::spawn(faults::restore_store(harness.clone(), opts.seed)));
     let mut rng = StdRng::seed_from_u64(opts.seed);
     let mut injected = Vec::new();
-    let end = tokio::time::Instant::now() + opts.fault_duration;
+    let calm_start = harness.teams.as_ref().map_or(Duration::ZERO, Teams::calm_start);
+    let end = tokio::time::Instant::now() + calm_start + opts.fault_duration;
+    let team_changes = opts.teams.map(|_| {
+        let (harness, seed) = (harness.clone(), opts.seed);
+        tokio::spawn(async move {
+            let teams = harness.teams.as_ref()?;
+            Some(teams::change(&harness, teams, seed, end.into_std()).await)
+        })
+    });
+    if !calm_start.is_zero() {
+        tokio::time::sleep(calm_start).await;
+    }
     if opts.restarts {
         let restarts = faults::restart_beside_frozen(harness.clone(), opts.seed, end);
         injected.push(tokio::spawn(restarts));
@@ -545,11 +611,14 @@
     for fault in injected {
         fault.await?;
     }
+    if let Some(changes) = team_changes {
+        report.faults.extend(changes.await?.into_iter().flatten());
+    }
     harness.publish_config();
     await_config_on_all_hosts(&harness, &mut report).await;
     await_whole_directories(&harness, &mut report).await;
     harness.over.store(true, Ordering::SeqCst);
-    for task in callers.into_iter().chain(demands).chain(restores) {
+    for task in callers.into_iter().chain(pipelining).chain(demands).chain(restores) {
         task.await?;
     }
     if let Some(refusals) = refusals {
--- a/crates/geraniummux-soak/src/hosts.rs
+++ b/crates/geraniummux-soak/src/hosts.rs
@@ -1,5 +1,6 @@
 //! Entry host processes: their settings, start, signals and exit.
 
+use crate::teams;
 use anyhow::{Context, bail};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -34,7 +35,8 @@
 
 impl HostProcess {
     /// Writes the settings of host number `i`. The bytes in `net` are the middle two of its loopback address,
-    /// so that concurrent runs with different seeds use different addresses.
+    /// so that concurrent runs with different seeds use different addresses. With `teams`, the settings have the limits of allowances
+    /// and evacuations.
     ///
     /// # Errors
     ///
@@ -45,18 +47,26 @@
         net: (u8, u8),
         i: u8,
         store: SocketAddr,
+        teams: bool,
     ) -> anyhow::Result<Self> {
         let ip = |i: u8| IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, i + 1));
         let at = |port: u16| SocketAddr::new(ip(i), port).to_string();
         let seeds: Vec<String> =
             (0..3).map(|i| SocketAddr::new(ip(i), PEER_PORT).to_string()).collect();
         let zone = ["zone-a", "zone-b"][usize::from(i % 2)];
-        let settings = json!({
+        let mut settings = json!({
             "host": format!("host-{i}"), "failure_domain": zone, "listen": at(REQUEST_PORT),
             "readiness": at(READINESS_PORT), "directory": at(DIRECTORY_PORT), "peer": at(PEER_PORT),
             "seeds": seeds, "peer_key": "soak of the real processes", "store": store.to_string(),
             "promises": {"grace_s": GRACE_S, "repeat_ratio": 0.2, "repeat_slack": 75.0,
                 "probes_per_s": 60.0}});
+        if teams {
+            let promises = &mut settings["promises"];
+            promises["allowance_window_s"] = teams::WINDOW.as_secs_f64().into();
+            promises["allowance_overage"] = teams::OVERAGE.into();
+            promises["allowance_slack"] = teams::SLACK.into();
+            promises["evacuate_s"] = teams::EVACUATION_LIMIT.as_secs_f64().into();
+        }
         let path = dir.join(format!("host-{i}.json"));
         fs::write(&path, settings.to_string()).context("writing the settings file of a host")?;
         Ok(HostProcess {
--- a/crates/geraniummux-soak/src/lib.rs
+++ b/crates/geraniummux-soak/src/lib.rs
@@ -4,7 +4,8 @@
 //! of the system.
 //!
 //! Begin with [`harness`], which sets up a run and drives it. [`faults`] draws and injects the faults,
-//! [`callers`] sends the requests and checks how they ended.
+//! [`callers`] sends the requests and checks how they ended; [`teams`] adds teams with keys, evacuations, cold targets and
+//! their checks.
 
 #![forbid(unsafe_code)]
 
@@ -14,6 +15,8 @@
 pub mod hosts;
 pub mod logs;
 pub mod report;
+pub mod teams;
 
 pub use harness::{Options, RouteTimes, run};
 pub use report::Report;
+pub use teams::TeamChecks;
--- a/crates/geraniummux-soak/src/main.rs
+++ b/crates/geraniummux-soak/src/main.rs
@@ -1,7 +1,7 @@
 //! Runs the soak test with a range of seeds and reports the guarantees that were violated.
 
 use argh::FromArgs;
-use geraniummux_soak::{Options, RouteTimes, run};
+use geraniummux_soak::{Options, RouteTimes, TeamChecks, run};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -39,6 +39,13 @@
     /// restart one host in series while another one is frozen
     #[argh(switch)]
     restarts: bool,
+    /// configure teams with keys and change keys; evacuate domains, make targets cold and pipeline requests as far
+    /// as they are checked
+    #[argh(switch)]
+    teams: bool,
+    /// what to check with --teams, separated by commas (default: keys,allowances,evacuations,cold,pipelining)
+    #[argh(option, default = "String::from(\"keys,allowances,evacuations,cold,pipelining\")")]
+    team_checks: String,
     /// give requests seconds instead of a second, so that they outlast the restart of a host
     #[argh(switch)]
     long: bool,
@@ -63,6 +70,7 @@
     let dir = args.dir.unwrap_or_else(|| {
         std::env::temp_dir().join(format!("geraniummux-soak-{}", std::process::id()))
     });
+    let team_checks: TeamChecks = args.team_checks.parse()?;
     let mut violations = 0;
     for seed in args.seed..args.seed + args.seeds {
         let report = run(Options {
@@ -76,6 +84,7 @@
             refusals: args.refusals,
             restores: args.restores,
             restarts: args.restarts,
+            teams: args.teams.then_some(team_checks),
             route_times: if args.long { RouteTimes::LONG } else { RouteTimes::SHORT },
             program: args.program.clone().unwrap_or_else(|| default_program.clone()),
             other_program: args.other_program.clone(),
--- a/crates/geraniummux-soak/src/report.rs
+++ b/crates/geraniummux-soak/src/report.rs
@@ -24,6 +24,8 @@
     pub targets: TargetCounts,
     /// What the hosts logged.
     pub logs: LogCounts,
+    /// What was observed of teams and cold targets, to tell whether their checks had anything to check.
+    pub observed: Vec<String>,
     /// Injected faults, in order.
     pub faults: Vec<String>,
     /// Number of checks made.
@@ -81,6 +83,9 @@
             logs.dropped_lines,
             self.idempotent_refused_and_run
         )?;
+        for observed in &self.observed {
+            writeln!(f, "  {observed}")?;
+        }
         for violation in &self.violations {
             writeln!(f, "  violation: {violation}")?;
         }
--- a/crates/geraniummux-soak/tests/soak.rs
+++ b/crates/geraniummux-soak/tests/soak.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::program;
-use geraniummux_soak::{Options, RouteTimes, run};
+use geraniummux_soak::{Options, RouteTimes, TeamChecks, run};
 use std::time::Duration;
 
 /// Seeds that have failed before, one per line, each with the cause of the failure.
@@ -17,6 +17,7 @@
     Refusals,
     Restores,
     Restarts,
+    Pipelining,
 }
 
 async fn run_seed(seed: u64, beside: Beside) {
@@ -33,6 +34,8 @@
         refusals: beside == Beside::Refusals,
         restores: beside == Beside::Restores,
         restarts: beside == Beside::Restarts,
+        teams: (beside == Beside::Pipelining)
+            .then(|| TeamChecks { pipelining: true, ..TeamChecks::default() }),
         route_times: if beside == Beside::Restarts { RouteTimes::LONG } else { RouteTimes::SHORT },
         program: program(),
         other_program: None,
@@ -82,6 +85,12 @@
     run_seed(5, Beside::Restarts).await;
 }
 
+/// Guards against responses to pipelined requests that are lost, mixed up or out of order, beside the other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_with_pipelined_requests_keeps_all_promises() {
+    run_seed(6, Beside::Pipelining).await;
+}
+
 /// Guards against the return of the failures that are listed in `seeds.txt`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_failed_seeds_keep_all_promises() {
