Test of probes with a status that is none: what they state is not believed

Cause: the test saw only that such a probe failed, and not that what it states counts for nothing. Change: the probe's response also says that the target leaves.

--- a/crates/geraniummux-host/tests/statuses.rs
+++ b/crates/geraniummux-host/tests/statuses.rs
@@ -81,7 +81,10 @@
     for (net, status) in (220..).zip(["101", "600", "999"]) {
         let probed = move |n: Option<usize>, addr: SocketAddr, id: &str| match n {
             Some(_) => plain(n, addr, id),
-            None => with_status(addr, id, status),
+            None => {
+                let text = complete_response(addr, id).replacen("200 OK", status, 1);
+                Reply::Keep(text.replacen("f: digest", "leaving: 1", 1))
+            }
         };
         let targets = [ScriptedTarget::start(probed).await, ScriptedTarget::start(plain).await];
         let addrs = targets.each_ref().map(|t| t.addr);
@@ -92,6 +95,11 @@
             let (got, _) = call_as(addr, "safe", &format!("r-{n}"), TIME_LEFT_MS).await;
             assert_eq!(got, StatusCode::OK, "{status}");
         }
+        let closed = {
+            let fleet = host.fleet();
+            fleet.demands.closed(host.now(), "pool", |t| fleet.registry.run(t)).len()
+        };
+        assert_eq!(closed, 0, "{status}");
         let metrics = host.metrics.text().unwrap();
         let probes = |result: &str| {
             metrics.contains(&format!("probes_total{{pool=\"pool\",result=\"{result}\"}}"))
