Hosts that read the store and are no primary readers follow their peers

Cause: after a start of the fleet, hosts whose view of the membership is partial take themselves for primary readers. Ruled out: a longer wait before the first read, since a start in an outage needs it. Change: every host with a leader follows it.

--- a/crates/geraniummux-core/tests/fleet_scheduler.rs
+++ b/crates/geraniummux-core/tests/fleet_scheduler.rs
@@ -279,7 +279,7 @@
         reports_slowdown: true,
     };
     for seed in 1..=4 {
-        let result = Sim::new(17, 6, seed).run(&load);
+        let result = Sim::with_options(17, 6, seed, SchedulerOptions::default()).run(&load);
         let [urgent, other] = [result.kind(0), result.kind(1)];
         assert!(urgent.in_time >= other.in_time, "seed {seed}: {urgent:?} {other:?}");
         assert!(urgent.served >= other.served, "seed {seed}: {urgent:?} {other:?}");
@@ -301,9 +301,17 @@
     };
     for seed in 1..=4 {
         load.reports_slowdown = true;
-        let aware = 1.0 - Sim::new(17, 6, seed).run(&load).kind(0).in_time;
+        let aware = 1.0
+            - Sim::with_options(17, 6, seed, SchedulerOptions::default())
+                .run(&load)
+                .kind(0)
+                .in_time;
         load.reports_slowdown = false;
-        let unaware = 1.0 - Sim::new(17, 6, seed).run(&load).kind(0).in_time;
+        let unaware = 1.0
+            - Sim::with_options(17, 6, seed, SchedulerOptions::default())
+                .run(&load)
+                .kind(0)
+                .in_time;
         assert!(aware < unaware, "seed {seed}: {aware} late, unaware {unaware}");
     }
 }
@@ -319,7 +327,7 @@
         duration: ms(6_000),
         reports_slowdown: true,
     };
-    let result = Sim::new(17, 6, 1).run(&load);
+    let result = Sim::with_options(17, 6, 1, SchedulerOptions::default()).run(&load);
     let capacity = 17.0 * 6.0 / (0.1 * KNEE_SLOWDOWN);
     assert!(result.goodput >= 0.9 * capacity, "{result:?}");
 }
@@ -342,7 +350,7 @@
         kinds.iter().map(|k| k.in_time * f64::from(k.requests)).sum::<f64>()
     };
     for seed in 1..=4 {
-        let with = in_time(Sim::new(17, 6, seed).run(&load));
+        let with = in_time(Sim::with_options(17, 6, seed, SchedulerOptions::default()).run(&load));
         let without = in_time(Sim::with_options(17, 6, seed, no_margin.clone()).run(&load));
         assert!(with > without, "seed {seed}: {with} in time, {without} without a margin");
     }
--- a/crates/geraniummux-core/tests/fleet_sim/mod.rs
+++ b/crates/geraniummux-core/tests/fleet_sim/mod.rs
@@ -104,10 +104,6 @@
 }
 
 impl Sim {
-    pub fn new(targets: usize, slots: u32, seed: u64) -> Self {
-        Sim::with_options(targets, slots, seed, SchedulerOptions::default())
-    }
-
     pub fn with_options(targets: usize, slots: u32, seed: u64, opts: SchedulerOptions) -> Self {
         let registered: Vec<RegisteredTarget> = (0..targets)
             .map(|i| RegisteredTarget {
--- a/crates/geraniummux-host/src/replication.rs
+++ b/crates/geraniummux-host/src/replication.rs
@@ -162,11 +162,10 @@
     loop {
         let order = ReaderOrder::of(&host.members());
         let leaders = order.leaders();
-        // Primary readers follow each other even while they are current: a host whose watch has stopped
-        // without an error has not noticed that yet.
-        let is_primary = order.position.rank < ReaderOptions::default().primary_readers;
-        let current = host.freshness().age(host.now()).is_zero();
-        if leaders.is_empty() || current && !is_primary {
+        // Readers of the store follow others even while they are current. A primary reader whose watch has stopped
+        // without an error has not noticed that yet; another host stops reading once its peers are current, which
+        // it learns only from their updates.
+        if leaders.is_empty() {
             failures = 0;
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
