Allowances: requests wait a quarter of a second for an allocator

Cause: after a restart of the whole fleet 902 requests of one second were refused because no allocator had answered yet, and up to 160 a second in bursts, as answers wait behind downloads on links of 10 Mbit/s. Ruled out: sending without a token; the bound would not hold over a restart in a burst. Change: an allocator has 60 ms to answer and is asked again after 200 ms; requests wait 250 ms before they are rejected. Resent slot requests keep the time of their first arrival.

--- a/crates/geraniummux-core/src/fleet/allowance.rs
+++ b/crates/geraniummux-core/src/fleet/allowance.rs
@@ -21,10 +21,12 @@
 /// Time from the request of a token after which it is no longer used. A request is sent to its target within
 /// 200 ms after that.
 pub const TOKEN_LIFETIME: Duration = Duration::from_millis(300);
-/// Time without a response after which an allocator counts as unresponsive.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(25);
-/// Time for which an unresponsive allocator is not asked.
-const UNRESPONSIVE_BACKOFF: Duration = Duration::from_millis(500);
+/// Time without a response after which an allocator counts as unresponsive. On a link of 10 Mbit/s, a message may
+/// wait behind a body of 64 KB, which takes 52 ms.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time for which an unresponsive allocator is not asked. After a restart of the fleet, allocators come up within a
+/// few hundred milliseconds.
+const UNRESPONSIVE_BACKOFF: Duration = Duration::from_millis(200);
 /// Shortest time after which an allocator that had too few tokens for a team is asked for it again.
 const MIN_DENIAL: Duration = Duration::from_millis(40);
 /// Longest such time, after which a raised allowance is noticed.
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -69,8 +69,8 @@
     CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute, PoolShare, RouteIndex,
 };
 pub use scheduler::{
-    PASS_INTERVAL, RejectReason, RequestKey, Scheduler, SchedulerOptions, SlotDecision,
-    SlotRequest, StaleTarget,
+    MAX_ALLOCATOR_WAIT, PASS_INTERVAL, RejectReason, RequestKey, Scheduler, SchedulerOptions,
+    SlotDecision, SlotRequest, StaleTarget,
 };
 pub use split::SplitState;
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -477,6 +477,8 @@
 /// Shortest time between two passes over many waiting requests. A slot that becomes free waits for this time at
 /// most.
 pub const PASS_INTERVAL: Duration = Duration::from_millis(2);
+/// Time for which a request waits for an allocator to come up.
+pub const MAX_ALLOCATOR_WAIT: Duration = Duration::from_millis(250);
 /// Weight of a new request in the mean service time of a pool.
 const MEAN_SERVICE_TIME_WEIGHT: f64 = 0.02;
 /// Maximum number of targets at which a request is in flight: the first, and that of its hedge.
@@ -501,6 +503,8 @@
     /// The team of the request, if there are teams.
     team: Option<TeamTerms>,
     since: Time,
+    /// When the request was received first; `since` is when it was received last.
+    arrived_at: Time,
 }
 
 impl Waiting {
@@ -735,8 +739,10 @@
         team: Option<TeamTerms>,
     ) -> Vec<(RequestKey, SlotDecision)> {
         // A duplicate message must not take two slots.
+        let before = self.waiting.iter().find(|w| w.key == key).map(|w| w.arrived_at);
         self.remove_request(&key);
-        let waiting = Waiting { key: key.clone(), request, team, since: now };
+        let arrived_at = before.unwrap_or(now);
+        let waiting = Waiting { key: key.clone(), request, team, since: now, arrived_at };
         if self.waiting.len() >= self.opts.max_waiting {
             return vec![(key, self.reject(now, &waiting, RejectReason::TooLate))];
         }
@@ -1050,7 +1056,8 @@
                     latency_target_left: r.latency_deadline.since(now),
                     ..r.request.clone()
                 };
-                let w = Waiting { key: r.key.clone(), request, team: None, since: now };
+                let (key, team) = (r.key.clone(), None);
+                let w = Waiting { key, request, team, since: now, arrived_at: now };
                 let Some((target, latency_factor)) = self.hedge_target(now, &w) else { continue };
                 if let Some(first) = self.targets[i].in_flight.iter_mut().find(|f| f.key == r.key) {
                     first.is_hedged = true;
@@ -1125,13 +1132,13 @@
         if let Some(terms) = w.team.as_ref().filter(|t| t.needs_token) {
             match self.stock.state(now, &terms.team) {
                 TokenState::Available => {}
-                TokenState::Pending => return None,
                 TokenState::Denied(next) => {
                     let reason = RejectReason::OverAllowance;
                     return Some(SlotDecision::Reject { reason, retry_after: next });
                 }
-                TokenState::NoAllocator => {
-                    return Some(self.reject(now, w, RejectReason::NoAllocator));
+                TokenState::Pending | TokenState::NoAllocator => {
+                    let has_waited = now.since(w.arrived_at) >= MAX_ALLOCATOR_WAIT;
+                    return has_waited.then(|| self.reject(now, w, RejectReason::NoAllocator));
                 }
             }
         }
--- a/crates/geraniummux-host/src/allowances.rs
+++ b/crates/geraniummux-host/src/allowances.rs
@@ -8,8 +8,8 @@
 use crate::peers;
 use crate::scheduling;
 use geraniummux_core::fleet::{
-    ALLOCATORS, AllowanceAllocator, AllowanceAnswer, AllowanceStock, TokenMessage, TokenRequest,
-    TokenState,
+    ALLOCATORS, AllowanceAllocator, AllowanceAnswer, AllowanceStock, MAX_ALLOCATOR_WAIT,
+    TokenMessage, TokenRequest, TokenState,
 };
 use geraniummux_core::{MemberState, Time};
 use geraniummux_wire::{MAX_TOKEN_REQUESTS, Message};
@@ -22,8 +22,6 @@
 
 /// Time for which the allocators are not derived from the membership again.
 const ALLOCATORS_MAX_AGE: Duration = Duration::from_millis(100);
-/// Time for which a request waits for a token; longer than the allocators' timeouts together.
-const MAX_WAIT: Duration = Duration::from_millis(150);
 /// Interval at which a waiting request checks whether another allocator has to be asked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -228,7 +226,7 @@
 /// Fails if the allowance is used up or no allocator answers.
 pub async fn obtain(host: &Arc<Host>, team: &Arc<str>) -> Result<(), NoToken> {
     let _waiting = WaitingGuard::new(host, team);
-    let give_up_at = host.now() + MAX_WAIT;
+    let give_up_at = host.now() + MAX_ALLOCATOR_WAIT;
     loop {
         let arrived = host.allowances.arrived.notified();
         let now = host.now();
@@ -241,11 +239,8 @@
             }
             match stock.state(now, team) {
                 TokenState::Denied(next) => return Err(NoToken::Denied(next)),
-                TokenState::NoAllocator => return Err(NoToken::NoAllocator),
-                TokenState::Available | TokenState::Pending if now >= give_up_at => {
-                    return Err(NoToken::NoAllocator);
-                }
-                TokenState::Available | TokenState::Pending => {}
+                _ if now >= give_up_at => return Err(NoToken::NoAllocator),
+                TokenState::NoAllocator | TokenState::Available | TokenState::Pending => {}
             }
             stock.set_waiting(now, &lock(&host.allowances.waiting));
             stock.messages(now, MAX_TOKEN_REQUESTS)
