Scheduler: the unused margin on requests in time is removed; module documentation

Change: the option is gone, decisions are as before; the module's documentation names tokens and shares of teams.

--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -14,6 +14,8 @@
 //! * A request that can't be answered before its deadline is rejected at once. While many requests
 //!   wait, so is one that is late already and has little time left, because it would take the slot of
 //!   another.
+//! * A request of a team with an allowance is granted a slot only with a token, and rejected at once while the
+//!   allowance is used up. While many requests wait, teams that had more than their share go after the others.
 //! * A target that limits its request rate is granted to no more requests than that, over all hosts. If
 //!   some targets have limits, a request is rejected at once if its turn would come too late.
 //! * A cold target is granted to no more requests than it accepts while it is cold.
@@ -173,9 +175,6 @@
     /// Factor on the expected latency when targets are checked for whether a request will be in time
     /// there; it leaves room for requests that take longer than is typical.
     pub latency_margin: f64,
-    /// Factor on the typical service time below which the time left until the latency target makes a request
-    /// late, while the pool is crowded.
-    pub in_time_margin: f64,
     /// Number of waiting requests above which the pool is crowded, as a fraction of its slots.
     pub crowded_share: f64,
     /// Factor on the time that a late request must have left before its deadline while the pool is
@@ -220,7 +219,6 @@
             max_idle: Duration::from_secs(7),
             local_preference: 0.5,
             latency_margin: 1.2,
-            in_time_margin: 1.0,
             crowded_share: 0.05,
             late_deadline_margin: 3.0,
             overcommit_share: 0.2,
@@ -268,7 +266,6 @@
     /// Factor on the time that a late request must have left before its deadline to be granted a slot
     /// or to wait on.
     late_deadline_margin: f64,
-    in_time_margin: f64,
     /// Teams that have had more than their share of the pool, sorted by name; none while few requests wait.
     in_excess: Vec<Arc<str>>,
 }
@@ -996,7 +993,6 @@
             limits: None,
             waiting_on: 0,
             late_deadline_margin: if is_crowded { self.opts.late_deadline_margin } else { 1.0 },
-            in_time_margin: if is_crowded { self.opts.in_time_margin } else { 1.0 },
             in_excess: if is_crowded { self.shares.in_excess(now) } else { Vec::new() },
         };
         for (i, t) in self.targets.iter().enumerate() {
@@ -1112,7 +1108,7 @@
                 self.remote_penalty(&w.request) * self.opts.local_preference
             };
             let rank = w.latency_deadline() + scaled(w.request.service_time, preference);
-            let is_late = !w.can_be_in_time(pass.now, pass.in_time_margin);
+            let is_late = !w.can_be_in_time(pass.now, 1.0);
             (is_late, pass.is_in_excess(w), w.request.priority, rank)
         });
         order
@@ -1142,7 +1138,7 @@
                 }
             }
         }
-        let is_late = !w.can_be_in_time(now, pass.in_time_margin);
+        let is_late = !w.can_be_in_time(now, 1.0);
         if let Some((i, latency_factor)) = self.best_target(pass, w) {
             let expected = scaled(w.request.service_time, latency_factor);
             // A target with a free slot that is too slow at present is skipped while another target
