Test of hedges of a team's request expects the message that names the team

Cause: the test was written before slot requests of teams had a message of their own; since the merge it waited for the former one. Change: it expects that message and checks the team in it besides the priority.

--- a/crates/geraniummux-host/tests/teams.rs
+++ b/crates/geraniummux-host/tests/teams.rs
@@ -227,11 +227,13 @@
             async move { call(addr, "safe", &format!("{FORGED}{}", key_line(KEY))).await.0 },
         );
     let asked = scheduler.receive(|message| match message {
-        Message::SlotRequest { number, request, .. } => Some((number, request.priority)),
+        Message::TeamSlotRequest { number, request, team, .. } => {
+            Some((number, request.priority, team.team))
+        }
         _ => None,
     });
-    let (number, priority) = asked.await;
-    assert_eq!(priority, PRIORITY);
+    let (number, priority, team) = asked.await;
+    assert_eq!((priority, &*team), (PRIORITY, "red"));
     let target = |i: usize| identity(targets[i].addr).into();
     let grant = SlotDecision::Grant { target: target(0), latency_factor: 1.0 };
     scheduler.decide(number, grant).await;
