Allowances: answers with more tokens than were asked for, and sizes of teams out of range, are not used

Cause: read-through; a slot request of a team was not checked for plausible figures as one without a team is, and a stock took as many tokens as a peer said. Change: both are checked. The mean service time of a pool's requests relative to one request has a name of its own.

--- a/crates/geraniummux-core/src/fleet/allowance.rs
+++ b/crates/geraniummux-core/src/fleet/allowance.rs
@@ -222,7 +222,7 @@
     number: u64,
     allocator: SocketAddr,
     sent_at: Time,
-    teams: Vec<Arc<str>>,
+    wanted: Vec<TokenRequest>,
 }
 
 /// A message to an allocator.
@@ -355,11 +355,11 @@
         for (to, teams) in wanted {
             let number = self.next_number;
             self.next_number += 1;
-            let names: Vec<Arc<str>> = teams.iter().map(|r| r.team.clone()).collect();
-            for name in &names {
-                self.entry(now, name).asked = Some(number);
+            for request in &teams {
+                self.entry(now, &request.team).asked = Some(number);
             }
-            let request = PendingRequest { number, allocator: to, sent_at: now, teams: names };
+            let wanted = teams.clone();
+            let request = PendingRequest { number, allocator: to, sent_at: now, wanted };
             self.pending.push(request);
             out.push(TokenMessage { to, number: Some(number), teams });
         }
@@ -427,8 +427,11 @@
         match answer {
             AllowanceAnswer::Granted(grants) => {
                 for grant in grants {
-                    // Only what was asked for is in question.
-                    if p.teams.contains(&grant.team) {
+                    // No more than was asked for is used, whatever the allocator answers.
+                    let asked = p.wanted.iter().find(|w| w.team == grant.team);
+                    let tokens = grant.tokens.min(asked.map_or(0, |w| w.tokens));
+                    if asked.is_some() {
+                        let grant = TokenGrant { tokens, ..grant };
                         self.on_grant(now, from, p.sent_at + TOKEN_LIFETIME, grant);
                     }
                 }
--- a/crates/geraniummux-core/src/fleet/bounds.rs
+++ b/crates/geraniummux-core/src/fleet/bounds.rs
@@ -4,6 +4,7 @@
 //! target stated. Figures are checked where they are decoded; what decides by them must not rely on that alone,
 //! and computes with [`scaled`](crate::time::scaled) and saturating sums.
 
+use super::allowance::TeamTerms;
 use super::demands::TargetDemand;
 use super::forecast::TargetReport;
 use super::scheduler::{SlotDecision, SlotRequest};
@@ -53,6 +54,13 @@
     }
 }
 
+impl TeamTerms {
+    /// Returns whether the figures can be those of a team.
+    pub fn is_plausible(&self) -> bool {
+        (0.0..=MAX_LIMIT_PER_S).contains(&f64::from(self.weight))
+    }
+}
+
 impl SlotDecision {
     /// Returns whether the figures can be those of a decision.
     pub fn is_plausible(&self) -> bool {
--- a/crates/geraniummux-core/src/fleet/scheduler.rs
+++ b/crates/geraniummux-core/src/fleet/scheduler.rs
@@ -1196,7 +1196,7 @@
         let service_time = request.service_time.as_secs_f64();
         let margin = self.opts.latency_margin;
         let cost = self.cost(pass, request);
-        let others = self.others(request);
+        let others = self.mean_service_ratio(request);
         let latency_factor = |i: usize| pass.forecasts[i].latency.latency_factor(others);
         let rate = |i: usize| {
             let is_late = service_time * latency_factor(i) * margin > left;
@@ -1231,7 +1231,7 @@
         };
         let warm = self.warm.targets_of(pass.now, &w.key.host, self.opts.max_idle);
         let chosen = warm.filter_map(|id| self.find(id)).find(is_suitable).unwrap_or(best);
-        (chosen, pass.forecasts[chosen].latency.latency_factor(self.others(request)))
+        (chosen, pass.forecasts[chosen].latency.latency_factor(self.mean_service_ratio(request)))
     }
 
     /// Returns the function by which targets are compared for a request: the expected latency factor of
@@ -1239,7 +1239,7 @@
     fn cost(&self, pass: &Pass, request: &SlotRequest) -> impl Fn(usize) -> f64 {
         let domain = self.domain(&request.failure_domain);
         let remote_factor = 1.0 + self.remote_penalty(request);
-        let others = self.others(request);
+        let others = self.mean_service_ratio(request);
         move |i| {
             let forecast = &pass.forecasts[i];
             let is_local = Some(self.targets[i].domain) == domain;
@@ -1250,7 +1250,7 @@
 
     /// Returns how long the requests at the pool's targets take on average, as a multiple of the service time of
     /// a request.
-    fn others(&self, request: &SlotRequest) -> f64 {
+    fn mean_service_ratio(&self, request: &SlotRequest) -> f64 {
         let service_time = request.service_time.as_secs_f64();
         match self.mean_service_time_s {
             Some(mean) if service_time > 0.0 => mean / service_time,
--- a/crates/geraniummux-core/tests/fleet_allowance.rs
+++ b/crates/geraniummux-core/tests/fleet_allowance.rs
@@ -3,7 +3,8 @@
 
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
-    ALLOCATORS, Allowance, AllowanceAllocator, AllowanceAnswer, AllowanceStock, TokenState,
+    ALLOCATORS, Allowance, AllowanceAllocator, AllowanceAnswer, AllowanceStock, TokenGrant,
+    TokenState,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -240,6 +241,22 @@
     assert_eq!(state, TokenState::NoAllocator);
 }
 
+/// Guards against an answer with more tokens than were asked for, or with those of another team.
+#[test]
+fn on_answer_more_than_asked_is_not_used() {
+    let mut stock = AllowanceStock::new(7);
+    let (team, other): (Arc<str>, Arc<str>) = ("team".into(), "other".into());
+    stock.set_allocators(&[addr(0)]);
+    stock.set_waiting(START, &[(team.clone(), 2)]);
+    let sent = stock.messages(START, MAX_TEAMS);
+    let grant =
+        |team: &Arc<str>| TokenGrant { team: team.clone(), tokens: u32::MAX, next_ms: None };
+    let answer = AllowanceAnswer::Granted(vec![grant(&team), grant(&other)]);
+    assert!(stock.on_answer(START, addr(0), sent[0].number.unwrap(), answer));
+    let taken = (0..5).filter(|_| stock.take(START, &team)).count();
+    assert_eq!((taken, stock.take(START, &other)), (2, false));
+}
+
 /// Guards against a rate that was lowered and keeps the tokens of the higher one.
 #[test]
 fn grant_lowered_allowance_caps_tokens() {
--- a/crates/geraniummux-host/src/figures.rs
+++ b/crates/geraniummux-host/src/figures.rs
@@ -46,6 +46,11 @@
 pub fn plausible(message: Message) -> (Option<Message>, bool) {
     match message {
         Message::SlotRequest { ref request, .. } if !request.is_plausible() => (None, true),
+        Message::TeamSlotRequest { ref request, ref team, .. }
+            if !request.is_plausible() || !team.is_plausible() =>
+        {
+            (None, true)
+        }
         Message::SlotDecision { ref decision, .. } if !decision.is_plausible() => (None, true),
         Message::Faults(mut faults) => {
             let before = faults.len();
