Review case 10: three schedulers of one pool exceed the limit of a target

The seeds are lost, and the processes of the other hosts are killed and start again. They don't find each other, and each schedules the pool by itself, so that a target that names a limit gets three times as many requests.

--- a/review/standin-2/src/host.rs
+++ b/review/standin-2/src/host.rs
@@ -93,7 +93,17 @@
 
     /// Whether the process says that it is ready.
     pub async fn is_ready(&self) -> bool {
-        let answer = crate::client::get(self.at(1), "/ready", Duration::from_secs(1)).await;
+        Host::is_ready_at(self.ready_addr()).await
+    }
+
+    /// Where the process says whether it is ready.
+    pub fn ready_addr(&self) -> SocketAddr {
+        self.at(1)
+    }
+
+    /// Whether the process with this address says that it is ready.
+    pub async fn is_ready_at(addr: SocketAddr) -> bool {
+        let answer = crate::client::get(addr, "/ready", Duration::from_secs(1)).await;
         answer.is_ok_and(|m| m.status() == 200)
     }
 
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod link;
 mod reason;
+mod limits;
 mod names;
 mod seeds;
 mod server;
@@ -138,6 +139,7 @@
         "unframed" => unframed::run(record).await,
         "reason" => reason::run(record).await,
         "seeds" => seeds::run(record).await,
+        "limits" => limits::run(record).await,
         "names" => names::run(record).await,
         _ => Err("unknown case".into()),
     }
