--- a/review/standin-2/src/limits.rs
+++ b/review/standin-2/src/limits.rs
@@ -1,4 +1,4 @@
-//! The machines that the settings name as seeds are lost for good; then the processes of all others are killed at the
+//! The machines that the settings name as seeds lose power and stay down; then the processes of all others are killed at the
 //! same moment and start again. Later, all servers name a limit of their requests.
 
 use crate::host::Host;
@@ -47,7 +47,7 @@
     }
     tokio::time::sleep(Duration::from_secs(3)).await;
     if trouble() {
-        record.line(format!("hosts 0 to {} lose power and are removed", SEEDS - 1));
+        record.line(format!("hosts 0 to {} lose power and stay down", SEEDS - 1));
         hosts[..SEEDS].iter_mut().for_each(Host::kill);
     }
     tokio::time::sleep(Duration::from_secs(4)).await;
--- a/review/standin-2/src/seeds.rs
+++ b/review/standin-2/src/seeds.rs
@@ -1,4 +1,4 @@
-//! The machines that the settings name as seeds are lost for good; then the processes of all others are killed at the
+//! The machines that the settings name as seeds lose power and stay down; then the processes of all others are killed at the
 //! same moment and start again. The requests are of a tenant with an allowance, far within it.
 
 use crate::host::Host;
@@ -55,7 +55,7 @@
         return Err("the hosts did not serve before the disruption".into());
     }
     if trouble() {
-        record.line(format!("hosts 0 to {} lose power and are removed", SEEDS - 1));
+        record.line(format!("hosts 0 to {} lose power and stay down", SEEDS - 1));
         hosts[..SEEDS].iter_mut().for_each(Host::kill);
     }
     let meanwhile = traffic(record, &hosts[SEEDS..], "meanwhile", Duration::from_secs(6)).await;
