Review case 9: a former allocator grants a burst that another one has granted

The hosts are stopped and started again in turn, twice. A host that becomes an allocator for the second time has filled its bucket for the time in which it was none, and grants the burst of its third once more.

It takes the place of the case on names of the store's objects, which review/1 shows already.

--- a/review/standin-2/src/host.rs
+++ b/review/standin-2/src/host.rs
@@ -83,6 +83,23 @@
         text.lines().rfind(|l| l.contains("targets_changed")).is_some_and(|l| l.contains("from=store"))
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            // SAFETY: kill has no preconditions; the child has not been waited for, so that its id is its own.
+            unsafe { libc::kill(child.id() as i32, signal) };
+        }
+    }
+
+    /// Whether the process has not ended by itself.
+    pub fn is_running(&mut self) -> bool {
+        let ended = self.child.as_mut().is_none_or(|c| !matches!(c.try_wait(), Ok(None)));
+        if ended {
+            self.child = None;
+        }
+        !ended
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,8 +6,7 @@
 mod http;
 mod link;
 mod reason;
-mod limits;
-mod names;
+mod quota;
 mod seeds;
 mod server;
 mod store;
@@ -139,8 +138,7 @@
         "unframed" => unframed::run(record).await,
         "reason" => reason::run(record).await,
         "seeds" => seeds::run(record).await,
-        "limits" => limits::run(record).await,
-        "names" => names::run(record).await,
+        "quota" => quota::run(record).await,
         _ => Err("unknown case".into()),
     }
 }
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -17,33 +17,20 @@
 pub struct Run {
     /// Status with which the server answered.
     pub status: u16,
-    pub server: String,
     pub at: Instant,
 }
 
 /// The runs of all servers, by the id of the request.
 #[derive(Default)]
-pub struct Runs {
-    by_id: Mutex<HashMap<String, Vec<Run>>>,
-    /// The `Server-Limit` that servers with [`Answers::Limited`] name, in requests a second; 0 for none.
-    pub limit: AtomicU32,
-}
+pub struct Runs(Mutex<HashMap<String, Vec<Run>>>);
 
 impl Runs {
     pub fn of(&self, id: &str) -> Vec<Run> {
-        self.by_id.lock().unwrap().get(id).cloned().unwrap_or_default()
-    }
-
-    /// All runs, by their servers and times.
-    pub fn all(&self) -> Vec<(String, Instant)> {
-        let by_id = self.by_id.lock().unwrap();
-        let mut all: Vec<_> = by_id.values().flatten().map(|r| (r.server.clone(), r.at)).collect();
-        all.sort();
-        all
+        self.0.lock().unwrap().get(id).cloned().unwrap_or_default()
     }
 
     fn add(&self, id: &str, run: Run) {
-        self.by_id.lock().unwrap().entry(id.to_owned()).or_default().push(run);
+        self.0.lock().unwrap().entry(id.to_owned()).or_default().push(run);
     }
 }
 
@@ -56,8 +43,6 @@
     Unframed,
     /// Of 50 answers, one is cut off within its status line; the server then answers the request with its own 500.
     CutStatusLine,
-    /// With a length, and with the limit that the case has set, if any.
-    Limited,
     /// Of 50 requests, the server fails one with its own 500.
     Failing,
 }
@@ -107,11 +92,7 @@
 
     fn own_headers(&self) -> String {
         let running = self.running.load(Ordering::Relaxed);
-        let limit = match (self.answers, self.runs.limit.load(Ordering::Relaxed)) {
-            (Answers::Limited, limit @ 1..) => format!("Server-Limit: {limit}\r\n"),
-            _ => String::new(),
-        };
-        format!("Instance-Id: {}\r\nBackend-Load: {running},0,{SLOTS},100\r\n{limit}", self.id)
+        format!("Instance-Id: {}\r\nBackend-Load: {running},0,{SLOTS},100\r\n", self.id)
     }
 
     async fn connection(&self, stream: TcpStream) {
@@ -151,7 +132,7 @@
         let is_bad = n % 50 == 25;
         let fails = is_bad && matches!(self.answers, Answers::CutStatusLine | Answers::Failing);
         let status = if fails { 500 } else { 200 };
-        self.runs.add(&id, Run { status, server: self.id.clone(), at: Instant::now() });
+        self.runs.add(&id, Run { status, at: Instant::now() });
         tokio::time::sleep(self.work).await;
         self.running.fetch_sub(1, Ordering::Relaxed);
         let own = self.own_headers();
