--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 for program in "$runner" target/release/geraniummux-host; do
     [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec "$runner" quota review/9/record.txt
+exec "$runner" seeds review/9/record.txt
