--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,11 +5,12 @@
 mod host;
 mod http;
 mod link;
-mod reason;
 mod quota;
+mod reason;
 mod seeds;
 mod server;
 mod store;
+mod stray;
 mod unframed;
 
 use serde_json::{Value, json};
@@ -136,6 +137,7 @@
 async fn play(case: &str, record: &Record) -> Result<Outcome> {
     match case {
         "unframed" => unframed::run(record).await,
+        "stray" => stray::run(record).await,
         "reason" => reason::run(record).await,
         "seeds" => seeds::run(record).await,
         "quota" => quota::run(record).await,
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -43,6 +43,8 @@
     Unframed,
     /// Of 50 answers, one is cut off within its status line; the server then answers the request with its own 500.
     CutStatusLine,
+    /// With a length. Before one of 50 answers come bytes that are no response: a status line that breaks off.
+    Stray,
     /// Of 50 requests, the server fails one with its own 500.
     Failing,
 }
@@ -147,11 +149,12 @@
             return (head.into_bytes(), true);
         }
         let body = body_of(&id);
+        let stray = if is_bad && self.answers == Answers::Stray { "HTTP/1.1 421 M" } else { "" };
         let (framing, keeps) = match self.answers {
             Answers::Unframed => (String::from("Connection: close\r\n"), false),
             _ => (format!("Content-Length: {}\r\n", body.len()), true),
         };
-        let mut bytes = format!("HTTP/1.1 200 OK\r\n{common}{framing}\r\n").into_bytes();
+        let mut bytes = format!("{stray}HTTP/1.1 200 OK\r\n{common}{framing}\r\n").into_bytes();
         bytes.extend(body);
         (bytes, keeps)
     }
