Percent-encode the position from which a list is continued

Callers got 503 for everything after all hosts had started again: an entry of a foreign writer with a name such as "copy of t-0" or "a&b" ended a page of the list of targets, and no host could read the list. Hosts that ran on were stuck as soon as they had to list again.

Cause: the store client put the name of a page's last object into the query as it was. A blank or a line break made the request invalid, which was reported as an unreachable store; '&', '+', '#' and '%' were cut off or read as something else, so that the same page came again until MAX_PAGES. Configuration and evacuations are read by the same code.

Change: geraniummux_core::uri encodes every byte but the unreserved ones of RFC 3986 with the crate percent-encoding. Blank and '+' are encoded as well, so it makes no difference whether the store decodes the query as a form. The stand-in of the store returns lists in pages and decodes paths and queries.

--- a/crates/geraniummux-core/src/lib.rs
+++ b/crates/geraniummux-core/src/lib.rs
@@ -16,6 +16,7 @@
 //!   at-most-once execution, and [`quarantine`] blocks requests that crash targets.
 //! - [`membership`] finds the live hosts, [`lease`] elects one of them for a task, and
 //!   [`usage`] counts the served requests of each tenant.
+//! - [`uri`] encodes what goes into the paths and queries of calls.
 
 #![forbid(unsafe_code)]
 
@@ -42,6 +43,7 @@
 pub mod refusal;
 pub mod routing;
 pub mod time;
+pub mod uri;
 pub mod usage;
 
 pub use admission::AdmissionController;
--- a/crates/geraniummux-soak/tests/restart.rs
+++ b/crates/geraniummux-soak/tests/restart.rs
@@ -1,4 +1,4 @@
-//! A host that restarts while the scheduler of the pool is frozen.
+//! Hosts that restart while the scheduler of the pool is frozen, or beside objects of a foreign writer.
 
 mod common;
 
@@ -8,6 +8,7 @@
 use geraniummux_soak::{Options, RouteTimes};
 use http::StatusCode;
 use nix::sys::signal::Signal;
+use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -130,3 +131,42 @@
         RouteTimes { timeout: Duration::from_secs(2), latency_target: Duration::from_millis(800) };
     run_requests_after_restart(2, route_times, 500).await;
 }
+
+/// Names of objects that a foreign writer leaves in the store.
+const ODD_NAMES: [&str; 8] =
+    ["a & b", "copy of t-0", "t-0#1", "t-1+2", "t-2&after=t-0", "t-3%41", "t-ü", "~\n"];
+
+async fn assert_all_serve(harness: &Harness, when: &str) {
+    for (host, request_addr) in harness.request_addrs().iter().enumerate() {
+        assert!(harness.await_newest_config(*request_addr).await, "{when}: host {host}");
+        let id = format!("{when}-{host}");
+        assert_eq!(send(harness, host, &id, false).await, SERVED, "{id}");
+    }
+}
+
+/// Guards against hosts that can't read the store while it holds objects with odd names, so that after a restart none
+/// of them serves (RECOVER). One object on each page makes each name the position of a page.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_of_all_hosts_beside_odd_names_serves() {
+    let harness = start_harness(3, RouteTimes::LONG).await;
+    harness.store.set_page_objects(1);
+    for name in ODD_NAMES {
+        for kind in ["servers", "config"] {
+            harness.store.put(kind, name, json!({"copied-from": "t-0"}));
+        }
+    }
+    for host in 0..3 {
+        assert!(harness.signal(host, Signal::SIGKILL));
+    }
+    for host in 0..3 {
+        harness.restart(host, Duration::ZERO).await;
+    }
+    assert_all_serve(&harness, "beside").await;
+    for name in ODD_NAMES {
+        for kind in ["servers", "config"] {
+            harness.store.delete(kind, name);
+        }
+    }
+    assert_all_serve(&harness, "after").await;
+    assert_eq!(harness.process_failures(), Vec::<String>::new());
+}
--- a/crates/geraniummux-standin/src/object_store.rs
+++ b/crates/geraniummux-standin/src/object_store.rs
@@ -2,10 +2,12 @@
 //! writes, deletes and watches objects in memory.
 
 use crate::server::{self, Reply, read_body};
+use geraniummux_core::uri;
 use http::{HeaderName, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -17,6 +19,8 @@
 const MAX_HISTORY_EVENTS: usize = 1_000;
 /// Longest time for which a watch waits for a change.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Maximum number of objects on one page of a list.
+const MAX_PAGE_OBJECTS: usize = 500;
 
 #[derive(Clone, Debug)]
 struct Event {
@@ -44,6 +48,8 @@
     history: VecDeque<Event>,
     /// Status with which all calls are refused; `None` serves them.
     refusal_status: Option<u16>,
+    /// Number of objects on one page of a list; `None` for the maximum.
+    page_objects: Option<usize>,
 }
 
 /// The object store.
@@ -94,6 +100,11 @@
         self.lock().refusal_status = status;
     }
 
+    /// Sets the number of objects on one page of a list, which is 500 by default.
+    pub fn set_page_objects(&self, count: usize) {
+        self.lock().page_objects = Some(count);
+    }
+
     /// Returns a copy of all objects.
     pub fn backup(&self) -> Backup {
         let state = self.lock();
@@ -162,11 +173,12 @@
         }
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or("").to_owned();
-        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        let parts: Vec<_> = path.trim_matches('/').split('/').map(uri::decode_segment).collect();
+        let parts: Vec<&str> = parts.iter().map(AsRef::as_ref).collect();
         match (req.method().clone(), &parts[..]) {
             (Method::GET, ["objects", kind]) => match query_number(&query, "watch") {
                 Some(from) => self.watch(kind, from, query_number(&query, "wait-ms")).await,
-                None => self.list(kind),
+                None => self.list(kind, &uri::query_value(&query, "after").unwrap_or_default()),
             },
             (Method::GET, ["objects", kind, name]) => {
                 match self.lock().objects.get(&((*kind).to_owned(), (*name).to_owned())) {
@@ -192,11 +204,19 @@
         }
     }
 
-    fn list(&self, kind: &str) -> Reply {
+    /// Returns the page of a list that begins after the name `after`; the first one if that is empty.
+    fn list(&self, kind: &str, after: &str) -> Reply {
         let state = self.lock();
-        let items: Vec<&Value> =
-            state.objects.iter().filter(|((k, _), _)| k == kind).map(|(_, o)| o).collect();
-        Reply::json(&json!({"items": items, "has-more": false, "store-revision": state.revision}))
+        let from = (kind.to_owned(), after.to_owned());
+        let from = if after.is_empty() { Bound::Included(from) } else { Bound::Excluded(from) };
+        let later = state.objects.range((from, Bound::Unbounded));
+        let mut objects = later.take_while(|((k, _), _)| k == kind).map(|(_, o)| o);
+        let page_objects = state.page_objects.unwrap_or(MAX_PAGE_OBJECTS);
+        let items: Vec<&Value> = objects.by_ref().take(page_objects).collect();
+        let has_more = objects.next().is_some();
+        Reply::json(
+            &json!({"items": items, "has-more": has_more, "store-revision": state.revision}),
+        )
     }
 
     async fn watch(&self, kind: &str, from: u64, wait_ms: Option<u64>) -> Reply {
@@ -235,6 +255,5 @@
 }
 
 fn query_number(query: &str, name: &str) -> Option<u64> {
-    let pairs = query.split('&').filter_map(|p| p.split_once('='));
-    pairs.into_iter().find(|(n, _)| *n == name).and_then(|(_, v)| v.parse().ok())
+    uri::query_value(query, name)?.parse().ok()
 }
