Continue a list beyond a name that can't be a position

Callers got 503 for everything after all hosts had started again beside an entry whose name is empty, has more than 253 bytes or is no text, if it ended a page. The list failed for good: an empty position is the first page, so that the same page came until MAX_PAGES; a position with U+FFFD in place of bytes that are no text stands elsewhere; and a name that was not kept (long, no text) left nothing to continue from. A store that reads positions otherwise cost 64 calls a list, repeated every 1.2 s.

Hosts keep what they have; a host that has nothing yet uses what was read (read_once_list_incomplete_uses_what_was_read), at a revision that any other list replaces.

--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -17,8 +17,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniummux_core::fleet::{
     Candidate, ConfigChange, ConfigEdition, EvacuationDifference, Evacuations, ExtraAttempt,
-    ExtraAttemptOptions, Fault, FleetConfig, RegistryDelta, ReportedDemand, Revision, RouteIndex,
-    TargetDemand, TargetRegistry, TargetReport, WarmUpRules,
+    ExtraAttemptOptions, Fault, FleetConfig, RegistryChange, RegistryDelta, ReportedDemand,
+    Revision, RouteIndex, TargetDemand, TargetRegistry, TargetReport, WarmUpRules,
 };
 use geraniummux_core::membership::MembershipOptions;
 use geraniummux_core::{Member, MemberState, Membership, Time};
@@ -465,6 +465,15 @@
         true
     }
 
+    /// Uses the targets of a list that could not be read to its end, unless this host knows others. They count as
+    /// older than any other list.
+    pub fn apply_incomplete_list(&self, changes: Vec<(Revision, RegistryChange)>, from: &str) {
+        let to = Revision::default();
+        if self.fleet().registry.revision().is_none_or(|held| held <= to) {
+            self.apply_targets(RegistryDelta { from: None, to, changes }, from);
+        }
+    }
+
     /// Passes the registered targets and what cold ones accept to the pools that this host schedules.
     fn update_schedulers(&self, now: Time, registry: &TargetRegistry) {
         self.scheduling.update(now, registry, |pool| self.warm_up_rules(pool));
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -62,7 +62,7 @@
             read_evacuations(&host, &*store),
             list_call(&host, &*store, Consistency::Stale)
         );
-        targets.map(|targets| host.apply_targets(targets, "store"))
+        apply_list(&host, targets)
     };
     let (config, targets) =
         tokio::join!(read_config(&host, &*store, Consistency::Stale), targets_outside_evacuations);
@@ -407,9 +407,23 @@
 where
     S: Store,
 {
-    let targets = list_call(host, store, consistency).await?;
-    host.apply_targets(targets, "store");
-    Ok(())
+    apply_list(host, list_call(host, store, consistency).await)
+}
+
+/// Puts listed targets in use. A host that knows no targets also uses those of an incomplete list.
+fn apply_list(host: &Host, list: Result<RegistryDelta, StoreError>) -> Result<(), StoreError> {
+    match list {
+        Ok(targets) => {
+            host.apply_targets(targets, "store");
+            Ok(())
+        }
+        Err(e) => {
+            if let StoreError::Incomplete(changes) = &e {
+                host.apply_incomplete_list(changes.clone(), "store");
+            }
+            Err(e)
+        }
+    }
 }
 
 async fn list_call<S>(
@@ -469,12 +483,17 @@
         Some(StoreError::Refused(_)) => "refused",
         Some(StoreError::Unreachable(_)) => "unreachable",
         Some(StoreError::Invalid(_)) => "invalid",
+        Some(StoreError::Incomplete(_)) => "incomplete",
     };
     host.metrics.store_call(call, result);
     let responded = match error {
-        None | Some(StoreError::HistoryGone | StoreError::Restored | StoreError::Invalid(_)) => {
-            true
-        }
+        None
+        | Some(
+            StoreError::HistoryGone
+            | StoreError::Restored
+            | StoreError::Invalid(_)
+            | StoreError::Incomplete(_),
+        ) => true,
         Some(StoreError::Refused(_) | StoreError::Unreachable(_)) => false,
     };
     host.freshness().on_store_call(host.now(), responded);
--- a/crates/geraniummux-host/src/store.rs
+++ b/crates/geraniummux-host/src/store.rs
@@ -1,6 +1,6 @@
 //! Read access to the platform's store, which holds the registered targets and the configuration.
 
-use geraniummux_core::fleet::{Evacuations, FleetConfig, RegistryDelta, Revision};
+use geraniummux_core::fleet::{Evacuations, FleetConfig, RegistryChange, RegistryDelta, Revision};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +24,9 @@
     /// The response could not be decoded.
     #[error("invalid response from the store: {0}")]
     Invalid(String),
+    /// A list could not be read to its end. This is what could be read.
+    #[error("the list can't be read beyond {} objects", .0.len())]
+    Incomplete(Vec<(Revision, RegistryChange)>),
 }
 
 /// The configuration as of a revision of the store.
--- a/crates/geraniummux-soak/tests/restart.rs
+++ b/crates/geraniummux-soak/tests/restart.rs
@@ -133,8 +133,8 @@
 }
 
 /// Names of objects that a foreign writer leaves in the store.
-const ODD_NAMES: [&str; 8] =
-    ["a & b", "copy of t-0", "t-0#1", "t-1+2", "t-2&after=t-0", "t-3%41", "t-ü", "~\n"];
+const ODD_NAMES: [&str; 9] =
+    ["", "a & b", "copy of t-0", "t-0#1", "t-1+2", "t-2&after=t-0", "t-3%41", "t-ü", "~\n"];
 
 async fn assert_all_serve(harness: &Harness, when: &str) {
     for (host, request_addr) in harness.request_addrs().iter().enumerate() {
