Send no request to a target whose id no header can hold

A request that must run once could run at another target: if the id of a registered target had a control character, was empty or had blanks at its ends, the host left out the header that names the expected target, or the receiver dropped a part of it, and the request was sent all the same. Whatever had got the address by then ran it.

Cause: for_target skipped a header that could not be built, and nothing before it refused such an id, from the store or from a peer.

Evidence, on the code before: host_target_with_unsendable_id_gets_no_request found the request at the target for all seven ids.

Change: such an entry is unusable, as any other that names no target, with the reason in the log; a host makes it so also if a peer of an older build passes it on. for_target returns nothing rather than headers without the target or the team, so that the request is not sent. Ids with '&', '+', '#', '%' or blanks inside remain usable.

--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -8,7 +8,7 @@
 use crate::freshness::Freshness;
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerNet};
-use crate::protocol::{InvalidHeader, Protocol};
+use crate::protocol::{InvalidHeader, Protocol, header_value};
 use crate::reach::Reach;
 use crate::scheduling::{self, Scheduling};
 use crate::settings::Settings;
@@ -438,8 +438,9 @@
 
     /// Applies changes to the registry of targets. `from` names the peer that sent them, or is "store".
     /// Returns false if they are older than this host's revision or start after it.
-    pub fn apply_targets(&self, delta: RegistryDelta, from: &str) -> bool {
+    pub fn apply_targets(&self, mut delta: RegistryDelta, from: &str) -> bool {
         let now = self.now();
+        self.exclude_unsendable(&mut delta, from);
         let expiry_grace = self.expiry_grace(now, delta.to);
         let mut fleet = self.fleet();
         if fleet.registry.revision().is_some_and(|r| r >= delta.to) && delta.changes.is_empty() {
@@ -465,6 +466,19 @@
         true
     }
 
+    /// Makes targets unusable whose ids can't be sent in a header: a request could reach another target that has got the
+    /// address.
+    fn exclude_unsendable(&self, delta: &mut RegistryDelta, from: &str) {
+        for (_, change) in &mut delta.changes {
+            if let RegistryChange::Put(target) = change
+                && header_value(&target.id).is_none()
+            {
+                warn!(self.log, "target_id_unsendable"; "target" => &*target.id, "from" => from);
+                *change = RegistryChange::Unusable(target.id.clone());
+            }
+        }
+    }
+
     /// Uses the targets of a list that could not be read to its end, unless this host knows others. They count as
     /// older than any other list.
     pub fn apply_incomplete_list(&self, changes: Vec<(Revision, RegistryChange)>, from: &str) {
--- a/crates/geraniummux-host/src/protocol.rs
+++ b/crates/geraniummux-host/src/protocol.rs
@@ -8,6 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Returns a text as the value of a header; `None` if no header can hold it, or the receiver would drop blanks at its
+/// ends.
+pub fn header_value(text: &str) -> Option<HeaderValue> {
+    let is_kept = !text.is_empty() && text.trim_matches([' ', '\t']).len() == text.len();
+    HeaderValue::from_str(text).ok().filter(|_| is_kept)
+}
+
 /// Names of platform-specific headers.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
--- a/crates/geraniummux-host/src/proxy/attempt.rs
+++ b/crates/geraniummux-host/src/proxy/attempt.rs
@@ -161,7 +161,7 @@
         .version(Version::HTTP_11)
         .body(Full::new(ctx.body.clone()))
         .ok()?;
-    *req.headers_mut() = headers::for_target(ctx, target, left);
+    *req.headers_mut() = headers::for_target(ctx, target, left)?;
     Some(req)
 }
 
--- a/crates/geraniummux-host/src/proxy/headers.rs
+++ b/crates/geraniummux-host/src/proxy/headers.rs
@@ -1,6 +1,7 @@
 //! Headers of forwarded requests and relayed responses.
 
 use super::context::RequestContext;
+use crate::protocol::header_value;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -29,8 +30,8 @@
     text.trim().parse().ok().map(Duration::from_millis)
 }
 
-/// Returns the headers of a request as it is forwarded to a target.
-pub fn for_target(ctx: &RequestContext, target: &str, time_left: Duration) -> HeaderMap {
+/// Returns the headers of a request as it is forwarded to a target; `None` if they can't name the target or the team.
+pub fn for_target(ctx: &RequestContext, target: &str, time_left: Duration) -> Option<HeaderMap> {
     let names = ctx.host.protocol.headers();
     let mut out = end_to_end(&ctx.parts.headers);
     if !out.contains_key(HOST)
@@ -39,13 +40,11 @@
         out.insert(HOST, value);
     }
     out.insert(names.time_left_ms.clone(), HeaderValue::from(time_left.as_millis() as u64));
-    if let Ok(value) = HeaderValue::from_str(target) {
-        out.insert(names.expected_target.clone(), value);
+    out.insert(names.expected_target.clone(), header_value(target)?);
+    if let Some(team) = &ctx.team {
+        out.insert(names.team.clone(), header_value(&team.name)?);
     }
-    if let Some(value) = ctx.team.as_ref().and_then(|t| HeaderValue::from_str(&t.name).ok()) {
-        out.insert(names.team.clone(), value);
-    }
-    out
+    Some(out)
 }
 
 /// Returns the end-to-end headers: all but hop-by-hop headers and those that `Connection` names.
