Percent-encode kinds and names in calls of the object API

A call for an object whose name has a blank, '/', '?', '#', a quote or a control character failed as an invalid request, or read, wrote or deleted another object. The names that the daemon makes itself have none of these, but the deletion of expired claims takes them from a list, in which a foreign writer's may stand.

Cause: HttpPlatform put kind, name and prefix into path and query as they were, and the stand-in did not decode them.

Evidence, on the code before: object_calls_odd_name_reach_the_object failed for 8 of 16 names; it passes now.

Change: both use geraniummux_core::uri, as the store client does, and the stand-in of a caller encodes its failure domain.

--- a/crates/geraniummux-platform/src/http.rs
+++ b/crates/geraniummux-platform/src/http.rs
@@ -7,6 +7,7 @@
 use crate::object::{HostEntry, Key, MAX_VALUE_BYTES, Object, Version};
 use crate::platform::{Condition, Platform};
 use bytes::Bytes;
+use geraniummux_core::uri;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
@@ -111,7 +112,7 @@
 }
 
 fn object_path(key: &Key) -> String {
-    format!("/v1/objects/{}/{}", key.kind, key.name)
+    format!("/v1/objects/{}/{}", uri::encode(&key.kind), uri::encode(&key.name))
 }
 
 fn etag(version: Version) -> String {
@@ -193,8 +194,9 @@
     }
 
     async fn list(&self, kind: &str, prefix: &str) -> Result<Vec<(Key, Object)>> {
-        let response =
-            self.read(format!("/v1/objects/{kind}?prefix={prefix}"), CALL_TIMEOUT).await?;
+        let (encoded_kind, prefix) = (uri::encode(kind), uri::encode(prefix));
+        let path = format!("/v1/objects/{encoded_kind}?prefix={prefix}");
+        let response = self.read(path, CALL_TIMEOUT).await?;
         let entries: Vec<ListEntry> = decode(&response)?;
         Ok(entries
             .into_iter()
@@ -208,8 +210,8 @@
     async fn watch(&self, key: &Key, after: Version, wait: Duration) -> Result<Option<Object>> {
         let path = format!(
             "/v1/watch/{}/{}?after={}&wait_ms={}",
-            key.kind,
-            key.name,
+            uri::encode(&key.kind),
+            uri::encode(&key.name),
             after.0,
             wait.as_millis()
         );
--- a/crates/geraniummux-standin/src/caller.rs
+++ b/crates/geraniummux-standin/src/caller.rs
@@ -3,6 +3,7 @@
 use crate::http1;
 use anyhow::{Context, bail};
 use bytes::Bytes;
+use geraniummux_core::uri;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
@@ -130,7 +131,7 @@
 ///
 /// Fails if no seed responds with status 200, or the response can't be parsed.
 pub async fn entry_hosts(seeds: &[SocketAddr], domain: &str) -> anyhow::Result<EntryHosts> {
-    let path = format!("/.well-known/geraniummux/hosts?domain={domain}");
+    let path = format!("/.well-known/geraniummux/hosts?domain={}", uri::encode(domain));
     let mut last_error = String::from("no seeds given");
     for seed in seeds {
         match send(*seed, Method::GET, &path, &[], Bytes::new()).await {
--- a/crates/geraniummux-standin/src/platform.rs
+++ b/crates/geraniummux-standin/src/platform.rs
@@ -6,12 +6,14 @@
 
 use crate::server::{Reply, apply_json, read_body, serve};
 use bytes::Bytes;
+use geraniummux_core::uri;
 use geraniummux_platform::http::{ListEntry, parse_etag};
 use geraniummux_platform::{Condition, Error, HostEntry, Key, MemoryStore, Object, Version};
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -80,11 +82,8 @@
     .await;
 }
 
-fn query_param<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
-    req.uri().query()?.split('&').find_map(|pair| {
-        let (key, value) = pair.split_once('=')?;
-        (key == name).then_some(value)
-    })
+fn query_param<'a>(req: &'a Request<Incoming>, name: &str) -> Option<Cow<'a, str>> {
+    uri::query_value(req.uri().query()?, name)
 }
 
 fn object_reply(status: StatusCode, version: Version, value: Bytes) -> Reply {
@@ -110,7 +109,8 @@
 
     async fn handle(&self, req: Request<Incoming>) -> Reply {
         let path = req.uri().path().to_owned();
-        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        let segments: Vec<_> = path.split('/').skip(1).map(uri::decode_segment).collect();
+        let segments: Vec<&str> = segments.iter().map(AsRef::as_ref).collect();
         match (req.method(), segments.as_slice()) {
             (&Method::POST, ["faults"]) => {
                 return apply_json(req, |faults| self.lock().faults = faults).await;
@@ -196,8 +196,8 @@
     }
 
     fn list(&self, req: &Request<Incoming>, kind: &str) -> Reply {
-        let prefix = query_param(req, "prefix").unwrap_or("");
-        let objects = self.lock().store.list(kind, prefix);
+        let prefix = query_param(req, "prefix").unwrap_or_default();
+        let objects = self.lock().store.list(kind, &prefix);
         let entries: Vec<ListEntry> = objects
             .into_iter()
             .map(|(key, object)| ListEntry {
