--- a/crates/geraniummux-standin/tests/odd_names.rs
+++ b/crates/geraniummux-standin/tests/odd_names.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-const NAMES: [&str; 16] = [
+const NAMES: [&str; 18] = [
     "a b",
     "a&b",
     "a+b",
@@ -17,6 +17,8 @@
     "a?wait_ms=1",
     "a/b",
     "../b",
+    ".",
+    "..",
     "a=b;c",
     "\n",
     "größe",
