Find other hosts through the store while the seeds are gone

Cause: hosts know of each other by gossip from the seeds alone, which the platform gives as addresses that may all be down. Nothing else names a host.

A host that has known no live peer for half a second reads the contacts, one object of the store with the addresses of the last eight hosts that were alone, and asks them. If none answers it adds itself, on the condition that the object is as it was read. Hosts that watch the store list that kind for their checks anyway, in place of an empty one, so that a running fleet meets a host that registers without any further call. As long as hosts meet through their seeds the object is neither read nor written. It does not grow and needs no removals: an entry of a host that is gone costs one datagram when the list changes.

Acks of hosts that were found by address cause a full exchange of members, as they may belong to a fleet that has formed apart.

Old builds ignore the object; messages between hosts are unchanged.

--- a/crates/geraniummux-core/src/membership.rs
+++ b/crates/geraniummux-core/src/membership.rs
@@ -241,6 +241,10 @@
     /// All other members, sorted by name.
     peers: Vec<Peer>,
     seeds: Vec<SocketAddr>,
+    /// Addresses of hosts that this host has learned of otherwise, to which it connects like to seeds.
+    contacts: Vec<SocketAddr>,
+    /// When this host learned of its first peer.
+    first_peer_at: Option<Time>,
     /// Members that remain to be probed in this round, in random order.
     probe_round: Vec<Arc<str>>,
     probes: Vec<Probe>,
@@ -288,6 +292,8 @@
             local,
             peers: Vec::new(),
             seeds,
+            contacts: Vec::new(),
+            first_peer_at: None,
             probe_round: Vec::new(),
             probes: Vec::new(),
             relays: Vec::new(),
@@ -341,6 +347,30 @@
         self.seeds = seeds;
     }
 
+    /// Replaces the addresses of hosts to which this host connects like to seeds. Returns pings of those that are new
+    /// and no live peers.
+    pub fn set_contacts(&mut self, now: Time, contacts: Vec<SocketAddr>) -> Vec<MembershipAction> {
+        let mut out = Vec::new();
+        let former = std::mem::replace(&mut self.contacts, contacts.clone());
+        for addr in contacts {
+            let is_live = self.live_peers().any(|m| m.addr == addr);
+            if !self.replaced && !is_live && addr != self.local.addr && !former.contains(&addr) {
+                self.ping(now, None, addr, &mut out);
+            }
+        }
+        out
+    }
+
+    /// Returns whether this host knows no live peer although it has seeds.
+    pub fn is_alone(&self) -> bool {
+        self.has_seeds() && self.live_peers().next().is_none()
+    }
+
+    /// Returns when this host learned of its first peer.
+    pub fn first_peer_at(&self) -> Option<Time> {
+        self.first_peer_at
+    }
+
     /// Returns whether any seed other than this host is set.
     pub fn has_seeds(&self) -> bool {
         self.seeds.iter().any(|s| *s != self.local.addr)
@@ -585,6 +615,7 @@
             Err(_) if m.state == MemberState::Dead || self.peers.len() >= MAX_MEMBERS => return,
             Err(i) => {
                 self.peers.insert(i, Peer { member: m.clone(), state_since: now });
+                self.first_peer_at.get_or_insert(now);
                 (i, None)
             }
         };
@@ -746,6 +777,13 @@
         }
         let probe = self.probes.swap_remove(i);
         self.last_contact = self.last_contact.max(Some(probe.sent));
+        // A host that was found by its address may be one of a fleet that has formed without this host.
+        if probe.name.is_none()
+            && let Some(peer) = self.peer(name).map(|m| m.addr)
+            && !out.contains(&MembershipAction::Sync { peer })
+        {
+            out.push(MembershipAction::Sync { peer });
+        }
         // A confirmation from before the clock's origin is of no use, and `Time` can't represent it.
         if let Some(age) = config_age_ms.map(|a| Duration::from_millis(u64::from(a)))
             && probe.sent.since(Time::ZERO) > age
@@ -875,11 +913,12 @@
         let dead = self.peers().filter(|m| m.state == MemberState::Dead);
         let mut to: Vec<(Option<Arc<str>>, SocketAddr)> =
             dead.map(|m| (Some(m.name.clone()), m.addr)).collect();
-        for &seed in &self.seeds {
-            if seed != self.local.addr && self.peers().all(|m| m.addr != seed) {
-                to.push((None, seed));
-            }
-        }
+        let mut found: Vec<SocketAddr> = self.seeds.iter().chain(&self.contacts).copied().collect();
+        found.sort_unstable();
+        found.dedup();
+        let is_unknown =
+            |a: &SocketAddr| *a != self.local.addr && self.peers().all(|m| m.addr != *a);
+        to.extend(found.into_iter().filter(is_unknown).map(|addr| (None, addr)));
         if to.is_empty() {
             return;
         }
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! [`run()`] starts a host, [`Host`] is the state that its tasks share. A request enters at
 //! [`pipelining`] and [`proxy::handle`]; [`scheduling`] obtains its grant, and [`replication`] and [`reader`] keep the
-//! targets and the configuration current. [`reach`] opens connections to targets, through peers if need be.
+//! targets and the configuration current. [`discovery`] finds the other hosts when the seeds don't answer. [`reach`] opens connections to targets, through peers if need be.
 
 #![forbid(unsafe_code)]
 
@@ -15,6 +15,7 @@
 pub mod bodies;
 pub mod clock;
 pub mod directory;
+pub mod discovery;
 pub mod figures;
 pub mod fleet;
 pub mod freshness;
@@ -45,4 +46,7 @@
 pub use protocol::{CallerLocation, HeaderNames, InvalidHeader, Protocol};
 pub use run::run;
 pub use settings::Settings;
-pub use store::{ConfigUpdate, EvacuationsUpdate, Store, StoreError, UnknownRouteType};
+pub use store::{
+    ConfigUpdate, EvacuationsUpdate, Store, StoreCheck, StoreError, StoredContacts,
+    UnknownRouteType, WriteResult,
+};
--- a/crates/geraniummux-host/src/peers.rs
+++ b/crates/geraniummux-host/src/peers.rs
@@ -198,7 +198,8 @@
     perform_actions(host, actions);
 }
 
-fn perform_actions(host: &Arc<Host>, actions: Vec<MembershipAction>) {
+/// Carries out what the membership asks for.
+pub fn perform_actions(host: &Arc<Host>, actions: Vec<MembershipAction>) {
     for action in actions {
         match action {
             MembershipAction::Send { to, gossip } => send(host, &[to], Message::Gossip(gossip)),
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -1,9 +1,10 @@
 //! Reads and watches the platform's store while this host is one of its readers.
 
+use crate::discovery;
 use crate::host::Host;
 use crate::peers;
 use crate::replication;
-use crate::store::{ConfigUpdate, Consistency, Store, StoreError, UnknownRouteType};
+use crate::store::{ConfigUpdate, Consistency, Store, StoreCheck, StoreError, UnknownRouteType};
 use crate::tasks;
 use geraniummux_core::fleet::{
     ReadSource, ReaderOptions, RegistryDelta, Revision, StoreChecks, read_source,
@@ -240,9 +241,10 @@
         let result = timeout(CHECK_TIMEOUT, store.check()).await;
         let result = result.unwrap_or_else(|_| Err(check_timed_out()));
         record_call(&host, "check", result.as_ref().err());
-        if let Ok(era) = result {
+        if let Ok(StoreCheck { era, contacts }) = result {
             last_responsive_at = sent_at;
             checked.era.send_if_modified(|e| std::mem::replace(e, era.max(*e)) < era);
+            discovery::ask(&host, &contacts);
             continue;
         }
         host.freshness().lose_watches(last_responsive_at);
@@ -475,7 +477,7 @@
 }
 
 /// Records the result of a call to the store, and logs it if the call failed.
-fn record_call(host: &Host, call: &str, error: Option<&StoreError>) {
+pub fn record_call(host: &Host, call: &str, error: Option<&StoreError>) {
     let result = match error {
         None => "ok",
         Some(StoreError::HistoryGone) => "history_gone",
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -10,7 +10,7 @@
 use crate::signals::Signals;
 use crate::stopping::Stop;
 use crate::store::Store;
-use crate::{allowances, logs, reach, reader, replication, scheduling, tasks};
+use crate::{allowances, discovery, logs, reach, reader, replication, scheduling, tasks};
 use anyhow::Context;
 use slog::{Logger, info, warn};
 use std::path::{Path, PathBuf};
@@ -91,6 +91,8 @@
     tasks::spawn(&host, "maintenance", run_maintenance);
     // Whatever it can't read is read by the reader or comes from a peer.
     tokio::spawn(reader::read_once(host.clone(), store.clone()));
+    let s = store.clone();
+    tasks::spawn(&host, "discovery", move |host| discovery::run(host, s.clone()));
     tasks::spawn(&host, "reader", move |host| reader::run(host, store.clone()));
     until_stopped(path, host, signals).await;
     Ok(())
@@ -108,6 +110,7 @@
         host.upstream.sweep(now, |addr| fleet.table.contains_addr(addr));
         host.metrics.set_state("config_version", host.config_version() as i64);
         host.metrics.set_state("callers", host.caller_count() as i64);
+        host.metrics.set_state("alone", i64::from(host.members().is_alone()));
         host.metrics.set_state("cut_off", i64::from(host.reach().targets.is_cut_off()));
         host.metrics.set_state("knowledge_age_ms", host.freshness().age(now).as_millis() as i64);
     }
--- a/crates/geraniummux-host/src/store.rs
+++ b/crates/geraniummux-host/src/store.rs
@@ -1,6 +1,9 @@
-//! Read access to the platform's store, which holds the registered targets and the configuration.
+//! Access to the platform's store, which holds the registered targets and the configuration, and the contacts of
+//! hosts that are alone.
 
-use geraniummux_core::fleet::{Evacuations, FleetConfig, RegistryChange, RegistryDelta, Revision};
+use geraniummux_core::fleet::{
+    Contacts, Evacuations, FleetConfig, RegistryChange, RegistryDelta, Revision,
+};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,6 +72,33 @@
     pub routes: usize,
 }
 
+/// What a check of the store shows.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct StoreCheck {
+    /// The era of the store.
+    pub era: u64,
+    /// The contacts of hosts that are alone, which may be a few seconds old.
+    pub contacts: Contacts,
+}
+
+/// The contacts of hosts that are alone, as they are stored.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct StoredContacts {
+    /// The contacts; none if what is stored can't be read.
+    pub contacts: Contacts,
+    /// Revision of the object that holds them; `None` if it does not exist.
+    pub revision: Option<u64>,
+}
+
+/// Result of a write on a condition.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteResult {
+    /// The value was written.
+    Written,
+    /// Another value was written before, and nothing was changed.
+    Conflict,
+}
+
 /// Consistency that a read requires.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Consistency {
@@ -79,10 +109,21 @@
     Latest,
 }
 
-/// Read calls to the store. Each call applies its own time limit.
+/// Calls to the store. Each call applies its own time limit.
 pub trait Store: Send + Sync + 'static {
-    /// Checks with the cheapest available call whether the store responds to this host, and returns its era.
-    fn check(&self) -> impl Future<Output = Result<u64, StoreError>> + Send;
+    /// Checks with the cheapest available call whether the store responds to this host.
+    fn check(&self) -> impl Future<Output = Result<StoreCheck, StoreError>> + Send;
+
+    /// Returns the contacts of hosts that are alone.
+    fn read_contacts(&self) -> impl Future<Output = Result<StoredContacts, StoreError>> + Send;
+
+    /// Replaces the contacts of hosts that are alone, if those stored are still of `revision`; `None` if there were
+    /// none.
+    fn write_contacts(
+        &self,
+        contacts: &Contacts,
+        revision: Option<u64>,
+    ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
 
     /// Returns all registered targets as a full list.
     fn list_targets(
--- a/crates/geraniummux-host/tests/reader.rs
+++ b/crates/geraniummux-host/tests/reader.rs
@@ -2,9 +2,12 @@
 
 mod common;
 
-use geraniummux_core::fleet::{Evacuations, RegistryDelta, Revision};
+use geraniummux_core::fleet::{Contacts, Evacuations, RegistryDelta, Revision};
 use geraniummux_host::store::Consistency;
-use geraniummux_host::{ConfigUpdate, EvacuationsUpdate, Host, Store, StoreError, reader};
+use geraniummux_host::{
+    ConfigUpdate, EvacuationsUpdate, Host, Store, StoreCheck, StoreError, StoredContacts,
+    WriteResult, reader,
+};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -36,8 +39,19 @@
 }
 
 impl Store for SilentStore {
-    async fn check(&self) -> Result<u64, StoreError> {
-        Ok(self.list().await.era)
+    async fn check(&self) -> Result<StoreCheck, StoreError> {
+        let era = self.list().await.era;
+        Ok(StoreCheck { era, ..StoreCheck::default() })
+    }
+    async fn read_contacts(&self) -> Result<StoredContacts, StoreError> {
+        Err(StoreError::Refused(404))
+    }
+    async fn write_contacts(
+        &self,
+        _: &Contacts,
+        _: Option<u64>,
+    ) -> Result<WriteResult, StoreError> {
+        Err(StoreError::Refused(404))
     }
     async fn list_targets(&self, _: Consistency) -> Result<RegistryDelta, StoreError> {
         Ok(RegistryDelta { from: None, to: self.list().await, changes: Vec::new() })
@@ -123,8 +137,19 @@
 }
 
 impl Store for RestoredStore {
-    async fn check(&self) -> Result<u64, StoreError> {
-        Ok(self.revision().era)
+    async fn check(&self) -> Result<StoreCheck, StoreError> {
+        let era = self.revision().era;
+        Ok(StoreCheck { era, ..StoreCheck::default() })
+    }
+    async fn read_contacts(&self) -> Result<StoredContacts, StoreError> {
+        Err(StoreError::Refused(404))
+    }
+    async fn write_contacts(
+        &self,
+        _: &Contacts,
+        _: Option<u64>,
+    ) -> Result<WriteResult, StoreError> {
+        Err(StoreError::Refused(404))
     }
     async fn list_targets(&self, _: Consistency) -> Result<RegistryDelta, StoreError> {
         Ok(RegistryDelta { from: None, to: self.revision(), changes: Vec::new() })
--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -499,9 +499,14 @@
 
     /// Waits until a host names all hosts in its directory. Returns whether it did so within `CONFIG_POLLS` polls.
     pub async fn await_whole_directory(&self, directory_addr: SocketAddr) -> bool {
+        self.await_directory(directory_addr, &self.request_addrs).await
+    }
+
+    /// Waits until a host names these hosts in its directory. Returns whether it did so within `CONFIG_POLLS` polls.
+    pub async fn await_directory(&self, directory_addr: SocketAddr, named: &[SocketAddr]) -> bool {
         for _ in 0..CONFIG_POLLS {
             let hosts = get_directory(directory_addr).await.unwrap_or_default();
-            if self.request_addrs.iter().all(|addr| hosts.contains(&format!("\"{addr}\""))) {
+            if named.iter().all(|addr| hosts.contains(&format!("\"{addr}\""))) {
                 return true;
             }
             tokio::time::sleep(CONFIG_POLL_INTERVAL).await;
--- a/crates/geraniummux-soak/tests/restart.rs
+++ b/crates/geraniummux-soak/tests/restart.rs
@@ -1,10 +1,12 @@
-//! Hosts that restart while the scheduler of the pool is frozen, or beside objects of a foreign writer.
+//! Hosts that restart while the scheduler of the pool is frozen, beside objects of a foreign writer, or without their
+//! seeds.
 
 mod common;
 
 use common::{calm, send, with_programs_of_env};
 use geraniummux_soak::callers::Outcome;
 use geraniummux_soak::harness::Harness;
+use geraniummux_soak::teams::TeamChecks;
 use geraniummux_soak::{Options, RouteTimes};
 use http::StatusCode;
 use nix::sys::signal::Signal;
@@ -170,3 +172,28 @@
     assert_all_serve(&harness, "after").await;
     assert_eq!(harness.process_failures(), Vec::<String>::new());
 }
+
+/// Guards against hosts that never find each other when they start while their seeds are gone, so that none of them
+/// grants tokens of allowances and teams get no response but 503 (RECOVER).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_while_seeds_are_gone_serves_teams() {
+    let teams = Some(TeamChecks { allowances: true, ..TeamChecks::default() });
+    let opts = Options { hosts: 6, teams, ..calm(11_004, "restart") };
+    let harness = Harness::start(&with_programs_of_env(opts)).await.unwrap();
+    for directory_addr in &harness.directory_addrs {
+        assert!(harness.await_whole_directory(*directory_addr).await);
+    }
+    // The first three hosts are the seeds in the settings of all.
+    for host in 0..6 {
+        assert!(harness.signal(host, Signal::SIGKILL));
+    }
+    for host in 3..6 {
+        harness.restart(host, Duration::ZERO).await;
+    }
+    let left = &harness.request_addrs()[3..];
+    for (request_addr, directory_addr) in left.iter().zip(&harness.directory_addrs[3..]) {
+        assert!(harness.await_newest_config(*request_addr).await, "{request_addr} does not serve");
+        assert!(harness.await_directory(*directory_addr, left).await, "{request_addr} is alone");
+    }
+    assert_eq!(harness.process_failures(), Vec::<String>::new());
+}
--- a/crates/geraniummux-standin/src/object_store.rs
+++ b/crates/geraniummux-standin/src/object_store.rs
@@ -73,7 +73,10 @@
 
     /// Creates or replaces an object. A write of the value that the object has already is no change.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        let mut state = self.lock();
+        self.put_in(self.lock(), kind, name, spec);
+    }
+
+    fn put_in(&self, mut state: MutexGuard<'_, State>, kind: &str, name: &str, spec: Value) {
         let key = (kind.to_owned(), name.to_owned());
         if state.objects.get(&key).is_some_and(|o| o["spec"] == spec) {
             return;
@@ -186,13 +189,17 @@
                     None => Reply::text(StatusCode::NOT_FOUND, ""),
                 }
             }
+            (Method::POST, ["objects", kind]) => {
+                let body = read_body(req.into_body()).await;
+                match serde_json::from_slice::<Value>(&body) {
+                    Ok(object) => self.create(kind, &object),
+                    Err(e) => Reply::text(StatusCode::BAD_REQUEST, e.to_string()),
+                }
+            }
             (Method::PUT, ["objects", kind, name]) => {
                 let body = read_body(req.into_body()).await;
                 match serde_json::from_slice::<Value>(&body) {
-                    Ok(object) => {
-                        self.put(kind, name, object["spec"].clone());
-                        Reply::text(StatusCode::OK, body)
-                    }
+                    Ok(object) => self.replace(kind, name, &object),
                     Err(e) => Reply::text(StatusCode::BAD_REQUEST, e.to_string()),
                 }
             }
@@ -204,6 +211,36 @@
         }
     }
 
+    /// Creates an object, unless there is one of its name.
+    fn create(&self, kind: &str, object: &Value) -> Reply {
+        let Some(name) = object["metadata"]["name"].as_str() else {
+            return Reply::text(StatusCode::BAD_REQUEST, "the object has no name");
+        };
+        let state = self.lock();
+        if let Some(existing) = state.objects.get(&(kind.to_owned(), name.to_owned())) {
+            return Reply::text(StatusCode::CONFLICT, existing.to_string());
+        }
+        self.put_in(state, kind, name, object["spec"].clone());
+        Reply::text(StatusCode::CREATED, object.to_string())
+    }
+
+    /// Replaces an object. If the call names a revision, there has to be an object of that revision; otherwise the
+    /// object is created if there is none.
+    fn replace(&self, kind: &str, name: &str, object: &Value) -> Reply {
+        let state = self.lock();
+        if let Some(revision) = object["metadata"]["rev"].as_u64() {
+            match state.objects.get(&(kind.to_owned(), name.to_owned())) {
+                None => return Reply::text(StatusCode::NOT_FOUND, ""),
+                Some(existing) if existing["metadata"]["rev"] != revision => {
+                    return Reply::text(StatusCode::CONFLICT, existing.to_string());
+                }
+                Some(_) => {}
+            }
+        }
+        self.put_in(state, kind, name, object["spec"].clone());
+        Reply::text(StatusCode::OK, object.to_string())
+    }
+
     /// Returns the page of a list that begins after the name `after`; the first one if that is empty.
     fn list(&self, kind: &str, after: &str) -> Reply {
         let state = self.lock();
