A host that knows no other takes a bounded share of what all hosts share

Cause: the number of hosts was that of known members, one; the allowances alone had a rule of their own for this case, which was to grant nothing.

Host::host_count is now the one place that says how many hosts share a limit. A host that has seeds and knows no other assumes as many hosts as there are targets, 16 at least, and grants that part of each allowance to its own requests, without a part of the slack, since there may be many such hosts. One that meets the first other host late does the same for another second, in which the hosts that were alone find each other. With as many hosts as targets the shares add up to the whole.

--- a/crates/geraniummux-core/src/fleet/allowance.rs
+++ b/crates/geraniummux-core/src/fleet/allowance.rs
@@ -95,6 +95,39 @@
     }
 }
 
+/// What a host grants of each team's allowance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AllowanceShare {
+    /// The host is one of the allocators.
+    Allocator {
+        /// Part of the allowance.
+        part: f64,
+        /// Requests by which all hosts together may exceed the allowance.
+        slack: f64,
+    },
+    /// The host does not know the others. There may be many such hosts, so that none has a part of the slack.
+    Alone {
+        /// Part of the allowance.
+        part: f64,
+    },
+}
+
+impl AllowanceShare {
+    fn part(&self) -> f64 {
+        match self {
+            AllowanceShare::Allocator { part, .. } | AllowanceShare::Alone { part } => *part,
+        }
+    }
+
+    /// Returns the tokens that a bucket has at the start, and may have beside its part of the burst.
+    fn reserve(&self) -> f64 {
+        match self {
+            AllowanceShare::Allocator { part, slack } => (slack * USED_SLACK_SHARE * part).max(1.0),
+            AllowanceShare::Alone { .. } => 0.0,
+        }
+    }
+}
+
 /// Grants tokens of its share of each team's allowance.
 #[derive(Clone, Debug, Default)]
 pub struct AllowanceAllocator {
@@ -103,8 +136,7 @@
 }
 
 impl AllowanceAllocator {
-    /// Grants up to `wanted` tokens of a team. `share` is the part of the allowance that this allocator
-    /// grants, and `slack` the requests by which all hosts together may exceed the allowance.
+    /// Grants up to `wanted` tokens of a team.
     ///
     /// An allocator that has granted none to a team before has its part of the slack and nothing of the burst,
     /// since another one may have granted that.
@@ -113,12 +145,11 @@
         now: Time,
         team: &Arc<str>,
         allowance: Allowance,
-        share: f64,
-        slack: f64,
+        share: AllowanceShare,
         wanted: u32,
     ) -> TokenGrant {
-        let reserve = (slack * USED_SLACK_SHARE * share).max(1.0);
-        let per_s = allowance.per_s * share;
+        let reserve = share.reserve();
+        let per_s = allowance.per_s * share.part();
         let i = self.buckets.binary_search_by(|(t, _)| t.cmp(team)).unwrap_or_else(|i| {
             let bucket = Bucket { per_s, capacity: reserve, tokens: reserve, at: now };
             self.buckets.insert(i, (team.clone(), bucket));
@@ -127,7 +158,8 @@
         let bucket = &mut self.buckets[i].1;
         bucket.refill(now);
         bucket.per_s = per_s;
-        bucket.capacity = allowance.burst * share + reserve;
+        // A smaller bucket would never hold a whole token.
+        bucket.capacity = (allowance.burst * share.part() + reserve).max(1.0);
         bucket.tokens = bucket.tokens.min(bucket.capacity);
         let tokens = wanted.min(bucket.tokens.max(0.0) as u32);
         bucket.tokens -= f64::from(tokens);
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -40,8 +40,8 @@
     AdmissionDecision, AdmissionInput, AdmissionRejectReason, AdmissionRules, admit,
 };
 pub use allowance::{
-    ALLOCATORS, AllowanceAllocator, AllowanceAnswer, AllowanceStock, TOKEN_LIFETIME, TeamTerms,
-    TokenGrant, TokenMessage, TokenRequest, TokenState,
+    ALLOCATORS, AllowanceAllocator, AllowanceAnswer, AllowanceShare, AllowanceStock,
+    TOKEN_LIFETIME, TeamTerms, TokenGrant, TokenMessage, TokenRequest, TokenState,
 };
 pub use bodies::{BodyBudget, BodyOptions, ResponseLimits};
 pub use bounds::{MAX_SLOTS, MAX_WARM_UP, is_plausible_fault_weight};
--- a/crates/geraniummux-core/tests/fleet_allowance.rs
+++ b/crates/geraniummux-core/tests/fleet_allowance.rs
@@ -3,8 +3,8 @@
 
 use geraniummux_core::Time;
 use geraniummux_core::fleet::{
-    ALLOCATORS, Allowance, AllowanceAllocator, AllowanceAnswer, AllowanceStock, TokenGrant,
-    TokenState,
+    ALLOCATORS, Allowance, AllowanceAllocator, AllowanceAnswer, AllowanceShare, AllowanceStock,
+    TokenGrant, TokenState,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -105,9 +105,9 @@
                 message.teams.iter().for_each(|t| a.allocator.take_back(now, t));
                 continue;
             };
-            let share = 1.0 / ALLOCATORS as f64;
+            let share = AllowanceShare::Allocator { part: 1.0 / ALLOCATORS as f64, slack: SLACK };
             let grant = |t: &geraniummux_core::fleet::TokenRequest| {
-                a.allocator.grant(now, &t.team, self.allowance, share, SLACK, t.tokens)
+                a.allocator.grant(now, &t.team, self.allowance, share, t.tokens)
             };
             let grants = message.teams.iter().map(grant).collect();
             let answer = AllowanceAnswer::Granted(grants);
@@ -263,10 +263,33 @@
     let mut allocator = AllowanceAllocator::default();
     let team: Arc<str> = "team".into();
     let mut grant = |at, allowance, wanted| {
-        allocator.grant(START + ms(at), &team, allowance, 1.0, 0.0, wanted).tokens
+        let share = AllowanceShare::Allocator { part: 1.0, slack: 0.0 };
+        allocator.grant(START + ms(at), &team, allowance, share, wanted).tokens
     };
     grant(0, Allowance { per_s: 100.0, burst: 100.0 }, 1);
     let low = Allowance { per_s: 2.0, burst: 2.0 };
     let granted = grant(10_000, low, 500);
     assert!(granted <= 3, "{granted} tokens granted");
 }
+
+/// Guards against hosts that don't know each other and together grant more than the allowance.
+#[test]
+fn grant_hosts_alone_stay_within_allowance() {
+    const HOSTS: usize = 184;
+    for allowance in [large_team(), small_team()] {
+        let team: Arc<str> = "team".into();
+        let mut allocators = vec![AllowanceAllocator::default(); HOSTS];
+        let share = AllowanceShare::Alone { part: 1.0 / HOSTS as f64 };
+        let mut granted = 0;
+        for step in 0..200 {
+            let now = START + ms(step * 25);
+            let grants = allocators.iter_mut().map(|a| a.grant(now, &team, allowance, share, 9));
+            granted += grants.map(|g| g.tokens).sum::<u32>();
+        }
+        let allowed = allowance.per_s * 5.0 + allowance.burst;
+        assert!(f64::from(granted) <= allowed, "{granted} tokens, {allowed} allowed");
+        // A host that has less than a token of a small team grants none.
+        let usual = if allowance == large_team() { allowance.per_s * 4.0 } else { 0.0 };
+        assert!(f64::from(granted) >= usual, "only {granted} tokens");
+    }
+}
--- a/crates/geraniummux-host/src/allowances.rs
+++ b/crates/geraniummux-host/src/allowances.rs
@@ -2,14 +2,15 @@
 //! targets this host selects itself. Schedulers obtain theirs by [`exchange`].
 //!
 //! The allocators are the first hosts in an order that all hosts derive from the membership. A host that has just
-//! started does not know the members yet and asks its seeds instead, which grant a share of their own meanwhile.
+//! started does not know the members yet and asks its seeds instead, which grant a share of their own meanwhile. A
+//! host that still knows no other then grants a small share to itself.
 
 use crate::host::Host;
 use crate::peers;
 use crate::scheduling;
 use geraniummux_core::fleet::{
-    ALLOCATORS, AllowanceAllocator, AllowanceAnswer, AllowanceStock, MAX_ALLOCATOR_WAIT,
-    TokenMessage, TokenRequest, TokenState,
+    ALLOCATORS, AllowanceAllocator, AllowanceAnswer, AllowanceShare, AllowanceStock,
+    MAX_ALLOCATOR_WAIT, TokenMessage, TokenRequest, TokenState,
 };
 use geraniummux_core::{MemberState, Time};
 use geraniummux_wire::{MAX_TOKEN_REQUESTS, Message};
@@ -68,7 +69,13 @@
     {
         return allocators.clone();
     }
-    let allocators = if is_settling(host) { seeds(host) } else { first_members(host) };
+    let allocators = if is_settling(host) {
+        seeds(host)
+    } else if !host.knows_others() {
+        vec![host.settings.load().peer]
+    } else {
+        first_members(host)
+    };
     *cached = Some((now, allocators.clone()));
     allocators
 }
@@ -104,15 +111,20 @@
     allocators
 }
 
-/// Returns the part of each allowance that this host grants; `None` if it is no allocator.
+/// Returns what this host grants of each allowance; `None` if it is no allocator.
 ///
-/// Hosts out of sight may have allocators of their own, whose parts must fit beside this one. A host that has met
-/// no other may be cut off, and grants nothing.
-fn share(host: &Host) -> Option<f64> {
-    let own = host.settings.load().peer;
+/// Hosts out of sight may have allocators of their own, whose parts must fit beside this one. A host that does not
+/// know the others can't tell how many there are, and grants the part of one of [`Host::host_count`].
+fn share(host: &Host) -> Option<AllowanceShare> {
+    let settings = host.settings.load();
+    let (own, slack) = (settings.peer, settings.promises.allowance_slack);
     if is_settling(host) {
-        let seeds = host.settings.load().seed_peers();
-        return seeds.contains(&own).then(|| 1.0 / seeds.len() as f64);
+        let seeds = settings.seed_peers();
+        let part = 1.0 / seeds.len() as f64;
+        return seeds.contains(&own).then_some(AllowanceShare::Allocator { part, slack });
+    }
+    if !host.knows_others() {
+        return Some(AllowanceShare::Alone { part: 1.0 / host.host_count() as f64 });
     }
     let allocators = allocators(host);
     if !allocators.contains(&own) {
@@ -120,10 +132,8 @@
     }
     let members = host.members();
     let (all, live) = (members.peers().count() + 1, members.live_peers().count() + 1);
-    if all == 1 && members.has_seeds() {
-        return None;
-    }
-    Some(live as f64 / all as f64 / allocators.len() as f64)
+    let part = live as f64 / all as f64 / allocators.len() as f64;
+    Some(AllowanceShare::Allocator { part, slack })
 }
 
 /// Answers a request for tokens.
@@ -132,7 +142,6 @@
         let known = if is_settling(host) { Vec::new() } else { allocators(host) };
         return AllowanceAnswer::OtherAllocators(known);
     };
-    let slack = host.settings.load().promises.allowance_slack;
     let Some(routes) = host.routes() else {
         return AllowanceAnswer::OtherAllocators(Vec::new());
     };
@@ -140,7 +149,7 @@
     let mut allocator = lock(&host.allowances.allocator);
     let grants = wanted.iter().take(MAX_TOKEN_REQUESTS).filter_map(|request| {
         let allowance = routes.teams.team(&request.team)?.allowance?;
-        let grant = allocator.grant(now, &request.team, allowance, share, slack, request.tokens);
+        let grant = allocator.grant(now, &request.team, allowance, share, request.tokens);
         host.metrics.tokens("granted", grant.tokens);
         host.metrics.tokens("denied", request.tokens - grant.tokens);
         Some(grant)
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -38,6 +38,11 @@
 /// Smallest part of the targets' limits that a scheduler grants. Limits may be exceeded by half, and most
 /// hosts that are out of sight are down.
 const MIN_LIMIT_SHARE: f64 = 0.7;
+/// Smallest number of hosts that a host assumes which does not know the others.
+const MIN_ASSUMED_HOSTS: usize = 16;
+/// Time after its first contact with another host in which a host that was alone learns of the rest. It covers the
+/// time over which hosts that were alone find each other.
+const LATE_JOIN_TIME: Duration = Duration::from_secs(1);
 /// Number of former configurations that are retained. A follower that is further behind receives the
 /// whole configuration.
 const MAX_FORMER_CONFIGS: usize = 6;
@@ -668,14 +673,40 @@
         (!fleet.demands.is_closed(now, target, candidate.run)).then_some(candidate)
     }
 
-    /// Returns the number of hosts that share the limits of targets, this one among them.
+    /// Returns the number of hosts that share limits and budgets, this one among them. A host that does not know the
+    /// others assumes as many hosts as there are targets.
     pub fn host_count(&self) -> usize {
-        self.members().peers().count() + 1
+        let known = self.members().peers().count() + 1;
+        if self.knows_others() { known } else { known.max(self.assumed_host_count()) }
+    }
+
+    /// Returns the number of hosts that are not known to be gone, like [`host_count`](Host::host_count).
+    fn live_host_count(&self) -> usize {
+        if !self.knows_others() {
+            return self.host_count();
+        }
+        self.members().live_peers().count() + 1
+    }
+
+    fn assumed_host_count(&self) -> usize {
+        self.fleet().registry.targets(self.now()).count().max(MIN_ASSUMED_HOSTS)
+    }
+
+    /// Returns whether this host knows the other hosts, or that there are none. One that finds the first of them late
+    /// learns of the rest some time after that.
+    pub fn knows_others(&self) -> bool {
+        let members = self.members();
+        let Some(joined_at) = members.first_peer_at() else { return !members.has_seeds() };
+        let joined_late = joined_at.since(self.started) >= scheduling::STARTUP_SETTLE_TIME;
+        !joined_late || self.now().since(joined_at) >= LATE_JOIN_TIME
     }
 
     /// Returns the part of the targets' limits that a scheduler on this host may grant. Hosts that are out
     /// of sight may have a scheduler of their own, as long as they are not known to be gone.
     pub fn limit_share(&self) -> f64 {
+        if !self.knows_others() {
+            return 1.0 / self.host_count() as f64;
+        }
         let members = self.members();
         let (all, live) = (members.peers().count() + 1, members.live_peers().count() + 1);
         (live as f64 / all as f64).max(MIN_LIMIT_SHARE)
@@ -742,7 +773,7 @@
     /// Takes up to `wanted` probes from a pool's budget and returns how many are allowed, at
     /// least `minimum`. The scheduler of the pool has most of the budget; all hosts share the rest.
     pub fn take_probes(&self, pool: &Arc<str>, wanted: usize, minimum: usize, by: Prober) -> usize {
-        let hosts = self.members().live_peers().count() + 1;
+        let hosts = self.live_host_count();
         let share = match by {
             Prober::Scheduler => SCHEDULER_PROBE_SHARE,
             Prober::Host => (1.0 - SCHEDULER_PROBE_SHARE) / hosts as f64,
@@ -768,7 +799,7 @@
     /// Returns how many idle connections this host may keep per target: its share of half of the
     /// connections that a target accepts, so that the other half is available for new ones.
     pub fn idle_connection_limit(&self) -> usize {
-        let hosts = self.members().live_peers().count() + 1;
+        let hosts = self.live_host_count();
         let config = self.config();
         let max_connections = config.iter().flat_map(|c| &c.pools).map(|p| p.max_connections).min();
         (max_connections.unwrap_or(u32::MAX) as usize / (2 * hosts)).max(1)
