An allocator that takes its share over again has nothing of the burst

Cause: an allowance's burst belongs to the share, of which three hosts hold one each, but the tokens that are left of it are kept by the host. A host that took the place of a stopped one kept its bucket when that one was back, and refilled it for all the time since, also for that in which it held no share. When it took over again it granted a burst that the holder before it had granted a moment ago. The same holds for an allocator that was paused or suspended while another one took its place.

The allocator now records the share that it holds, at each request for tokens and at each tick. What it has left counts only while it holds the share without a gap: after a second without a record, by the steady clock or the time of day, and after a change from or to the share of a host that is alone, each bucket has its part of the slack at most, as that of a host which has just started. The share is an argument of hold alone; grant returns none without it.

Why it works: of one share, at most one burst is granted in the time in which a bucket refills, as a burst only builds up in the hands of one holder and is lost when it lets go. A new holder adds its part of the slack, 3.3 requests of 20; without it, callers of small teams would wait after each restart.

Other state of a role that changes hands was read: the buckets of targets' limits and of cold targets hold a second's worth at most and their bounds count two full ones; budgets of extra attempts belong to a host, not a role.

--- a/crates/geraniummux-core/src/fleet/allowance.rs
+++ b/crates/geraniummux-core/src/fleet/allowance.rs
@@ -5,12 +5,14 @@
 //! scheduler, or a host that selects targets itself, takes tokens from an [`AllowanceStock`], which asks the
 //! allocators for more. A token is used within [`TOKEN_LIFETIME`] or returned.
 //!
-//! In a window of length w, one allocator grants at most its capacity and its rate x w. The capacities add up to
+//! In a window of length w, one allocator grants at most its capacity and its rate x w. One that takes over starts with
+//! a part of the slack and nothing of the burst. The capacities add up to
 //! the burst and a part of the slack, and a request arrives at its target within half a second of the grant of its
 //! token, so that the requests of a window of 5 s need at most 5.5 x rate + burst + slack tokens.
 
 use super::teams::Allowance;
-use crate::time::Time;
+use crate::pause::PAUSE_THRESHOLD;
+use crate::time::{Time, UnixMs};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -119,35 +121,77 @@
         }
     }
 
-    /// Returns the tokens that a bucket has at the start, and may have beside its part of the burst.
+    /// Returns the tokens that a bucket may have beside its part of the burst. It has no others when the share is taken
+    /// over, as another host may just have granted the burst.
     fn reserve(&self) -> f64 {
         match self {
             AllowanceShare::Allocator { part, slack } => (slack * USED_SLACK_SHARE * part).max(1.0),
             AllowanceShare::Alone { .. } => 0.0,
         }
     }
+
+    /// Returns whether a host may go on with what it has while its share changes from this one to `other`.
+    fn is_continued_by(&self, other: &AllowanceShare) -> bool {
+        std::mem::discriminant(self) == std::mem::discriminant(other)
+    }
+}
+
+/// A share that a host holds, as of when that was last known.
+#[derive(Clone, Copy, Debug)]
+struct Holding {
+    share: AllowanceShare,
+    at: Time,
+    wall: UnixMs,
+}
+
+impl Holding {
+    /// Returns whether no other host can have held the share for long since this was known.
+    fn is_continued_by(&self, next: &Holding) -> bool {
+        let gap = next.at.since(self.at);
+        // The steady clock does not count the time for which a machine is suspended.
+        let wall_gap = Duration::from_millis(next.wall.0.abs_diff(self.wall.0));
+        gap.max(wall_gap) <= PAUSE_THRESHOLD && self.share.is_continued_by(&next.share)
+    }
 }
 
 /// Grants tokens of its share of each team's allowance.
+///
+/// A share belongs to one host at a time, and what its holder has not granted does not pass on to the next: a host that
+/// takes a share over starts with a few tokens, also if it held that share before, since another one may have granted
+/// the burst meanwhile.
 #[derive(Clone, Debug, Default)]
 pub struct AllowanceAllocator {
+    held: Option<Holding>,
     /// Sorted by team.
     buckets: Vec<(Arc<str>, Bucket)>,
 }
 
 impl AllowanceAllocator {
-    /// Grants up to `wanted` tokens of a team.
+    /// Records the share that this host holds at present, if any. To be called before each grant and a few times a
+    /// second, as a gap means that this host may have been replaced meanwhile.
+    pub fn hold(&mut self, now: Time, wall: UnixMs, share: Option<AllowanceShare>) {
+        let next = share.map(|share| Holding { share, at: now, wall });
+        let is_continued =
+            self.held.zip(next).is_some_and(|(held, next)| held.is_continued_by(&next));
+        if let Some(next) = next.filter(|_| !is_continued) {
+            for (_, bucket) in &mut self.buckets {
+                bucket.tokens = bucket.tokens.min(next.share.reserve());
+                bucket.at = now;
+            }
+        }
+        self.held = next;
+    }
+
+    /// Grants up to `wanted` tokens of a team; `None` if this host holds no share.
     ///
-    /// An allocator that has granted none to a team before has its part of the slack and nothing of the burst,
-    /// since another one may have granted that.
     pub fn grant(
         &mut self,
         now: Time,
         team: &Arc<str>,
         allowance: Allowance,
-        share: AllowanceShare,
         wanted: u32,
-    ) -> TokenGrant {
+    ) -> Option<TokenGrant> {
+        let share = self.held?.share;
         let reserve = share.reserve();
         let per_s = allowance.per_s * share.part();
         let i = self.buckets.binary_search_by(|(t, _)| t.cmp(team)).unwrap_or_else(|i| {
@@ -167,7 +211,7 @@
             let missing_s = (1.0 - bucket.tokens).max(0.0) / per_s;
             (missing_s * 1_000.0).ceil().min(MAX_DENIAL.as_millis() as f64) as u32
         });
-        TokenGrant { team: team.clone(), tokens, next_ms }
+        Some(TokenGrant { team: team.clone(), tokens, next_ms })
     }
 
     /// Takes back tokens that were granted and not used.
--- a/crates/geraniummux-core/tests/fleet_allowance.rs
+++ b/crates/geraniummux-core/tests/fleet_allowance.rs
@@ -1,12 +1,13 @@
 //! Allowances of teams: what all hosts together send in a window while allocators fail, and what it costs a team
 //! that stays below its allowance.
 
-use geraniummux_core::Time;
 use geraniummux_core::fleet::{
     ALLOCATORS, Allowance, AllowanceAllocator, AllowanceAnswer, AllowanceShare, AllowanceStock,
     TokenGrant, TokenState,
 };
+use geraniummux_core::{Time, UnixMs};
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +17,8 @@
 const WINDOW: Duration = Duration::from_secs(5);
 const OVERAGE: f64 = 0.1;
 const SLACK: f64 = 20.0;
+/// Number of hosts; the first three that run are the allocators.
+const HOSTS: usize = 6;
 /// Largest number of teams in a message.
 const MAX_TEAMS: usize = 24;
 
@@ -27,7 +30,16 @@
     SocketAddr::new("127.0.0.1".parse().unwrap(), 1_000 + i as u16)
 }
 
-/// An allocator that answers, unless it is down.
+/// The share of each of three allocators.
+const SHARE: AllowanceShare =
+    AllowanceShare::Allocator { part: 1.0 / ALLOCATORS as f64, slack: SLACK };
+
+/// Returns the time of day, which runs like the steady clock.
+fn wall(now: Time) -> UnixMs {
+    UnixMs(1_700_000_000_000 + now.as_micros() / 1_000)
+}
+
+/// A host that may be an allocator, and answers unless it is down.
 struct Allocator {
     allocator: AllowanceAllocator,
     is_up: bool,
@@ -37,8 +49,12 @@
 struct Fleet {
     allowance: Allowance,
     allocators: Vec<Allocator>,
+    /// The hosts that are allocators.
+    holders: Vec<usize>,
     stocks: Vec<AllowanceStock>,
     team: Arc<str>,
+    /// Whether the team sends requests.
+    sends: bool,
     /// When requests were sent.
     sent: Vec<Time>,
     denied: usize,
@@ -50,9 +66,11 @@
         let allocator = || Allocator { allocator: AllowanceAllocator::default(), is_up: true };
         Fleet {
             allowance,
-            allocators: (0..ALLOCATORS).map(|_| allocator()).collect(),
+            allocators: (0..HOSTS).map(|_| allocator()).collect(),
+            holders: (0..ALLOCATORS).collect(),
             stocks: (0..stocks).map(|i| AllowanceStock::new((i as u64) << 32)).collect(),
             team: "team".into(),
+            sends: true,
             sent: Vec::new(),
             denied: 0,
             messages: 0,
@@ -73,7 +91,7 @@
 
     /// Sends a request with a token of a stock if it gets one within 50 ms.
     fn request(&mut self, now: Time, s: usize) {
-        let addrs: Vec<SocketAddr> = (0..self.allocators.len()).map(addr).collect();
+        let addrs: Vec<SocketAddr> = self.holders.iter().copied().map(addr).collect();
         for step in (0..50).step_by(2) {
             let now = now + ms(step);
             self.stocks[s].set_allocators(&addrs);
@@ -93,6 +111,14 @@
         }
     }
 
+    /// Tells each host that runs whether it is an allocator.
+    fn hold(&mut self, now: Time) {
+        for (i, a) in self.allocators.iter_mut().enumerate().filter(|(_, a)| a.is_up) {
+            let share = self.holders.contains(&i).then_some(SHARE);
+            a.allocator.hold(now, wall(now), share);
+        }
+    }
+
     fn exchange(&mut self, now: Time, s: usize) {
         for message in self.stocks[s].messages(now, MAX_TEAMS) {
             self.messages += 1;
@@ -105,11 +131,12 @@
                 message.teams.iter().for_each(|t| a.allocator.take_back(now, t));
                 continue;
             };
-            let share = AllowanceShare::Allocator { part: 1.0 / ALLOCATORS as f64, slack: SLACK };
+            let share = self.holders.contains(&i).then_some(SHARE);
+            a.allocator.hold(now, wall(now), share);
             let grant = |t: &geraniummux_core::fleet::TokenRequest| {
-                a.allocator.grant(now, &t.team, self.allowance, share, t.tokens)
+                a.allocator.grant(now, &t.team, self.allowance, t.tokens)
             };
-            let grants = message.teams.iter().map(grant).collect();
+            let grants = message.teams.iter().filter_map(grant).collect();
             let answer = AllowanceAnswer::Granted(grants);
             self.stocks[s].on_answer(now + ms(2), message.to, number, answer);
         }
@@ -139,12 +166,13 @@
         at(fleet, step);
         let now = START + ms(step);
         let mut expected = per_s / 1_000.0;
-        while rng.random::<f64>() < expected {
+        while fleet.sends && rng.random::<f64>() < expected {
             expected -= 1.0;
             let stock = rng.random_range(0..fleet.stocks.len());
             fleet.request(now, stock);
         }
         if step % 30 == 0 {
+            fleet.hold(now);
             for s in 0..fleet.stocks.len() {
                 fleet.stocks[s].set_waiting(now, &[]);
                 fleet.exchange(now, s);
@@ -262,29 +290,35 @@
 fn grant_lowered_allowance_caps_tokens() {
     let mut allocator = AllowanceAllocator::default();
     let team: Arc<str> = "team".into();
-    let mut grant = |at, allowance, wanted| {
-        let share = AllowanceShare::Allocator { part: 1.0, slack: 0.0 };
-        allocator.grant(START + ms(at), &team, allowance, share, wanted).tokens
-    };
-    grant(0, Allowance { per_s: 100.0, burst: 100.0 }, 1);
+    let share = Some(AllowanceShare::Allocator { part: 1.0, slack: 0.0 });
+    let high = Allowance { per_s: 100.0, burst: 100.0 };
+    for step in 0..20 {
+        let now = START + ms(step * 500);
+        allocator.hold(now, wall(now), share);
+        allocator.grant(now, &team, high, 1);
+    }
+    let now = START + ms(10_000);
+    allocator.hold(now, wall(now), share);
     let low = Allowance { per_s: 2.0, burst: 2.0 };
-    let granted = grant(10_000, low, 500);
+    let granted = allocator.grant(now, &team, low, 500).unwrap().tokens;
     assert!(granted <= 3, "{granted} tokens granted");
 }
 
 /// Guards against hosts that don't know each other and together grant more than the allowance.
 #[test]
 fn grant_hosts_alone_stay_within_allowance() {
-    const HOSTS: usize = 184;
+    const MANY: usize = 184;
     for allowance in [large_team(), small_team()] {
         let team: Arc<str> = "team".into();
-        let mut allocators = vec![AllowanceAllocator::default(); HOSTS];
-        let share = AllowanceShare::Alone { part: 1.0 / HOSTS as f64 };
+        let mut allocators = vec![AllowanceAllocator::default(); MANY];
+        let share = AllowanceShare::Alone { part: 1.0 / MANY as f64 };
         let mut granted = 0;
         for step in 0..200 {
             let now = START + ms(step * 25);
-            let grants = allocators.iter_mut().map(|a| a.grant(now, &team, allowance, share, 9));
-            granted += grants.map(|g| g.tokens).sum::<u32>();
+            for a in &mut allocators {
+                a.hold(now, wall(now), Some(share));
+                granted += a.grant(now, &team, allowance, 9).unwrap().tokens;
+            }
         }
         let allowed = allowance.per_s * 5.0 + allowance.burst;
         assert!(f64::from(granted) <= allowed, "{granted} tokens, {allowed} allowed");
@@ -293,3 +327,89 @@
         assert!(f64::from(granted) >= usual, "only {granted} tokens");
     }
 }
+
+/// Grants all tokens that an allocator has.
+fn grant_all(allocator: &mut AllowanceAllocator, now: Time) -> u32 {
+    allocator.grant(now, &"team".into(), large_team(), u32::MAX).unwrap().tokens
+}
+
+/// Lets an allocator hold its share for some time, so that it has its part of the burst, which it has not granted.
+fn hold_until_full(allocator: &mut AllowanceAllocator, now: Time) -> Time {
+    for step in 0..20 {
+        allocator.hold(now + ms(500 * step), wall(now + ms(500 * step)), Some(SHARE));
+        allocator.grant(now + ms(500 * step), &"team".into(), large_team(), 1);
+    }
+    now + ms(500 * 20)
+}
+
+/// Guards against an allocator that grants a burst which another one has granted while it held the share (QUOTA): it
+/// was none for some time, was paused or suspended, or was alone.
+#[test]
+fn grant_share_held_again_has_no_burst() {
+    type Interruption = fn(&mut AllowanceAllocator, Time) -> (Time, UnixMs);
+    let lost: Interruption = |allocator, now| {
+        allocator.hold(now, wall(now), None);
+        (now + ms(100), wall(now + ms(100)))
+    };
+    let paused: Interruption = |_, now| (now + ms(3_000), wall(now + ms(3_000)));
+    let suspended: Interruption = |_, now| (now + ms(100), wall(now + ms(3_000)));
+    let alone: Interruption = |allocator, now| {
+        allocator.hold(now, wall(now), Some(AllowanceShare::Alone { part: 0.1 }));
+        (now + ms(100), wall(now + ms(100)))
+    };
+    for (name, interrupt) in
+        [("lost", lost), ("paused", paused), ("suspended", suspended), ("alone", alone)]
+    {
+        let mut allocator = AllowanceAllocator::default();
+        let now = hold_until_full(&mut allocator, START);
+        let (now, wall_now) = interrupt(&mut allocator, now);
+        allocator.hold(now, wall_now, Some(SHARE));
+        let granted = grant_all(&mut allocator, now);
+        assert!(granted <= 3, "{name}: {granted} tokens granted");
+    }
+    let mut allocator = AllowanceAllocator::default();
+    let now = hold_until_full(&mut allocator, START);
+    allocator.hold(now, wall(now), Some(SHARE));
+    let granted = grant_all(&mut allocator, now);
+    assert!(granted > 90, "only {granted} tokens of a share that was held all the time");
+    allocator.hold(now, wall(now), None);
+    assert_eq!(allocator.grant(now, &"team".into(), large_team(), 1), None);
+}
+
+/// Stops the hosts in turn, one each second, from `from` on, and starts each again after `down`. The allocators are the
+/// first in `order` that run.
+fn stop_in_turn(fleet: &mut Fleet, step: u64, from: u64, down: u64, order: &[usize]) {
+    for i in 0..HOSTS {
+        let at = from + 1_000 * i as u64;
+        if step == at {
+            fleet.allocators[i].is_up = false;
+        } else if step == at + down {
+            fleet.restart(i);
+        }
+    }
+    let running = order.iter().copied().filter(|i| fleet.allocators[*i].is_up);
+    fleet.holders = running.take(ALLOCATORS).collect();
+}
+
+/// Guards against allocators that take each other's place in a rolling restart and grant a burst more than once
+/// (QUOTA). The team is calm for some time before the second round, and then sends above its allowance.
+#[test]
+fn stock_hosts_stop_in_turn_twice_stays_within_allowance() {
+    let long_burst = Allowance { per_s: 100.0, burst: 900.0 };
+    for seed in 0..100 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut order: Vec<usize> = (0..HOSTS).collect();
+        order.shuffle(&mut rng);
+        let down = rng.random_range(300..4_000);
+        for allowance in [long_burst, small_team()] {
+            let mut fleet = Fleet::new(allowance, 2);
+            play(&mut fleet, allowance.per_s * 4.5, 30, |fleet, step| {
+                let from = if step < 18_000 { 2_000 } else { 22_000 };
+                stop_in_turn(fleet, step, from, down, &order);
+                fleet.sends = !(9_000..19_600).contains(&step);
+            });
+            let most = fleet.most_in_window() as f64;
+            assert!(most <= fleet.bound(), "seed {seed}: {most} above {}", fleet.bound());
+        }
+    }
+}
--- a/crates/geraniummux-host/src/allowances.rs
+++ b/crates/geraniummux-host/src/allowances.rs
@@ -138,18 +138,20 @@
 
 /// Answers a request for tokens.
 pub fn answer(host: &Host, wanted: &[TokenRequest]) -> AllowanceAnswer {
-    let Some(share) = share(host) else {
+    let share = share(host);
+    let now = host.now();
+    lock(&host.allowances.allocator).hold(now, host.clock.wall(), share);
+    if share.is_none() {
         let known = if is_settling(host) { Vec::new() } else { allocators(host) };
         return AllowanceAnswer::OtherAllocators(known);
-    };
+    }
     let Some(routes) = host.routes() else {
         return AllowanceAnswer::OtherAllocators(Vec::new());
     };
-    let now = host.now();
     let mut allocator = lock(&host.allowances.allocator);
     let grants = wanted.iter().take(MAX_TOKEN_REQUESTS).filter_map(|request| {
         let allowance = routes.teams.team(&request.team)?.allowance?;
-        let grant = allocator.grant(now, &request.team, allowance, share, request.tokens);
+        let grant = allocator.grant(now, &request.team, allowance, request.tokens)?;
         host.metrics.tokens("granted", grant.tokens);
         host.metrics.tokens("denied", request.tokens - grant.tokens);
         Some(grant)
@@ -281,7 +283,12 @@
     let Some(routes) = host.routes().filter(|r| !r.teams.is_empty()) else { return };
     let now = host.now();
     let has_allowance = |team: &str| routes.teams.team(team).is_some_and(|t| t.allowance.is_some());
-    lock(&host.allowances.allocator).retain(has_allowance);
+    let share = share(host);
+    {
+        let mut allocator = lock(&host.allowances.allocator);
+        allocator.hold(now, host.clock.wall(), share);
+        allocator.retain(has_allowance);
+    }
     let messages = {
         let mut stock = lock(&host.allowances.stock);
         stock.set_allocators(&allocators(host));
