A host that has forgotten all others knows none

Membership::joined_at is now about the peers that are known at present, and begins anew when a host that knows none learns of one.

joined_at_forgotten_peers_is_none guards it.

--- a/crates/geraniummux-core/src/membership.rs
+++ b/crates/geraniummux-core/src/membership.rs
@@ -243,8 +243,8 @@
     seeds: Vec<SocketAddr>,
     /// Addresses of hosts that this host has learned of otherwise, to which it connects like to seeds.
     contacts: Vec<SocketAddr>,
-    /// When this host learned of its first peer.
-    first_peer_at: Option<Time>,
+    /// When this host learned of a peer while it knew none.
+    joined_at: Option<Time>,
     /// Members that remain to be probed in this round, in random order.
     probe_round: Vec<Arc<str>>,
     probes: Vec<Probe>,
@@ -293,7 +293,7 @@
             peers: Vec::new(),
             seeds,
             contacts: Vec::new(),
-            first_peer_at: None,
+            joined_at: None,
             probe_round: Vec::new(),
             probes: Vec::new(),
             relays: Vec::new(),
@@ -366,9 +366,10 @@
         self.has_seeds() && self.live_peers().next().is_none()
     }
 
-    /// Returns when this host learned of its first peer.
-    pub fn first_peer_at(&self) -> Option<Time> {
-        self.first_peer_at
+    /// Returns when this host learned of the first of the peers that it knows, dead ones included; `None` if it knows
+    /// none.
+    pub fn joined_at(&self) -> Option<Time> {
+        self.joined_at.filter(|_| !self.peers.is_empty())
     }
 
     /// Returns whether any seed other than this host is set.
@@ -615,7 +616,9 @@
             Err(_) if m.state == MemberState::Dead || self.peers.len() >= MAX_MEMBERS => return,
             Err(i) => {
                 self.peers.insert(i, Peer { member: m.clone(), state_since: now });
-                self.first_peer_at.get_or_insert(now);
+                if first_peer {
+                    self.joined_at = Some(now);
+                }
                 (i, None)
             }
         };
--- a/crates/geraniummux-core/tests/membership.rs
+++ b/crates/geraniummux-core/tests/membership.rs
@@ -87,3 +87,28 @@
         }
     }
 }
+
+// Guards against a host that has forgotten all others and takes itself for the only one, or that relies on its view of a
+// fleet which it has just met again.
+#[test]
+fn joined_at_forgotten_peers_is_none() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let (mut m, mut now) = (start_membership(&mut rng), Time::from_millis(1_000));
+    assert_eq!(m.joined_at(), None);
+    m.merge(now, vec![member("x", 9, 20)]);
+    m.merge(now + std::time::Duration::from_secs(1), vec![member("y", 19, 20)]);
+    assert_eq!(m.joined_at(), Some(now));
+    // Neither answers.
+    let forgotten = now + 2 * MembershipOptions::default().forget_after;
+    while m.peers().next().is_some() {
+        now = now + std::time::Duration::from_millis(100);
+        m.tick(now, &mut rng);
+        assert!(now < forgotten);
+        if m.live_peers().next().is_none() {
+            now = now + std::time::Duration::from_secs(3_600);
+        }
+    }
+    assert_eq!(m.joined_at(), None);
+    m.merge(now, vec![member("x", 9, 30)]);
+    assert_eq!(m.joined_at(), Some(now));
+}
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -696,7 +696,7 @@
     /// learns of the rest some time after that.
     pub fn knows_others(&self) -> bool {
         let members = self.members();
-        let Some(joined_at) = members.first_peer_at() else { return !members.has_seeds() };
+        let Some(joined_at) = members.joined_at() else { return !members.has_seeds() };
         let joined_late = joined_at.since(self.started) >= scheduling::STARTUP_SETTLE_TIME;
         !joined_late || self.now().since(joined_at) >= LATE_JOIN_TIME
     }
