--- a/crates/geraniummux-soak/src/faults.rs
+++ b/crates/geraniummux-soak/src/faults.rs
@@ -1,6 +1,7 @@
 //! Faults that are drawn from the seed of a run, and their injection.
 
 use crate::harness::Harness;
+use crate::hosts::SEEDS;
 use geraniummux_standin::link::LinkFault;
 use geraniummux_standin::registered_target::{CopyTrigger, Demand, RefusalCopy, Refusals};
 use nix::sys::signal::Signal;
@@ -250,6 +251,30 @@
     }
 }
 
+/// Kills all hosts again and again until `end`. The seeds return seconds later than the others, which have to find each
+/// other meanwhile. What happens is drawn from a generator of its own, so that the other faults of a seed stay the same.
+pub async fn lose_seeds(harness: Arc<Harness>, seed: u64, end: Instant) {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(40));
+    while Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(500..3_000))).await;
+        let disruption = harness.begin_disruption();
+        let hosts = harness.request_addrs().len();
+        let mut restarts = JoinSet::new();
+        for i in 0..hosts {
+            harness.signal(i, Signal::SIGKILL);
+            let is_seed = i < usize::from(SEEDS);
+            let away_ms =
+                if is_seed { rng.random_range(2_000..6_000) } else { rng.random_range(0..500) };
+            let harness = harness.clone();
+            restarts.spawn(async move {
+                harness.restart(i, Duration::from_millis(away_ms)).await;
+            });
+        }
+        while restarts.join_next().await.is_some() {}
+        drop(disruption);
+    }
+}
+
 async fn kill_and_restart(harness: &Harness, i: usize) {
     harness.signal(i, Signal::SIGKILL);
     harness.restart(i, Duration::ZERO).await;
--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -84,6 +84,9 @@
     pub restores: bool,
     /// Whether one host is restarted in series while another one is frozen.
     pub restarts: bool,
+    /// Whether all hosts are killed, again and again, and those that the settings name as seeds return later than the
+    /// others.
+    pub seed_losses: bool,
     /// What is checked of teams, evacuations, cold targets and pipelining; `None` for a run without them. A store
     /// that comes back from a copy loses evacuations, so that there are none beside `restores`.
     pub teams: Option<TeamChecks>,
@@ -605,6 +608,10 @@
         let restarts = faults::restart_beside_frozen(harness.clone(), opts.seed, end);
         injected.push(tokio::spawn(restarts));
     }
+    if opts.seed_losses {
+        let losses = faults::lose_seeds(harness.clone(), opts.seed, end);
+        injected.push(tokio::spawn(losses));
+    }
     while tokio::time::Instant::now() < end {
         let fault = faults::draw(&mut rng, usize::from(opts.hosts), opts.targets);
         report.faults.push(format!("{fault:?}"));
--- a/crates/geraniummux-soak/src/hosts.rs
+++ b/crates/geraniummux-soak/src/hosts.rs
@@ -15,6 +15,8 @@
 const READINESS_PORT: u16 = 7_002;
 const DIRECTORY_PORT: u16 = 7_003;
 const PEER_PORT: u16 = 7_004;
+/// Number of hosts that the settings of all hosts name as seeds, the first ones.
+pub const SEEDS: u8 = 3;
 /// Grace period between SIGTERM and SIGKILL in the settings of the hosts, in seconds.
 pub const GRACE_S: u64 = 6;
 
@@ -52,7 +54,7 @@
         let ip = |i: u8| IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, i + 1));
         let at = |port: u16| SocketAddr::new(ip(i), port).to_string();
         let seeds: Vec<String> =
-            (0..3).map(|i| SocketAddr::new(ip(i), PEER_PORT).to_string()).collect();
+            (0..SEEDS).map(|i| SocketAddr::new(ip(i), PEER_PORT).to_string()).collect();
         let zone = ["zone-a", "zone-b"][usize::from(i % 2)];
         let mut settings = json!({
             "host": format!("host-{i}"), "failure_domain": zone, "listen": at(REQUEST_PORT),
--- a/crates/geraniummux-soak/src/main.rs
+++ b/crates/geraniummux-soak/src/main.rs
@@ -39,6 +39,9 @@
     /// restart one host in series while another one is frozen
     #[argh(switch)]
     restarts: bool,
+    /// kill all hosts again and again, and start the seeds later than the others
+    #[argh(switch)]
+    seed_losses: bool,
     /// configure teams with keys and change keys; evacuate domains, make targets cold and pipeline requests as far
     /// as they are checked
     #[argh(switch)]
@@ -84,6 +87,7 @@
             refusals: args.refusals,
             restores: args.restores,
             restarts: args.restarts,
+            seed_losses: args.seed_losses,
             teams: args.teams.then_some(team_checks),
             route_times: if args.long { RouteTimes::LONG } else { RouteTimes::SHORT },
             program: args.program.clone().unwrap_or_else(|| default_program.clone()),
--- a/crates/geraniummux-soak/tests/common/mod.rs
+++ b/crates/geraniummux-soak/tests/common/mod.rs
@@ -30,6 +30,7 @@
         refusals: false,
         restores: false,
         restarts: false,
+        seed_losses: false,
         teams: None,
         route_times: RouteTimes::SHORT,
         program: program(),
--- a/crates/geraniummux-soak/tests/soak.rs
+++ b/crates/geraniummux-soak/tests/soak.rs
@@ -17,14 +17,20 @@
     Refusals,
     Restores,
     Restarts,
+    SeedLosses,
     Pipelining,
 }
 
 async fn run_seed(seed: u64, beside: Beside) {
+    let teams = match beside {
+        Beside::Pipelining => Some(TeamChecks { pipelining: true, ..TeamChecks::default() }),
+        Beside::SeedLosses => Some(TeamChecks { allowances: true, ..TeamChecks::default() }),
+        _ => None,
+    };
     let opts = Options {
         seed,
         fault_duration: Duration::from_secs(6),
-        hosts: 4,
+        hosts: if beside == Beside::SeedLosses { 6 } else { 4 },
         // With two, more of the requests that were refused come back to the same address.
         targets: if beside == Beside::Refusals { 2 } else { 4 },
         callers: 12,
@@ -34,8 +40,8 @@
         refusals: beside == Beside::Refusals,
         restores: beside == Beside::Restores,
         restarts: beside == Beside::Restarts,
-        teams: (beside == Beside::Pipelining)
-            .then(|| TeamChecks { pipelining: true, ..TeamChecks::default() }),
+        seed_losses: beside == Beside::SeedLosses,
+        teams,
         route_times: if beside == Beside::Restarts { RouteTimes::LONG } else { RouteTimes::SHORT },
         program: program(),
         other_program: None,
@@ -85,6 +91,13 @@
     run_seed(5, Beside::Restarts).await;
 }
 
+/// Guards against hosts that serve no team, exceed an allowance or stay apart while their seeds are gone, beside the other
+/// faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_with_losses_of_the_seeds_keeps_all_promises() {
+    run_seed(7, Beside::SeedLosses).await;
+}
+
 /// Guards against responses to pipelined requests that are lost, mixed up or out of order, beside the other faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_with_pipelined_requests_keeps_all_promises() {
