A host that restarts in a running fleet does not take its seeds for allocators

Cause: for a second after its start, a seed grants its part of each allowance, and asks only the seeds, in the belief that all hosts have just started. A seed that returns to hosts which went on without it grants beside their allocators; three of them grant each allowance a second time. Hosts that are no seeds get no tokens in that second if no seed is an allocator.

A host settles only as long as it knows no peer in service that has started three seconds before it or earlier, by the incarnations, which are times of starts. It then has the members by the exchange with its first peer.

--- a/crates/geraniummux-core/src/membership.rs
+++ b/crates/geraniummux-core/src/membership.rs
@@ -243,8 +243,9 @@
     seeds: Vec<SocketAddr>,
     /// Addresses of hosts that this host has learned of otherwise, to which it connects like to seeds.
     contacts: Vec<SocketAddr>,
-    /// When this host started.
+    /// When this host started, and its incarnation then.
     started_at: Time,
+    started_incarnation: u64,
     /// Delays until exchanges of the full state that this host still makes soon, as it has joined late; none is made
     /// after the last one.
     early_delays: u32,
@@ -303,12 +304,14 @@
         let next_seq = u64::from(rng.random::<u32>());
         let offset = opts.probe_interval.mul_f64(rng.random::<f64>());
         let sync = opts.sync_interval.mul_f64(rng.random::<f64>());
+        let started_incarnation = local.incarnation;
         Membership {
             local,
             peers: Vec::new(),
             seeds,
             contacts: Vec::new(),
             started_at: now,
+            started_incarnation,
             early_delays: 0,
             probe_round: Vec::new(),
             probes: Vec::new(),
@@ -394,6 +397,14 @@
         self.contacts.iter().copied().find(is_up)
     }
 
+    /// Returns whether a peer in service started at least `by` before this host, by their clocks.
+    pub fn knows_older_peer(&self, by: Duration) -> bool {
+        let own = self.started_incarnation;
+        let by_ms = by.as_millis() as u64;
+        let mut in_service = self.peers().filter(|m| m.state == MemberState::Alive);
+        in_service.any(|m| m.incarnation.saturating_add(by_ms) <= own)
+    }
+
     /// Returns whether this host knows no live peer although it has seeds.
     pub fn is_alone(&self) -> bool {
         self.has_seeds() && self.live_peers().next().is_none()
--- a/crates/geraniummux-core/tests/membership.rs
+++ b/crates/geraniummux-core/tests/membership.rs
@@ -134,3 +134,20 @@
     m.merge(now, vec![seed_met]);
     assert!(m.knows_others());
 }
+
+// Guards against a host that restarts in a running fleet and takes the seeds for the allocators, as if all had started.
+#[test]
+fn knows_older_peer_only_in_service() {
+    let second = std::time::Duration::from_secs(1);
+    let mut rng = StdRng::seed_from_u64(1);
+    let me = member("me", 1, 100_000);
+    let mut m = Membership::new(Time::ZERO, me, Vec::new(), MembershipOptions::default(), &mut rng);
+    // It has started with this host.
+    m.merge(Time::ZERO, vec![member("x", 9, 98_500)]);
+    assert!(!m.knows_older_peer(2 * second));
+    let leaving = Member { state: MemberState::Leaving, ..member("y", 19, 50_000) };
+    m.merge(Time::ZERO, vec![leaving]);
+    assert!(!m.knows_older_peer(2 * second));
+    m.merge(Time::ZERO, vec![member("z", 29, 98_000)]);
+    assert!(m.knows_older_peer(2 * second));
+}
--- a/crates/geraniummux-host/src/allowances.rs
+++ b/crates/geraniummux-host/src/allowances.rs
@@ -26,6 +26,9 @@
 const ALLOCATORS_MAX_AGE: Duration = Duration::from_millis(100);
 /// Time after its start in which a host that is alone grants nothing, as it may meet others that do.
 const MEETING_TIME: Duration = Duration::from_millis(2_500);
+/// Time since the start of a peer from which the fleet counts as one that runs. Hosts of a fleet that starts do so within
+/// a second or so.
+const RUNNING_FOR: Duration = Duration::from_secs(3);
 /// Interval at which a waiting request checks whether another allocator has to be asked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -86,9 +89,11 @@
     allocators
 }
 
+/// Returns whether this host has just started with others, so that the seeds grant. A fleet that runs has allocators.
 fn is_settling(host: &Host) -> bool {
     let is_starting = host.now().since(host.started) < scheduling::STARTUP_SETTLE_TIME;
-    is_starting && host.members().has_seeds()
+    let members = host.members();
+    is_starting && members.has_seeds() && !members.knows_older_peer(RUNNING_FOR)
 }
 
 /// Returns the addresses of the seeds, a random one first, so that new hosts use all of them.
