Soak: settings name only hosts as seeds that are part of the run

A host that finds none of its seeds counts as one of many now and takes a sixteenth of the budget of retries, so that a refused request was not sent again within the test's time. That is meant (see tests/alone.rs), and what these tests check is the order of refusals and copies, not a fleet without its seeds.

Runs of three hosts and more are as before.

--- a/crates/geraniummux-soak/src/harness.rs
+++ b/crates/geraniummux-soak/src/harness.rs
@@ -214,7 +214,7 @@
                 &opts.dir,
                 program,
                 net,
-                i,
+                (i, opts.hosts),
                 link.addr,
                 opts.teams.is_some(),
             )?);
--- a/crates/geraniummux-soak/src/hosts.rs
+++ b/crates/geraniummux-soak/src/hosts.rs
@@ -15,7 +15,7 @@
 const READINESS_PORT: u16 = 7_002;
 const DIRECTORY_PORT: u16 = 7_003;
 const PEER_PORT: u16 = 7_004;
-/// Number of hosts that the settings of all hosts name as seeds, the first ones.
+/// Most hosts that the settings of all hosts name as seeds, the first ones.
 pub const SEEDS: u8 = 3;
 /// Grace period between SIGTERM and SIGKILL in the settings of the hosts, in seconds.
 pub const GRACE_S: u64 = 6;
@@ -36,7 +36,7 @@
 }
 
 impl HostProcess {
-    /// Writes the settings of host number `i`. The bytes in `net` are the middle two of its loopback address,
+    /// Writes the settings of host number `i` of `hosts`. The bytes in `net` are the middle two of its loopback address,
     /// so that concurrent runs with different seeds use different addresses. With `teams`, the settings have the limits of allowances
     /// and evacuations.
     ///
@@ -47,14 +47,14 @@
         dir: &Path,
         program: &Path,
         net: (u8, u8),
-        i: u8,
+        (i, hosts): (u8, u8),
         store: SocketAddr,
         teams: bool,
     ) -> anyhow::Result<Self> {
         let ip = |i: u8| IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, i + 1));
         let at = |port: u16| SocketAddr::new(ip(i), port).to_string();
         let seeds: Vec<String> =
-            (0..SEEDS).map(|i| SocketAddr::new(ip(i), PEER_PORT).to_string()).collect();
+            (0..SEEDS.min(hosts)).map(|i| SocketAddr::new(ip(i), PEER_PORT).to_string()).collect();
         let zone = ["zone-a", "zone-b"][usize::from(i % 2)];
         let mut settings = json!({
             "host": format!("host-{i}"), "failure_domain": zone, "listen": at(REQUEST_PORT),
