Calls for contacts are a trait of their own

Only discovery reads and writes the contacts, but they were part of Store, so that three stores of tests repeated the same two refusals. No behaviour changes; the assertions of the tests are as they were.

--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! The host proxies callers' requests to targets, serves callers the list of entry hosts, and
 //! replicates the store directly or from a peer. The decisions come from `geraniummux_core`; this
-//! crate does the input and output. Two traits cover what differs between platforms: [`Protocol`],
-//! the formats of the traffic with callers and targets, and [`Store`], the client of the store.
+//! crate does the input and output. Three traits cover what differs between platforms: [`Protocol`],
+//! the formats of the traffic with callers and targets, and [`Store`] and [`ContactStore`], the client of the store.
 //!
 //! [`run()`] starts a host, [`Host`] is the state that its tasks share. A request enters at
 //! [`pipelining`] and [`proxy::handle`]; [`scheduling`] obtains its grant, and [`replication`] and [`reader`] keep the
-//! targets and the configuration current. [`discovery`] finds the other hosts when the seeds don't answer. [`reach`] opens connections to targets, through peers if need be.
+//! targets and the configuration current. [`discovery`] finds the other hosts when the seeds don't answer. [`reach`]
+//! opens connections to targets, through peers if need be.
 
 #![forbid(unsafe_code)]
 
@@ -47,6 +48,6 @@
 pub use run::run;
 pub use settings::Settings;
 pub use store::{
-    ConfigUpdate, EvacuationsUpdate, Store, StoreCheck, StoreError, StoredContacts,
+    ConfigUpdate, ContactStore, EvacuationsUpdate, Store, StoreCheck, StoreError, StoredContacts,
     UnknownRouteType, WriteResult,
 };
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -9,7 +9,7 @@
 use crate::settings::Settings;
 use crate::signals::Signals;
 use crate::stopping::Stop;
-use crate::store::Store;
+use crate::store::{ContactStore, Store};
 use crate::{allowances, discovery, logs, reach, reader, replication, scheduling, tasks};
 use anyhow::Context;
 use slog::{Logger, info, warn};
@@ -35,7 +35,7 @@
     store: F,
 ) -> anyhow::Result<()>
 where
-    S: Store,
+    S: Store + ContactStore,
     F: FnOnce(&Settings, Logger) -> S,
 {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -60,7 +60,7 @@
     signals: Signals,
 ) -> anyhow::Result<()>
 where
-    S: Store,
+    S: Store + ContactStore,
 {
     let settings = host.settings.load_full();
     let mut listeners = vec![
--- a/crates/geraniummux-host/src/store.rs
+++ b/crates/geraniummux-host/src/store.rs
@@ -114,17 +114,6 @@
     /// Checks with the cheapest available call whether the store responds to this host.
     fn check(&self) -> impl Future<Output = Result<StoreCheck, StoreError>> + Send;
 
-    /// Returns the contacts of hosts that are alone.
-    fn read_contacts(&self) -> impl Future<Output = Result<StoredContacts, StoreError>> + Send;
-
-    /// Replaces the contacts of hosts that are alone, if those stored are still of `revision`; `None` if there were
-    /// none.
-    fn write_contacts(
-        &self,
-        contacts: &Contacts,
-        revision: Option<u64>,
-    ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
-
     /// Returns all registered targets as a full list.
     fn list_targets(
         &self,
@@ -165,3 +154,17 @@
         wait: Duration,
     ) -> impl Future<Output = Result<EvacuationsUpdate, StoreError>> + Send;
 }
+
+/// Calls to the store by which hosts that are alone find each other. Each call applies its own time limit.
+pub trait ContactStore: Send + Sync + 'static {
+    /// Returns the contacts of hosts that are alone.
+    fn read_contacts(&self) -> impl Future<Output = Result<StoredContacts, StoreError>> + Send;
+
+    /// Replaces the contacts of hosts that are alone, if those stored are still of `revision`; `None` if there were
+    /// none.
+    fn write_contacts(
+        &self,
+        contacts: &Contacts,
+        revision: Option<u64>,
+    ) -> impl Future<Output = Result<WriteResult, StoreError>> + Send;
+}
--- a/crates/geraniummux-host/tests/evacuations.rs
+++ b/crates/geraniummux-host/tests/evacuations.rs
@@ -4,13 +4,13 @@
 
 use common::targets::{identity, registered, route};
 use geraniummux_core::fleet::{
-    Allowance, ApiKey, ConfigEdition, Contacts, Evacuations, FleetConfig, FleetPool, FleetRoute,
+    Allowance, ApiKey, ConfigEdition, Evacuations, FleetConfig, FleetPool, FleetRoute,
     RegistryChange, RegistryDelta, Revision, Team,
 };
 use geraniummux_host::store::Consistency;
 use geraniummux_host::{
-    ConfigUpdate, EvacuationsUpdate, Host, Settings, Store, StoreCheck, StoreError, StoredContacts,
-    WriteResult, peers, reader, replication,
+    ConfigUpdate, EvacuationsUpdate, Host, Settings, Store, StoreCheck, StoreError, peers, reader,
+    replication,
 };
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -95,16 +95,6 @@
         let era = self.revision()?.era;
         Ok(StoreCheck { era, ..StoreCheck::default() })
     }
-    async fn read_contacts(&self) -> Result<StoredContacts, StoreError> {
-        Err(StoreError::Refused(404))
-    }
-    async fn write_contacts(
-        &self,
-        _: &Contacts,
-        _: Option<u64>,
-    ) -> Result<WriteResult, StoreError> {
-        Err(StoreError::Refused(404))
-    }
     async fn list_targets(&self, _: Consistency) -> Result<RegistryDelta, StoreError> {
         Ok(targets_list(self.revision()?))
     }
--- a/crates/geraniummux-host/tests/reader.rs
+++ b/crates/geraniummux-host/tests/reader.rs
@@ -2,11 +2,10 @@
 
 mod common;
 
-use geraniummux_core::fleet::{Contacts, Evacuations, RegistryDelta, Revision};
+use geraniummux_core::fleet::{Evacuations, RegistryDelta, Revision};
 use geraniummux_host::store::Consistency;
 use geraniummux_host::{
-    ConfigUpdate, EvacuationsUpdate, Host, Store, StoreCheck, StoreError, StoredContacts,
-    WriteResult, reader,
+    ConfigUpdate, EvacuationsUpdate, Host, Store, StoreCheck, StoreError, reader,
 };
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -43,16 +42,6 @@
         let era = self.list().await.era;
         Ok(StoreCheck { era, ..StoreCheck::default() })
     }
-    async fn read_contacts(&self) -> Result<StoredContacts, StoreError> {
-        Err(StoreError::Refused(404))
-    }
-    async fn write_contacts(
-        &self,
-        _: &Contacts,
-        _: Option<u64>,
-    ) -> Result<WriteResult, StoreError> {
-        Err(StoreError::Refused(404))
-    }
     async fn list_targets(&self, _: Consistency) -> Result<RegistryDelta, StoreError> {
         Ok(RegistryDelta { from: None, to: self.list().await, changes: Vec::new() })
     }
@@ -141,16 +130,6 @@
         let era = self.revision().era;
         Ok(StoreCheck { era, ..StoreCheck::default() })
     }
-    async fn read_contacts(&self) -> Result<StoredContacts, StoreError> {
-        Err(StoreError::Refused(404))
-    }
-    async fn write_contacts(
-        &self,
-        _: &Contacts,
-        _: Option<u64>,
-    ) -> Result<WriteResult, StoreError> {
-        Err(StoreError::Refused(404))
-    }
     async fn list_targets(&self, _: Consistency) -> Result<RegistryDelta, StoreError> {
         Ok(RegistryDelta { from: None, to: self.revision(), changes: Vec::new() })
     }
