Allowances: one place each for the first contact, the part in sight and the share

Membership::first_contact says itself that it holds only until the host knows the others, which both of its callers checked. The part of the known hosts that are in sight was computed alike for limits and allowances (Host::part_in_sight), and the share was determined and recorded in two places (hold_share). The part of a host that is alone is worked out only for such a host. No behaviour changes.

--- a/crates/geraniummux-core/src/fleet/allowance.rs
+++ b/crates/geraniummux-core/src/fleet/allowance.rs
@@ -193,7 +193,6 @@
     }
 
     /// Grants up to `wanted` tokens of a team; `None` if this host holds no share.
-    ///
     pub fn grant(
         &mut self,
         now: Time,
--- a/crates/geraniummux-core/src/membership.rs
+++ b/crates/geraniummux-core/src/membership.rs
@@ -373,8 +373,11 @@
         I: IntoIterator<Item = SocketAddr>,
     {
         let mut out = Vec::new();
+        if self.replaced {
+            return out;
+        }
         for addr in contacts {
-            if self.replaced || self.contacts.contains(&addr) {
+            if self.contacts.contains(&addr) {
                 continue;
             }
             self.contacts.push(addr);
@@ -387,9 +390,12 @@
         out
     }
 
-    /// Returns the address of the first contact that is this host or a peer which answers. Hosts that meet through the
-    /// contacts agree on it before they know each other.
+    /// Returns the address of the first contact that is this host or a peer which answers, as long as this host does not
+    /// know the others. Hosts that meet through the contacts agree on it.
     pub fn first_contact(&self) -> Option<SocketAddr> {
+        if self.knows_others() {
+            return None;
+        }
         let is_up = |addr: &SocketAddr| {
             let mut up = self.peers().filter(|m| m.state < MemberState::Suspect);
             *addr == self.local.addr || up.any(|m| m.addr == *addr)
--- a/crates/geraniummux-host/src/allowances.rs
+++ b/crates/geraniummux-host/src/allowances.rs
@@ -78,10 +78,9 @@
     let allocators = if is_settling(host) {
         seeds(host)
     } else {
+        let first_contact = host.members().first_contact();
+        // The first contact may know the others already, and no longer grant.
         let members = first_members(host);
-        let is_settled = host.members().knows_others();
-        let first_contact = host.members().first_contact().filter(|_| !is_settled);
-        // The first contact may be settled, and no longer grant.
         let others = members.into_iter().filter(|addr| Some(*addr) != first_contact);
         first_contact.into_iter().chain(others).collect()
     };
@@ -135,35 +134,38 @@
         let part = 1.0 / seeds.len() as f64;
         return seeds.contains(&own).then_some(AllowanceShare::Allocator { part, slack });
     }
-    let (knows_others, has_peers, is_first_contact) = {
+    let (knows_others, has_peers, first_contact) = {
         let members = host.members();
-        let is_first_contact = members.first_contact() == Some(own);
-        (members.knows_others(), members.peers().next().is_some(), is_first_contact)
+        (members.knows_others(), members.peers().next().is_some(), members.first_contact())
     };
+    if !knows_others && has_peers {
+        let share = AllowanceShare::Allocator { part: 1.0, slack };
+        return (first_contact == Some(own)).then_some(share);
+    }
     if !knows_others {
         let may_meet_others = host.now().since(host.started) < MEETING_TIME;
-        let alone = AllowanceShare::Alone { part: 1.0 / host.host_count() as f64 };
-        return match has_peers {
-            true => is_first_contact.then_some(AllowanceShare::Allocator { part: 1.0, slack }),
-            false => (!may_meet_others).then_some(alone),
-        };
+        let share = || AllowanceShare::Alone { part: 1.0 / host.host_count() as f64 };
+        return (!may_meet_others).then(share);
     }
     let allocators = allocators(host);
     if !allocators.contains(&own) {
         return None;
     }
-    let members = host.members();
-    let (all, live) = (members.peers().count() + 1, members.live_peers().count() + 1);
-    let part = live as f64 / all as f64 / allocators.len() as f64;
+    let part = host.part_in_sight() / allocators.len() as f64;
     Some(AllowanceShare::Allocator { part, slack })
 }
 
+/// Records what this host grants at present. Returns whether it grants anything.
+fn hold_share(host: &Host, now: Time) -> bool {
+    let share = share(host);
+    lock(&host.allowances.allocator).hold(now, host.clock.wall(), share);
+    share.is_some()
+}
+
 /// Answers a request for tokens.
 pub fn answer(host: &Host, wanted: &[TokenRequest]) -> AllowanceAnswer {
-    let share = share(host);
     let now = host.now();
-    lock(&host.allowances.allocator).hold(now, host.clock.wall(), share);
-    if share.is_none() {
+    if !hold_share(host, now) {
         let known = if is_settling(host) { Vec::new() } else { allocators(host) };
         return AllowanceAnswer::OtherAllocators(known);
     }
@@ -305,12 +307,8 @@
     let Some(routes) = host.routes().filter(|r| !r.teams.is_empty()) else { return };
     let now = host.now();
     let has_allowance = |team: &str| routes.teams.team(team).is_some_and(|t| t.allowance.is_some());
-    let share = share(host);
-    {
-        let mut allocator = lock(&host.allowances.allocator);
-        allocator.hold(now, host.clock.wall(), share);
-        allocator.retain(has_allowance);
-    }
+    hold_share(host, now);
+    lock(&host.allowances.allocator).retain(has_allowance);
     let messages = {
         let mut stock = lock(&host.allowances.stock);
         stock.set_allocators(&allocators(host));
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -698,9 +698,14 @@
         if !self.members().knows_others() {
             return 1.0 / self.host_count() as f64;
         }
+        self.part_in_sight().max(MIN_LIMIT_SHARE)
+    }
+
+    /// Returns the part of the known hosts that are not known to be gone, this one among them.
+    pub fn part_in_sight(&self) -> f64 {
         let members = self.members();
         let (all, live) = (members.peers().count() + 1, members.live_peers().count() + 1);
-        (live as f64 / all as f64).max(MIN_LIMIT_SHARE)
+        live as f64 / all as f64
     }
 
     /// Records a fault of a target that this host observed.
