--- a/review/standin-3/src/fleet.rs
+++ b/review/standin-3/src/fleet.rs
@@ -134,15 +134,23 @@
         self.store.put("servers", &target.id, target.registration());
     }
 
-    /// Writes the configuration.
+    /// Writes a configuration without tenants.
     pub fn configure(&self, version: u64, routes: Value, services: &[&str]) {
+        self.configure_with(version, routes, services, None);
+    }
+
+    /// Writes the configuration.
+    pub fn configure_with(&self, version: u64, routes: Value, services: &[&str], tenants: Option<Value>) {
         let services: Vec<Value> = services
             .iter()
             .map(|s| json!({"name": s, "health-path": "/health", "max-conns": 283, "protocol": "h1", "tls": false}))
             .collect();
-        let spec = json!({"version": format!("{version:08x}"), "routes": routes, "services": services,
+        let mut spec = json!({"version": format!("{version:08x}"), "routes": routes, "services": services,
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 67_108_864, "header-timeout-s": 3,
                 "idle-timeout-s": 15}});
+        if let (Some(tenants), Some(spec)) = (tenants, spec.as_object_mut()) {
+            spec.insert("tenants".into(), tenants);
+        }
         self.store.put("config", "main", spec);
         self.record.line(format!("operator writes config {version:08x}"));
     }
