--- a/review/standin-3/src/fleet.rs
+++ b/review/standin-3/src/fleet.rs
@@ -22,6 +22,7 @@
     pub listen: SocketAddr,
     pub readiness: SocketAddr,
     pub directory: SocketAddr,
+    pub metrics: SocketAddr,
     pub settings: PathBuf,
     pub child: Child,
 }
@@ -55,7 +56,7 @@
     pub targets: Vec<Arc<Target>>,
     pub hosts: Vec<Host>,
     pub dir: PathBuf,
-    ports: [u16; 4],
+    ports: [u16; 5],
     net: u8,
     pub memory_mb: f64,
     pub extra: Value,
@@ -78,7 +79,7 @@
         tokio::spawn(store.clone().serve(listener));
         let dir = std::env::temp_dir().join(format!("review-3-{}-{net}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
-        let ports = [free_port()?, free_port()?, free_port()?, free_port()?];
+        let ports = [free_port()?, free_port()?, free_port()?, free_port()?, free_port()?];
         Ok(Fleet {
             record,
             store,
@@ -162,12 +163,12 @@
     /// Writes the settings of a host as the template of the deploy file does.
     fn write_settings(&self, i: usize, name: &str, store: SocketAddr) -> anyhow::Result<PathBuf> {
         let ip = self.ip(i);
-        let [front, ready, directory, peer] = self.ports;
+        let [front, ready, directory, peer, metrics] = self.ports;
         let seeds: Vec<String> = (0..3).map(|s| format!("{}:8146", self.ip(s))).collect();
         let mut settings = json!({
             "host": name, "failure_domain": ZONES[i % 3], "cores": 0.17, "memory_mb": self.memory_mb,
             "link_mbps": 830.0, "listen": format!("{ip}:{front}"), "readiness": format!("{ip}:{ready}"),
-            "directory": format!("{ip}:{directory}"), "peer": format!("{ip}:{peer}"), "seeds": seeds,
+            "directory": format!("{ip}:{directory}"), "peer": format!("{ip}:{peer}"), "metrics": format!("{ip}:{metrics}"), "seeds": seeds,
             "peer_key": "geraniummux messages between hosts", "store": store.to_string(),
             "promises": {"repeat_ratio": 0.2, "repeat_slack": 75, "repeat_window_s": 10, "drain_s": 2,
                 "grace_s": 6, "max_ttl_s": 5, "probes_per_s": 60, "heartbeat_s": 1.5, "lapse_s": 2.0}});
@@ -186,12 +187,13 @@
         let settings = self.write_settings(i, &name, store)?;
         let child = self.spawn(&name, &settings)?;
         let ip = self.ip(i);
-        let [front, ready, directory, _] = self.ports;
+        let [front, ready, directory, _, metrics] = self.ports;
         self.hosts.push(Host {
             name,
             listen: SocketAddr::new(ip, front),
             readiness: SocketAddr::new(ip, ready),
             directory: SocketAddr::new(ip, directory),
+            metrics: SocketAddr::new(ip, metrics),
             settings,
             child,
         });
