--- a/review/standin-3/src/bin/case-pipeline.rs
+++ b/review/standin-3/src/bin/case-pipeline.rs
@@ -1,5 +1,5 @@
-//! A caller pipelines safe requests with large responses, on a route that allows one attempt. One target turns
-//! slow. Counts the requests that run on more targets than the route allows.
+//! A caller pipelines safe requests with large responses, on a route that allows one attempt. One target at a
+//! time is slow. Counts the requests that run on more targets than the route allows.
 
 use geraniummux_review_3::caller;
 use geraniummux_review_3::fleet::Fleet;
@@ -21,6 +21,8 @@
 const WORK_MS: u64 = 54;
 /// Factor of the slow target, one of seven: the dose of `srv_slow` is 0.15 of the targets, 4 times.
 const SLOW_FACTOR: u64 = 4;
+/// Time for which a target is slow; another one is after that.
+const SLOW_FOR: Duration = Duration::from_millis(6_500);
 const MAX_ATTEMPTS: usize = 1;
 const LARGE_BYTES: usize = 400_000;
 const SMALL_BYTES: usize = 2_000;
@@ -85,11 +87,17 @@
     }
     fleet.until_ready().await?;
     tokio::time::sleep(Duration::from_secs(3)).await;
-    if trouble {
-        let slow = &fleet.targets[0];
-        slow.work_ms.store(WORK_MS * SLOW_FACTOR, Ordering::Relaxed);
-        record.say(format!("trouble: target {} takes {SLOW_FACTOR} times as long", slow.id));
-    }
+    let slowing = trouble.then(|| {
+        let (record, targets) = (record.clone(), fleet.targets.clone());
+        tokio::spawn(async move {
+            for slow in targets.iter().cycle() {
+                slow.work_ms.store(WORK_MS * SLOW_FACTOR, Ordering::Relaxed);
+                record.say(format!("trouble: target {} takes {SLOW_FACTOR} times as long for {SLOW_FOR:?}", slow.id));
+                tokio::time::sleep(SLOW_FOR).await;
+                slow.work_ms.store(WORK_MS, Ordering::Relaxed);
+            }
+        })
+    });
     let mut callers = tokio::task::JoinSet::new();
     for (i, host) in fleet.hosts.iter().enumerate() {
         let (record, addr) = (record.clone(), host.listen);
@@ -107,6 +115,9 @@
     while let Some(caller) = callers.join_next().await {
         wrong += caller??;
     }
+    if let Some(slowing) = slowing {
+        slowing.abort();
+    }
     let by_id = fleet.runs.by_id();
     let mut broken = 0;
     for (id, runs) in &by_id {
