--- a/crates/geraniummux-core/src/fleet/config_change.rs
+++ b/crates/geraniummux-core/src/fleet/config_change.rs
@@ -5,6 +5,7 @@
 use super::config_extension::ConfigExtension;
 use super::evacuations::Evacuations;
 use super::routes::{CallerLimits, ConfigEdition, FleetConfig, FleetPool, FleetRoute};
+use super::teams::Authentication;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -103,10 +104,10 @@
         let ConfigChange { base, edition, mut removed, routes, pools, limits, extension } = self;
         let ConfigEdition { version, era } = edition;
         let mut config = FleetConfig { version, era, pools, limits, ..FleetConfig::default() };
-        let is_complete_base = match base {
+        let (is_complete_base, former_teams) = match base {
             None => {
                 config.routes = routes;
-                true
+                (true, &[][..])
             }
             Some(base) => {
                 let current = current.filter(|c| c.edition() == base)?;
@@ -115,14 +116,19 @@
                 let is_kept = |r: &&FleetRoute| removed.binary_search(&r.name).is_err();
                 config.routes = current.routes.iter().filter(is_kept).cloned().collect();
                 config.routes.extend(routes);
-                config.teams = current.teams.clone();
-                current.is_complete
+                if let Authentication::Teams(_) = current.authentication {
+                    config.authentication = current.authentication.clone();
+                }
+                (current.is_complete, current.teams())
             }
         };
         if let Some(extension) = extension {
-            extension.apply_to(&mut config);
+            extension.apply_to(&mut config, former_teams);
             config.is_complete = is_complete_base;
         }
+        if let Some(current) = current {
+            config.authentication = config.authentication.or_presumed(&current.authentication);
+        }
         Some(config)
     }
 }
--- a/crates/geraniummux-core/src/fleet/config_extension.rs
+++ b/crates/geraniummux-core/src/fleet/config_extension.rs
@@ -4,7 +4,7 @@
 
 use super::evacuations::Evacuations;
 use super::routes::FleetConfig;
-use super::teams::Team;
+use super::teams::{Authentication, Team};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -21,27 +21,33 @@
     pub teams: Vec<Arc<Team>>,
     /// The evacuated failure domains, if the sender watches them. They have a revision of their own.
     pub evacuations: Option<Evacuations>,
+    /// Whether callers need keys, as there may be no team although they do. It follows the extension in a message;
+    /// some builds neither send nor read it.
+    #[serde(skip)]
+    pub authentication: Authentication<()>,
 }
 
 impl ConfigExtension {
     /// Returns the extension of a change from `base`, or of one that holds all of `config`.
     pub(super) fn between(base: Option<&FleetConfig>, config: &FleetConfig) -> Self {
-        let former = base.map_or(&[][..], |b| &b.teams);
+        let former = base.map_or(&[][..], |b| b.teams());
+        let teams = config.teams();
         let is_new = |t: &&Arc<Team>| !former.contains(t);
-        let is_gone = |t: &&Arc<Team>| config.teams.iter().all(|c| c.name != t.name);
+        let is_gone = |t: &&Arc<Team>| teams.iter().all(|c| c.name != t.name);
         let public = config.routes.iter().filter(|r| r.public).map(|r| r.name.clone());
         let limits = config.pools.iter().filter_map(|p| Some((p.name.clone(), p.warm_up_per_s?)));
         ConfigExtension {
             public_routes: public.collect(),
             warm_up_limits: limits.collect(),
             removed_teams: former.iter().filter(is_gone).map(|t| t.name.clone()).collect(),
-            teams: config.teams.iter().filter(is_new).cloned().collect(),
+            teams: teams.iter().filter(is_new).cloned().collect(),
             evacuations: None,
+            authentication: config.authentication.map(|_| ()),
         }
     }
 
-    /// Adds what the extension holds to a configuration, whose teams are those before the change.
-    pub(super) fn apply_to(self, config: &mut FleetConfig) {
+    /// Adds what the extension holds to a configuration. `former` are the teams before the change.
+    pub(super) fn apply_to(self, config: &mut FleetConfig, former: &[Arc<Team>]) {
         let ConfigExtension { mut public_routes, warm_up_limits, removed_teams, teams, .. } = self;
         public_routes.sort_unstable();
         for r in &mut config.routes {
@@ -54,9 +60,10 @@
         let is_replaced = |t: &Arc<Team>| {
             removed_teams.contains(&t.name) || teams.iter().any(|n| n.name == t.name)
         };
-        config.teams.retain(|t| !is_replaced(t));
-        config.teams.extend(teams);
-        config.teams.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut all: Vec<_> = former.iter().filter(|t| !is_replaced(t)).cloned().collect();
+        all.extend(teams);
+        all.sort_by(|a, b| a.name.cmp(&b.name));
+        config.authentication = Authentication::received(self.authentication, all);
         config.is_complete = true;
     }
 }
--- a/crates/geraniummux-core/src/fleet/mod.rs
+++ b/crates/geraniummux-core/src/fleet/mod.rs
@@ -77,6 +77,6 @@
 pub use split::SplitState;
 pub use table::{Candidate, Rating, TableOptions, TargetTable};
 pub use team_shares::TeamShares;
-pub use teams::{Allowance, ApiKey, KeyRefusal, Team, TeamIndex, identify_team};
+pub use teams::{Allowance, ApiKey, Authentication, KeyRefusal, Team, TeamIndex, identify_team};
 pub use warm::WarmConnections;
 pub use warm_up::{WarmUpRules, WarmUpShares};
--- a/crates/geraniummux-core/src/fleet/routes.rs
+++ b/crates/geraniummux-core/src/fleet/routes.rs
@@ -1,6 +1,6 @@
 //! The operator's configuration: which requests are routed to which pools.
 
-use super::teams::{Team, TeamIndex};
+use super::teams::{Authentication, Team, TeamIndex};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -110,9 +110,10 @@
     pub pools: Vec<FleetPool>,
     /// Limits on the requests and connections of callers.
     pub limits: CallerLimits,
-    /// Teams of callers, sorted by name. Part of the [`ConfigExtension`](super::ConfigExtension).
+    /// Whether callers need keys, and the teams, sorted by name. Part of the
+    /// [`ConfigExtension`](super::ConfigExtension).
     #[serde(skip)]
-    pub teams: Vec<Arc<Team>>,
+    pub authentication: Authentication<Vec<Arc<Team>>>,
     /// Whether it holds all that the operator has configured, and not only what a peer knows whose build has no
     /// [`ConfigExtension`](super::ConfigExtension).
     #[serde(skip)]
@@ -125,12 +126,22 @@
         ConfigEdition { version: self.version, era: self.era }
     }
 
+    /// Returns the teams of callers; empty if there is no list of teams.
+    pub fn teams(&self) -> &[Arc<Team>] {
+        self.authentication.teams().map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns whether no part is missing or presumed.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_complete && self.authentication.is_stated()
+    }
+
     /// Returns whether this configuration takes the place of `current`: it is newer, or holds the parts that
     /// `current` lacks.
     pub fn supersedes(&self, current: Option<&FleetConfig>) -> bool {
         let Some(current) = current else { return true };
-        let completes = self.is_complete && !current.is_complete;
-        self.edition() > current.edition() || self.edition() == current.edition() && completes
+        let known = |c: &FleetConfig| (c.is_complete, c.authentication.is_stated());
+        (self.edition(), known(self)) > (current.edition(), known(current))
     }
 }
 
@@ -141,8 +152,8 @@
     pub version: u64,
     /// Limits on the requests and connections of callers.
     pub limits: CallerLimits,
-    /// Teams of callers.
-    pub teams: TeamIndex,
+    /// Whether callers need keys, and the teams.
+    pub authentication: Authentication<TeamIndex>,
     /// Whether the indexed configuration is complete; see [`FleetConfig::is_complete`].
     pub is_complete: bool,
     /// Sorted by host, then by prefix.
@@ -160,11 +171,11 @@
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         let mut pools: Vec<_> = config.pools.iter().cloned().map(Arc::new).collect();
         pools.sort_by(|a, b| a.name.cmp(&b.name));
-        let priorities = priorities(&routes, &config.teams);
+        let priorities = priorities(&routes, config.teams());
         RouteIndex {
             version: config.version,
             limits: config.limits,
-            teams: TeamIndex::new(&config.teams),
+            authentication: config.authentication.map(|teams| TeamIndex::new(teams)),
             is_complete: config.is_complete,
             routes,
             pools,
@@ -207,6 +218,27 @@
         })
     }
 
+    /// Returns the team with this name.
+    pub fn team(&self, name: &str) -> Option<&Arc<Team>> {
+        self.authentication.teams()?.team(name)
+    }
+
+    /// Returns whether the team with this name has an allowance.
+    pub fn has_allowance(&self, team: &str) -> bool {
+        self.team(team).is_some_and(|t| t.allowance.is_some())
+    }
+
+    /// Returns whether requests belong to teams, so that allowances and the shares of teams apply.
+    pub fn has_teams(&self) -> bool {
+        self.authentication.teams().is_some()
+    }
+
+    /// Returns whether keys and names of teams that callers send are kept from targets. They are ordinary headers of
+    /// a fleet in which callers need no keys.
+    pub fn removes_caller_identity(&self) -> bool {
+        !self.is_complete || !matches!(self.authentication, Authentication::Disabled)
+    }
+
     /// Returns all routes, sorted by host and prefix.
     pub fn routes(&self) -> &[Arc<FleetRoute>] {
         &self.routes
--- a/crates/geraniummux-core/src/fleet/teams.rs
+++ b/crates/geraniummux-core/src/fleet/teams.rs
@@ -44,6 +44,89 @@
     pub allowance: Option<Allowance>,
 }
 
+/// Whether callers need keys, and the teams `T` whose keys are valid.
+///
+/// A list of teams that has become empty differs from no list: no key is valid then.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Authentication<T> {
+    /// Callers need no key.
+    Disabled,
+    /// Callers need a key of a team, except on public routes.
+    Teams(T),
+    /// Callers needed no key before. The current configuration has no teams and came from a peer whose build does not
+    /// state whether callers need keys.
+    PresumedDisabled,
+    /// The configuration has no teams and came from a peer whose build does not state whether callers need keys.
+    #[default]
+    Unknown,
+}
+
+impl<T> Authentication<T> {
+    /// Returns the teams; `None` if there is no list of teams.
+    pub fn teams(&self) -> Option<&T> {
+        match self {
+            Authentication::Teams(teams) => Some(teams),
+            Authentication::Disabled
+            | Authentication::PresumedDisabled
+            | Authentication::Unknown => None,
+        }
+    }
+
+    /// Returns whether the operator has stated it, and it is not only presumed.
+    pub fn is_stated(&self) -> bool {
+        match self {
+            Authentication::Disabled | Authentication::Teams(_) => true,
+            Authentication::PresumedDisabled | Authentication::Unknown => false,
+        }
+    }
+
+    /// Returns the same with other data about the teams.
+    pub fn map<U, F>(&self, f: F) -> Authentication<U>
+    where
+        F: FnOnce(&T) -> U,
+    {
+        match self {
+            Authentication::Disabled => Authentication::Disabled,
+            Authentication::Teams(teams) => Authentication::Teams(f(teams)),
+            Authentication::PresumedDisabled => Authentication::PresumedDisabled,
+            Authentication::Unknown => Authentication::Unknown,
+        }
+    }
+
+    /// Returns the name of the variant for logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Authentication::Disabled => "disabled",
+            Authentication::Teams(_) => "teams",
+            Authentication::PresumedDisabled => "presumed_disabled",
+            Authentication::Unknown => "unknown",
+        }
+    }
+}
+
+impl Authentication<Vec<Arc<Team>>> {
+    /// Returns what follows from the teams of a peer and from what it states about them.
+    pub(super) fn received(stated: Authentication<()>, teams: Vec<Arc<Team>>) -> Self {
+        match stated {
+            Authentication::Teams(()) => Authentication::Teams(teams),
+            _ if !teams.is_empty() => Authentication::Teams(teams),
+            Authentication::Disabled => Authentication::Disabled,
+            Authentication::PresumedDisabled | Authentication::Unknown => Authentication::Unknown,
+        }
+    }
+
+    /// Returns this, or what can be presumed if it is unknown. `former` is what was in force before.
+    pub(super) fn or_presumed(self, former: &Self) -> Self {
+        match (self, former) {
+            (
+                Authentication::Unknown,
+                Authentication::Disabled | Authentication::PresumedDisabled,
+            ) => Authentication::PresumedDisabled,
+            (authentication, _) => authentication,
+        }
+    }
+}
+
 /// Index of the teams of a configuration.
 #[derive(Clone, Debug, Default)]
 pub struct TeamIndex {
@@ -66,11 +149,6 @@
         TeamIndex { teams, keys }
     }
 
-    /// Returns whether there are no teams, so that callers need no keys.
-    pub fn is_empty(&self) -> bool {
-        self.teams.is_empty()
-    }
-
     /// Returns the team that holds a key.
     pub fn team_of_key(&self, key: &[u8]) -> Option<&Arc<Team>> {
         let i = self.keys.binary_search_by(|(k, _)| k.0.as_bytes().cmp(key)).ok()?;
@@ -114,8 +192,8 @@
 ///
 /// # Errors
 ///
-/// Fails if there are teams, the route is not public, and the request does not have exactly one key that a team
-/// holds.
+/// Fails if callers need keys or that is unknown, the route is not public, and the request does not have exactly one
+/// key that a team holds.
 pub fn identify_team<'a, I>(
     index: &RouteIndex,
     route: &FleetRoute,
@@ -125,14 +203,17 @@
 where
     I: IntoIterator<Item = &'a [u8]>,
 {
-    if index.teams.is_empty() {
-        return Ok(None);
-    }
+    let teams = match &index.authentication {
+        Authentication::Disabled | Authentication::PresumedDisabled => return Ok(None),
+        Authentication::Unknown if route.public => return Ok(None),
+        Authentication::Unknown => return Err(KeyRefusal::Unconfirmed),
+        Authentication::Teams(teams) => teams,
+    };
     let mut keys = keys.into_iter();
     let refusal = match (keys.next(), keys.next()) {
         (None, _) => KeyRefusal::NoKey,
         (Some(_), Some(_)) => KeyRefusal::SeveralKeys,
-        (Some(key), None) => match index.teams.team_of_key(key) {
+        (Some(key), None) => match teams.team_of_key(key) {
             Some(team) => return Ok(Some(team.clone())),
             None => KeyRefusal::UnknownKey,
         },
--- a/crates/geraniummux-core/tests/fleet_teams.rs
+++ b/crates/geraniummux-core/tests/fleet_teams.rs
@@ -1,7 +1,8 @@
 //! Which team a request belongs to, and which requests are refused for their keys.
 
 use geraniummux_core::fleet::{
-    ApiKey, FleetConfig, FleetRoute, KeyRefusal, PoolShare, RouteIndex, Team, identify_team,
+    ApiKey, Authentication, FleetConfig, FleetRoute, KeyRefusal, PoolShare, RouteIndex, Team,
+    identify_team,
 };
 use proptest::prelude::*;
 use std::sync::Arc;
@@ -30,8 +31,12 @@
 }
 
 fn index(teams: Vec<Arc<Team>>, is_complete: bool) -> RouteIndex {
+    index_with(Authentication::Teams(teams), is_complete)
+}
+
+fn index_with(authentication: Authentication<Vec<Arc<Team>>>, is_complete: bool) -> RouteIndex {
     let routes = vec![route(false)];
-    RouteIndex::new(&FleetConfig { teams, routes, is_complete, ..FleetConfig::default() })
+    RouteIndex::new(&FleetConfig { authentication, routes, is_complete, ..FleetConfig::default() })
 }
 
 fn two_teams(is_complete: bool) -> RouteIndex {
@@ -47,16 +52,63 @@
     }
 }
 
-/// Guards against requests that need keys although the operator has no teams.
+/// Guards against requests that need keys although the operator has no list of teams.
+#[test]
+fn identify_team_without_list_of_teams_needs_no_key() {
+    for authentication in [Authentication::Disabled, Authentication::PresumedDisabled] {
+        for is_complete in [true, false] {
+            let index = index_with(authentication.clone(), is_complete);
+            for keys in [&[][..], &[KEY], &[KEY, KEY]] {
+                assert_eq!(identify(&index, false, keys, false), "");
+            }
+        }
+    }
+}
+
+/// Guards against an empty list of teams, or teams that have no keys left, for which each request is admitted.
+#[test]
+fn identify_team_without_any_valid_key_refuses() {
+    for teams in [vec![], vec![team("a", &[], None), team("b", &[], None)]] {
+        let index = index(teams, true);
+        assert_eq!(identify(&index, false, &[], true), "no_key");
+        assert_eq!(identify(&index, false, &[KEY, KEY], true), "several_keys");
+        for key in [KEY, b""] {
+            assert_eq!(identify(&index, false, &[key], true), "unknown_key");
+            assert_eq!(identify(&index, false, &[key], false), "key_unconfirmed");
+            assert_eq!(identify(&index, true, &[key], true), "");
+        }
+        assert_eq!(identify(&index, true, &[], true), "");
+    }
+}
+
+/// Guards against requests that are admitted, or finally refused, while it is unknown whether callers need keys.
 #[test]
-fn identify_team_without_teams_needs_no_key() {
+fn identify_team_unknown_authentication_admits_public_routes_only() {
     for is_complete in [true, false] {
+        let index = index_with(Authentication::Unknown, is_complete);
         for keys in [&[][..], &[KEY], &[KEY, KEY]] {
-            assert_eq!(identify(&index(Vec::new(), is_complete), false, keys, false), "");
+            assert_eq!(identify(&index, false, keys, true), "key_unconfirmed");
+            assert_eq!(identify(&index, true, keys, true), "");
         }
     }
 }
 
+/// Guards against keys and forged names of teams that reach targets although callers may need keys, and against
+/// changed requests of a fleet whose callers need none.
+#[test]
+fn removes_caller_identity_unless_authentication_is_disabled() {
+    let removes = |a: &Authentication<_>, is_complete| {
+        index_with(a.clone(), is_complete).removes_caller_identity()
+    };
+    assert!(!removes(&Authentication::Disabled, true));
+    assert!(removes(&Authentication::Disabled, false));
+    for a in
+        [Authentication::Teams(vec![]), Authentication::PresumedDisabled, Authentication::Unknown]
+    {
+        assert!(removes(&a, true) && removes(&a, false), "{a:?}");
+    }
+}
+
 /// Guards against a key that is attributed to another team, or compared by its beginning only.
 #[test]
 fn identify_team_known_key() {
@@ -127,7 +179,8 @@
 #[test]
 fn debug_output_hides_keys() {
     let index = two_teams(true);
-    let config = FleetConfig { teams: vec![team("a", &["secret-a"], None)], ..Default::default() };
+    let authentication = Authentication::Teams(vec![team("a", &["secret-a"], None)]);
+    let config = FleetConfig { authentication, ..Default::default() };
     let refusal = KeyRefusal::UnknownKey;
     for text in [format!("{index:?}"), format!("{config:#?}"), format!("{refusal:?}")] {
         assert!(!text.contains("secret"), "{text}");
--- a/crates/geraniummux-host/src/allowances.rs
+++ b/crates/geraniummux-host/src/allowances.rs
@@ -174,7 +174,7 @@
     };
     let mut allocator = lock(&host.allowances.allocator);
     let grants = wanted.iter().take(MAX_TOKEN_REQUESTS).filter_map(|request| {
-        let allowance = routes.teams.team(&request.team)?.allowance?;
+        let allowance = routes.team(&request.team)?.allowance?;
         let grant = allocator.grant(now, &request.team, allowance, request.tokens)?;
         host.metrics.tokens("granted", grant.tokens);
         host.metrics.tokens("denied", request.tokens - grant.tokens);
@@ -304,11 +304,10 @@
 
 /// Returns unused tokens, and forgets teams without an allowance. To be called a few times a second.
 pub fn tick(host: &Host) {
-    let Some(routes) = host.routes().filter(|r| !r.teams.is_empty()) else { return };
+    let Some(routes) = host.routes().filter(|r| r.has_teams()) else { return };
     let now = host.now();
-    let has_allowance = |team: &str| routes.teams.team(team).is_some_and(|t| t.allowance.is_some());
     hold_share(host, now);
-    lock(&host.allowances.allocator).retain(has_allowance);
+    lock(&host.allowances.allocator).retain(|team| routes.has_allowance(team));
     let messages = {
         let mut stock = lock(&host.allowances.stock);
         stock.set_allocators(&allocators(host));
--- a/crates/geraniummux-host/src/host.rs
+++ b/crates/geraniummux-host/src/host.rs
@@ -355,8 +355,8 @@
         }
         info!(self.log, "config_adopted"; "version" => config.version, "was" => was.version,
             "revision" => %revision, "from" => from, "routes" => config.routes.len(),
-            "pools" => config.pools.len(), "teams" => config.teams.len(),
-            "complete" => config.is_complete);
+            "pools" => config.pools.len(), "teams" => config.teams().len(),
+            "authentication" => config.authentication.as_str(), "complete" => config.is_complete);
         let version = config.version;
         self.routes.store(Some(Arc::new(RouteIndex::new(&config))));
         let former = current.replace(Arc::new(config));
--- a/crates/geraniummux-host/src/proxy/mod.rs
+++ b/crates/geraniummux-host/src/proxy/mod.rs
@@ -95,14 +95,14 @@
 }
 
 /// Returns the team that a request belongs to, and removes the caller's key and what it sent as the name of a team
-/// from its head, so that neither reaches a target or a log. Does nothing if the operator has no teams.
+/// from its head, so that neither reaches a target or a log. Does nothing if callers need no keys.
 fn identify(
     host: &Host,
     index: &RouteIndex,
     route: &FleetRoute,
     parts: &mut Parts,
 ) -> Result<Option<Arc<Team>>, Unserved> {
-    if index.teams.is_empty() && index.is_complete {
+    if !index.removes_caller_identity() {
         return Ok(None);
     }
     let names = host.protocol.headers();
--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -52,6 +52,11 @@
 /// its peers may take that long in a large fleet.
 const STARTUP_CHECK_DELAY: Duration = Duration::from_secs(3);
 
+/// Time over which hosts spread their reads of a configuration that they got incomplete.
+const CONFIRMATION_SPREAD: Duration = Duration::from_millis(100);
+/// Time for the response to such a read.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Reads the store once, so that the host can serve before it has reached any peer.
 pub async fn read_once<S>(host: Arc<Host>, store: Arc<S>)
 where
@@ -405,6 +410,36 @@
     Ok(())
 }
 
+/// Reads the configuration whenever the one in force has parts that a peer of a former build could not send.
+pub async fn confirm_config<S>(host: Arc<Host>, store: Arc<S>)
+where
+    S: Store,
+{
+    let mut changes = host.replica_changes();
+    let mut backoff = Backoff::new();
+    loop {
+        changes.borrow_and_update();
+        if host.config().is_none_or(|c| c.is_confirmed()) {
+            backoff = Backoff::new();
+            if changes.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        // Many hosts get the same change at the same time.
+        tokio::time::sleep(CONFIRMATION_SPREAD.mul_f64(rand::random())).await;
+        let result =
+            timeout(CONFIRMATION_TIMEOUT, read_config(&host, &*store, Consistency::Latest));
+        let failure = match result.await {
+            Ok(Err(e)) => e,
+            Err(_) => StoreError::Unreachable(String::from("no response to a read")),
+            Ok(Ok(())) if host.config().is_none_or(|c| c.is_confirmed()) => continue,
+            Ok(Ok(())) => StoreError::Invalid(String::from("the configuration is not confirmed")),
+        };
+        backoff.wait_after(&failure).await;
+    }
+}
+
 async fn list<S>(host: &Host, store: &S, consistency: Consistency) -> Result<(), StoreError>
 where
     S: Store,
--- a/crates/geraniummux-host/src/replication.rs
+++ b/crates/geraniummux-host/src/replication.rs
@@ -218,7 +218,7 @@
 ) -> io::Result<SwitchReason> {
     let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(leader)).await??;
     // A configuration that lacks parts is requested once more, as this leader may have them.
-    let config = host.config().filter(|c| c.is_complete);
+    let config = host.config().filter(|c| c.is_confirmed());
     let versions = ReplicaVersions {
         config: config.map(|c| c.edition()).unwrap_or_default(),
         targets_revision: host.fleet().registry.revision(),
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -93,7 +93,9 @@
     tokio::spawn(reader::read_once(host.clone(), store.clone()));
     let s = store.clone();
     tasks::spawn(&host, "discovery", move |host| discovery::run(host, s.clone()));
-    tasks::spawn(&host, "reader", move |host| reader::run(host, store.clone()));
+    let s = store.clone();
+    tasks::spawn(&host, "reader", move |host| reader::run(host, s.clone()));
+    tasks::spawn(&host, "confirm_config", move |host| reader::confirm_config(host, store.clone()));
     until_stopped(path, host, signals).await;
     Ok(())
 }
--- a/crates/geraniummux-host/src/scheduling.rs
+++ b/crates/geraniummux-host/src/scheduling.rs
@@ -751,7 +751,7 @@
         }
     }
     send_decisions(host, decisions);
-    if host.routes().is_some_and(|r| !r.teams.is_empty()) {
+    if host.routes().is_some_and(|r| r.has_teams()) {
         stale_targets.iter().for_each(|(pool, _)| exchange_tokens(host, pool));
     }
     for (pool, mut targets) in stale_targets {
--- a/crates/geraniummux-host/tests/alone.rs
+++ b/crates/geraniummux-host/tests/alone.rs
@@ -6,7 +6,7 @@
     Reply, ScriptedTarget, complete_response, read_head, registered, route, serve_pool,
 };
 use geraniummux_core::fleet::{
-    Allowance, ApiKey, ExtraAttempt, FleetConfig, RegistryDelta, Revision, Team,
+    Allowance, ApiKey, Authentication, ExtraAttempt, FleetConfig, RegistryDelta, Revision, Team,
 };
 use geraniummux_core::{Member, MemberState};
 use geraniummux_host::{Host, peers};
@@ -99,7 +99,8 @@
     config.version += 1;
     let allowance = Some(Allowance { per_s: RATE_PER_S, burst: 0.0 });
     let keys = vec![ApiKey::new(KEY)];
-    config.teams = vec![Arc::new(Team { name: "red".into(), keys, priority: None, allowance })];
+    let team = Team { name: "red".into(), keys, priority: None, allowance };
+    config.authentication = Authentication::Teams(vec![Arc::new(team)]);
     host.adopt_config(config, Revision::new(1, 2), "store");
     while !call(addr).await {
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/geraniummux-host/tests/common/targets.rs
+++ b/crates/geraniummux-host/tests/common/targets.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use geraniummux_core::fleet::{
-    FleetConfig, FleetPool, FleetRoute, PoolShare, RegisteredTarget, RegistryChange, RegistryDelta,
-    Revision,
+    Authentication, FleetConfig, FleetPool, FleetRoute, PoolShare, RegisteredTarget,
+    RegistryChange, RegistryDelta, Revision,
 };
 use geraniummux_host::server::{self, Service};
 use geraniummux_host::{Host, scheduling};
@@ -240,6 +240,7 @@
         era: 1,
         routes: vec![route("safe", "pool"), once],
         pools: vec![pool],
+        authentication: Authentication::Disabled,
         is_complete: true,
         ..FleetConfig::default()
     };
--- a/crates/geraniummux-host/tests/endless.rs
+++ b/crates/geraniummux-host/tests/endless.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use common::targets::{COMPLETE_BODY, call, complete_response, read_request, registered, route};
-use geraniummux_core::fleet::{FleetConfig, FleetPool, RegistryDelta, ResponseLimits, Revision};
+use geraniummux_core::fleet::{
+    Authentication, FleetConfig, FleetPool, RegistryDelta, ResponseLimits, Revision,
+};
 use geraniummux_host::bodies::Bodies;
 use geraniummux_host::server::{self, Service};
 use geraniummux_host::upstream::{Connection, ExchangeError, exchange};
@@ -237,6 +239,7 @@
         era: 1,
         routes: vec![route("mixed", "mixed"), route("good", "good")],
         pools: pools.to_vec(),
+        authentication: Authentication::Disabled,
         is_complete: true,
         ..FleetConfig::default()
     };
--- a/crates/geraniummux-host/tests/evacuations.rs
+++ b/crates/geraniummux-host/tests/evacuations.rs
@@ -4,8 +4,8 @@
 
 use common::targets::{identity, registered, route};
 use geraniummux_core::fleet::{
-    Allowance, ApiKey, ConfigEdition, Evacuations, FleetConfig, FleetPool, FleetRoute,
-    RegistryChange, RegistryDelta, Revision, Team,
+    Allowance, ApiKey, Authentication, ConfigEdition, Evacuations, FleetConfig, FleetPool,
+    FleetRoute, RegistryChange, RegistryDelta, Revision, Team,
 };
 use geraniummux_host::store::Consistency;
 use geraniummux_host::{
@@ -344,7 +344,7 @@
         era: 1,
         routes: vec![public],
         pools: vec![pool],
-        teams: vec![Arc::new(team)],
+        authentication: Authentication::Teams(vec![Arc::new(team)]),
         is_complete: true,
         ..FleetConfig::default()
     }
--- a/crates/geraniummux-host/tests/reader.rs
+++ b/crates/geraniummux-host/tests/reader.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use geraniummux_core::fleet::{Evacuations, RegistryDelta, Revision};
+use geraniummux_core::fleet::{Authentication, Evacuations, FleetConfig, RegistryDelta, Revision};
 use geraniummux_host::store::Consistency;
 use geraniummux_host::{
     ConfigUpdate, EvacuationsUpdate, Host, Store, StoreCheck, StoreError, reader,
@@ -19,6 +19,7 @@
     silent: AtomicBool,
     /// Whether watches never end instead of failing.
     ignores_watches: bool,
+    config: Option<FleetConfig>,
 }
 
 impl SilentStore {
@@ -46,7 +47,8 @@
         Ok(RegistryDelta { from: None, to: self.list().await, changes: Vec::new() })
     }
     async fn read_config(&self, _: Consistency) -> Result<ConfigUpdate, StoreError> {
-        Ok(ConfigUpdate::unchanged(self.list().await))
+        let update = ConfigUpdate::unchanged(self.list().await);
+        Ok(ConfigUpdate { config: self.config.clone(), ..update })
     }
     async fn watch_targets(&self, _: Revision, _: Duration) -> Result<RegistryDelta, StoreError> {
         Err(self.watch().await)
@@ -107,6 +109,43 @@
     task.abort();
 }
 
+/// Guards against a host that refuses all requests, or serves without keys, for as long as it hears the configuration
+/// only from a build that does not state whether callers need keys: it asks the store, also if that does not respond at
+/// first.
+#[tokio::test]
+async fn confirm_config_heard_without_statement_reads_the_store() {
+    let host = common::host("127.9.9.8:7009".parse().unwrap(), "[]").await;
+    let stated = |version, authentication| FleetConfig {
+        version,
+        era: 1,
+        authentication,
+        is_complete: true,
+        ..FleetConfig::default()
+    };
+    let stored = stated(4, Authentication::Teams(vec![]));
+    let config = Some(stored.clone());
+    let store = Arc::new(SilentStore { config, ..SilentStore::default() });
+    store.silent.store(true, Ordering::SeqCst);
+    let task = tokio::spawn(reader::confirm_config(host.clone(), store.clone()));
+    let heard = |authentication| {
+        host.adopt_config(stated(4, authentication), Revision::new(1, 4), "host-2");
+    };
+    heard(Authentication::PresumedDisabled);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(!host.config().unwrap().is_confirmed());
+    store.silent.store(false, Ordering::SeqCst);
+    let confirmed = async {
+        while !host.config().unwrap().is_confirmed() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(Duration::from_secs(20), confirmed).await.expect("the configuration is not confirmed");
+    assert_eq!(*host.config().unwrap(), stored);
+    heard(Authentication::Unknown);
+    assert_eq!(*host.config().unwrap(), stored);
+    task.abort();
+}
+
 /// A store that is restored from a copy while a host's watches wait. It ends no watch, and has overtaken the
 /// lost history when it responds again.
 #[derive(Default)]
--- a/crates/geraniummux-host/tests/replication.rs
+++ b/crates/geraniummux-host/tests/replication.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use geraniummux_core::fleet::{
-    FleetConfig, FleetPool, FleetRoute, PoolShare, RegistryDelta, Revision,
+    Authentication, FleetConfig, FleetPool, FleetRoute, PoolShare, RegistryDelta, Revision,
 };
 use geraniummux_host::{Host, peers, replication};
 use geraniummux_wire::{Codec, Envelope, Message, ReplicaVersions};
@@ -50,7 +50,15 @@
         max_connections: 100,
         warm_up_per_s: None,
     }];
-    FleetConfig { version, era: 1, routes, pools, is_complete: true, ..FleetConfig::default() }
+    FleetConfig {
+        version,
+        era: 1,
+        routes,
+        pools,
+        authentication: Authentication::Disabled,
+        is_complete: true,
+        ..FleetConfig::default()
+    }
 }
 
 /// A follower that only counts what it receives.
--- a/crates/geraniummux-host/tests/teams.rs
+++ b/crates/geraniummux-host/tests/teams.rs
@@ -6,7 +6,7 @@
 use common::targets::{
     Head, Reply, ScriptedTarget, complete_response, identity, read_head, registered, serve_pool,
 };
-use geraniummux_core::fleet::{ApiKey, FleetConfig, Revision, SlotDecision, Team};
+use geraniummux_core::fleet::{ApiKey, Authentication, FleetConfig, Revision, SlotDecision, Team};
 use geraniummux_host::{Host, peers};
 use geraniummux_wire::Message;
 use slog::{Drain, Key, Logger, Never, OwnedKVList, Record, Serializer, o};
@@ -90,7 +90,10 @@
     host.freshness().set_watching_targets(now, true);
     host.freshness().set_watching_config(now, true);
     reconfigure(&host, |config| {
-        config.teams = vec![team("blue", "s3cret-blue", None), team("red", KEY, Some(PRIORITY))];
+        config.authentication = Authentication::Teams(vec![
+            team("blue", "s3cret-blue", None),
+            team("red", KEY, Some(PRIORITY)),
+        ]);
         config.routes.iter_mut().for_each(|r| r.public = &*r.name == "once");
     });
     (host, addr)
@@ -277,9 +280,13 @@
     let mut stream = TcpStream::connect(addr).await.unwrap();
     let key = key_line(KEY);
     assert_eq!(exchange(&mut stream, "safe", &key).await.0, 200);
-    reconfigure(&host, |config| config.teams.retain(|t| &*t.name != "red"));
+    reconfigure(&host, |config| {
+        config.authentication = Authentication::Teams(vec![team("blue", "s3cret-blue", None)]);
+    });
     assert_eq!(exchange(&mut stream, "safe", &key).await.0, 401);
-    reconfigure(&host, |config| config.teams.push(team("green", KEY, None)));
+    reconfigure(&host, |config| {
+        config.authentication = Authentication::Teams(vec![team("green", KEY, None)]);
+    });
     assert_eq!(exchange(&mut stream, "safe", &key).await.0, 200);
     assert_eq!(target.heads.lock().unwrap().last().unwrap().values("team"), ["green"]);
 }
@@ -303,6 +310,48 @@
     assert_eq!(call(addr, "safe", &unknown).await.0, 401);
 }
 
+/// Guards against requests that run, with foreign keys and forged names of teams, once the last team is removed: an
+/// empty list of teams is not the absence of a list.
+#[tokio::test]
+async fn request_after_the_last_team_is_removed_is_refused() {
+    let log = Lines::default();
+    let target = sound_target().await;
+    let (host, addr) = start(&[&target], "127.9.9.169:7009", &log).await;
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let lines = format!("{FORGED}{}", key_line(KEY));
+    assert_eq!(exchange(&mut stream, "safe", &lines).await.0, 200);
+    reconfigure(&host, |config| config.authentication = Authentication::Teams(vec![]));
+    for lines in [&lines, &key_line(UNKNOWN_KEY), FORGED, ""] {
+        assert_eq!(exchange(&mut stream, "safe", lines).await.0, 401);
+    }
+    assert_eq!(target.count(), 1);
+    target.heads.lock().unwrap().clear();
+    assert_eq!(exchange(&mut stream, "once", &lines).await.0, 200);
+    check_heads(&target, &[]);
+}
+
+/// Guards against requests that run, or are finally refused, while it is unknown whether callers need keys.
+#[tokio::test]
+async fn request_while_authentication_is_unknown_may_be_sent_again() {
+    let log = Lines::default();
+    let target = sound_target().await;
+    let (host, addr) = start(&[&target], "127.9.9.170:7009", &log).await;
+    reconfigure(&host, |config| config.authentication = Authentication::Unknown);
+    for lines in [&key_line(KEY), FORGED, ""] {
+        let (status, head) = call(addr, "safe", lines).await;
+        assert_eq!((status, head.value("retry-after")), (503, Some("0.300")));
+    }
+    assert_eq!(target.count(), 0);
+    assert_eq!(call(addr, "once", &format!("{FORGED}{}", key_line(KEY))).await.0, 200);
+    check_heads(&target, &[]);
+    // The same version from a host that knows takes its place.
+    let mut config = FleetConfig::clone(&host.config().unwrap());
+    config.authentication = Authentication::Disabled;
+    let revision = Revision::new(1, config.version);
+    host.adopt_config(config, revision, "host-2");
+    assert_eq!(call(addr, "safe", "").await.0, 200);
+}
+
 /// Guards against keys and forged names that reach targets while a host does not know whether there are teams, and
 /// against changed requests if there are none.
 #[tokio::test]
@@ -311,12 +360,15 @@
     let (host, addr) = start(&[&target], "127.9.9.168:7009", &Lines::default()).await;
     let lines = format!("{FORGED}{}", key_line(KEY));
     reconfigure(&host, |config| {
-        config.teams.clear();
+        config.authentication = Authentication::PresumedDisabled;
         config.is_complete = false;
     });
     assert_eq!(call(addr, "safe", &lines).await.0, 200);
     check_heads(&target, &[]);
-    reconfigure(&host, |config| config.is_complete = true);
+    reconfigure(&host, |config| {
+        config.authentication = Authentication::Disabled;
+        config.is_complete = true;
+    });
     assert_eq!(call(addr, "safe", &lines).await.0, 200);
     let heads = target.heads.lock().unwrap();
     let last = heads.last().unwrap();
--- /dev/null
+++ b/crates/geraniummux-soak/tests/versions.rs
@@ -0,0 +1,187 @@
+//! Series of versions of the configuration that change who may send requests, while hosts are killed.
+
+mod common;
+
+use common::{calm, with_programs_of_env};
+use geraniummux_soak::callers;
+use geraniummux_soak::harness::Harness;
+use geraniummux_soak::{Options, RouteTimes};
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use nix::sys::signal::Signal;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const HOSTS: usize = 3;
+const TARGETS: usize = 4;
+/// Version of the first configuration of a series; those before it are of the harness.
+const FIRST_VERSION: u64 = 3;
+/// Time after which a version that is not in force on a host counts as lost.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Keys that callers send; only the first two may belong to teams.
+const KEYS: [Option<&str>; 4] = [Some("key-ash"), Some("key-birch"), Some("key-unknown"), None];
+
+/// Starts hosts whose stores hold two versions of the harness. `net` gives each test of this file its own loopback
+/// network.
+async fn start(net: u64) -> Harness {
+    let opts = Options { hosts: HOSTS as u8, targets: TARGETS, ..calm(12_000 + net, "versions") };
+    let harness = Harness::start(&with_programs_of_env(opts)).await.unwrap();
+    for request_addr in harness.request_addrs() {
+        assert!(harness.await_newest_config(*request_addr).await, "{request_addr} does not serve");
+    }
+    harness
+}
+
+/// Returns the hosts to check: all, or those of the first build in a fleet of two.
+fn checked_hosts(harness: &Harness) -> Vec<(usize, SocketAddr)> {
+    let is_mixed = std::env::var_os("GERANIUMMUX_OTHER_PROGRAM").is_some();
+    let all = harness.request_addrs().iter().copied().enumerate();
+    all.filter(|(i, _)| !is_mixed || i % 2 == 0).collect()
+}
+
+fn route(name: &str, prefix: &str, public: bool) -> Value {
+    let times = RouteTimes::SHORT;
+    json!({"name": name, "host": "soak.example", "path-prefix": prefix, "route-type": "safe",
+        "timeout-s": times.timeout.as_secs_f64(), "priority": 1, "service": "pool",
+        "target-latency-s": times.latency_target.as_secs_f64(), "max-attempts": 2,
+        "public": public})
+}
+
+/// Writes a version with a route that only it has, by which callers recognise it, and with further fields.
+fn publish(harness: &Harness, version: u64, mut routes: Vec<Value>, fields: &Value) {
+    routes.push(route("added", &format!("/v{version}/"), true));
+    let mut spec = json!({"version": format!("{version:08x}"), "routes": routes,
+        "services": [{"name": "pool", "health-path": "/health", "max-conns": 200}]});
+    spec.as_object_mut().unwrap().extend(fields.as_object().unwrap().clone());
+    harness.store.put("config", "main", spec);
+}
+
+/// Sends a request with a key, and with the name of a team that the caller made up. Returns its id and the status of the
+/// response.
+async fn get(addr: SocketAddr, path: &str, key: Option<&str>) -> Option<(String, StatusCode)> {
+    let id = format!("versions-{:x}", rand::random::<u64>());
+    let mut req = Request::get(path)
+        .header(header::HOST, "soak.example")
+        .header("request-id", &id)
+        .header("request-deadline-ms", RouteTimes::SHORT.timeout.as_millis() as u64)
+        .header("tenant-id", "forged");
+    if let Some(key) = key {
+        req = req.header("key", key);
+    }
+    let mut sender = callers::connect(addr).await.ok()?;
+    let rsp = sender.send_request(req.body(Full::default()).unwrap()).await.ok()?;
+    let status = rsp.status();
+    rsp.into_body().collect().await.ok()?;
+    Some((id, status))
+}
+
+async fn await_version(addr: SocketAddr, version: u64) {
+    let end = Instant::now() + GIVE_UP_AFTER;
+    let path = format!("/v{version}/x");
+    loop {
+        let rsp = get(addr, &path, None).await;
+        if rsp.is_some_and(|(_, status)| status == StatusCode::OK) {
+            return;
+        }
+        assert!(Instant::now() < end, "version {version} is not in force at {addr}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Sends a request until its answer is not "come back later".
+async fn settle(addr: SocketAddr, path: &str, key: Option<&str>) -> (String, StatusCode) {
+    let end = Instant::now() + GIVE_UP_AFTER;
+    loop {
+        match get(addr, path, key).await {
+            Some((id, status)) if status != StatusCode::SERVICE_UNAVAILABLE => return (id, status),
+            rsp => assert!(Instant::now() < end, "{path} at {addr}: {rsp:?}"),
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Returns the names of teams that targets were told with a request, over all runs.
+fn told_teams(harness: &Harness, id: &str) -> Vec<String> {
+    let runs = harness.targets.iter().flat_map(|t| t.runs());
+    runs.filter(|r| r.id == id).flat_map(|r| r.teams).collect()
+}
+
+fn key_count(harness: &Harness) -> u32 {
+    harness.targets.iter().map(|t| t.key_count()).sum()
+}
+
+/// Returns the field of a version, and the teams with their keys; `None` if callers need none.
+fn tenants(lists: Option<&[(&'static str, &'static [&'static str])]>) -> Value {
+    let list = |list: &[(&str, &[&str])]| {
+        let team = |(name, keys): &(&str, &[&str])| json!({"name": name, "api-keys": keys});
+        json!({"tenants": list.iter().map(team).collect::<Vec<_>>()})
+    };
+    lists.map_or(json!({}), list)
+}
+
+/// Guards against hosts that let all requests run, with their callers' keys and the names of teams that callers made
+/// up, once a version has an empty list of teams (ROUTE, UNASKED, CONFIG): such a list is not the absence of a list, also
+/// not for a host that is killed and starts again, or that follows another one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn series_of_teams_admits_known_keys_only() {
+    const ASH: (&str, &[&str]) = ("ash", &["key-ash"]);
+    const BIRCH: (&str, &[&str]) = ("birch", &["key-birch"]);
+    const NO_KEYS: (&str, &[&str]) = ("elm", &[]);
+    let harness = start(1).await;
+    let mut rng = StdRng::seed_from_u64(57);
+    let mut lists: Vec<Option<&[_]>> = vec![
+        None,
+        Some(&[]),
+        Some(&[ASH]),
+        Some(&[]),
+        Some(&[NO_KEYS]),
+        Some(&[ASH, BIRCH]),
+        Some(&[]),
+        None,
+    ];
+    lists.shuffle(&mut rng);
+    // The order of the review: the only team is removed.
+    let lists = [Some(&[ASH][..]), Some(&[])].into_iter().chain(lists);
+    for (version, list) in (FIRST_VERSION..).zip(lists) {
+        let routes = vec![route("read", "/read/", false), route("open", "/open/", true)];
+        publish(&harness, version, routes, &tenants(list));
+        let killed = rng.random_bool(0.5).then(|| rng.random_range(0..HOSTS));
+        if let Some(i) = killed {
+            assert!(harness.signal(i, Signal::SIGKILL));
+            harness.restart(i, Duration::ZERO).await;
+        }
+        for (i, addr) in checked_hosts(&harness) {
+            await_version(addr, version).await;
+            let keys_before = key_count(&harness);
+            for key in KEYS {
+                let team = list.and_then(|teams| {
+                    teams.iter().find(|(_, keys)| keys.iter().any(|k| Some(*k) == key))
+                });
+                let case = format!("version {version} {list:?}, host {i}, {key:?}");
+                let (id, status) = settle(addr, "/read/x", key).await;
+                let (open_id, open_status) = settle(addr, "/open/x", key).await;
+                assert_eq!(open_status, StatusCode::OK, "{case}");
+                if list.is_none() {
+                    assert_eq!(status, StatusCode::OK, "{case}");
+                    continue;
+                }
+                let expected =
+                    if team.is_some() { StatusCode::OK } else { StatusCode::UNAUTHORIZED };
+                assert_eq!(status, expected, "{case}");
+                assert_eq!(harness.run_counts.runs(&id), u32::from(team.is_some()), "{case}");
+                let told: Vec<String> = team.iter().map(|(name, _)| (*name).to_owned()).collect();
+                assert_eq!(told_teams(&harness, &id), told, "{case}");
+                assert_eq!(told_teams(&harness, &open_id), told, "{case}");
+            }
+            if list.is_some() {
+                assert_eq!(key_count(&harness), keys_before, "version {version}, host {i}");
+            }
+        }
+    }
+    assert_eq!(harness.process_failures(), Vec::<String>::new());
+}
--- a/crates/geraniummux-wire/src/packed.rs
+++ b/crates/geraniummux-wire/src/packed.rs
@@ -10,8 +10,8 @@
 /// Maximum size of a change before compression in bytes, so that a reader never allocates more.
 const MAX_UNPACKED_LEN: usize = 4 * MAX_STREAM_FRAME_LEN;
 
-/// A [`ConfigChange`] and its extension, encoded with postcard and compressed with LZ4. Builds without the
-/// extension ignore what follows the change.
+/// A [`ConfigChange`], its extension and whether callers need keys, one after the other, encoded with postcard and
+/// compressed with LZ4. Builds ignore what follows the last part that they know.
 #[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PackedConfigChange {
     /// Size of the encoded change in bytes.
@@ -37,6 +37,7 @@
         let mut encoded = postcard::to_stdvec(change).map_err(codec)?;
         if let Some(extension) = &change.extension {
             encoded = postcard::to_extend(extension, encoded).map_err(codec)?;
+            encoded = postcard::to_extend(&extension.authentication, encoded).map_err(codec)?;
         }
         check_len(encoded.len())?;
         let data = lz4_flex::block::compress(&encoded);
@@ -57,7 +58,11 @@
         if rest.is_empty() {
             return Ok(change);
         }
-        let extension: ConfigExtension = postcard::from_bytes(rest).map_err(codec)?;
+        let (mut extension, rest) =
+            postcard::take_from_bytes::<ConfigExtension>(rest).map_err(codec)?;
+        if !rest.is_empty() {
+            extension.authentication = postcard::from_bytes(rest).map_err(codec)?;
+        }
         Ok(ConfigChange { extension: Some(extension), ..change })
     }
 }
--- a/crates/geraniummux-wire/tests/packed.rs
+++ b/crates/geraniummux-wire/tests/packed.rs
@@ -1,8 +1,8 @@
 //! Changes of the configuration with and without the extension, between builds.
 
 use geraniummux_core::fleet::{
-    Allowance, ApiKey, ConfigChange, ConfigExtension, FleetConfig, FleetPool, FleetRoute,
-    PoolShare, Team,
+    Allowance, ApiKey, Authentication, ConfigChange, ConfigExtension, FleetConfig, FleetPool,
+    FleetRoute, PoolShare, Team,
 };
 use geraniummux_wire::PackedConfigChange;
 use serde::{Deserialize, Serialize};
@@ -50,7 +50,7 @@
         era: 1,
         routes: vec![route],
         pools: vec![pool],
-        teams: teams.iter().map(team).collect(),
+        authentication: Authentication::Teams(teams.iter().map(team).collect()),
         is_complete: true,
         ..FleetConfig::default()
     }
@@ -91,7 +91,7 @@
         let unpacked = packed_by_former_build(&change).unpack().unwrap();
         assert_eq!(unpacked.extension, None);
         let applied = unpacked.apply(Some(&old)).unwrap();
-        assert_eq!((applied.teams.len(), applied.is_complete), (teams, false));
+        assert_eq!((applied.teams().len(), applied.is_complete), (teams, false));
         assert!(new.supersedes(Some(&applied)));
     }
 }
@@ -109,7 +109,9 @@
     assert!(bytes.starts_with(&fixed));
     let (_, rest) = postcard::take_from_bytes::<ConfigChange>(&bytes).unwrap();
     let extension: ConfigExtension = postcard::from_bytes(rest).unwrap();
-    assert_eq!(Some(extension), change.extension);
+    assert_eq!(extension.authentication, Authentication::Unknown);
+    let authentication = Authentication::Teams(());
+    assert_eq!(Some(ConfigExtension { authentication, ..extension }), change.extension);
 }
 
 /// Guards against other bytes from hosts that have an incomplete configuration than from those of the former build.
@@ -120,17 +122,80 @@
     assert_eq!(PackedConfigChange::pack(&change).unwrap(), packed_by_former_build(&change));
 }
 
-/// Guards against a panic on an extension that is cut short, and against its acceptance.
+fn packed(bytes: &[u8]) -> PackedConfigChange {
+    let packed = Packed { len: bytes.len() as u32, data: lz4_flex::block::compress(bytes) };
+    postcard::from_bytes(&postcard::to_stdvec(&packed).unwrap()).unwrap()
+}
+
+/// Returns the bytes of a build that has the extension and does not state whether callers need keys.
+fn bytes_without_statement(change: &ConfigChange) -> Vec<u8> {
+    let mut bytes = postcard::to_stdvec(change).unwrap();
+    bytes.extend(postcard::to_stdvec(change.extension.as_ref().unwrap()).unwrap());
+    bytes
+}
+
+/// Guards against a panic on an extension that is cut short, and against its acceptance. What ends with the extension
+/// is whole: some builds send no more.
 #[test]
 fn unpack_cut_extension_is_refused() {
     let change = ConfigChange::whole(&config(2, &["a"]));
     let bytes = unpacked_bytes(&PackedConfigChange::pack(&change).unwrap());
     let fixed = postcard::to_stdvec(&change).unwrap().len();
-    for len in fixed + 1..bytes.len() {
-        let data = lz4_flex::block::compress(&bytes[..len]);
-        let packed = postcard::to_stdvec(&Packed { len: len as u32, data }).unwrap();
-        let packed: PackedConfigChange = postcard::from_bytes(&packed).unwrap();
-        assert!(packed.unpack().is_err(), "{len}");
+    let whole = bytes_without_statement(&change).len();
+    assert_eq!(bytes.len(), whole + 1);
+    for len in fixed + 1..whole {
+        assert!(packed(&bytes[..len]).unpack().is_err(), "{len}");
+    }
+    let applied = packed(&bytes[..whole]).unpack().unwrap().apply(None);
+    assert_eq!(applied, Some(config(2, &["a"])));
+}
+
+/// Guards against followers for which an empty list of teams and no list are the same.
+#[test]
+fn pack_states_whether_callers_need_keys() {
+    let former = config(1, &["a"]);
+    for authentication in [Authentication::Teams(vec![]), Authentication::Disabled] {
+        let config = FleetConfig { authentication, ..config(2, &[]) };
+        for change in [ConfigChange::whole(&config), ConfigChange::between(&former, &config)] {
+            let unpacked = PackedConfigChange::pack(&change).unwrap().unpack().unwrap();
+            let applied = unpacked.apply(Some(&former)).unwrap();
+            assert_eq!(applied, config);
+            assert!(applied.is_confirmed());
+        }
+    }
+}
+
+/// Guards against a statement that can't be told from that of another build: it is neither ignored nor taken for
+/// "no keys".
+#[test]
+fn unpack_invalid_statement_is_refused() {
+    let change = ConfigChange::whole(&config(2, &[]));
+    let mut bytes = unpacked_bytes(&PackedConfigChange::pack(&change).unwrap());
+    *bytes.last_mut().unwrap() = 0x7f;
+    assert!(packed(&bytes).unpack().is_err());
+}
+
+/// Guards against a host that admits all callers because the last team was removed, as it heard from a build that does
+/// not state whether callers need keys. That build reads the same bytes from this one, and ignores the statement.
+#[test]
+fn unpack_without_statement_is_unknown_unless_callers_needed_no_keys() {
+    let (teams, empty) = (config(1, &["a"]), config(1, &[]));
+    let disabled = FleetConfig { authentication: Authentication::Disabled, ..config(1, &[]) };
+    let next = config(2, &[]);
+    for (former, expected) in [
+        (&teams, Authentication::Unknown),
+        (&empty, Authentication::Unknown),
+        (&disabled, Authentication::PresumedDisabled),
+    ] {
+        for change in [ConfigChange::whole(&next), ConfigChange::between(former, &next)] {
+            let bytes = bytes_without_statement(&change);
+            assert!(
+                unpacked_bytes(&PackedConfigChange::pack(&change).unwrap()).starts_with(&bytes)
+            );
+            let applied = packed(&bytes).unpack().unwrap().apply(Some(former)).unwrap();
+            assert_eq!(applied.authentication, expected);
+            assert!(next.supersedes(Some(&applied)) && !applied.supersedes(Some(&next)));
+        }
     }
 }
 
