--- a/crates/geraniummux-soak/tests/versions.rs
+++ b/crates/geraniummux-soak/tests/versions.rs
@@ -1,10 +1,11 @@
-//! Series of versions of the configuration that change who may send requests, while hosts are killed.
+//! Series of versions of the configuration that change who may send requests, while hosts are killed, or how routes are
+//! split among pools.
 
 mod common;
 
 use common::{calm, with_programs_of_env};
 use geraniummux_soak::callers;
-use geraniummux_soak::harness::Harness;
+use geraniummux_soak::harness::{Harness, ZONES};
 use geraniummux_soak::{Options, RouteTimes};
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -17,12 +18,18 @@
 use std::time::{Duration, Instant};
 
 const HOSTS: usize = 3;
-const TARGETS: usize = 4;
+const TARGETS: usize = POOLS.len() + 1;
 /// Version of the first configuration of a series; those before it are of the harness.
 const FIRST_VERSION: u64 = 3;
 /// Time after which a version that is not in force on a host counts as lost.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Pools of split routes, each with one target. The last target serves the other routes.
+const POOLS: [&str; 4] = ["pool-a", "pool-b", "pool-c", "pool-d"];
+const SPLIT_ROUTES: usize = 4;
+/// Requests to each host and route between two versions. Not a multiple of the length of a sequence, so that credits are
+/// left over.
+const REQUESTS: usize = 23;
 /// Keys that callers send; only the first two may belong to teams.
 const KEYS: [Option<&str>; 4] = [Some("key-ash"), Some("key-birch"), Some("key-unknown"), None];
 
@@ -55,8 +62,10 @@
 /// Writes a version with a route that only it has, by which callers recognise it, and with further fields.
 fn publish(harness: &Harness, version: u64, mut routes: Vec<Value>, fields: &Value) {
     routes.push(route("added", &format!("/v{version}/"), true));
-    let mut spec = json!({"version": format!("{version:08x}"), "routes": routes,
-        "services": [{"name": "pool", "health-path": "/health", "max-conns": 200}]});
+    let pool = |name| json!({"name": name, "health-path": "/health", "max-conns": 200});
+    let pools: Vec<Value> = ["pool"].into_iter().chain(POOLS).map(pool).collect();
+    let mut spec =
+        json!({"version": format!("{version:08x}"), "routes": routes, "services": pools});
     spec.as_object_mut().unwrap().extend(fields.as_object().unwrap().clone());
     harness.store.put("config", "main", spec);
 }
@@ -185,3 +194,68 @@
     }
     assert_eq!(harness.process_failures(), Vec::<String>::new());
 }
+
+fn split_route(i: usize, weights: &[(usize, f64)]) -> Value {
+    let share = |(pool, weight): &(usize, f64)| json!({"service": POOLS[*pool], "weight": weight});
+    let mut route = route(&format!("split-{i}"), &format!("/split-{i}/"), true);
+    route["max-attempts"] = 1.into();
+    route["traffic-split"] = weights.iter().map(share).collect();
+    route.as_object_mut().unwrap().remove("service");
+    route
+}
+
+/// Returns the index of the pool that ran a request.
+fn pool_of(harness: &Harness, id: &str) -> usize {
+    let ran = harness.run_counts.targets(id);
+    let is_target = |t: &_| [t] == *ran;
+    harness.targets.iter().position(|t| is_target(&t.id())).expect("one run")
+}
+
+/// Guards against requests that run at a pool whose weight has become 0 (CONFIG), and against hosts that are off the shares of
+/// a version because of what they sent under the one before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn series_of_splits_keeps_the_shares_of_each() {
+    let harness = start(2).await;
+    harness.set_service_ms(1);
+    for (i, target) in harness.targets.iter().take(POOLS.len()).enumerate() {
+        let addr = harness.target_links[i].addr.to_string();
+        let zone = ZONES[i % ZONES.len()];
+        harness.store.put("servers", &target.id(), target.registration(POOLS[i], &addr, zone));
+    }
+    let splits: [&[(usize, f64)]; 9] = [
+        &[(0, 20.0), (1, 40.0), (2, 40.0)],
+        &[(0, 100.0), (1, 0.0), (2, 0.0)],
+        &[(0, 20.0), (1, 40.0), (2, 40.0)],
+        &[(2, 30.0), (0, 70.0), (1, 0.0)],
+        &[(2, 0.0), (0, 50.0), (3, 50.0)],
+        &[(0, 50.0), (3, 50.0)],
+        &[(3, 1e308), (1, 1e308), (2, 0.0)],
+        &[(0, 1.0), (1, 1.0), (2, 1.0), (3, 1.0)],
+        &[(3, 0.0), (1, 9.0), (0, 0.0), (2, 1.0)],
+    ];
+    for (version, weights) in (FIRST_VERSION..).zip(splits) {
+        let routes = (0..SPLIT_ROUTES).map(|i| split_route(i, weights)).collect();
+        publish(&harness, version, routes, &json!({}));
+        for (i, addr) in checked_hosts(&harness) {
+            await_version(addr, version).await;
+            for route in 0..SPLIT_ROUTES {
+                let mut counts = [0.0; POOLS.len()];
+                for _ in 0..REQUESTS {
+                    let (id, status) = settle(addr, &format!("/split-{route}/x"), None).await;
+                    assert_eq!(status, StatusCode::OK);
+                    counts[pool_of(&harness, &id)] += 1.0;
+                }
+                let largest = weights.iter().map(|(_, w)| *w).fold(0.0, f64::max);
+                let total: f64 = weights.iter().map(|(_, w)| w / largest).sum();
+                for (pool, count) in counts.iter().enumerate() {
+                    let weight = weights.iter().find(|(p, _)| *p == pool).map_or(0.0, |(_, w)| *w);
+                    let share = weight / largest / total * REQUESTS as f64;
+                    let case = format!("{weights:?}, host {i}, route {route}: {counts:?}");
+                    assert!(weight > 0.0 || *count == 0.0, "{case}");
+                    assert!((count - share).abs() < 2.0, "{case}");
+                }
+            }
+        }
+    }
+    assert_eq!(harness.process_failures(), Vec::<String>::new());
+}
