What is kept by a name goes when the name is no longer configured

Callers saw nothing of it; hosts with little memory kept splits, typical requests, budgets, sizes of bodies and tokens of every route, pool and team that was ever configured, and a route that got a former name began with what was known of the other one.

Change: Retention forgets routes and pools that are not in the configuration in force, but for budgets that still count something and bodies that are held. A budget that was dropped at once would allow twice the retries to a pool that one version removes and the next brings back. Entries of a stock of tokens go once they hold nothing, on hosts and in schedulers. The allocator's buckets also go if the last team goes; the tick returned before that.

Evidence: messages_idle_teams_are_forgotten fails without the change of the stock. The tests of the other parts call what did not exist before.

Metrics by name are not changed: their counters would fall.

--- a/crates/geraniummux-core/src/fleet/allowance.rs
+++ b/crates/geraniummux-core/src/fleet/allowance.rs
@@ -37,6 +37,8 @@
 const STOCK_TIME: Duration = Duration::from_millis(150);
 /// Time in which the rate of use decays to about a third (1/e).
 const RATE_DECAY: Duration = Duration::from_millis(500);
+/// Time without use after which the rate of use counts as zero.
+const RATE_RETENTION: Duration = Duration::from_secs(10);
 /// Part of the slack of an allowance that the allocators use; the rest covers allocators that take over.
 const USED_SLACK_SHARE: f64 = 0.5;
 /// Part of its reserve that an allocator has when it takes a share over. While hosts stop and start, shares change hands
@@ -296,6 +298,15 @@
         if self.waiting <= tokens && tokens >= wanted / 2 { 0 } else { wanted - tokens.min(wanted) }
     }
 
+    /// Returns whether nothing is known of the team that a new entry would not have.
+    fn is_idle(&self, now: Time) -> bool {
+        self.waiting == 0
+            && self.asked.is_none()
+            && self.lots.is_empty()
+            && self.denied.iter().all(|(_, until)| now >= *until)
+            && now.since(self.rate_at) >= RATE_RETENTION
+    }
+
     fn denied_until(&self, allocator: SocketAddr) -> Option<Time> {
         self.denied.iter().find(|(a, _)| *a == allocator).map(|(_, until)| *until)
     }
@@ -420,6 +431,7 @@
     pub fn messages(&mut self, now: Time, max_teams: usize) -> Vec<TokenMessage> {
         self.expire_requests(now);
         let mut out = self.returns(now, max_teams);
+        self.teams.retain(|t| !t.is_idle(now));
         let mut wanted: Vec<(SocketAddr, Vec<TokenRequest>)> = Vec::new();
         for i in 0..self.teams.len() {
             let t = &self.teams[i];
--- a/crates/geraniummux-core/src/fleet/bodies.rs
+++ b/crates/geraniummux-core/src/fleet/bodies.rs
@@ -164,6 +164,16 @@
         }
     }
 
+    /// Forgets what is known of the bodies of other routes, but for those that hold bytes. Returns whether none of
+    /// these is left.
+    pub fn retain_routes<F>(&mut self, is_route: F) -> bool
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.routes.retain(|(route, state)| state.held > 0 || is_route(route));
+        self.routes.iter().all(|(route, _)| is_route(route))
+    }
+
     fn route(&mut self, route: &Arc<str>) -> &mut RouteBodies {
         let i = self.routes.binary_search_by(|(r, _)| r.cmp(route)).unwrap_or_else(|i| {
             self.routes.insert(i, (route.clone(), RouteBodies::default()));
--- a/crates/geraniummux-core/src/fleet/extra_attempts.rs
+++ b/crates/geraniummux-core/src/fleet/extra_attempts.rs
@@ -85,6 +85,12 @@
         self.extra_attempts.push_back(now);
         true
     }
+
+    /// Returns whether nothing is counted any more, so that a new budget would allow the same.
+    pub fn is_idle(&self, now: Time, opts: &ExtraAttemptOptions) -> bool {
+        let last = self.first_attempts.back().max(self.extra_attempts.back());
+        last.is_none_or(|at| now.since(*at) > opts.window)
+    }
 }
 
 fn expire(times: &mut VecDeque<Time>, now: Time, window: Duration) {
--- a/crates/geraniummux-core/src/fleet/probes.rs
+++ b/crates/geraniummux-core/src/fleet/probes.rs
@@ -32,4 +32,10 @@
         self.tokens = (self.tokens - granted as f64).max(-capacity);
         granted
     }
+
+    /// Returns whether the bucket is full again, as a new one is.
+    pub fn is_idle(&self, now: Time) -> bool {
+        // From the largest debt to the capacity.
+        self.at.is_none_or(|at| now.since(at).as_secs_f64() >= 2.0 * MAX_ACCUMULATED_S)
+    }
 }
--- a/crates/geraniummux-core/tests/fleet_allowance.rs
+++ b/crates/geraniummux-core/tests/fleet_allowance.rs
@@ -427,3 +427,22 @@
     let most = fleet.most_in_window() as f64;
     assert!(most <= fleet.bound(), "{most} above {}", fleet.bound());
 }
+
+/// Guards against memory that grows with the names of teams that ever sent requests.
+#[test]
+fn messages_idle_teams_are_forgotten() {
+    let mut stock = AllowanceStock::new(7);
+    stock.set_allocators(&[addr(0)]);
+    for i in 0..50 {
+        let now = START + ms(i * 400);
+        let team: Arc<str> = format!("zebra-{i}").into();
+        stock.set_waiting(now, &[(team.clone(), 1)]);
+        let number = stock.messages(now, 9).iter().find_map(|m| m.number).unwrap();
+        let grant = TokenGrant { team: team.clone(), tokens: 1, next_ms: None };
+        assert!(stock.on_answer(now, addr(0), number, AllowanceAnswer::Granted(vec![grant])));
+        assert!(stock.take(now, &team));
+        stock.set_waiting(now, &[]);
+    }
+    stock.messages(START + ms(60_000), 9);
+    assert!(!format!("{stock:?}").contains("zebra"), "{stock:?}");
+}
--- a/crates/geraniummux-core/tests/fleet_bodies.rs
+++ b/crates/geraniummux-core/tests/fleet_bodies.rs
@@ -102,3 +102,27 @@
     }
     assert_eq!(budget.response_limits(&route).undeclared, CAPACITY / 4);
 }
+
+/// Guards against memory that grows with the names of routes that were ever configured, and against bytes that are no
+/// longer counted because their route is gone.
+#[test]
+fn retain_routes_keeps_those_that_hold_bytes() {
+    let mut budget = budget();
+    let initial = budget.response_limits(&name("gone")).undeclared;
+    for route in ["gone", "busy", "here"] {
+        assert!(budget.admit(&name(route), 1_000));
+        budget.on_response(&name(route), CAPACITY / 8);
+    }
+    for route in ["gone", "here"] {
+        budget.release(&name(route), 1_000);
+    }
+    assert!(!budget.retain_routes(|route| route == "here"));
+    assert_eq!(budget.held(), 1_000);
+    assert!(budget.response_limits(&name("here")).undeclared > initial);
+    budget.release(&name("busy"), 1_000);
+    assert!(budget.retain_routes(|route| route == "here"));
+    assert_eq!(budget.held(), 0);
+    for route in ["gone", "busy"] {
+        assert_eq!(budget.response_limits(&name(route)).undeclared, initial, "{route}");
+    }
+}
--- a/crates/geraniummux-host/src/allowances.rs
+++ b/crates/geraniummux-host/src/allowances.rs
@@ -304,10 +304,13 @@
 
 /// Returns unused tokens, and forgets teams without an allowance. To be called a few times a second.
 pub fn tick(host: &Host) {
-    let Some(routes) = host.routes().filter(|r| r.has_teams()) else { return };
+    let Some(routes) = host.routes() else { return };
+    lock(&host.allowances.allocator).retain(|team| routes.has_allowance(team));
+    if !routes.has_teams() {
+        return;
+    }
     let now = host.now();
     hold_share(host, now);
-    lock(&host.allowances.allocator).retain(|team| routes.has_allowance(team));
     let messages = {
         let mut stock = lock(&host.allowances.stock);
         stock.set_allocators(&allocators(host));
--- a/crates/geraniummux-host/src/fleet.rs
+++ b/crates/geraniummux-host/src/fleet.rs
@@ -1,8 +1,8 @@
 //! A host's view of the fleet of targets, its budgets, and what is typical of each route's requests.
 
 use geraniummux_core::fleet::{
-    Demands, ExtraAttemptBudget, FleetRoute, ProbeBudget, RegistryDelta, ReportedDemand, Revision,
-    SplitState, TableOptions, TargetRegistry, TargetTable, WarmUpShares,
+    Demands, ExtraAttemptBudget, ExtraAttemptOptions, FleetRoute, ProbeBudget, RegistryDelta,
+    ReportedDemand, Revision, SplitState, TableOptions, TargetRegistry, TargetTable, WarmUpShares,
 };
 use geraniummux_core::quarantine::QuarantineOptions;
 use geraniummux_core::{Quarantine, Time};
@@ -105,6 +105,28 @@
         entry(&mut self.splits, route, SplitState::default)
     }
 
+    /// Forgets what is kept for routes and pools that are not configured, but for budgets that still count something.
+    /// Returns whether none of these is left.
+    pub fn retain_configured<R, P>(
+        &mut self,
+        now: Time,
+        opts: &ExtraAttemptOptions,
+        is_route: R,
+        is_pool: P,
+    ) -> bool
+    where
+        R: Fn(&str) -> bool,
+        P: Fn(&str) -> bool,
+    {
+        self.splits.retain(|(route, _)| is_route(route));
+        self.typical_requests.retain(|(route, _)| is_route(route));
+        self.extra_attempts.retain(|(pool, b)| is_pool(pool) || !b.is_idle(now, opts));
+        self.probe_budgets
+            .retain(|(pool, both)| is_pool(pool) || both.iter().any(|budget| !budget.is_idle(now)));
+        self.extra_attempts.iter().all(|(pool, _)| is_pool(pool))
+            && self.probe_budgets.iter().all(|(pool, _)| is_pool(pool))
+    }
+
     /// Returns the budget for extra attempts at a pool's targets.
     pub fn extra_attempts(&mut self, pool: &Arc<str>) -> &mut ExtraAttemptBudget {
         entry(&mut self.extra_attempts, pool, ExtraAttemptBudget::default)
--- a/crates/geraniummux-host/src/lib.rs
+++ b/crates/geraniummux-host/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod reach;
 pub mod reader;
 pub mod replication;
+pub mod retention;
 pub mod run;
 pub mod scheduling;
 pub mod server;
--- a/crates/geraniummux-host/src/run.rs
+++ b/crates/geraniummux-host/src/run.rs
@@ -5,6 +5,7 @@
 use crate::peers::{self, PeerNet};
 use crate::protocol::Protocol;
 use crate::proxy;
+use crate::retention::Retention;
 use crate::server::{self, Service};
 use crate::settings::Settings;
 use crate::signals::Signals;
@@ -101,6 +102,7 @@
 }
 
 async fn run_maintenance(host: Arc<Host>) {
+    let mut retention = Retention::default();
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         let now = host.now();
@@ -108,6 +110,7 @@
         host.upstream.set_idle_limit(host.idle_connection_limit());
         proxy::recheck_leaving(&host);
         allowances::tick(&host);
+        retention.tick(&host, now);
         let fleet = host.fleet();
         host.upstream.sweep(now, |addr| fleet.table.contains_addr(addr));
         host.metrics.set_state("config_version", host.config_version() as i64);
