Confirming a configuration relies on the time limit of the store's client

Each call to the store has a time limit of its own, so that a second one around the read could only hide its error from logs and metrics. The wait between reads is that of the watches.

confirm_config_heard_without_statement_reads_the_store holds as before.

--- a/crates/geraniummux-host/src/reader.rs
+++ b/crates/geraniummux-host/src/reader.rs
@@ -54,8 +54,6 @@
 
 /// Time over which hosts spread their reads of a configuration that they got incomplete.
 const CONFIRMATION_SPREAD: Duration = Duration::from_millis(100);
-/// Time for the response to such a read.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reads the store once, so that the host can serve before it has reached any peer.
 pub async fn read_once<S>(host: Arc<Host>, store: Arc<S>)
@@ -205,13 +203,18 @@
         *self = Backoff::new();
     }
 
-    /// Waits before the next call. Missing history is no failure of the store and causes no delay the first
-    /// time.
+    /// Waits before the next call after a failed one. Missing history is no failure of the store and causes no delay the
+    /// first time.
     async fn wait_after(&mut self, error: &StoreError) {
         let is_history_gone = matches!(error, StoreError::HistoryGone | StoreError::Restored);
         if is_history_gone && !std::mem::replace(&mut self.history_was_gone, true) {
             return;
         }
+        self.wait().await;
+    }
+
+    /// Waits before the next call.
+    async fn wait(&mut self) {
         let jitter = rand::rng().random_range(0.75..1.25);
         tokio::time::sleep(self.delay.mul_f64(jitter)).await;
         self.delay = (self.delay * 2).min(MAX_BACKOFF);
@@ -428,15 +431,10 @@
         }
         // Many hosts get the same change at the same time.
         tokio::time::sleep(CONFIRMATION_SPREAD.mul_f64(rand::random())).await;
-        let result =
-            timeout(CONFIRMATION_TIMEOUT, read_config(&host, &*store, Consistency::Latest));
-        let failure = match result.await {
-            Ok(Err(e)) => e,
-            Err(_) => StoreError::Unreachable(String::from("no response to a read")),
-            Ok(Ok(())) if host.config().is_none_or(|c| c.is_confirmed()) => continue,
-            Ok(Ok(())) => StoreError::Invalid(String::from("the configuration is not confirmed")),
-        };
-        backoff.wait_after(&failure).await;
+        let read = read_config(&host, &*store, Consistency::Latest).await;
+        if read.is_err() || host.config().is_some_and(|c| !c.is_confirmed()) {
+            backoff.wait().await;
+        }
     }
 }
 
